--- /dev/null
+++ b/src/contracts/book.rs
@@ -0,0 +1,260 @@
+use std::collections::HashMap;
+
+use crate::contracts::record::WorkspaceSnapshot;
+use crate::contracts::{BookSnapshot, ConfigRecord, Contract, KeyDigest, KeyId, Operation};
+use crate::prelude::*;
+use crate::programs::Standing;
+
+/// Crashes after which a call is not run again.
+const CRASHES_TO_GIVE_UP: usize = 2;
+
+/// A change that lost against another.
+#[wire]
+pub struct Conflict {
+    /// The version in force when it came.
+    pub winner: Offset,
+    /// The version that its operator had seen.
+    pub base: Offset,
+}
+
+/// What became of an operator's change.
+#[wire]
+pub enum Change {
+    /// It is in force since this offset.
+    Accepted(Offset),
+    /// It was refused.
+    Conflict(Conflict),
+}
+
+/// What became of a record.
+#[value]
+pub enum Verdict {
+    /// An operator's change, and what became of it.
+    Change {
+        /// The change.
+        id: u64,
+        /// What became of it.
+        change: Change,
+    },
+    /// It was taken.
+    Taken,
+    /// It says nothing new.
+    Stale,
+}
+
+#[value]
+#[derive(Default)]
+struct Workspace {
+    version: Offset,
+    contract: Option<Contract>,
+    keys: HashMap<KeyId, KeyDigest>,
+}
+
+/// The configuration in force: a pure function of its stream up to an offset.
+#[value]
+#[derive(Default)]
+pub struct Book {
+    through: Offset,
+    workspaces: HashMap<WorkspaceId, Workspace>,
+    suspects: HashMap<(WorkspaceId, Digest), Vec<AttemptId>>,
+}
+
+impl Book {
+    /// The offset of the last record that was applied.
+    pub fn through(&self) -> Offset {
+        self.through
+    }
+
+    /// A workspace's contract, if one is in force.
+    pub fn contract(&self, workspace: &WorkspaceId) -> Option<&Contract> {
+        self.workspaces.get(workspace)?.contract.as_ref()
+    }
+
+    /// The offset of a workspace's last accepted change; zero if there was none.
+    pub fn version(&self, workspace: &WorkspaceId) -> Offset {
+        self.workspaces
+            .get(workspace)
+            .map_or(Offset(0), |found| found.version)
+    }
+
+    /// Workspaces with a contract in force.
+    pub fn workspaces(&self) -> impl Iterator<Item = (&WorkspaceId, &Contract)> {
+        self.workspaces
+            .iter()
+            .filter_map(|(id, found)| Some((id, found.contract.as_ref()?)))
+    }
+
+    /// The public names of a workspace's keys.
+    pub fn keys(&self, workspace: &WorkspaceId) -> Vec<KeyId> {
+        let found = self.workspaces.get(workspace);
+        let mut keys: Vec<KeyId> =
+            found.map_or_else(Vec::new, |found| found.keys.keys().cloned().collect());
+        keys.sort();
+        keys
+    }
+
+    /// The workspace that a key acts for. Every key is compared, whichever one matches.
+    pub fn authenticate(&self, digest: &KeyDigest) -> Option<(WorkspaceId, KeyId)> {
+        let in_force = self
+            .workspaces
+            .iter()
+            .filter(|(_, found)| found.contract.is_some());
+        let keys = in_force.flat_map(|(id, found)| found.keys.iter().map(move |key| (id, key)));
+        keys.fold(None, |match_so_far, (id, (key, known))| {
+            match known == digest {
+                true => Some((id.clone(), key.clone())),
+                false => match_so_far,
+            }
+        })
+    }
+
+    /// Whether a key still acts for a workspace.
+    pub fn holds(&self, workspace: &WorkspaceId, key: &KeyId) -> bool {
+        let found = self.workspaces.get(workspace);
+        found.is_some_and(|found| found.contract.is_some() && found.keys.contains_key(key))
+    }
+
+    /// What is known of a call that may crash engines.
+    pub fn standing(&self, workspace: &WorkspaceId, digest: &Digest) -> Standing {
+        let crashes = self
+            .suspects
+            .get(&(workspace.clone(), *digest))
+            .map_or(0, Vec::len);
+        match crashes {
+            0 => Standing::Clear,
+            crashes if crashes < CRASHES_TO_GIVE_UP => Standing::Suspect,
+            _ => Standing::GivenUp,
+        }
+    }
+
+    /// Applies the record at `offset`. What was applied before is never applied again, and a
+    /// snapshot never takes the book back.
+    pub fn apply(&mut self, offset: Offset, record: &ConfigRecord) -> Verdict {
+        if offset <= self.through {
+            return Verdict::Stale;
+        }
+        let verdict = match record {
+            ConfigRecord::Change {
+                id,
+                workspace,
+                base,
+                operation,
+            } => {
+                let change = self.change(offset, workspace, *base, operation);
+                Verdict::Change { id: *id, change }
+            }
+            ConfigRecord::Suspect {
+                workspace,
+                digest,
+                attempt,
+            } => {
+                let crashes = self
+                    .suspects
+                    .entry((workspace.clone(), *digest))
+                    .or_default();
+                if !crashes.contains(attempt) {
+                    crashes.push(*attempt);
+                }
+                Verdict::Taken
+            }
+            // A reader that is level with the log has all that a snapshot can say, and more if
+            // a change came between the snapshot's making and its append.
+            ConfigRecord::Snapshot(_) => Verdict::Stale,
+        };
+        self.through = offset;
+        verdict
+    }
+
+    /// The book that a stream's retained records give. A reader that is behind starts from the
+    /// newest snapshot whose successors are all retained.
+    pub fn of_stream<'a>(
+        earliest: Offset,
+        records: impl Iterator<Item = (Offset, &'a ConfigRecord)> + Clone,
+    ) -> Option<Book> {
+        let mut book = Book::default();
+        if earliest > Offset(1) {
+            let snapshots = records.clone().filter_map(|(_, record)| match record {
+                ConfigRecord::Snapshot(snapshot) => Some(snapshot),
+                _ => None,
+            });
+            let usable = snapshots.filter(|snapshot| snapshot.through.plus(1) >= earliest);
+            book = Book::from(usable.max_by_key(|snapshot| snapshot.through)?);
+        }
+        records.for_each(|(offset, record)| {
+            book.apply(offset, record);
+        });
+        Some(book)
+    }
+
+    /// The whole book as a record.
+    pub fn snapshot(&self) -> BookSnapshot {
+        let workspaces = self.workspaces.iter().map(|(id, found)| WorkspaceSnapshot {
+            workspace: id.clone(),
+            version: found.version,
+            contract: found.contract.clone(),
+            keys: found
+                .keys
+                .iter()
+                .map(|(key, digest)| (key.clone(), *digest))
+                .collect(),
+        });
+        let suspects = self.suspects.iter();
+        let suspects = suspects.map(|((id, digest), at)| (id.clone(), *digest, at.clone()));
+        BookSnapshot {
+            through: self.through,
+            workspaces: workspaces.collect(),
+            suspects: suspects.collect(),
+        }
+    }
+
+    fn change(
+        &mut self,
+        offset: Offset,
+        workspace: &WorkspaceId,
+        base: Offset,
+        operation: &Operation,
+    ) -> Change {
+        let found = self.workspaces.entry(workspace.clone()).or_default();
+        if found.version != base {
+            return Change::Conflict(Conflict {
+                winner: found.version,
+                base,
+            });
+        }
+        found.version = offset;
+        match operation {
+            Operation::Publish { contract } => found.contract = Some(contract.clone()),
+            Operation::Withdraw => {
+                found.contract = None;
+                found.keys.clear();
+            }
+            Operation::Grant { key, digest } => {
+                found.keys.insert(key.clone(), *digest);
+            }
+            Operation::Revoke { key } => {
+                found.keys.remove(key);
+            }
+        }
+        Change::Accepted(offset)
+    }
+}
+
+impl From<&BookSnapshot> for Book {
+    fn from(snapshot: &BookSnapshot) -> Book {
+        let workspaces = snapshot.workspaces.iter().map(|found| {
+            let workspace = Workspace {
+                version: found.version,
+                contract: found.contract.clone(),
+                keys: found.keys.iter().cloned().collect(),
+            };
+            (found.workspace.clone(), workspace)
+        });
+        let suspects = snapshot.suspects.iter();
+        let suspects = suspects.map(|(id, digest, at)| ((id.clone(), *digest), at.clone()));
+        Book {
+            through: snapshot.through,
+            workspaces: workspaces.collect(),
+            suspects: suspects.collect(),
+        }
+    }
+}
--- /dev/null
+++ b/src/endpoint/desk.rs
@@ -0,0 +1,304 @@
+use std::collections::HashMap;
+
+use crate::endpoint::{CacheLeases, Finished, OrderPolicy, Recall, ServiceOrder, Waiting};
+use crate::prelude::*;
+use crate::programs::{Attempt, AttemptFrame, AttemptReport, AttemptWork, FailureCause};
+
+/// Bytes of text to a token, for guessing costs.
+const BYTES_PER_TOKEN: u64 = 4;
+/// What a service call counts as, in tokens.
+const SERVICE_COST_TOKENS: u64 = 50;
+
+/// Bounds of a desk.
+#[value]
+#[derive(Copy)]
+pub struct DeskLimits {
+    /// Attempts that run at once.
+    pub concurrency: usize,
+    /// Attempts that wait at once.
+    pub queue: usize,
+    /// How long an idle conversation stays in the engine's cache.
+    pub cache_lease_ms: u64,
+    /// Memory for the ends of attempts.
+    pub finished_bytes: usize,
+}
+
+/// What became of a submitted attempt.
+#[value]
+#[derive(Copy)]
+pub enum Submission {
+    /// It waits or runs.
+    Taken,
+    /// It did not start, and never will.
+    Rejected,
+    /// It had come before; its frames go to whoever submitted it first.
+    Duplicate,
+}
+
+/// What a desk wants done.
+#[value]
+pub enum DeskAction {
+    /// Run an attempt on the endpoint.
+    Start(Attempt),
+    /// Stop a running attempt.
+    Stop(AttemptId),
+    /// Tell the submitter how an attempt ended that never started.
+    End(AttemptId, AttemptFrame),
+    /// Free a conversation in the engine's cache.
+    FreeCache(Arc<str>),
+}
+
+struct Running {
+    program: ProgramId,
+    deadline: TimeMs,
+    is_model: bool,
+    alone: bool,
+    stopped: bool,
+}
+
+struct Queued {
+    attempt: Attempt,
+    deadline: TimeMs,
+    waiting: Waiting,
+}
+
+/// The state machine of the process beside an endpoint. It does no I/O.
+pub struct Desk {
+    me: EndpointRef,
+    limits: DeskLimits,
+    fences: HashMap<ShardId, Epoch>,
+    queue: Vec<Queued>,
+    running: HashMap<AttemptId, Running>,
+    finished: Finished,
+    order: ServiceOrder,
+    leases: CacheLeases,
+    draining: bool,
+}
+
+impl Desk {
+    /// A desk for one run of the process.
+    pub fn new(me: EndpointRef, limits: DeskLimits, policy: OrderPolicy) -> Desk {
+        Desk {
+            me,
+            limits,
+            fences: HashMap::new(),
+            queue: Vec::new(),
+            running: HashMap::new(),
+            finished: Finished::new(limits.finished_bytes),
+            order: ServiceOrder::new(policy),
+            leases: CacheLeases::new(limits.cache_lease_ms),
+            draining: false,
+        }
+    }
+
+    /// Attempts that run.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Attempts that wait.
+    pub fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Takes no more attempts; what it has is finished.
+    pub fn drain(&mut self) {
+        self.draining = true;
+    }
+
+    /// Whether nothing waits or runs.
+    pub fn is_idle(&self) -> bool {
+        self.queue.is_empty() && self.running.is_empty()
+    }
+
+    /// Takes an attempt.
+    ///
+    /// An attempt of an owner that has been replaced is rejected by its epoch, and one that is
+    /// meant for an earlier run of this process by its instance: that run may have started it,
+    /// and what it knew of fences is gone with it.
+    pub fn submit(&mut self, now: TimeMs, attempt: Attempt) -> Submission {
+        let id = attempt.id;
+        if attempt.target != self.me {
+            return Submission::Rejected;
+        }
+        if self.holds(id) || self.finished.recall(id) != Recall::NeverSeen {
+            return Submission::Duplicate;
+        }
+        let fence = self.fences.entry(id.shard).or_default();
+        let fenced = id.epoch < *fence || self.finished.is_denied(id);
+        if fenced || self.draining || self.queue.len() >= self.limits.queue {
+            // Never to be started, also if it should come again.
+            self.finished.deny(id);
+            return Submission::Rejected;
+        }
+        *fence = id.epoch;
+        let waiting = waiting(now, &attempt);
+        let deadline = now.plus(attempt.deadline_in_ms);
+        self.queue.push(Queued { attempt, deadline, waiting });
+        Submission::Taken
+    }
+
+    /// Says what became of an attempt. The asker's epoch fences the owners before it; an attempt
+    /// that was never seen is denied from now on, so that the answer stays true.
+    pub fn ask(&mut self, attempt: AttemptId, instance: Instance, epoch: Epoch) -> AttemptReport {
+        if instance != self.me.instance {
+            return AttemptReport::Forgotten;
+        }
+        let fence = self.fences.entry(attempt.shard).or_default();
+        *fence = epoch.max(*fence);
+        if self.holds(attempt) {
+            return AttemptReport::Running;
+        }
+        match self.finished.recall(attempt) {
+            Recall::Over(end) => AttemptReport::Over(end),
+            Recall::Forgotten => AttemptReport::Forgotten,
+            Recall::NeverSeen => {
+                self.finished.deny(attempt);
+                AttemptReport::NeverSeen
+            }
+        }
+    }
+
+    /// Stops an attempt.
+    pub fn cancel(&mut self, attempt: AttemptId) -> Vec<DeskAction> {
+        if let Some(index) = self.queue.iter().position(|queued| queued.attempt.id == attempt) {
+            self.queue.swap_remove(index);
+            return vec![self.end_unstarted(attempt, FailureCause::Cancelled)];
+        }
+        match self.running.get_mut(&attempt) {
+            Some(running) if running.is_model && !running.stopped => {
+                running.stopped = true;
+                vec![DeskAction::Stop(attempt)]
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// Takes note of the end of a running attempt.
+    pub fn ended(&mut self, now: TimeMs, attempt: AttemptId, end: AttemptFrame) {
+        if let Some(running) = self.running.remove(&attempt) {
+            if running.is_model {
+                self.leases.renew(now, &cache_key(&running.program));
+            }
+            self.finished.remember(attempt, end);
+        }
+    }
+
+    /// Frees what the engine holds for a program that has ended.
+    pub fn free(&mut self, program: &ProgramId) -> Vec<DeskAction> {
+        let of_program = |running: &Running| running.program == *program;
+        let ids: Vec<AttemptId> =
+            self.running.iter().filter(|(_, r)| of_program(r)).map(|(id, _)| *id).collect();
+        let mut actions: Vec<DeskAction> =
+            ids.into_iter().flat_map(|id| self.cancel(id)).collect();
+        let key = cache_key(program);
+        if self.leases.end(&key) {
+            actions.push(DeskAction::FreeCache(key));
+        }
+        actions
+    }
+
+    /// Takes note of a conversation that the engine was found to hold.
+    pub fn found_cached(&mut self, now: TimeMs, key: &str) {
+        self.leases.found(now, key);
+    }
+
+    /// Conversations with a lease.
+    pub fn leases(&self) -> usize {
+        self.leases.len()
+    }
+
+    /// Starts what may start, and ends what has run out of time.
+    pub fn proceed(&mut self, now: TimeMs) -> Vec<DeskAction> {
+        let mut actions = self.expire(now);
+        while let Some(attempt) = self.next_to_start(now) {
+            actions.push(DeskAction::Start(attempt));
+        }
+        actions
+    }
+
+    fn holds(&self, attempt: AttemptId) -> bool {
+        let queued = self.queue.iter().any(|queued| queued.attempt.id == attempt);
+        queued || self.running.contains_key(&attempt)
+    }
+
+    fn expire(&mut self, now: TimeMs) -> Vec<DeskAction> {
+        let late: Vec<AttemptId> =
+            self.queue.iter().filter(|q| q.deadline <= now).map(|q| q.attempt.id).collect();
+        self.queue.retain(|queued| queued.deadline > now);
+        let mut actions: Vec<DeskAction> =
+            late.into_iter().map(|id| self.end_unstarted(id, FailureCause::Expired)).collect();
+        for (id, running) in &mut self.running {
+            if running.deadline <= now && !running.stopped {
+                running.stopped = true;
+                actions.push(DeskAction::Stop(*id));
+            }
+        }
+        let in_use = |key: &Arc<str>| self.running.values().any(|r| cache_key(&r.program) == *key);
+        for key in self.leases.expired(now) {
+            match in_use(&key) {
+                true => self.leases.renew(now, &key),
+                false => actions.push(DeskAction::FreeCache(key)),
+            }
+        }
+        actions
+    }
+
+    fn end_unstarted(&mut self, attempt: AttemptId, cause: FailureCause) -> DeskAction {
+        let end = AttemptFrame::Failed { cause, spent_tokens: Some(0) };
+        self.finished.remember(attempt, end.clone());
+        DeskAction::End(attempt, end)
+    }
+
+    /// An attempt suspected of crashing the engine starts on an empty one, and nothing starts
+    /// beside it: else its crash would take innocent calls along, and each of those would look
+    /// like the culprit.
+    fn next_to_start(&mut self, now: TimeMs) -> Option<Attempt> {
+        let alone_runs = self.running.values().any(|running| running.alone);
+        if alone_runs || self.running.len() >= self.limits.concurrency {
+            return None;
+        }
+        let waiting: Vec<Waiting> = self.queue.iter().map(|q| q.waiting.clone()).collect();
+        let index = self.order.next(now, &waiting)?;
+        if self.queue[index].attempt.alone && !self.running.is_empty() {
+            return None;
+        }
+        let queued = self.queue.remove(index);
+        self.order.started(&queued.waiting);
+        let attempt = queued.attempt;
+        let is_model = matches!(attempt.work, AttemptWork::Model { .. });
+        if is_model {
+            self.leases.renew(now, &cache_key(&attempt.program));
+        }
+        let running = Running {
+            program: attempt.program.clone(),
+            deadline: queued.deadline,
+            is_model,
+            alone: attempt.alone,
+            stopped: false,
+        };
+        self.running.insert(attempt.id, running);
+        Some(attempt)
+    }
+}
+
+/// Under which name the engine caches a program's conversation.
+pub(super) fn cache_key(program: &ProgramId) -> Arc<str> {
+    program.to_string().into()
+}
+
+fn waiting(now: TimeMs, attempt: &Attempt) -> Waiting {
+    let cost_tokens = match &attempt.work {
+        AttemptWork::Model { messages, max_tokens, .. } => {
+            let bytes: u64 = messages.iter().map(|message| message.bytes() as u64).sum();
+            bytes / BYTES_PER_TOKEN / 4 + u64::from(*max_tokens)
+        }
+        AttemptWork::Service { .. } => SERVICE_COST_TOKENS,
+    };
+    Waiting {
+        workspace: attempt.program.workspace.clone(),
+        since: now,
+        attained_tokens: attempt.attained_tokens,
+        cost_tokens,
+    }
+}
--- /dev/null
+++ b/src/http/client.rs
@@ -0,0 +1,119 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::client::legacy::Client as PooledClient;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use super::{Body, whole};
+use crate::prelude::*;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Why a call to another process got no good answer.
+#[value]
+#[derive(Copy)]
+pub enum CallError {
+    /// No connection: the call was not sent.
+    NotSent,
+    /// Sent, but no whole answer came.
+    NoAnswer,
+    /// No answer in time.
+    TimedOut,
+    /// An answer that is not what the protocol allows.
+    BadAnswer,
+    /// An answer with this status.
+    Status(u16),
+}
+
+impl CallError {
+    /// Whether the other side certainly did not get the call.
+    pub fn not_sent(self) -> bool {
+        self == CallError::NotSent
+    }
+}
+
+/// A pooled HTTP client for calls by IP address.
+#[derive(Clone)]
+pub struct Client {
+    inner: PooledClient<HttpConnector, Body>,
+}
+
+impl Client {
+    /// Opens a client.
+    pub fn open() -> Client {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_nodelay(true);
+        let inner = PooledClient::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .build(connector);
+        Client { inner }
+    }
+
+    /// Sends a call and returns the response once its head is there.
+    pub async fn start(
+        &self,
+        method: Method,
+        address: SocketAddr,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Response<Incoming>, CallError> {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{address}{path}"))
+            .header(hyper::header::CONTENT_TYPE, "application/json")
+            .body(whole(body))
+            .map_err(|_| CallError::BadAnswer)?;
+        self.inner
+            .request(request)
+            .await
+            .map_err(|fault| match fault.is_connect() {
+                true => CallError::NotSent,
+                false => CallError::NoAnswer,
+            })
+    }
+
+    /// Sends a JSON call and reads its JSON answer, within `timeout` altogether.
+    pub async fn call<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        method: Method,
+        address: SocketAddr,
+        path: &str,
+        question: &Q,
+        timeout: Duration,
+    ) -> Result<A, CallError> {
+        let body = serde_json::to_vec(question).map_err(|_| CallError::BadAnswer)?;
+        let call = async {
+            let response = self.start(method, address, path, body.into()).await?;
+            let status = response.status();
+            let collected = response.into_body().collect().await;
+            let bytes = collected.map_err(|_| CallError::NoAnswer)?.to_bytes();
+            if status != StatusCode::OK {
+                return Err(CallError::Status(status.as_u16()));
+            }
+            serde_json::from_slice(&bytes).map_err(|_| CallError::BadAnswer)
+        };
+        tokio::time::timeout(timeout, call)
+            .await
+            .unwrap_or(Err(CallError::TimedOut))
+    }
+
+    /// Asks for a JSON answer.
+    pub async fn get<A: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        timeout: Duration,
+    ) -> Result<A, CallError> {
+        self.call(Method::GET, address, path, &(), timeout).await
+    }
+}
--- /dev/null
+++ b/src/http/mod.rs
@@ -0,0 +1,9 @@
+//! HTTP plumbing that several slices share, on top of `hyper`.
+
+mod body;
+mod client;
+mod server;
+
+pub use body::{Body, BodyFault, empty, json, lines, read_body, streamed, whole};
+pub use client::{CallError, Client};
+pub use server::{ServerLimits, Serving, serve};
--- /dev/null
+++ b/src/http/server.rs
@@ -0,0 +1,119 @@
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::graceful::GracefulShutdown;
+use tokio::net::TcpListener;
+use tokio::sync::{Semaphore, watch};
+use tokio::task::JoinHandle;
+
+use super::Body;
+
+/// Bounds of a server.
+#[derive(Debug, Clone, Copy)]
+pub struct ServerLimits {
+    /// How long a client may take to send its headers.
+    pub header_timeout: Duration,
+    /// Connections at once; more wait to be accepted.
+    pub connections: usize,
+    /// Buffer of one connection, and so the largest head of a request.
+    pub buffer_bytes: usize,
+}
+
+impl Default for ServerLimits {
+    fn default() -> ServerLimits {
+        ServerLimits {
+            header_timeout: Duration::from_secs(10),
+            connections: 8_192,
+            buffer_bytes: 64 * 1024,
+        }
+    }
+}
+
+/// A running server.
+pub struct Serving {
+    /// Where it listens.
+    pub address: SocketAddr,
+    stop: watch::Sender<bool>,
+    task: JoinHandle<()>,
+}
+
+impl Serving {
+    /// Accepts no more and waits until every response under way was sent.
+    pub async fn shut_down(self) {
+        let _ = self.stop.send(true);
+        let _ = self.task.await;
+    }
+}
+
+/// Serves HTTP/1.1 with one handler.
+pub async fn serve<H, F>(
+    address: SocketAddr,
+    limits: ServerLimits,
+    handler: H,
+) -> std::io::Result<Serving>
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    let listener = TcpListener::bind(address).await?;
+    let address = listener.local_addr()?;
+    let (stop, stopped) = watch::channel(false);
+    let task = tokio::spawn(accept(listener, limits, handler, stopped));
+    Ok(Serving {
+        address,
+        stop,
+        task,
+    })
+}
+
+async fn accept<H, F>(
+    listener: TcpListener,
+    limits: ServerLimits,
+    handler: H,
+    mut stopped: watch::Receiver<bool>,
+) where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    let slots = Arc::new(Semaphore::new(limits.connections));
+    let graceful = GracefulShutdown::new();
+    loop {
+        let Ok(slot) = slots.clone().acquire_owned().await else {
+            break;
+        };
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stopped.wait_for(|stop| *stop) => break,
+        };
+        let Ok((stream, _)) = accepted else {
+            // Out of file descriptors, most likely: a short pause beats a busy loop.
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let handler = handler.clone();
+        let service = service_fn(move |request| {
+            let response = handler(request);
+            async move { Ok::<_, Infallible>(response.await) }
+        });
+        let connection = hyper::server::conn::http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(limits.header_timeout)
+            .max_buf_size(limits.buffer_bytes)
+            .serve_connection(TokioIo::new(stream), service);
+        let watched = graceful.watch(connection);
+        tokio::spawn(async move {
+            let _ = watched.await;
+            drop(slot);
+        });
+    }
+    drop(listener);
+    graceful.shutdown().await;
+}
--- /dev/null
+++ b/src/ids/mod.rs
@@ -0,0 +1,10 @@
+//! Names and numbers that identify things.
+
+mod names;
+mod numbers;
+
+pub use names::{InvalidName, ModelName, ProgramId, VmName, WorkspaceId};
+pub use numbers::{AttemptId, Digest, EndpointRef, Epoch, Instance, Offset, ShardId, TurnNo};
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/ids/tests.rs
@@ -0,0 +1,27 @@
+use test_case::test_case;
+
+use crate::ids::{InvalidName, ProgramId, WorkspaceId};
+
+fn program(workspace: &str, name: &str) -> ProgramId {
+    ProgramId::parse(WorkspaceId::parse(workspace).unwrap(), name).unwrap()
+}
+
+#[test_case("", InvalidName::Empty)]
+#[test_case("a b", InvalidName::Character(' '))]
+#[test_case("a/b", InvalidName::Character('/'))]
+fn bad_workspace_names_are_refused(text: &str, expected: InvalidName) {
+    assert_eq!(WorkspaceId::parse(text), Err(expected));
+}
+
+#[test]
+fn a_sub_agent_shares_the_shard_and_the_account_of_its_root() {
+    let root = program("ice", "crossing-7");
+    let child = program("ice", "crossing-7/checker");
+    assert_eq!(root.shard(64), child.shard(64));
+    assert_eq!(child.account(), root);
+}
+
+#[test]
+fn one_name_in_two_workspaces_is_two_programs() {
+    assert_ne!(program("ice", "p"), program("biogas", "p"));
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,17 @@
+//! trefoilproxy schedules agent programs: chains of dependent model and tool calls.
+//!
+//! The decisions live in state machines without I/O, one slice of the tree for each duty; the
+//! daemon's tasks feed them with events and clock values and carry out the actions they return.
+
+pub mod contracts;
+pub mod http;
+pub mod ids;
+pub mod link;
+pub mod logstore;
+pub mod membership;
+pub mod prelude;
+pub mod programs;
+pub mod routing;
+pub mod settings;
+pub mod telemetry;
+pub mod time;
--- /dev/null
+++ b/src/logstore/mod.rs
@@ -0,0 +1,10 @@
+//! The platform's log, as a client sees it: streams of records with offsets.
+
+mod client;
+mod pacer;
+
+pub use client::{LogClient, LogFault, Page};
+pub use pacer::Pacer;
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/membership/tests.rs
@@ -0,0 +1,100 @@
+use super::{Duty, Heartbeat, PeerState, PeerTable, Timings, VmList};
+use crate::membership::vm_list::ListedVm;
+use crate::prelude::*;
+
+fn heartbeat(vm: &str, instance: u64, started: u64, sequence: u64) -> Heartbeat {
+    Heartbeat {
+        vm: VmName::parse(vm).unwrap(),
+        instance: Instance(instance),
+        started: UnixMs(started),
+        sequence,
+        failure_domain: "a".into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        control: "127.0.0.1:2".parse().unwrap(),
+        state: PeerState::Live,
+        duty: Duty::Endpoint {
+            serves: ModelName::parse("small").unwrap(),
+            running: 0,
+            queued: 0,
+            concurrency: 8,
+        },
+    }
+}
+
+fn table() -> PeerTable {
+    PeerTable::new(Timings {
+        suspect_ms: 300,
+        dead_ms: 800,
+        forget_ms: 10_000,
+    })
+}
+
+fn live(table: &PeerTable) -> usize {
+    table
+        .live_endpoints(&ModelName::parse("small").unwrap())
+        .count()
+}
+
+fn dead(table: &PeerTable) -> usize {
+    table.all().filter(|peer| peer.is_dead()).count()
+}
+
+#[test]
+fn silence_is_suspicion_first_and_death_later() {
+    let mut table = table();
+    table.heard(TimeMs(0), heartbeat("m1", 1, 0, 1));
+    table.tick(TimeMs(400));
+    assert_eq!((live(&table), dead(&table)), (0, 0));
+    table.heard(TimeMs(500), heartbeat("m1", 1, 0, 2));
+    assert_eq!(live(&table), 1);
+    table.tick(TimeMs(1_400));
+    assert_eq!((live(&table), dead(&table)), (0, 1));
+}
+
+/// A leaving endpoint gets no new work although the platform's list still calls it live, and
+/// although an older heartbeat, delayed by the network, comes in after it said that it leaves.
+#[test]
+fn a_leaving_endpoint_stays_out_whatever_comes_late() {
+    let mut table = table();
+    table.heard(TimeMs(0), heartbeat("m1", 1, 0, 1));
+    let leaving = Heartbeat {
+        state: PeerState::Leaving,
+        ..heartbeat("m1", 1, 0, 3)
+    };
+    table.heard(TimeMs(10), leaving);
+    table.heard(TimeMs(20), heartbeat("m1", 1, 0, 2));
+    table.heard(TimeMs(30), heartbeat("m1", 1, 0, 4));
+    assert_eq!(live(&table), 0);
+}
+
+#[test]
+fn a_vm_replaced_under_its_name_is_another_instance() {
+    let mut table = table();
+    assert!(table.heard(TimeMs(0), heartbeat("m1", 1, 100, 50)));
+    assert!(table.heard(TimeMs(10), heartbeat("m1", 2, 200, 1)));
+    assert!(!table.heard(TimeMs(20), heartbeat("m1", 1, 100, 51)));
+    let peer = table.on(&VmName::parse("m1").unwrap()).unwrap();
+    assert_eq!(peer.heartbeat.instance, Instance(2));
+}
+
+#[test]
+fn the_platforms_list_alone_stops_new_work_too() {
+    let mut table = table();
+    table.heard(TimeMs(0), heartbeat("m1", 1, 0, 1));
+    let address = "127.0.0.1:1".parse().unwrap();
+    let vm = ListedVm {
+        vm: "m1".to_string(),
+        role: "endpoint".to_string(),
+        address,
+        state: "leaving".to_string(),
+    };
+    table.listed(VmList { vms: vec![vm] });
+    assert_eq!(live(&table), 0);
+}
+
+#[test]
+fn heartbeats_survive_their_encoding_and_garbage_gives_none() {
+    let sent = heartbeat("m1", 7, 1, 2);
+    assert_eq!(Heartbeat::decode(&sent.encode()), Some(sent));
+    assert_eq!(Heartbeat::decode(&[1, 2, 3]), None);
+}
--- /dev/null
+++ b/src/prelude.rs
@@ -0,0 +1,11 @@
+//! The types that nearly every module uses.
+
+pub use std::sync::Arc;
+
+pub use trefoil_derive::{key, name, value, wire, wire_key};
+
+pub use crate::ids::{
+    AttemptId, Digest, EndpointRef, Epoch, Instance, ModelName, Offset, ProgramId, ShardId, TurnNo,
+    VmName, WorkspaceId,
+};
+pub use crate::time::{TimeMs, UnixMs};
--- /dev/null
+++ b/src/programs/fold.rs
@@ -0,0 +1,285 @@
+use std::collections::HashMap;
+
+use crate::prelude::*;
+use crate::programs::{
+    Account, IntentRecord, OpenIntent, OutcomeRecord, ProgramSnapshot, ProgramState, Record,
+    StoredRecord,
+};
+
+/// Whether a record counts.
+#[value]
+#[derive(Copy)]
+pub enum Applied {
+    /// It does.
+    Counted,
+    /// It was written under an epoch that is over, or repeats one that counted before.
+    Void,
+}
+
+/// The state of a shard: a pure function of its stream, the same for every reader.
+///
+/// A record counts only under the newest claim before it. So what a paused owner appends after
+/// its successor's claim is void for every reader, whatever any clock says.
+#[value]
+pub struct ShardFold {
+    next: Offset,
+    epoch: Epoch,
+    holder: Option<(VmName, Instance)>,
+    programs: HashMap<ProgramId, ProgramState>,
+    accounts: HashMap<ProgramId, Account>,
+}
+
+impl ShardFold {
+    /// An empty fold that starts at the first record.
+    pub fn new() -> ShardFold {
+        ShardFold::starting_at(Offset(1), Epoch(0))
+    }
+
+    /// An empty fold that starts at `next`, where `epoch` is the newest claim before it.
+    pub fn starting_at(next: Offset, epoch: Epoch) -> ShardFold {
+        ShardFold {
+            next,
+            epoch,
+            holder: None,
+            programs: HashMap::new(),
+            accounts: HashMap::new(),
+        }
+    }
+
+    /// Folds a stream whose first retained record is `records[0]`.
+    ///
+    /// The claim in force there may itself have expired. An epoch is its claim's offset, so the
+    /// newest epoch below the first offset that any record names is that claim.
+    pub fn of_stream(earliest: Offset, records: &[StoredRecord<Record>]) -> ShardFold {
+        let epochs = records.iter().filter_map(|stored| stored.data.epoch());
+        let standing = epochs.filter(|epoch| epoch.0 < earliest.0).max();
+        let mut fold = ShardFold::starting_at(earliest, standing.unwrap_or_default());
+        for stored in records {
+            fold.apply(stored.offset, stored.time_ms, &stored.data);
+        }
+        fold
+    }
+
+    /// The offset of the next record to apply.
+    pub fn next(&self) -> Offset {
+        self.next
+    }
+
+    /// The epoch in force.
+    pub fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// Who holds the shard, if its claim has been read and not been released.
+    pub fn holder(&self) -> Option<&(VmName, Instance)> {
+        self.holder.as_ref()
+    }
+
+    /// A program's state.
+    pub fn program(&self, program: &ProgramId) -> Option<&ProgramState> {
+        self.programs.get(program)
+    }
+
+    /// All programs.
+    pub fn programs(&self) -> impl Iterator<Item = (&ProgramId, &ProgramState)> {
+        self.programs.iter()
+    }
+
+    /// What a program's account has used.
+    pub fn account(&self, program: &ProgramId) -> Account {
+        self.accounts
+            .get(&program.account())
+            .copied()
+            .unwrap_or_default()
+    }
+
+    /// Drops what is left of programs that ended before `before`.
+    pub fn forget_ended(&mut self, before: UnixMs) {
+        let over = |state: &ProgramState| state.ended.is_some_and(|ended| ended < before);
+        self.programs.retain(|_, state| !over(state));
+        self.rebuild_accounts();
+    }
+
+    /// Applies the record at `offset`. Offsets below [`ShardFold::next`] were applied already.
+    pub fn apply(&mut self, offset: Offset, time: UnixMs, record: &Record) -> Applied {
+        if offset < self.next {
+            return Applied::Void;
+        }
+        self.next = offset.plus(1);
+        if let Record::Claim {
+            entry, instance, ..
+        } = record
+        {
+            self.epoch = Epoch(offset.0);
+            self.holder = Some((entry.clone(), *instance));
+            return Applied::Counted;
+        }
+        if record.epoch() != Some(self.epoch) {
+            return Applied::Void;
+        }
+        self.apply_of_holder(time, record)
+    }
+
+    fn apply_of_holder(&mut self, time: UnixMs, record: &Record) -> Applied {
+        match record {
+            Record::Claim { .. } => Applied::Void,
+            Record::Release { .. } => self.release(),
+            Record::Intent(intent) => self.open(time, intent),
+            Record::Settled {
+                program,
+                attempt,
+                charge_tokens,
+                ..
+            } => self.settle(time, program, *attempt, *charge_tokens),
+            Record::Outcome(outcome) => self.finish(time, outcome),
+            Record::Ended { program, .. } => self.end(time, program),
+            Record::Snapshot { snapshot, .. } => self.restore(time, snapshot),
+        }
+    }
+
+    fn release(&mut self) -> Applied {
+        self.holder = None;
+        // An epoch that no claim can have: nothing counts until the next claim.
+        self.epoch = Epoch(0);
+        Applied::Counted
+    }
+
+    fn open(&mut self, time: UnixMs, intent: &IntentRecord) -> Applied {
+        self.create_if_missing(&intent.program, time, intent.turn);
+        self.change(&intent.program, |state| {
+            let newer = state
+                .open
+                .as_ref()
+                .is_none_or(|open| open.attempt < intent.attempt);
+            let next = intent.turn == state.next_turn();
+            if state.ended.is_some() || state.damaged || !newer || !next {
+                return Applied::Void;
+            }
+            // The attempt before this one was never settled: nobody knows what it used.
+            let superseded = state.reserved_tokens();
+            state.settle(superseded);
+            state.open = Some(OpenIntent::from(intent));
+            state.newest = time;
+            Applied::Counted
+        })
+    }
+
+    fn settle(
+        &mut self,
+        time: UnixMs,
+        program: &ProgramId,
+        attempt: AttemptId,
+        charge_tokens: u64,
+    ) -> Applied {
+        self.change(program, |state| {
+            if !state.is_open(attempt) {
+                return Applied::Void;
+            }
+            state.settle(charge_tokens);
+            state.newest = time;
+            Applied::Counted
+        })
+    }
+
+    fn finish(&mut self, time: UnixMs, outcome: &OutcomeRecord) -> Applied {
+        self.create_if_missing(&outcome.program, time, outcome.turn);
+        self.change(&outcome.program, |state| {
+            if state.damaged {
+                state.turn_count = state.turn_count.max(outcome.turn.0);
+                return Applied::Void;
+            }
+            if !state.is_open(outcome.attempt) {
+                return Applied::Void;
+            }
+            state.finish_turn(outcome);
+            state.newest = time;
+            Applied::Counted
+        })
+    }
+
+    fn end(&mut self, time: UnixMs, program: &ProgramId) -> Applied {
+        self.create_if_missing(program, time, TurnNo(1));
+        for id in self.ended_with(program) {
+            self.change(&id, |state| {
+                state.end(time);
+                Applied::Counted
+            });
+        }
+        Applied::Counted
+    }
+
+    /// A snapshot only fills a gap. Where the state is known it must not be replaced: a snapshot
+    /// whose append took effect late, after it had been sent again, would revert the history.
+    fn restore(&mut self, time: UnixMs, snapshot: &ProgramSnapshot) -> Applied {
+        self.create_if_missing(&snapshot.program, time, TurnNo(snapshot.turn_count + 2));
+        self.change(&snapshot.program, |state| {
+            let same = state.turn_count == snapshot.turn_count && state.open == snapshot.open;
+            let fills_gap = state.damaged && state.turn_count <= snapshot.turn_count + 1;
+            if fills_gap {
+                *state = ProgramState::restore(snapshot, time);
+            } else if same {
+                state.oldest = time;
+            }
+            if same || fills_gap {
+                Applied::Counted
+            } else {
+                Applied::Void
+            }
+        })
+    }
+
+    /// The programs that end with `program`: itself, and under a root all its sub-agents.
+    fn ended_with(&self, program: &ProgramId) -> Vec<ProgramId> {
+        let account = program.account();
+        let is_root = *program == account;
+        let ends = |id: &ProgramId| id == program || (is_root && id.account() == account);
+        let live = self
+            .programs
+            .iter()
+            .filter(|(_, state)| state.ended.is_none());
+        live.map(|(id, _)| id)
+            .filter(|id| ends(id))
+            .cloned()
+            .collect()
+    }
+
+    /// A program whose first known record is not of its first turn lacks the ones before it.
+    fn create_if_missing(&mut self, program: &ProgramId, time: UnixMs, turn: TurnNo) {
+        self.programs
+            .entry(program.clone())
+            .or_insert_with(|| ProgramState {
+                damaged: turn != TurnNo(1),
+                turn_count: turn.0 - 1,
+                ..ProgramState::new(time)
+            });
+    }
+
+    /// Changes a program's state and its account with it.
+    fn change(
+        &mut self,
+        program: &ProgramId,
+        change: impl FnOnce(&mut ProgramState) -> Applied,
+    ) -> Applied {
+        let Some(state) = self.programs.get_mut(program) else {
+            return Applied::Void;
+        };
+        let account = self.accounts.entry(program.account()).or_default();
+        account.remove(state);
+        let applied = change(state);
+        account.add(state);
+        applied
+    }
+
+    fn rebuild_accounts(&mut self) {
+        self.accounts.clear();
+        for (id, state) in &self.programs {
+            self.accounts.entry(id.account()).or_default().add(state);
+        }
+    }
+}
+
+impl Default for ShardFold {
+    fn default() -> ShardFold {
+        ShardFold::new()
+    }
+}
--- /dev/null
+++ b/src/programs/owner/log.rs
@@ -0,0 +1,316 @@
+use super::{Context, ShardOwner};
+use crate::prelude::*;
+use crate::programs::owner::{Action, AppendError, AppendedAt, ReadPage};
+use crate::programs::tenure::TenureEvent;
+use crate::programs::{
+    Active, Applied, OutcomeRecord, Phase, Record, Refusal, RefusalReason, Reply, ShardFold,
+};
+
+impl ShardOwner {
+    /// Sends what has gathered as one batch. While one append is under way the next batch grows:
+    /// the busier the shard, the more turns share an append.
+    pub(super) fn flush(&mut self, cx: &mut Context<'_>) {
+        let log = &mut self.log;
+        let busy = log.appending || log.reading || !log.in_flight.is_empty();
+        if busy || log.outbox.is_empty() || log.retry_at.is_some() {
+            return;
+        }
+        let batch = std::mem::take(&mut log.outbox);
+        log.in_flight = batch.iter().cloned().collect();
+        log.appending = true;
+        cx.out.push(Action::Append(batch));
+    }
+
+    pub(super) fn appended(
+        &mut self,
+        cx: &mut Context<'_>,
+        result: Result<AppendedAt, AppendError>,
+    ) {
+        self.log.appending = false;
+        if self.tenure.is_lost() {
+            return;
+        }
+        match result {
+            Ok(at) => self.append_taken(cx, at),
+            Err(_) => self.log_failed(cx),
+        }
+    }
+
+    /// A batch counts as recorded once everything before it was read. Where it stands right
+    /// behind what was read, nothing lies between, and no read is needed.
+    fn append_taken(&mut self, cx: &mut Context<'_>, at: AppendedAt) {
+        self.log.failing = false;
+        if self.tenure.is_starting() || at.first != self.fold.next() {
+            self.start_read(cx);
+            return;
+        }
+        let batch: Vec<Record> = self.log.in_flight.drain(..).collect();
+        for (offset, record) in (at.first.0..).map(Offset).zip(batch) {
+            self.apply(cx, offset, at.time_ms, &record);
+        }
+    }
+
+    fn log_failed(&mut self, cx: &mut Context<'_>) {
+        self.log.failing = true;
+        self.log.retry_at = Some(cx.now.plus(self.limits.log_retry_ms));
+    }
+
+    pub(super) fn start_read(&mut self, cx: &mut Context<'_>) {
+        if self.log.reading {
+            self.log.read_again = true;
+            return;
+        }
+        if self.log.retry_at.is_some() {
+            return;
+        }
+        self.log.reading = true;
+        cx.out.push(Action::Read(self.read_from()));
+    }
+
+    fn read_from(&self) -> Option<Offset> {
+        match self.tenure.is_starting() {
+            true => self.log.recovered.last().map(|last| last.offset.plus(1)),
+            false => Some(self.fold.next()),
+        }
+    }
+
+    pub(super) fn read(&mut self, cx: &mut Context<'_>, result: Result<ReadPage, AppendError>) {
+        self.log.reading = false;
+        if self.tenure.is_lost() {
+            return;
+        }
+        let page = match result {
+            Ok(page) => page,
+            Err(_) => return self.log_failed(cx),
+        };
+        self.log.failing = false;
+        let more = !page.at_end || std::mem::take(&mut self.log.read_again);
+        if self.tenure.is_starting() {
+            self.recover(cx, page, more);
+        } else {
+            self.catch_up(cx, page, more);
+        }
+    }
+
+    fn catch_up(&mut self, cx: &mut Context<'_>, page: ReadPage, more: bool) {
+        if page.earliest > self.fold.next() {
+            // Records expired before they were read: what they held can't be known any more.
+            return self.lose(cx);
+        }
+        for stored in page.records {
+            self.apply(cx, stored.offset, stored.time_ms, &stored.data);
+        }
+        if self.tenure.is_lost() {
+            return;
+        }
+        if more {
+            return self.start_read(cx);
+        }
+        self.confirm_refusals(cx);
+        self.append_again(cx);
+    }
+
+    /// An append without an answer was looked for up to the end of the log. What isn't there is
+    /// sent again; should the first call still take effect, the second copy is void by the fold.
+    fn append_again(&mut self, cx: &mut Context<'_>) {
+        if self.log.appending || self.log.in_flight.is_empty() {
+            return;
+        }
+        let batch: Vec<Record> = self.log.in_flight.iter().cloned().collect();
+        self.log.appending = true;
+        cx.out.push(Action::Append(batch));
+    }
+
+    fn confirm_refusals(&mut self, cx: &mut Context<'_>) {
+        for waiting in std::mem::take(&mut self.unconfirmed) {
+            cx.refuse(waiting.call, waiting.refusal);
+        }
+    }
+
+    fn recover(&mut self, cx: &mut Context<'_>, page: ReadPage, more: bool) {
+        let earliest = page.earliest;
+        self.log.recovered.extend(page.records);
+        if more {
+            return self.start_read(cx);
+        }
+        let recovered = std::mem::take(&mut self.log.recovered);
+        let Some(claimed_at) = recovered
+            .iter()
+            .find(|stored| self.is_own_claim(&stored.data))
+        else {
+            return self.append_again(cx);
+        };
+        let epoch = Epoch(claimed_at.offset.0);
+        let first = recovered.first().map_or(earliest, |first| first.offset);
+        self.fold = ShardFold::of_stream(first, &recovered);
+        self.log.in_flight.clear();
+        self.tenure.handle(TenureEvent::ClaimRead(epoch));
+        if self.fold.epoch() != epoch {
+            return self.lose(cx);
+        }
+        self.tenure.handle(TenureEvent::CaughtUp);
+        self.take_over(cx);
+    }
+
+    /// Starts to own: asks about what earlier owners left open, then serves who has waited.
+    fn take_over(&mut self, cx: &mut Context<'_>) {
+        let left_open = self.fold.programs().filter_map(|(id, state)| {
+            let open = state.open.as_ref()?;
+            Some((id.clone(), Active::left_open(open, cx.now)))
+        });
+        self.active = left_open.collect();
+        let programs: Vec<ProgramId> = self.active.keys().cloned().collect();
+        for program in programs {
+            self.ask(cx, &program, 0);
+        }
+        for (call, request) in std::mem::take(&mut self.parked) {
+            self.request(cx, call, request);
+        }
+    }
+
+    fn is_own_claim(&self, record: &Record) -> bool {
+        matches!(record, Record::Claim { instance, nonce, .. }
+            if *instance == self.instance && *nonce == self.nonce)
+    }
+
+    fn apply(&mut self, cx: &mut Context<'_>, offset: Offset, time: UnixMs, record: &Record) {
+        if offset < self.fold.next() || self.tenure.is_lost() {
+            return;
+        }
+        let own = self.tenure.epoch().is_some() && record.epoch() == self.tenure.epoch();
+        let applied = self.fold.apply(offset, time, record);
+        if matches!(record, Record::Claim { .. }) {
+            return self.lose(cx);
+        }
+        if own {
+            self.log.in_flight.retain(|sent| sent != record);
+            self.recorded(cx, record, applied);
+        }
+    }
+
+    /// Goes on with what waited for a record of ours.
+    fn recorded(&mut self, cx: &mut Context<'_>, record: &Record, applied: Applied) {
+        match record {
+            Record::Intent(intent) if applied == Applied::Counted => {
+                self.intent_recorded(cx, &intent.program, intent.attempt);
+            }
+            Record::Outcome(outcome) if applied == Applied::Counted => {
+                self.outcome_recorded(cx, outcome);
+            }
+            Record::Ended { program, .. } => self.ended(cx, program),
+            Record::Release { .. } => {
+                self.tenure.handle(TenureEvent::ReleaseRead);
+                self.lose(cx);
+            }
+            _ => {}
+        }
+    }
+
+    fn intent_recorded(&mut self, cx: &mut Context<'_>, program: &ProgramId, attempt: AttemptId) {
+        let Some(active) = self.active.get(program) else {
+            return;
+        };
+        if active.attempt != attempt || active.phase != Phase::RecordingIntent {
+            return;
+        }
+        match active.waiters.is_empty() {
+            true => self.withdraw_intent(program, attempt),
+            false => self.dispatch(cx, program),
+        }
+    }
+
+    /// Nobody waits any more and nothing was dispatched: the reservation is given back.
+    fn withdraw_intent(&mut self, program: &ProgramId, attempt: AttemptId) {
+        self.active.remove(program);
+        if let Some(epoch) = self.tenure.epoch() {
+            let program = program.clone();
+            self.log.outbox.push(Record::Settled {
+                program,
+                epoch,
+                attempt,
+                charge_tokens: 0,
+            });
+        }
+    }
+
+    fn outcome_recorded(&mut self, cx: &mut Context<'_>, outcome: &OutcomeRecord) {
+        let Some(active) = self.active.remove(&outcome.program) else {
+            return;
+        };
+        let turn = outcome.turn;
+        for waiter in active.waiters {
+            let result = outcome.result.clone();
+            cx.reply(
+                waiter.call,
+                Reply::Answer {
+                    turn,
+                    result,
+                    replayed: false,
+                },
+            );
+        }
+        self.release_if_idle(cx);
+    }
+
+    fn ended(&mut self, cx: &mut Context<'_>, program: &ProgramId) {
+        let below = |id: &ProgramId| {
+            id == program || (program.root() == &*program.name && id.account() == *program)
+        };
+        let over: Vec<ProgramId> = self
+            .fold
+            .programs()
+            .map(|(id, _)| id)
+            .filter(|id| below(id))
+            .cloned()
+            .collect();
+        over.iter().for_each(|id| self.free(cx, id));
+        let (told, waiting) = std::mem::take(&mut self.ending)
+            .into_iter()
+            .partition(|(_, id)| id == program);
+        self.ending = waiting;
+        let told: Vec<(crate::programs::CallId, ProgramId)> = told;
+        told.into_iter()
+            .for_each(|(call, _)| cx.reply(call, Reply::Ended));
+    }
+
+    pub(super) fn release_if_idle(&mut self, cx: &mut Context<'_>) {
+        let _ = cx;
+        let log = &self.log;
+        let idle = self.active.is_empty() && log.outbox.is_empty() && log.in_flight.is_empty();
+        if self.tenure.is_leaving() && idle {
+            if let Some(epoch) = self.tenure.epoch() {
+                self.log.outbox.push(Record::Release { epoch });
+            }
+        }
+    }
+
+    /// The log is tried again: first read, to find what took effect without an answer.
+    pub(super) fn retry_log(&mut self, cx: &mut Context<'_>) {
+        if self.log.retry_at.is_some_and(|at| at <= cx.now) {
+            self.log.retry_at = None;
+            self.start_read(cx);
+        }
+    }
+
+    pub(super) fn refuse_unconfirmed_expired(&mut self, cx: &mut Context<'_>) {
+        let now = cx.now;
+        let (expired, waiting) = std::mem::take(&mut self.unconfirmed)
+            .into_iter()
+            .partition::<Vec<_>, _>(|waiting| waiting.deadline <= now);
+        self.unconfirmed = waiting;
+        for waiting in expired {
+            // Whether another owner ran it meanwhile could not be asked.
+            cx.refuse(
+                waiting.call,
+                Refusal::unknown(RefusalReason::LogUnavailable),
+            );
+        }
+    }
+
+    /// The snapshot record of a program without an attempt under way.
+    pub(super) fn snapshot_of(&self, program: &ProgramId) -> Option<Record> {
+        let epoch = self.tenure.epoch()?;
+        let snapshot = self.fold.program(program)?.snapshot(program);
+        Some(Record::Snapshot { epoch, snapshot })
+    }
+}
--- /dev/null
+++ b/src/routing/router.rs
@@ -0,0 +1,157 @@
+use std::collections::HashMap;
+
+use crate::prelude::*;
+use crate::programs::PlaceRequest;
+use crate::routing::EndpointView;
+
+/// How an endpoint is chosen. The baselines stay for comparison.
+#[value]
+#[derive(Copy)]
+pub enum RoutingPolicy {
+    /// Any.
+    Random,
+    /// Each in turn.
+    RoundRobin,
+    /// The least load, as last reported.
+    LeastReported,
+    /// The endpoint that holds the program's cache, unless its load is out of bounds; else the
+    /// least load with own dispatches counted in.
+    CacheAffinity,
+}
+
+/// How far above the mean load the endpoint that holds the cache may be, as a fraction of the
+/// mean in eighths.
+const AFFINITY_SLACK_EIGHTHS: u32 = 4;
+/// Load that never counts as out of bounds: on an idle fleet the mean says nothing.
+const AFFINITY_FREE_LOAD: u32 = 4;
+/// An estimate of one dispatch stands until a report that can have seen it, and no longer.
+const DISPATCH_MEMORY_MS: u64 = 1_000;
+/// Programs whose last endpoint is remembered.
+const MAX_REMEMBERED: usize = 200_000;
+
+/// Chooses endpoints.
+pub struct Router {
+    policy: RoutingPolicy,
+    turn: usize,
+    random: u64,
+    last: HashMap<ProgramId, EndpointRef>,
+    dispatches: HashMap<EndpointRef, Vec<TimeMs>>,
+}
+
+impl Router {
+    /// A router; `seed` feeds its random choices.
+    pub fn new(policy: RoutingPolicy, seed: u64) -> Router {
+        Router {
+            policy,
+            turn: 0,
+            random: seed | 1,
+            last: HashMap::new(),
+            dispatches: HashMap::new(),
+        }
+    }
+
+    /// Chooses among live endpoints that serve the call.
+    pub fn place(
+        &mut self,
+        now: TimeMs,
+        request: &PlaceRequest<'_>,
+        endpoints: &[EndpointView],
+    ) -> Option<EndpointRef> {
+        let avoided = |view: &&EndpointView| Some(&view.endpoint.vm) != request.avoid;
+        let mut candidates: Vec<&EndpointView> = endpoints.iter().filter(avoided).collect();
+        if candidates.is_empty() {
+            candidates = endpoints.iter().collect();
+        }
+        let chosen = match self.policy {
+            RoutingPolicy::Random => self.pick_random(&candidates),
+            RoutingPolicy::RoundRobin => self.pick_next(&candidates),
+            RoutingPolicy::LeastReported => candidates.iter().min_by_key(|v| v.reported).copied(),
+            RoutingPolicy::CacheAffinity => self.pick_affine(now, request, &candidates),
+        };
+        let endpoint = chosen?.endpoint.clone();
+        self.remember(now, request.program, &endpoint);
+        Some(endpoint)
+    }
+
+    /// Forgets a program that has ended.
+    pub fn forget(&mut self, program: &ProgramId) {
+        self.last.remove(program);
+    }
+
+    fn next_random(&mut self) -> u64 {
+        self.random ^= self.random << 13;
+        self.random ^= self.random >> 7;
+        self.random ^= self.random << 17;
+        self.random
+    }
+
+    fn pick_random<'a>(&mut self, candidates: &[&'a EndpointView]) -> Option<&'a EndpointView> {
+        let index = self.next_random() as usize % candidates.len().max(1);
+        candidates.get(index).copied()
+    }
+
+    fn pick_next<'a>(&mut self, candidates: &[&'a EndpointView]) -> Option<&'a EndpointView> {
+        self.turn += 1;
+        candidates.get(self.turn % candidates.len().max(1)).copied()
+    }
+
+    fn pick_affine<'a>(
+        &mut self,
+        now: TimeMs,
+        request: &PlaceRequest<'_>,
+        candidates: &[&'a EndpointView],
+    ) -> Option<&'a EndpointView> {
+        let loads: Vec<u32> = candidates.iter().map(|view| self.load(now, view)).collect();
+        let total: u32 = loads.iter().sum();
+        let mean = total / (loads.len().max(1) as u32);
+        let bound = mean + mean * AFFINITY_SLACK_EIGHTHS / 8 + AFFINITY_FREE_LOAD;
+        let holder = self.last.get(request.program);
+        let held = candidates
+            .iter()
+            .zip(&loads)
+            .find(|(view, _)| Some(&view.endpoint) == holder);
+        if let Some((view, load)) = held {
+            if *load <= bound {
+                return Some(view);
+            }
+        }
+        self.pick_least(request, candidates, &loads)
+    }
+
+    /// The least load; among equals the nearer one, then one that depends on the program, so
+    /// that several entries with the same reports don't all choose the same.
+    fn pick_least<'a>(
+        &self,
+        request: &PlaceRequest<'_>,
+        candidates: &[&'a EndpointView],
+        loads: &[u32],
+    ) -> Option<&'a EndpointView> {
+        let rank = |view: &EndpointView| {
+            let program = request.program.name.as_bytes();
+            Digest::of(&[program, view.endpoint.vm.as_str().as_bytes()]).prefix()
+        };
+        let ranked = candidates.iter().zip(loads);
+        ranked
+            .min_by_key(|(view, load)| (**load, !view.near, rank(view)))
+            .map(|(view, _)| *view)
+    }
+
+    /// The reported load and the own dispatches that the report can't have seen.
+    fn load(&self, now: TimeMs, view: &EndpointView) -> u32 {
+        let recent =
+            |at: &&TimeMs| **at >= view.reported_at && now.since(**at) < DISPATCH_MEMORY_MS;
+        let dispatched = self.dispatches.get(&view.endpoint);
+        let unseen = dispatched.map_or(0, |times| times.iter().filter(recent).count());
+        view.reported + unseen as u32
+    }
+
+    fn remember(&mut self, now: TimeMs, program: &ProgramId, endpoint: &EndpointRef) {
+        if self.last.len() >= MAX_REMEMBERED {
+            self.last.clear();
+        }
+        self.last.insert(program.clone(), endpoint.clone());
+        let times = self.dispatches.entry(endpoint.clone()).or_default();
+        times.retain(|at| now.since(*at) < DISPATCH_MEMORY_MS);
+        times.push(now);
+    }
+}
--- /dev/null
+++ b/src/routing/view.rs
@@ -0,0 +1,39 @@
+use crate::membership::{Duty, Peer};
+use crate::prelude::*;
+
+/// An endpoint as routing sees it: late by a heartbeat.
+#[value]
+pub struct EndpointView {
+    /// The process beside it.
+    pub endpoint: EndpointRef,
+    /// Calls that it reported, running and waiting.
+    pub reported: u32,
+    /// Calls that it can run at once.
+    pub concurrency: u32,
+    /// When the report came.
+    pub reported_at: TimeMs,
+    /// Whether it lies in the failure domain of the one who routes.
+    pub near: bool,
+}
+
+impl EndpointView {
+    /// The view of a peer, if it stands beside an endpoint.
+    pub fn of_peer(peer: &Peer, failure_domain: &str) -> Option<EndpointView> {
+        let Duty::Endpoint {
+            running,
+            queued,
+            concurrency,
+            ..
+        } = &peer.heartbeat.duty
+        else {
+            return None;
+        };
+        Some(EndpointView {
+            endpoint: peer.endpoint_ref(),
+            reported: running + queued,
+            concurrency: *concurrency,
+            reported_at: peer.heard,
+            near: &*peer.heartbeat.failure_domain == failure_domain,
+        })
+    }
+}
--- /dev/null
+++ b/src/settings/tests.rs
@@ -0,0 +1,59 @@
+use super::{EndpointSettings, EntrySettings, SettingFault, SettingsError};
+
+fn args(text: &str) -> Vec<String> {
+    text.split_whitespace().map(str::to_string).collect()
+}
+
+const GOOD: &str = "--vm e1 --failure-domain a --vm-list 127.0.0.1:1 --log 127.0.0.1:2";
+
+#[test]
+fn flags_go_before_the_environment_and_that_before_defaults() {
+    let env = |name: &str| match name {
+        "TREFOIL_SHARDS" => Some("8".to_string()),
+        "TREFOIL_APPENDS_PER_S" => Some("100".to_string()),
+        _ => None,
+    };
+    let settings = EntrySettings::read(&args(&format!("{GOOD} --shards 4")), env).unwrap();
+    assert_eq!((settings.shards, settings.appends_per_s), (4, 100));
+    assert_eq!(settings.default_deadline_ms, 120_000);
+}
+
+#[test]
+fn all_faults_are_reported_together() {
+    let given = args("--vm e1 --vm-list nowhere --log 127.0.0.1:2 --shards 0 --heartbeat-ms soon");
+    let Err(SettingsError::Faults(faults)) = EntrySettings::read(&given, |_| None) else {
+        panic!("expected faults");
+    };
+    let names: Vec<&str> = faults.iter().map(|(name, _)| *name).collect();
+    assert_eq!(
+        names,
+        ["failure-domain", "vm-list", "heartbeat-ms", "shards"]
+    );
+    assert_eq!(
+        faults[3].1,
+        SettingFault::OutOfRange {
+            given: 0,
+            least: 1,
+            most: 4_096
+        }
+    );
+}
+
+#[test]
+fn an_unknown_flag_is_refused() {
+    let result = EntrySettings::read(&args(&format!("{GOOD} --shard 4")), |_| None);
+    assert!(matches!(result, Err(SettingsError::CommandLine(_))));
+}
+
+#[test]
+fn an_unknown_word_is_refused() {
+    let given = "--vm m1 --failure-domain a --vm-list 127.0.0.1:1 --backend 127.0.0.1:2 \
+                 --serves small --kind cache";
+    let Err(SettingsError::Faults(faults)) = EndpointSettings::read(&args(given), |_| None) else {
+        panic!("expected faults");
+    };
+    assert_eq!(
+        faults,
+        [("kind", SettingFault::NotOneOf(&["engine", "service"]))]
+    );
+}
