--- a/src/bin/trefoilproxyd.rs
+++ b/src/bin/trefoilproxyd.rs
@@ -1,2 +1,80 @@
-//! x
-fn main() {}
+//! The daemon: an entry, or the process beside an endpoint.
+
+use std::process::ExitCode;
+
+use trefoilproxy::daemon::DaemonError;
+use trefoilproxy::settings::{EndpointSettings, EntrySettings, Reader, SettingsError};
+use trefoilproxy::telemetry::{start_logs, start_metrics};
+use trefoilproxy::{endpoint, entry};
+
+const EXIT_USAGE: u8 = 2;
+const BRIEF: &str = "Usage: trefoilproxyd entry|endpoint [--FLAG VALUE ...]\n\nEach flag can be given \
+                     as an environment variable too: --vm-list as TREFOIL_VM_LIST.";
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let (role, flags) = match args.split_first() {
+        Some((role, flags)) => (role.as_str(), flags),
+        None => ("", &[][..]),
+    };
+    let help = flags.iter().any(|flag| flag == "--help" || flag == "-h");
+    match role {
+        "entry" if help => usage(&Reader::usage(EntrySettings::ALL, BRIEF)),
+        "endpoint" if help => usage(&Reader::usage(EndpointSettings::ALL, BRIEF)),
+        "entry" => match EntrySettings::read(flags, env) {
+            Ok(settings) => run(settings.process.log_level, |m| entry::run(settings, m)),
+            Err(fault) => refuse(&fault),
+        },
+        "endpoint" => match EndpointSettings::read(flags, env) {
+            Ok(settings) => run(settings.process.log_level, |m| endpoint::run(settings, m)),
+            Err(fault) => refuse(&fault),
+        },
+        "--version" => usage(env!("CARGO_PKG_VERSION")),
+        "--help" | "-h" => usage(BRIEF),
+        _ => {
+            eprintln!("{BRIEF}");
+            ExitCode::from(EXIT_USAGE)
+        }
+    }
+}
+
+fn env(name: &str) -> Option<String> {
+    std::env::var(name).ok()
+}
+
+fn usage(text: &str) -> ExitCode {
+    println!("{text}");
+    ExitCode::SUCCESS
+}
+
+fn refuse(fault: &SettingsError) -> ExitCode {
+    eprintln!("trefoilproxyd: {fault}");
+    ExitCode::from(EXIT_USAGE)
+}
+
+fn run<F>(log_level: &str, role: impl FnOnce(trefoilproxy::telemetry::Metrics) -> F) -> ExitCode
+where
+    F: Future<Output = Result<(), DaemonError>>,
+{
+    if let Err(fault) = start_logs(log_level) {
+        eprintln!("trefoilproxyd: {fault}");
+        return ExitCode::FAILURE;
+    }
+    let metrics = match start_metrics() {
+        Ok(metrics) => metrics,
+        Err(fault) => return fail(&fault),
+    };
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(fault) => return fail(&fault),
+    };
+    match runtime.block_on(role(metrics)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => fail(&fault),
+    }
+}
+
+fn fail(fault: &dyn std::error::Error) -> ExitCode {
+    log::error!("{fault}");
+    ExitCode::FAILURE
+}
--- a/src/contracts/book.rs
+++ b/src/contracts/book.rs
@@ -72,16 +72,12 @@
 
     /// The offset of a workspace's last accepted change; zero if there was none.
     pub fn version(&self, workspace: &WorkspaceId) -> Offset {
-        self.workspaces
-            .get(workspace)
-            .map_or(Offset(0), |found| found.version)
+        self.workspaces.get(workspace).map_or(Offset(0), |found| found.version)
     }
 
     /// Workspaces with a contract in force.
     pub fn workspaces(&self) -> impl Iterator<Item = (&WorkspaceId, &Contract)> {
-        self.workspaces
-            .iter()
-            .filter_map(|(id, found)| Some((id, found.contract.as_ref()?)))
+        self.workspaces.iter().filter_map(|(id, found)| Some((id, found.contract.as_ref()?)))
     }
 
     /// The public names of a workspace's keys.
@@ -95,16 +91,11 @@
 
     /// The workspace that a key acts for. Every key is compared, whichever one matches.
     pub fn authenticate(&self, digest: &KeyDigest) -> Option<(WorkspaceId, KeyId)> {
-        let in_force = self
-            .workspaces
-            .iter()
-            .filter(|(_, found)| found.contract.is_some());
+        let in_force = self.workspaces.iter().filter(|(_, found)| found.contract.is_some());
         let keys = in_force.flat_map(|(id, found)| found.keys.iter().map(move |key| (id, key)));
-        keys.fold(None, |match_so_far, (id, (key, known))| {
-            match known == digest {
-                true => Some((id.clone(), key.clone())),
-                false => match_so_far,
-            }
+        keys.fold(None, |match_so_far, (id, (key, known))| match known == digest {
+            true => Some((id.clone(), key.clone())),
+            false => match_so_far,
         })
     }
 
@@ -114,13 +105,18 @@
         found.is_some_and(|found| found.contract.is_some() && found.keys.contains_key(key))
     }
 
-    /// What is known of a call that may crash engines.
-    pub fn standing(&self, workspace: &WorkspaceId, digest: &Digest) -> Standing {
-        let crashes = self
-            .suspects
-            .get(&(workspace.clone(), *digest))
-            .map_or(0, Vec::len);
-        match crashes {
+    /// What is known of a call that may crash engines, together with crashes that the log may
+    /// not have yet.
+    pub fn standing(
+        &self,
+        workspace: &WorkspaceId,
+        digest: &Digest,
+        unrecorded: &[AttemptId],
+    ) -> Standing {
+        let recorded = self.suspects.get(&(workspace.clone(), *digest));
+        let recorded = recorded.map_or(&[][..], Vec::as_slice);
+        let new = unrecorded.iter().filter(|attempt| !recorded.contains(attempt));
+        match recorded.len() + new.count() {
             0 => Standing::Clear,
             crashes if crashes < CRASHES_TO_GIVE_UP => Standing::Suspect,
             _ => Standing::GivenUp,
@@ -134,24 +130,12 @@
             return Verdict::Stale;
         }
         let verdict = match record {
-            ConfigRecord::Change {
-                id,
-                workspace,
-                base,
-                operation,
-            } => {
+            ConfigRecord::Change { id, workspace, base, operation } => {
                 let change = self.change(offset, workspace, *base, operation);
                 Verdict::Change { id: *id, change }
             }
-            ConfigRecord::Suspect {
-                workspace,
-                digest,
-                attempt,
-            } => {
-                let crashes = self
-                    .suspects
-                    .entry((workspace.clone(), *digest))
-                    .or_default();
+            ConfigRecord::Suspect { workspace, digest, attempt } => {
+                let crashes = self.suspects.entry((workspace.clone(), *digest)).or_default();
                 if !crashes.contains(attempt) {
                     crashes.push(*attempt);
                 }
@@ -192,11 +176,7 @@
             workspace: id.clone(),
             version: found.version,
             contract: found.contract.clone(),
-            keys: found
-                .keys
-                .iter()
-                .map(|(key, digest)| (key.clone(), *digest))
-                .collect(),
+            keys: found.keys.iter().map(|(key, digest)| (key.clone(), *digest)).collect(),
         });
         let suspects = self.suspects.iter();
         let suspects = suspects.map(|((id, digest), at)| (id.clone(), *digest, at.clone()));
@@ -216,10 +196,7 @@
     ) -> Change {
         let found = self.workspaces.entry(workspace.clone()).or_default();
         if found.version != base {
-            return Change::Conflict(Conflict {
-                winner: found.version,
-                base,
-            });
+            return Change::Conflict(Conflict { winner: found.version, base });
         }
         found.version = offset;
         match operation {
--- a/src/contracts/declaration.rs
+++ b/src/contracts/declaration.rs
@@ -52,19 +52,10 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             DeclarationFault::Syntax(fault) => f.write_str(fault),
-            DeclarationFault::OutOfRange {
-                field,
-                given,
-                least,
-                most,
-            } => {
+            DeclarationFault::OutOfRange { field, given, least, most } => {
                 write!(f, "{field}: {given} is not between {least} and {most}")
             }
-            DeclarationFault::Name {
-                field,
-                given,
-                fault,
-            } => {
+            DeclarationFault::Name { field, given, fault } => {
                 write!(f, "{field}: {given:?}: {fault}")
             }
             DeclarationFault::NotAllowed { action } => {
@@ -118,22 +109,14 @@
         let budget = file.program.budget_tokens;
         let budget_tokens = in_range("program.budget_tokens", budget, 0, MILLION * MILLION)?;
         let max_turns = in_range("program.max_turns", file.program.max_turns, 1, 10_000)?;
-        let models = file
-            .models
-            .iter()
-            .map(|name| model(name))
-            .collect::<Result<_, _>>()?;
+        let models = file.models.iter().map(|name| model(name)).collect::<Result<_, _>>()?;
         let actions = actions("actions", &file.actions)?;
         let irreversible = self::actions("irreversible", &file.irreversible)?;
         if let Some(action) = irreversible.iter().find(|action| !actions.contains(action)) {
-            return Err(DeclarationFault::NotAllowed {
-                action: action.to_string(),
-            });
+            return Err(DeclarationFault::NotAllowed { action: action.to_string() });
         }
-        let program = ProgramLimits {
-            budget_tokens: budget_tokens as u64,
-            max_turns: max_turns as u32,
-        };
+        let program =
+            ProgramLimits { budget_tokens: budget_tokens as u64, max_turns: max_turns as u32 };
         let contract = Contract {
             rate_per_s: rate_per_s as u32,
             burst: burst as u32,
@@ -142,10 +125,7 @@
             actions,
             irreversible,
         };
-        Ok(Declaration {
-            workspace,
-            contract,
-        })
+        Ok(Declaration { workspace, contract })
     }
 }
 
@@ -157,21 +137,12 @@
 ) -> Result<i64, DeclarationFault> {
     match (least..=most).contains(&given) {
         true => Ok(given),
-        false => Err(DeclarationFault::OutOfRange {
-            field,
-            given,
-            least,
-            most,
-        }),
+        false => Err(DeclarationFault::OutOfRange { field, given, least, most }),
     }
 }
 
 fn bad_name(field: &'static str, given: &str, fault: InvalidName) -> DeclarationFault {
-    DeclarationFault::Name {
-        field,
-        given: given.to_string(),
-        fault,
-    }
+    DeclarationFault::Name { field, given: given.to_string(), fault }
 }
 
 fn model(name: &str) -> Result<ModelName, DeclarationFault> {
--- a/src/endpoint/backend.rs
+++ b/src/endpoint/backend.rs
@@ -125,20 +125,21 @@
         attempt: &Attempt,
         mut on_text: impl FnMut(Arc<str>),
     ) -> AttemptFrame {
-        let AttemptWork::Model { model, messages, resume_text, max_tokens } = &attempt.work else {
+        let AttemptWork::Model { model, messages, resume_text, max_tokens, parameters } =
+            &attempt.work
+        else {
             return failed(FailureCause::Rejected, Some(0));
         };
         let run_before = self.engine_run().await;
-        let call = json!({
-            "model": model,
-            "messages": messages,
-            "max_tokens": max_tokens,
-            "stream": true,
-            "request_id": attempt.id.to_string(),
-            "cache_key": cache_key(&attempt.program),
-            "resume_text": resume_text,
-        });
-        let body = Bytes::from(call.to_string());
+        let mut call = parameters.clone();
+        call.insert("model".to_string(), json!(model));
+        call.insert("messages".to_string(), json!(messages));
+        call.insert("max_tokens".to_string(), json!(max_tokens));
+        call.insert("stream".to_string(), json!(true));
+        call.insert("request_id".to_string(), json!(attempt.id.to_string()));
+        call.insert("cache_key".to_string(), json!(cache_key(&attempt.program)));
+        call.insert("resume_text".to_string(), json!(resume_text));
+        let body = Bytes::from(serde_json::Value::Object(call).to_string());
         let started = self.http.start(Method::POST, self.address, COMPLETIONS, body).await;
         let mut run = BackendRun { text: resume_text.to_string(), tokens: 0 };
         let end = match started {
--- a/src/endpoint/desk.rs
+++ b/src/endpoint/desk.rs
@@ -106,6 +106,11 @@
         self.draining = true;
     }
 
+    /// Whether it takes no more attempts.
+    pub fn is_draining(&self) -> bool {
+        self.draining
+    }
+
     /// Whether nothing waits or runs.
     pub fn is_idle(&self) -> bool {
         self.queue.is_empty() && self.running.is_empty()
@@ -189,8 +194,7 @@
         let of_program = |running: &Running| running.program == *program;
         let ids: Vec<AttemptId> =
             self.running.iter().filter(|(_, r)| of_program(r)).map(|(id, _)| *id).collect();
-        let mut actions: Vec<DeskAction> =
-            ids.into_iter().flat_map(|id| self.cancel(id)).collect();
+        let mut actions: Vec<DeskAction> = ids.into_iter().flat_map(|id| self.cancel(id)).collect();
         let key = cache_key(program);
         if self.leases.end(&key) {
             actions.push(DeskAction::FreeCache(key));
--- a/src/endpoint/mod.rs
+++ b/src/endpoint/mod.rs
@@ -14,6 +14,7 @@
 pub use leases::CacheLeases;
 pub use order::{OrderPolicy, ServiceOrder, Waiting};
 pub use process::run;
+pub use server::ATTEMPTS;
 
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/src/entry/api.rs
@@ -0,0 +1,284 @@
+use std::fmt;
+
+use hyper::header::{HeaderValue, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+use serde::{Deserialize, Serialize};
+use serde_json::{Map, Value, json};
+
+use crate::http::{Body, BodyFault, json as json_response};
+use crate::prelude::*;
+use crate::programs::{Finish, Message, Ran, Refusal, RefusalReason, Usage, Work};
+
+/// Tokens of a call that names no limit.
+const DEFAULT_MAX_TOKENS: u32 = 1_024;
+
+/// A completion call as existing clients send it.
+#[derive(Debug, Deserialize)]
+pub(super) struct ChatCall {
+    model: String,
+    messages: Vec<Message>,
+    max_tokens: Option<u32>,
+    max_completion_tokens: Option<u32>,
+    #[serde(default)]
+    pub stream: bool,
+    #[serde(flatten)]
+    parameters: Map<String, Value>,
+}
+
+/// Fields that the system itself sends to engines.
+const RESERVED: &[&str] = &["request_id", "cache_key", "resume_text", "priority"];
+
+impl TryFrom<ChatCall> for Work {
+    type Error = ApiErrorCode;
+
+    fn try_from(call: ChatCall) -> Result<Work, ApiErrorCode> {
+        let model = ModelName::parse(&call.model).map_err(|_| ApiErrorCode::BadRequest)?;
+        if call.messages.is_empty() {
+            return Err(ApiErrorCode::BadRequest);
+        }
+        let max_tokens = call.max_completion_tokens.or(call.max_tokens);
+        let mut parameters = call.parameters;
+        parameters.retain(|name, _| !RESERVED.contains(&name.as_str()));
+        Ok(Work::Model {
+            model,
+            messages: call.messages,
+            max_tokens: max_tokens.unwrap_or(DEFAULT_MAX_TOKENS).max(1),
+            parameters,
+        })
+    }
+}
+
+/// What went wrong with a call, as callers see it.
+#[value]
+#[derive(Copy)]
+pub enum ApiErrorCode {
+    /// No such path or method.
+    NoSuchCall,
+    /// No key, or one that does not act for any workspace.
+    BadKey,
+    /// Malformed headers or body.
+    BadRequest,
+    /// The body is too large.
+    TooLarge,
+    /// The body came too slowly.
+    TooSlow,
+    /// The contract does not allow the model or action.
+    NotAllowed,
+    /// The workspace's rate or burst is used up.
+    RateLimited,
+    /// This entry does not know the newest configuration, or is not ready yet.
+    NotReady,
+    /// The key was withdrawn while the call ran.
+    KeyWithdrawn,
+    /// Whether an irreversible call ran is not known, and it is not run again.
+    OutcomeUnknown,
+    /// The program's owner refused.
+    Refused(RefusalReason),
+}
+
+impl ApiErrorCode {
+    /// The code as text.
+    pub fn text(self) -> &'static str {
+        match self {
+            ApiErrorCode::NoSuchCall => "no_such_call",
+            ApiErrorCode::BadKey => "bad_key",
+            ApiErrorCode::BadRequest => "bad_request",
+            ApiErrorCode::TooLarge => "too_large",
+            ApiErrorCode::TooSlow => "too_slow",
+            ApiErrorCode::NotAllowed => "not_allowed",
+            ApiErrorCode::RateLimited => "rate_limited",
+            ApiErrorCode::NotReady => "not_ready",
+            ApiErrorCode::KeyWithdrawn => "key_withdrawn",
+            ApiErrorCode::OutcomeUnknown => "outcome_unknown",
+            ApiErrorCode::Refused(reason) => reason.code(),
+        }
+    }
+
+    fn status(self) -> StatusCode {
+        match self {
+            ApiErrorCode::NoSuchCall => StatusCode::NOT_FOUND,
+            ApiErrorCode::BadKey | ApiErrorCode::KeyWithdrawn => StatusCode::UNAUTHORIZED,
+            ApiErrorCode::BadRequest => StatusCode::BAD_REQUEST,
+            ApiErrorCode::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            ApiErrorCode::TooSlow => StatusCode::REQUEST_TIMEOUT,
+            ApiErrorCode::NotAllowed => StatusCode::FORBIDDEN,
+            ApiErrorCode::RateLimited => StatusCode::TOO_MANY_REQUESTS,
+            ApiErrorCode::NotReady => StatusCode::SERVICE_UNAVAILABLE,
+            ApiErrorCode::OutcomeUnknown => StatusCode::BAD_GATEWAY,
+            ApiErrorCode::Refused(reason) => refusal_status(reason),
+        }
+    }
+}
+
+fn refusal_status(reason: RefusalReason) -> StatusCode {
+    match reason {
+        RefusalReason::TurnTooEarly { .. }
+        | RefusalReason::TurnConflict
+        | RefusalReason::ProgramBusy => StatusCode::CONFLICT,
+        RefusalReason::ProgramEnded | RefusalReason::HistoryGap => StatusCode::GONE,
+        RefusalReason::BudgetExhausted | RefusalReason::TurnsExhausted => {
+            StatusCode::PAYMENT_REQUIRED
+        }
+        RefusalReason::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
+        RefusalReason::AttemptsFailed
+        | RefusalReason::CrashesEndpoints
+        | RefusalReason::OwnerLost => StatusCode::BAD_GATEWAY,
+        RefusalReason::NoEndpoint | RefusalReason::LogUnavailable | RefusalReason::NotOwner => {
+            StatusCode::SERVICE_UNAVAILABLE
+        }
+    }
+}
+
+/// An error as a caller gets it: what went wrong, whether the call ran, when to come back.
+#[value]
+#[derive(Copy)]
+pub struct ApiError {
+    /// What went wrong.
+    pub code: ApiErrorCode,
+    /// Whether the call ran.
+    pub ran: Ran,
+    /// When a repeat can succeed; `None` if it can't.
+    pub retry_after_ms: Option<u64>,
+}
+
+impl ApiError {
+    /// An error of a call that did not run and is not worth repeating as it is.
+    pub fn not_run(code: ApiErrorCode) -> ApiError {
+        ApiError { code, ran: Ran::NotRun, retry_after_ms: None }
+    }
+
+    /// The error as JSON.
+    pub fn body(&self) -> Value {
+        json!({ "error": {
+            "code": self.code.text(),
+            "type": self.code.text(),
+            "message": self.to_string(),
+            "ran": self.ran,
+            "retry": self.retry_after_ms.is_some(),
+            "retry_after_ms": self.retry_after_ms,
+            "expected_turn": self.expected_turn(),
+        } })
+    }
+
+    fn expected_turn(&self) -> Option<TurnNo> {
+        match self.code {
+            ApiErrorCode::Refused(RefusalReason::TurnTooEarly { expected }) => Some(expected),
+            _ => None,
+        }
+    }
+
+    /// The error as a response.
+    pub fn response(&self) -> Response<Body> {
+        let mut response = json_response(self.code.status(), &self.body());
+        if let Some(retry_after_ms) = self.retry_after_ms {
+            // The header counts whole seconds; the body has the exact time.
+            let seconds = retry_after_ms.div_ceil(1_000);
+            response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(seconds));
+        }
+        response
+    }
+}
+
+impl fmt::Display for ApiError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let ran = match self.ran {
+            Ran::NotRun => "the call was not run",
+            Ran::Ran => "the call was run",
+            Ran::Unknown => "whether the call ran is not known",
+        };
+        write!(f, "{}: {ran}", self.code.text().replace('_', " "))
+    }
+}
+
+impl From<Refusal> for ApiError {
+    fn from(refusal: Refusal) -> ApiError {
+        ApiError {
+            code: ApiErrorCode::Refused(refusal.reason),
+            ran: refusal.ran,
+            retry_after_ms: refusal.retry_after_ms,
+        }
+    }
+}
+
+impl From<BodyFault> for ApiError {
+    fn from(fault: BodyFault) -> ApiError {
+        ApiError::not_run(match fault {
+            BodyFault::TooLarge => ApiErrorCode::TooLarge,
+            BodyFault::TooSlow => ApiErrorCode::TooSlow,
+            BodyFault::Cut => ApiErrorCode::BadRequest,
+        })
+    }
+}
+
+/// A whole completion, as existing clients read it.
+#[derive(Serialize)]
+pub(super) struct Completion<'a> {
+    id: String,
+    object: &'static str,
+    model: &'a str,
+    choices: [Value; 1],
+    usage: Value,
+}
+
+fn usage_json(usage: Usage) -> Value {
+    json!({
+        "prompt_tokens": usage.prompt_tokens,
+        "completion_tokens": usage.completion_tokens,
+        "total_tokens": usage.prompt_tokens + usage.completion_tokens,
+    })
+}
+
+fn finish_json(finish: Finish) -> Value {
+    match finish {
+        Finish::Stop => "stop".into(),
+        Finish::Length => "length".into(),
+    }
+}
+
+/// The whole answer.
+pub(super) fn completion<'a>(
+    program: &ProgramId,
+    turn: TurnNo,
+    model: &'a str,
+    (text, finish, usage): (&str, Finish, Usage),
+) -> Completion<'a> {
+    Completion {
+        id: format!("{}-{turn}", program.name),
+        object: "chat.completion",
+        model,
+        choices: [json!({
+            "index": 0,
+            "message": { "role": "assistant", "content": text },
+            "finish_reason": finish_json(finish),
+        })],
+        usage: usage_json(usage),
+    }
+}
+
+/// A part of a streamed answer.
+pub(super) fn chunk(program: &ProgramId, model: &str, text: &str) -> Value {
+    json!({
+        "id": &*program.name,
+        "object": "chat.completion.chunk",
+        "model": model,
+        "choices": [{ "index": 0, "delta": { "content": text }, "finish_reason": null }],
+    })
+}
+
+/// The part that ends a streamed answer.
+pub(super) fn last_chunk(
+    program: &ProgramId,
+    turn: TurnNo,
+    model: &str,
+    finish: Finish,
+    usage: Usage,
+) -> Value {
+    json!({
+        "id": &*program.name,
+        "object": "chat.completion.chunk",
+        "model": model,
+        "trefoil_turn": turn,
+        "choices": [{ "index": 0, "delta": {}, "finish_reason": finish_json(finish) }],
+        "usage": usage_json(usage),
+    })
+}
--- /dev/null
+++ b/src/entry/callers.rs
@@ -0,0 +1,225 @@
+//! What callers see: the completion call, the service call, the end of a program.
+
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::header::{AUTHORIZATION, HeaderName};
+use hyper::{Method, Request, Response, StatusCode};
+use tokio::sync::mpsc;
+
+use crate::contracts::{Contract, KeyDigest, KeyId};
+use crate::entry::answers::Answering;
+use crate::entry::api::{ApiError, ApiErrorCode, ChatCall};
+use crate::entry::forward::{Call, carry};
+use crate::entry::state::Entry;
+use crate::http::{Body, json, read_body};
+use crate::prelude::*;
+use crate::programs::{Ran, Reply, TurnRequest, Work};
+
+/// Names the program; without it the call is a program of its own.
+const PROGRAM: HeaderName = HeaderName::from_static("x-trefoil-program");
+/// The call's place in its program, from 1.
+const TURN: HeaderName = HeaderName::from_static("x-trefoil-turn");
+/// The same on every repeat of one call.
+const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+/// How long the caller waits.
+const DEADLINE_MS: HeaderName = HeaderName::from_static("x-trefoil-deadline-ms");
+
+const MAX_DEADLINE_MS: u64 = 3_600_000;
+const MAX_KEY_BYTES: usize = 256;
+const NOT_READY_RETRY_MS: u64 = 1_000;
+
+/// Who calls.
+#[value]
+pub(super) struct Caller {
+    pub workspace: WorkspaceId,
+    pub key: KeyId,
+}
+
+/// What a call's headers say.
+struct CallHeaders {
+    program: ProgramId,
+    turn: Option<TurnNo>,
+    idempotency_key: Option<Arc<str>>,
+    deadline: TimeMs,
+}
+
+/// Answers a caller.
+pub(super) async fn handle(entry: Arc<Entry>, request: Request<Incoming>) -> Response<Body> {
+    match answer(entry, request).await {
+        Ok(response) => response,
+        Err(error) => {
+            metrics::counter!("trefoil_refusals", "code" => error.code.text()).increment(1);
+            error.response()
+        }
+    }
+}
+
+async fn answer(entry: Arc<Entry>, request: Request<Incoming>) -> Result<Response<Body>, ApiError> {
+    let path = request.uri().path().to_string();
+    let parts: Vec<&str> = path.split('/').skip(1).collect();
+    match (request.method().clone(), parts.as_slice()) {
+        (Method::POST, ["v1", "chat", "completions"]) => complete(entry, request).await,
+        (Method::POST, ["v1", "services", service, action]) => {
+            serve_action(entry, request, service, action).await
+        }
+        (Method::DELETE, ["v1", "programs", name @ ..]) if !name.is_empty() => {
+            end_program(entry, request, &name.join("/")).await
+        }
+        _ => Err(ApiError::not_run(ApiErrorCode::NoSuchCall)),
+    }
+}
+
+async fn complete(
+    entry: Arc<Entry>,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, ApiError> {
+    let (caller, contract) = admit(&entry, &request)?;
+    let headers = read_headers(&entry, &caller, &request)?;
+    let body = receive(&entry, request).await?;
+    let call: ChatCall = serde_json::from_slice(&body).map_err(|_| bad_request())?;
+    let stream = call.stream;
+    let mut work = Work::try_from(call).map_err(ApiError::not_run)?;
+    if !contract.allows_model(work.target()) {
+        return Err(ApiError::not_run(ApiErrorCode::NotAllowed));
+    }
+    work.limit_tokens(contract.program.budget_tokens);
+    let turn = turn_request(headers, work, &contract);
+    Answering::new(entry, caller, &turn).answer_completion(turn, stream).await
+}
+
+async fn serve_action(
+    entry: Arc<Entry>,
+    request: Request<Incoming>,
+    service: &str,
+    action: &str,
+) -> Result<Response<Body>, ApiError> {
+    let (caller, contract) = admit(&entry, &request)?;
+    let headers = read_headers(&entry, &caller, &request)?;
+    let service = ModelName::parse(service).map_err(|_| bad_request())?;
+    let full_name = format!("{service}/{action}");
+    if !contract.allows_action(&full_name) {
+        return Err(ApiError::not_run(ApiErrorCode::NotAllowed));
+    }
+    let body = receive(&entry, request).await?;
+    let body = std::str::from_utf8(&body).map_err(|_| bad_request())?;
+    let work = Work::Service {
+        service,
+        action: action.into(),
+        body: body.into(),
+        idempotent: !contract.is_irreversible(&full_name),
+    };
+    let turn = turn_request(headers, work, &contract);
+    Answering::new(entry, caller, &turn).answer_service(turn).await
+}
+
+async fn end_program(
+    entry: Arc<Entry>,
+    request: Request<Incoming>,
+    name: &str,
+) -> Result<Response<Body>, ApiError> {
+    let (caller, _) = admit(&entry, &request)?;
+    let program = ProgramId::parse(caller.workspace, name).map_err(|_| bad_request())?;
+    let deadline = entry.clock.now().plus(entry.settings.default_deadline_ms);
+    let mut replies = carry(entry, Call::End { program, deadline });
+    match last_reply(&mut replies).await {
+        Some(Reply::Refused(refusal)) => Err(refusal.into()),
+        Some(_) => Ok(json(StatusCode::OK, &serde_json::json!({ "ended": name }))),
+        None => Err(ApiError {
+            code: ApiErrorCode::NotReady,
+            ran: Ran::Unknown,
+            retry_after_ms: Some(NOT_READY_RETRY_MS),
+        }),
+    }
+}
+
+async fn last_reply(replies: &mut mpsc::UnboundedReceiver<Reply>) -> Option<Reply> {
+    loop {
+        let reply = replies.recv().await?;
+        if reply.is_final() {
+            return Some(reply);
+        }
+    }
+}
+
+fn bad_request() -> ApiError {
+    ApiError::not_run(ApiErrorCode::BadRequest)
+}
+
+/// Lets a call in: its key must act for a workspace, by a configuration that is known to be
+/// fresh, and the workspace's rate must allow it. The key itself goes no further than this.
+fn admit(entry: &Entry, request: &Request<Incoming>) -> Result<(Caller, Contract), ApiError> {
+    if !entry.is_ready() || !entry.config_is_fresh() {
+        let error = ApiError::not_run(ApiErrorCode::NotReady);
+        return Err(ApiError { retry_after_ms: Some(NOT_READY_RETRY_MS), ..error });
+    }
+    let header = request.headers().get(AUTHORIZATION).and_then(|value| value.to_str().ok());
+    let key = header.and_then(|value| value.strip_prefix("Bearer "));
+    let key = key.ok_or(ApiError::not_run(ApiErrorCode::BadKey))?;
+    let book = entry.current_book();
+    let found = book.authenticate(&KeyDigest::of_key(key.trim()));
+    let (workspace, key) = found.ok_or(ApiError::not_run(ApiErrorCode::BadKey))?;
+    let contract = book.contract(&workspace).cloned();
+    let contract = contract.ok_or(ApiError::not_run(ApiErrorCode::BadKey))?;
+    entry.take_rate(&workspace, &contract).map_err(|wait_ms| {
+        metrics::counter!("trefoil_rate_refusals", "workspace" => workspace.to_string())
+            .increment(1);
+        let error = ApiError::not_run(ApiErrorCode::RateLimited);
+        ApiError { retry_after_ms: Some(wait_ms), ..error }
+    })?;
+    Ok((Caller { workspace, key }, contract))
+}
+
+fn read_headers(
+    entry: &Entry,
+    caller: &Caller,
+    request: &Request<Incoming>,
+) -> Result<CallHeaders, ApiError> {
+    let text = |name: &HeaderName| match request.headers().get(name) {
+        None => Ok(None),
+        Some(value) => value.to_str().map(Some).map_err(|_| bad_request()),
+    };
+    let number = |name: &HeaderName| match text(name)? {
+        None => Ok(None),
+        Some(value) => value.parse::<u64>().map(Some).map_err(|_| bad_request()),
+    };
+    let named = text(&PROGRAM)?;
+    let turn = match number(&TURN)? {
+        Some(0) => return Err(bad_request()),
+        Some(turn) => Some(TurnNo(u32::try_from(turn).map_err(|_| bad_request())?)),
+        None => named.is_none().then_some(TurnNo(1)),
+    };
+    let own = format!("call-{:032x}", rand::random::<u128>());
+    let name = named.unwrap_or(&own);
+    let program = ProgramId::parse(caller.workspace.clone(), name).map_err(|_| bad_request())?;
+    let idempotency_key = text(&IDEMPOTENCY_KEY)?;
+    if idempotency_key.is_some_and(|key| key.is_empty() || key.len() > MAX_KEY_BYTES) {
+        return Err(bad_request());
+    }
+    let deadline_ms = number(&DEADLINE_MS)?.unwrap_or(entry.settings.default_deadline_ms);
+    Ok(CallHeaders {
+        program,
+        turn,
+        idempotency_key: idempotency_key.map(Into::into),
+        deadline: entry.clock.now().plus(deadline_ms.min(MAX_DEADLINE_MS)),
+    })
+}
+
+async fn receive(entry: &Entry, request: Request<Incoming>) -> Result<bytes::Bytes, ApiError> {
+    let max_bytes = entry.settings.max_body_bytes as usize;
+    let timeout = Duration::from_millis(entry.settings.receive_timeout_ms);
+    Ok(read_body(request.into_body(), max_bytes, timeout).await?)
+}
+
+fn turn_request(headers: CallHeaders, work: Work, contract: &Contract) -> TurnRequest {
+    let asked = serde_json::to_vec(&work).unwrap_or_default();
+    TurnRequest {
+        program: headers.program,
+        turn: headers.turn,
+        idempotency_key: headers.idempotency_key,
+        digest: Digest::of(&[&asked]),
+        work,
+        deadline: headers.deadline,
+        limits: contract.program,
+    }
+}
--- /dev/null
+++ b/src/entry/forward.rs
@@ -0,0 +1,208 @@
+//! Carries a call to the entry that owns its program, and the replies back.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::{Buf, Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::Method;
+use hyper::body::Incoming;
+use serde::Serialize;
+use tokio::sync::mpsc;
+
+use crate::entry::core::Command;
+use crate::entry::state::{Entry, Place};
+use crate::entry::wire::TurnMessage;
+use crate::http::CallError;
+use crate::prelude::*;
+use crate::programs::{Ran, Refusal, RefusalReason, Reply, TurnRequest};
+
+/// Where entries take turns for their shards.
+pub(super) const TURNS: &str = "/turns";
+/// Where entries take the end of programs of their shards.
+pub(super) const ENDS: &str = "/ends";
+
+const FIRST_BACKOFF_MS: u64 = 20;
+const MAX_BACKOFF_MS: u64 = 250;
+
+/// A call that an owner can take.
+pub(super) enum Call {
+    Turn(TurnRequest),
+    End { program: ProgramId, deadline: TimeMs },
+}
+
+/// How one try at reaching the owner went.
+enum Relay {
+    /// The final reply was passed on, or nobody waits for it any more.
+    Finished,
+    /// The call certainly did not run there.
+    NotThere,
+    /// The owner was lost with the call, which may have run.
+    Cut,
+}
+
+/// Starts to carry a call; its replies come through the channel.
+pub(super) fn carry(entry: Arc<Entry>, call: Call) -> mpsc::UnboundedReceiver<Reply> {
+    let (replies, receiver) = mpsc::unbounded_channel();
+    tokio::spawn(async move { Carrier { entry, call, replies, delivered: false }.run().await });
+    receiver
+}
+
+struct Carrier {
+    entry: Arc<Entry>,
+    call: Call,
+    replies: mpsc::UnboundedSender<Reply>,
+    delivered: bool,
+}
+
+impl Call {
+    fn program(&self) -> &ProgramId {
+        match self {
+            Call::Turn(request) => &request.program,
+            Call::End { program, .. } => program,
+        }
+    }
+
+    fn deadline(&self) -> TimeMs {
+        match self {
+            Call::Turn(request) => request.deadline,
+            Call::End { deadline, .. } => *deadline,
+        }
+    }
+
+    /// Whether the owner recognises a repeat, so that the call may be carried there again even
+    /// though it may have run.
+    fn is_recognised(&self) -> bool {
+        match self {
+            Call::Turn(request) => request.turn.is_some() || request.idempotency_key.is_some(),
+            Call::End { .. } => true,
+        }
+    }
+}
+
+impl Carrier {
+    /// Tries until the owner has given its final reply or the deadline has passed. Only the way
+    /// to the owner is tried again here; attempts at endpoints are the owner's alone to repeat.
+    async fn run(mut self) {
+        let mut backoff_ms = FIRST_BACKOFF_MS;
+        loop {
+            let shard = self.call.program().shard(self.entry.settings.shards);
+            let relay = match self.entry.locate(shard) {
+                Place::Here => self.relay_here().await,
+                Place::There(vm, address) => self.relay_there(&vm, address).await,
+            };
+            let may_repeat = !self.delivered && self.call.is_recognised();
+            match relay {
+                Relay::Finished => return,
+                Relay::Cut if !may_repeat => {
+                    return self.refuse(Refusal::unknown(RefusalReason::OwnerLost));
+                }
+                Relay::Cut | Relay::NotThere => {}
+            }
+            let retry_at = self.entry.clock.now().plus(backoff_ms);
+            if retry_at >= self.call.deadline() {
+                let refusal = match relay {
+                    Relay::NotThere => Refusal::not_run(RefusalReason::NotOwner),
+                    _ => Refusal::unknown(RefusalReason::OwnerLost),
+                };
+                return self.refuse(refusal.retry_after(MAX_BACKOFF_MS));
+            }
+            tokio::time::sleep(Duration::from_millis(backoff_ms)).await;
+            backoff_ms = (backoff_ms * 2).min(MAX_BACKOFF_MS);
+        }
+    }
+
+    fn refuse(&self, refusal: Refusal) {
+        let _ = self.replies.send(Reply::Refused(refusal));
+    }
+
+    async fn relay_here(&mut self) -> Relay {
+        let (replies, mut receiver) = mpsc::unbounded_channel();
+        let command = match &self.call {
+            Call::Turn(request) => Command::Turn { request: request.clone(), replies },
+            Call::End { program, .. } => Command::End { program: program.clone(), replies },
+        };
+        if self.entry.commands.send(command).is_err() {
+            return Relay::NotThere;
+        }
+        loop {
+            let reply = tokio::select! {
+                reply = receiver.recv() => reply,
+                () = self.replies.closed() => return Relay::Finished,
+            };
+            match reply {
+                None => return Relay::Cut,
+                Some(reply) => {
+                    if let Some(relay) = self.pass_on(reply) {
+                        return relay;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Passes a reply on; returns how the try went if that was the last one.
+    fn pass_on(&mut self, reply: Reply) -> Option<Relay> {
+        if let Reply::Refused(Refusal { reason: RefusalReason::NotOwner, ran, .. }) = &reply {
+            return Some(match ran {
+                Ran::NotRun => Relay::NotThere,
+                Ran::Ran | Ran::Unknown => Relay::Cut,
+            });
+        }
+        let is_final = reply.is_final();
+        self.delivered = true;
+        let gone = self.replies.send(reply).is_err();
+        (is_final || gone).then_some(Relay::Finished)
+    }
+
+    async fn relay_there(&mut self, vm: &VmName, address: SocketAddr) -> Relay {
+        let now = self.entry.clock.now();
+        let (path, body) = match &self.call {
+            Call::Turn(request) => (TURNS, to_json(&TurnMessage::of_request(request, now))),
+            Call::End { program, .. } => (ENDS, to_json(program)),
+        };
+        let started = self.entry.http.start(Method::POST, address, path, body).await;
+        match started {
+            Ok(response) if response.status().is_success() => {
+                self.relay_body(response.into_body()).await
+            }
+            Ok(_) => Relay::NotThere,
+            Err(CallError::NotSent) => {
+                // Nothing listens there: that run is gone, however fresh its last heartbeat.
+                self.entry.peers().refused(vm);
+                Relay::NotThere
+            }
+            Err(_) => Relay::Cut,
+        }
+    }
+
+    async fn relay_body(&mut self, mut body: Incoming) -> Relay {
+        let mut buffer = BytesMut::new();
+        loop {
+            let part = tokio::select! {
+                part = body.frame() => part,
+                () = self.replies.closed() => return Relay::Finished,
+            };
+            let Some(Ok(part)) = part else {
+                return Relay::Cut;
+            };
+            let Ok(data) = part.into_data() else {
+                continue;
+            };
+            buffer.extend_from_slice(data.chunk());
+            while let Some(end) = buffer.iter().position(|byte| *byte == b'\n') {
+                let line = buffer.split_to(end + 1);
+                let Ok(reply) = serde_json::from_slice::<Reply>(&line) else {
+                    return Relay::Cut;
+                };
+                if let Some(relay) = self.pass_on(reply) {
+                    return relay;
+                }
+            }
+        }
+    }
+}
+
+fn to_json<T: Serialize>(value: &T) -> Bytes {
+    serde_json::to_vec(value).unwrap_or_default().into()
+}
--- /dev/null
+++ b/src/entry/state.rs
@@ -0,0 +1,198 @@
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Mutex, MutexGuard};
+use std::time::Duration;
+
+use tokio::sync::{mpsc, watch};
+
+use crate::admission::StaticSplit;
+use crate::contracts::Book;
+use crate::entry::config::Freshness;
+use crate::entry::core::Command;
+use crate::http::Client;
+use crate::link::LinkPool;
+use crate::logstore::{LogClient, Pacer};
+use crate::membership::{Peer, PeerTable, Timings};
+use crate::prelude::*;
+use crate::programs::Standing;
+use crate::routing::{Router, RoutingPolicy};
+use crate::settings::EntrySettings;
+use crate::time::Clock;
+
+/// Crashes of calls that this entry knows of and the log may not have yet.
+type Suspects = HashMap<(WorkspaceId, Digest), Vec<AttemptId>>;
+
+/// What the tasks of an entry share. Each lock is held for a few steps and never over an await.
+pub(super) struct Entry {
+    pub settings: EntrySettings,
+    pub instance: Instance,
+    pub clock: Clock,
+    pub http: Client,
+    pub links: LinkPool,
+    pub log: LogClient,
+    pub commands: mpsc::UnboundedSender<Command>,
+    pub book: watch::Sender<Arc<Book>>,
+    pub freshness: Mutex<Freshness>,
+    peers: Mutex<PeerTable>,
+    router: Mutex<Router>,
+    pacer: Mutex<Pacer>,
+    owned: Mutex<HashMap<ShardId, Epoch>>,
+    suspects: Mutex<Suspects>,
+    rates: Mutex<StaticSplit>,
+    ready: AtomicBool,
+    leaving: watch::Sender<bool>,
+}
+
+/// Where a shard's calls go.
+#[value]
+pub(super) enum Place {
+    /// To this entry.
+    Here,
+    /// To another.
+    There(VmName, SocketAddr),
+}
+
+fn peer_status(peer: &Peer) -> serde_json::Value {
+    serde_json::json!({
+        "vm": peer.heartbeat.vm,
+        "instance": peer.heartbeat.instance,
+        "live": peer.is_live(),
+        "dead": peer.is_dead(),
+    })
+}
+
+fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().expect("no holder panics")
+}
+
+impl Entry {
+    pub fn new(settings: EntrySettings, commands: mpsc::UnboundedSender<Command>) -> Entry {
+        let clock = Clock::start();
+        let now = clock.now();
+        let http = Client::open();
+        let log_timeout = Duration::from_millis(settings.log_timeout_ms);
+        let log = LogClient::open(http.clone(), settings.log, log_timeout);
+        let timings = Timings::for_heartbeat(settings.process.heartbeat_ms);
+        let instance = Instance::random();
+        Entry {
+            instance,
+            clock,
+            http,
+            links: LinkPool::default(),
+            log,
+            commands,
+            book: watch::Sender::new(Arc::new(Book::default())),
+            freshness: Mutex::default(),
+            peers: Mutex::new(PeerTable::new(timings)),
+            router: Mutex::new(Router::new(RoutingPolicy::CacheAffinity, instance.0)),
+            pacer: Mutex::new(Pacer::new(settings.appends_per_s, now)),
+            owned: Mutex::default(),
+            suspects: Mutex::default(),
+            rates: Mutex::default(),
+            ready: AtomicBool::new(false),
+            leaving: watch::Sender::new(false),
+            settings,
+        }
+    }
+
+    pub fn vm(&self) -> &VmName {
+        &self.settings.process.vm
+    }
+
+    pub fn peers(&self) -> MutexGuard<'_, PeerTable> {
+        locked(&self.peers)
+    }
+
+    pub fn router(&self) -> MutexGuard<'_, Router> {
+        locked(&self.router)
+    }
+
+    pub fn owned(&self) -> MutexGuard<'_, HashMap<ShardId, Epoch>> {
+        locked(&self.owned)
+    }
+
+    pub fn rates(&self) -> MutexGuard<'_, StaticSplit> {
+        locked(&self.rates)
+    }
+
+    pub fn current_book(&self) -> Arc<Book> {
+        self.book.borrow().clone()
+    }
+
+    /// From now on shards may be claimed.
+    pub fn set_ready(&self) {
+        self.ready.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether shards may be claimed and callers be let in.
+    pub fn is_ready(&self) -> bool {
+        self.ready.load(Ordering::Relaxed)
+    }
+
+    /// How this entry does, for operators.
+    pub fn status(&self) -> serde_json::Value {
+        let shards: Vec<u16> = self.owned().keys().map(|shard| shard.0).collect();
+        let peers: Vec<serde_json::Value> = self.peers().all().map(peer_status).collect();
+        serde_json::json!({
+            "role": "entry",
+            "vm": self.vm(),
+            "ready": self.is_ready() && !self.is_leaving(),
+            "config": self.current_book().through(),
+            "config_age_ms": self.config_age_ms(),
+            "shards": shards,
+            "peers": peers,
+        })
+    }
+
+    /// Stops taking new work.
+    pub fn leave(&self) {
+        self.leaving.send_replace(true);
+    }
+
+    pub fn is_leaving(&self) -> bool {
+        *self.leaving.borrow()
+    }
+
+    /// Takes one append of this entry's share, or says how long to wait.
+    pub fn take_append(&self) -> Result<(), u64> {
+        let entries = 1 + self.peers().live_entries().count();
+        let mut pacer = locked(&self.pacer);
+        pacer.share_between(entries);
+        pacer.take(self.clock.now())
+    }
+
+    /// What is known of a call that may crash engines, by the log and by this entry.
+    pub fn standing(&self, workspace: &WorkspaceId, digest: &Digest) -> Standing {
+        let own = locked(&self.suspects);
+        let crashes = own.get(&(workspace.clone(), *digest)).map_or(&[][..], Vec::as_slice);
+        self.book.borrow().standing(workspace, digest, crashes)
+    }
+
+    /// Counts a crash at once; the log learns of it meanwhile.
+    pub fn note_crash(&self, workspace: &WorkspaceId, digest: &Digest, attempt: AttemptId) {
+        let mut own = locked(&self.suspects);
+        own.entry((workspace.clone(), *digest)).or_default().push(attempt);
+    }
+
+    /// Where the calls of a shard go: to its owner, or else to the entry that all would pick.
+    pub fn locate(&self, shard: ShardId) -> Place {
+        if self.owned().contains_key(&shard) {
+            return Place::Here;
+        }
+        let peers = self.peers();
+        if let Some((owner, _)) = peers.owner_of(shard) {
+            return Place::There(owner.heartbeat.vm.clone(), owner.heartbeat.address);
+        }
+        let rank =
+            |vm: &VmName| Digest::of(&[&shard.0.to_le_bytes(), vm.as_str().as_bytes()]).prefix();
+        let others = peers.live_entries();
+        let best = others.max_by_key(|peer| rank(&peer.heartbeat.vm));
+        match best {
+            Some(peer) if self.is_leaving() || rank(&peer.heartbeat.vm) > rank(self.vm()) => {
+                Place::There(peer.heartbeat.vm.clone(), peer.heartbeat.address)
+            }
+            _ => Place::Here,
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/surroundings.rs
@@ -0,0 +1,35 @@
+use crate::contracts::ConfigRecord;
+use crate::entry::core::Command;
+use crate::entry::state::Entry;
+use crate::prelude::*;
+use crate::programs::{PlaceRequest, Standing, Surroundings};
+use crate::routing::EndpointView;
+
+/// An entry as the owners of its shards see it.
+pub(super) struct EntrySurroundings<'a>(pub &'a Entry);
+
+impl Surroundings for EntrySurroundings<'_> {
+    fn place(&mut self, request: &PlaceRequest<'_>) -> Option<EndpointRef> {
+        let domain = self.0.settings.process.failure_domain.clone();
+        let peers = self.0.peers();
+        let live = peers.live_endpoints(request.target);
+        let views: Vec<EndpointView> =
+            live.filter_map(|peer| EndpointView::of_peer(peer, &domain)).collect();
+        self.0.router().place(self.0.clock.now(), request, &views)
+    }
+
+    fn standing(&self, workspace: &WorkspaceId, digest: &Digest) -> Standing {
+        self.0.standing(workspace, digest)
+    }
+
+    fn crashed(&mut self, workspace: &WorkspaceId, digest: &Digest, attempt: AttemptId) {
+        self.0.note_crash(workspace, digest, attempt);
+        let record =
+            ConfigRecord::Suspect { workspace: workspace.clone(), digest: *digest, attempt };
+        let _ = self.0.commands.send(Command::PublishSuspect(record));
+    }
+
+    fn random(&mut self) -> u64 {
+        rand::random()
+    }
+}
--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -28,9 +28,7 @@
 
 /// A body that is known at once.
 pub fn whole(bytes: impl Into<Bytes>) -> Body {
-    Full::new(bytes.into())
-        .map_err(|never: Infallible| match never {})
-        .boxed()
+    Full::new(bytes.into()).map_err(|never: Infallible| match never {}).boxed()
 }
 
 /// No body.
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -73,13 +73,10 @@
             .header(hyper::header::CONTENT_TYPE, "application/json")
             .body(whole(body))
             .map_err(|_| CallError::BadAnswer)?;
-        self.inner
-            .request(request)
-            .await
-            .map_err(|fault| match fault.is_connect() {
-                true => CallError::NotSent,
-                false => CallError::NoAnswer,
-            })
+        self.inner.request(request).await.map_err(|fault| match fault.is_connect() {
+            true => CallError::NotSent,
+            false => CallError::NoAnswer,
+        })
     }
 
     /// Sends a JSON call and reads its JSON answer, within `timeout` altogether.
@@ -102,9 +99,7 @@
             }
             serde_json::from_slice(&bytes).map_err(|_| CallError::BadAnswer)
         };
-        tokio::time::timeout(timeout, call)
-            .await
-            .unwrap_or(Err(CallError::TimedOut))
+        tokio::time::timeout(timeout, call).await.unwrap_or(Err(CallError::TimedOut))
     }
 
     /// Asks for a JSON answer.
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -66,11 +66,7 @@
     let address = listener.local_addr()?;
     let (stop, stopped) = watch::channel(false);
     let task = tokio::spawn(accept(listener, limits, handler, stopped));
-    Ok(Serving {
-        address,
-        stop,
-        task,
-    })
+    Ok(Serving { address, stop, task })
 }
 
 async fn accept<H, F>(
--- a/src/ids/names.rs
+++ b/src/ids/names.rs
@@ -30,16 +30,14 @@
 
 fn check(text: &str, slash_allowed: bool) -> Result<(), InvalidName> {
     let plain = |c: char| c.is_ascii_alphanumeric() || "-_.:".contains(c);
+    let allowed = |c: char| plain(c) || (slash_allowed && c == '/');
     if text.is_empty() {
         return Err(InvalidName::Empty);
     }
     if text.len() > MAX_NAME_BYTES {
         return Err(InvalidName::TooLong);
     }
-    match text
-        .chars()
-        .find(|&c| !plain(c) && !(slash_allowed && c == '/'))
-    {
+    match text.chars().find(|&c| !allowed(c)) {
         Some(c) => Err(InvalidName::Character(c)),
         None => Ok(()),
     }
@@ -100,10 +98,7 @@
     /// Checks and takes a caller's name for a program.
     pub fn parse(workspace: WorkspaceId, name: &str) -> Result<ProgramId, InvalidName> {
         check(name, true)?;
-        Ok(ProgramId {
-            workspace,
-            name: name.into(),
-        })
+        Ok(ProgramId { workspace, name: name.into() })
     }
 
     /// The name of the program that pays: the part before the first `/`.
@@ -113,10 +108,7 @@
 
     /// The account that this program draws on.
     pub fn account(&self) -> ProgramId {
-        ProgramId {
-            workspace: self.workspace.clone(),
-            name: self.root().into(),
-        }
+        ProgramId { workspace: self.workspace.clone(), name: self.root().into() }
     }
 
     /// The shard of the program: one for a root and all its sub-agents.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,7 +3,12 @@
 //! The decisions live in state machines without I/O, one slice of the tree for each duty; the
 //! daemon's tasks feed them with events and clock values and carry out the actions they return.
 
+pub mod admission;
 pub mod contracts;
+pub mod ctl;
+pub mod daemon;
+pub mod endpoint;
+pub mod entry;
 pub mod http;
 pub mod ids;
 pub mod link;
--- a/src/link/dealer.rs
+++ b/src/link/dealer.rs
@@ -59,9 +59,7 @@
         wait: Duration,
     ) -> Result<ControlReply, LinkError> {
         let (answer, answered) = oneshot::channel();
-        self.questions
-            .try_send(Question { request, answer })
-            .map_err(|_| LinkError::Busy)?;
+        self.questions.try_send(Question { request, answer }).map_err(|_| LinkError::Busy)?;
         match timeout(wait, answered).await {
             Err(_) => Err(LinkError::TimedOut),
             Ok(Err(_)) => Err(LinkError::Broken),
@@ -154,16 +152,11 @@
         self.open.insert(id, question.answer);
         let mut message = ZmqMessage::from(id.to_le_bytes().to_vec());
         message.push_back(encode(&question.request).into());
-        matches!(
-            timeout(SEND_TIMEOUT, self.sender.send(message)).await,
-            Ok(Ok(()))
-        )
+        matches!(timeout(SEND_TIMEOUT, self.sender.send(message)).await, Ok(Ok(())))
     }
 
     fn receive(&mut self, message: &ZmqMessage) {
-        let id = message
-            .get(0)
-            .and_then(|frame| frame.as_ref().try_into().ok());
+        let id = message.get(0).and_then(|frame| frame.as_ref().try_into().ok());
         let reply = message.get(1).and_then(|frame| decode(frame));
         if let Some((id, reply)) = id.map(u64::from_le_bytes).zip(reply) {
             self.progress = Instant::now();
--- a/src/link/pool.rs
+++ b/src/link/pool.rs
@@ -31,9 +31,6 @@
         if links.len() >= MAX_LINKS && !links.contains_key(&address) {
             links.clear();
         }
-        links
-            .entry(address)
-            .or_insert_with(|| Link::spawn(address))
-            .clone()
+        links.entry(address).or_insert_with(|| Link::spawn(address)).clone()
     }
 }
--- a/src/link/tests.rs
+++ b/src/link/tests.rs
@@ -7,18 +7,12 @@
 const LONG: Duration = Duration::from_secs(20);
 
 fn question() -> ControlRequest {
-    let attempt = AttemptId {
-        shard: ShardId(1),
-        epoch: Epoch(2),
-        sequence: 3,
-    };
+    let attempt = AttemptId { shard: ShardId(1), epoch: Epoch(2), sequence: 3 };
     ControlRequest::Cancel { attempt }
 }
 
 async fn bind(address: SocketAddr) -> LinkServer {
-    LinkServer::bind(address, |_| async { ControlReply::Done })
-        .await
-        .unwrap()
+    LinkServer::bind(address, |_| async { ControlReply::Done }).await.unwrap()
 }
 
 fn any_port() -> SocketAddr {
@@ -39,9 +33,7 @@
     for _ in 0..200 {
         tokio::time::sleep(Duration::from_millis(20)).await;
         if restarted.is_none() {
-            restarted = LinkServer::bind(address, |_| async { ControlReply::Done })
-                .await
-                .ok();
+            restarted = LinkServer::bind(address, |_| async { ControlReply::Done }).await.ok();
         }
         let reply = link.ask(question(), Duration::from_millis(500)).await;
         answered = restarted.is_some() && reply == Ok(ControlReply::Done);
--- a/src/logstore/client.rs
+++ b/src/logstore/client.rs
@@ -49,9 +49,7 @@
 impl<T> Page<T> {
     /// Whether no record follows the page.
     pub fn at_end(&self) -> bool {
-        self.records
-            .last()
-            .is_none_or(|last| last.offset.plus(1) >= self.end)
+        self.records.last().is_none_or(|last| last.offset.plus(1) >= self.end)
     }
 }
 
@@ -76,10 +74,7 @@
 
 impl From<AppendAnswer> for AppendedAt {
     fn from(answer: AppendAnswer) -> AppendedAt {
-        AppendedAt {
-            first: Offset(answer.first_offset),
-            time_ms: UnixMs(answer.time_ms),
-        }
+        AppendedAt { first: Offset(answer.first_offset), time_ms: UnixMs(answer.time_ms) }
     }
 }
 
@@ -96,11 +91,7 @@
 impl LogClient {
     /// Opens a client whose calls take at most `timeout`.
     pub fn open(http: Client, address: SocketAddr, timeout: Duration) -> LogClient {
-        LogClient {
-            http,
-            address,
-            timeout,
-        }
+        LogClient { http, address, timeout }
     }
 
     /// Appends records to a stream as one batch.
@@ -111,12 +102,8 @@
     ) -> Result<AppendedAt, LogFault> {
         let path = format!("/streams/{stream}/append");
         let body = AppendBody { records };
-        let call = self
-            .http
-            .call(Method::POST, self.address, &path, &body, self.timeout);
-        call.await
-            .map(|answer: AppendAnswer| answer.into())
-            .map_err(LogFault)
+        let call = self.http.call(Method::POST, self.address, &path, &body, self.timeout);
+        call.await.map(|answer: AppendAnswer| answer.into()).map_err(LogFault)
     }
 
     /// Reads a page from an offset on; waits up to `wait` for a first record.
@@ -130,8 +117,6 @@
         let path =
             format!("/streams/{stream}/records?from={from}&limit={PAGE_RECORDS}&wait_ms={wait_ms}");
         let call = self.http.get(self.address, &path, self.timeout + wait);
-        call.await
-            .map(|answer: ReadAnswer<T>| answer.into())
-            .map_err(LogFault)
+        call.await.map(|answer: ReadAnswer<T>| answer.into()).map_err(LogFault)
     }
 }
--- a/src/logstore/pacer.rs
+++ b/src/logstore/pacer.rs
@@ -17,12 +17,7 @@
     /// A pacer with a full second of its share.
     pub fn new(fleet_per_s: u64, now: TimeMs) -> Pacer {
         let tokens_milli = fleet_per_s * 1_000;
-        Pacer {
-            fleet_per_s,
-            entries: 1,
-            tokens_milli,
-            refilled: now,
-        }
+        Pacer { fleet_per_s, entries: 1, tokens_milli, refilled: now }
     }
 
     /// Sets how many entries share the budget.
--- a/src/logstore/tests.rs
+++ b/src/logstore/tests.rs
@@ -5,9 +5,7 @@
 fn entries_share_the_append_budget() {
     let mut pacer = Pacer::new(300, TimeMs(0));
     pacer.share_between(3);
-    let taken = (0..10_000)
-        .filter(|ms| pacer.take(TimeMs(*ms)).is_ok())
-        .count();
+    let taken = (0..10_000).filter(|ms| pacer.take(TimeMs(*ms)).is_ok()).count();
     // A second's burst of its share, then 100 a second.
     assert!((1_000..=1_200).contains(&taken), "took {taken}");
 }
--- a/src/membership/life.rs
+++ b/src/membership/life.rs
@@ -21,10 +21,7 @@
 
 /// Suspicion comes before death: a suspect gets no new work, but what it holds is not taken from
 /// it. A short pause or a lost datagram so costs a detour, not a takeover.
-#[state_machine(
-    initial = "State::live()",
-    state(derive(Debug, Clone, Copy, PartialEq, Eq))
-)]
+#[state_machine(initial = "State::live()", state(derive(Debug, Clone, Copy, PartialEq, Eq)))]
 impl LifeMachine {
     #[state]
     fn live(event: &LifeEvent) -> Outcome<State> {
--- a/src/membership/table.rs
+++ b/src/membership/table.rs
@@ -57,10 +57,7 @@
 
     /// Its run.
     pub fn endpoint_ref(&self) -> EndpointRef {
-        EndpointRef {
-            vm: self.heartbeat.vm.clone(),
-            instance: self.heartbeat.instance,
-        }
+        EndpointRef { vm: self.heartbeat.vm.clone(), instance: self.heartbeat.instance }
     }
 }
 
@@ -85,10 +82,7 @@
 
     /// Takes a heartbeat. Returns whether it came from a run that was not known.
     pub fn heard(&mut self, now: TimeMs, heartbeat: Heartbeat) -> bool {
-        let known = self
-            .by_vm
-            .get(&heartbeat.vm)
-            .and_then(|key| self.peers.get_mut(*key));
+        let known = self.by_vm.get(&heartbeat.vm).and_then(|key| self.peers.get_mut(*key));
         let event = match heartbeat.state {
             PeerState::Live => LifeEvent::HeardLive,
             PeerState::Leaving => LifeEvent::HeardLeaving,
@@ -118,12 +112,7 @@
         let vm = heartbeat.vm.clone();
         let mut life = Life::new();
         life.handle(event);
-        let key = self.peers.insert(Peer {
-            heartbeat,
-            heard: now,
-            life,
-            listed_leaving: false,
-        });
+        let key = self.peers.insert(Peer { heartbeat, heard: now, life, listed_leaving: false });
         self.by_vm.insert(vm, key);
         self.mark_listed();
     }
@@ -136,11 +125,7 @@
 
     fn mark_listed(&mut self) {
         for peer in self.peers.values_mut() {
-            let listed = self
-                .listed
-                .vms
-                .iter()
-                .find(|vm| vm.vm == peer.heartbeat.vm.as_str());
+            let listed = self.listed.vms.iter().find(|vm| vm.vm == peer.heartbeat.vm.as_str());
             peer.listed_leaving = listed.is_some_and(|vm| vm.is_leaving());
         }
     }
@@ -156,11 +141,17 @@
             }
         }
         let forget_ms = self.timings.forget_ms;
-        self.peers
-            .retain(|_, peer| now.since(peer.heard) < forget_ms);
+        self.peers.retain(|_, peer| now.since(peer.heard) < forget_ms);
         self.by_vm.retain(|_, key| self.peers.contains_key(*key));
     }
 
+    /// Takes note that nothing listens any more where a peer did: its run is gone.
+    pub fn refused(&mut self, vm: &VmName) {
+        if let Some(peer) = self.by_vm.get(vm).and_then(|key| self.peers.get_mut(*key)) {
+            peer.life.handle(LifeEvent::SilentLong);
+        }
+    }
+
     /// Every peer.
     pub fn all(&self) -> impl Iterator<Item = &Peer> {
         self.peers.values()
@@ -173,8 +164,7 @@
 
     /// Entries that take new work.
     pub fn live_entries(&self) -> impl Iterator<Item = &Peer> {
-        self.all()
-            .filter(|peer| peer.heartbeat.role() == Role::Entry && peer.is_live())
+        self.all().filter(|peer| peer.heartbeat.role() == Role::Entry && peer.is_live())
     }
 
     /// Processes beside endpoints that take new work for a model or service.
@@ -189,47 +179,34 @@
     /// The peer that owns a shard under the newest epoch, unless it counts as gone.
     pub fn owner_of(&self, shard: ShardId) -> Option<(&Peer, Epoch)> {
         let epoch_of = |peer: &Peer| match &peer.heartbeat.duty {
-            Duty::Entry { owned, .. } => owned
-                .iter()
-                .find(|(id, _)| *id == shard)
-                .map(|(_, epoch)| *epoch),
+            Duty::Entry { owned, .. } => {
+                owned.iter().find(|(id, _)| *id == shard).map(|(_, epoch)| *epoch)
+            }
             Duty::Endpoint { .. } => None,
         };
         let owners = self.all().filter(|peer| !peer.is_dead());
-        owners
-            .filter_map(|peer| Some((peer, epoch_of(peer)?)))
-            .max_by_key(|(_, epoch)| *epoch)
+        owners.filter_map(|peer| Some((peer, epoch_of(peer)?))).max_by_key(|(_, epoch)| *epoch)
     }
 
     /// Where heartbeats go: the listed entries, and every entry that was heard.
     pub fn heartbeat_targets(&self) -> Vec<SocketAddr> {
-        let listed = self
-            .listed
-            .vms
-            .iter()
-            .filter(|vm| vm.is_entry())
-            .map(|vm| vm.address);
-        let entries = self
-            .all()
-            .filter(|peer| peer.heartbeat.role() == Role::Entry);
-        let heard = entries
-            .filter(|peer| !peer.is_dead())
-            .map(|peer| peer.heartbeat.address);
+        let listed = self.listed.vms.iter().filter(|vm| vm.is_entry()).map(|vm| vm.address);
+        let entries = self.all().filter(|peer| peer.heartbeat.role() == Role::Entry);
+        let heard = entries.filter(|peer| !peer.is_dead()).map(|peer| peer.heartbeat.address);
         let mut targets: Vec<SocketAddr> = listed.chain(heard).collect();
         targets.sort();
         targets.dedup();
         targets
     }
 
+    /// Entries that the platform lists.
+    pub fn listed_entries(&self) -> usize {
+        self.listed.vms.iter().filter(|vm| vm.is_entry()).count()
+    }
+
     /// Whether every listed entry but `me` has been heard.
     pub fn heard_all_listed_entries(&self, me: &VmName) -> bool {
-        let others = self
-            .listed
-            .vms
-            .iter()
-            .filter(|vm| vm.is_entry() && vm.vm != me.as_str());
-        others
-            .into_iter()
-            .all(|vm| self.by_vm.keys().any(|heard| heard.as_str() == vm.vm))
+        let others = self.listed.vms.iter().filter(|vm| vm.is_entry() && vm.vm != me.as_str());
+        others.into_iter().all(|vm| self.by_vm.keys().any(|heard| heard.as_str() == vm.vm))
     }
 }
--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -22,17 +22,11 @@
 }
 
 fn table() -> PeerTable {
-    PeerTable::new(Timings {
-        suspect_ms: 300,
-        dead_ms: 800,
-        forget_ms: 10_000,
-    })
+    PeerTable::new(Timings { suspect_ms: 300, dead_ms: 800, forget_ms: 10_000 })
 }
 
 fn live(table: &PeerTable) -> usize {
-    table
-        .live_endpoints(&ModelName::parse("small").unwrap())
-        .count()
+    table.live_endpoints(&ModelName::parse("small").unwrap()).count()
 }
 
 fn dead(table: &PeerTable) -> usize {
@@ -57,10 +51,7 @@
 fn a_leaving_endpoint_stays_out_whatever_comes_late() {
     let mut table = table();
     table.heard(TimeMs(0), heartbeat("m1", 1, 0, 1));
-    let leaving = Heartbeat {
-        state: PeerState::Leaving,
-        ..heartbeat("m1", 1, 0, 3)
-    };
+    let leaving = Heartbeat { state: PeerState::Leaving, ..heartbeat("m1", 1, 0, 3) };
     table.heard(TimeMs(10), leaving);
     table.heard(TimeMs(20), heartbeat("m1", 1, 0, 2));
     table.heard(TimeMs(30), heartbeat("m1", 1, 0, 4));
--- a/src/programs/active.rs
+++ b/src/programs/active.rs
@@ -82,10 +82,7 @@
             waiters: Vec::new(),
             text: String::new(),
             attempts: 1,
-            phase: Phase::Asking {
-                next_ms: now,
-                unanswered: 0,
-            },
+            phase: Phase::Asking { next_ms: now, unanswered: 0 },
         }
     }
 
--- a/src/programs/call.rs
+++ b/src/programs/call.rs
@@ -23,11 +23,7 @@
 impl Message {
     /// A message of plain text.
     pub fn text(role: &str, content: &str) -> Message {
-        Message {
-            role: role.into(),
-            content: content.into(),
-            rest: Map::new(),
-        }
+        Message { role: role.into(), content: content.into(), rest: Map::new() }
     }
 
     /// Rough size: that of a text, or a constant for parts.
@@ -48,6 +44,8 @@
         messages: Vec<Message>,
         /// The most tokens to generate.
         max_tokens: u32,
+        /// Further parameters, such as `temperature`, passed through unread.
+        parameters: Map<String, Value>,
     },
     /// A call of a plain service.
     Service {
@@ -71,6 +69,22 @@
         }
     }
 
+    /// The class that its metrics are counted under.
+    pub fn class(&self) -> &'static str {
+        match self {
+            Work::Model { .. } => "model",
+            Work::Service { .. } => "service",
+        }
+    }
+
+    /// Lowers the token limit to what a whole budget allows.
+    pub fn limit_tokens(&mut self, budget_tokens: u64) {
+        if let Work::Model { max_tokens, .. } = self {
+            let budget = u32::try_from(budget_tokens).unwrap_or(u32::MAX);
+            *max_tokens = (*max_tokens).min(budget);
+        }
+    }
+
     /// Whether it may be run again after an outcome that nobody knows.
     pub fn idempotent(&self) -> bool {
         match self {
@@ -209,6 +223,8 @@
     LogUnavailable,
     /// This entry does not own the program's shard.
     NotOwner,
+    /// The entry that owned the program was lost with the call.
+    OwnerLost,
     /// Every attempt failed.
     AttemptsFailed,
     /// The call crashed two endpoints and is not run again.
@@ -230,6 +246,7 @@
             RefusalReason::DeadlinePassed => "deadline_passed",
             RefusalReason::LogUnavailable => "log_unavailable",
             RefusalReason::NotOwner => "not_owner",
+            RefusalReason::OwnerLost => "owner_lost",
             RefusalReason::AttemptsFailed => "attempts_failed",
             RefusalReason::CrashesEndpoints => "crashes_endpoints",
         }
@@ -251,28 +268,17 @@
 impl Refusal {
     /// A refusal of a call that did not run and is not worth repeating as it is.
     pub fn not_run(reason: RefusalReason) -> Refusal {
-        Refusal {
-            ran: Ran::NotRun,
-            reason,
-            retry_after_ms: None,
-        }
+        Refusal { ran: Ran::NotRun, reason, retry_after_ms: None }
     }
 
     /// A refusal of a call that may have run.
     pub fn unknown(reason: RefusalReason) -> Refusal {
-        Refusal {
-            ran: Ran::Unknown,
-            reason,
-            retry_after_ms: None,
-        }
+        Refusal { ran: Ran::Unknown, reason, retry_after_ms: None }
     }
 
     /// The same, worth repeating after a while.
     pub fn retry_after(self, retry_after_ms: u64) -> Refusal {
-        Refusal {
-            retry_after_ms: Some(retry_after_ms),
-            ..self
-        }
+        Refusal { retry_after_ms: Some(retry_after_ms), ..self }
     }
 }
 
--- a/src/programs/fold.rs
+++ b/src/programs/fold.rs
@@ -37,13 +37,7 @@
 
     /// An empty fold that starts at `next`, where `epoch` is the newest claim before it.
     pub fn starting_at(next: Offset, epoch: Epoch) -> ShardFold {
-        ShardFold {
-            next,
-            epoch,
-            holder: None,
-            programs: HashMap::new(),
-            accounts: HashMap::new(),
-        }
+        ShardFold { next, epoch, holder: None, programs: HashMap::new(), accounts: HashMap::new() }
     }
 
     /// Folds a stream whose first retained record is `records[0]`.
@@ -87,10 +81,7 @@
 
     /// What a program's account has used.
     pub fn account(&self, program: &ProgramId) -> Account {
-        self.accounts
-            .get(&program.account())
-            .copied()
-            .unwrap_or_default()
+        self.accounts.get(&program.account()).copied().unwrap_or_default()
     }
 
     /// Drops what is left of programs that ended before `before`.
@@ -106,10 +97,7 @@
             return Applied::Void;
         }
         self.next = offset.plus(1);
-        if let Record::Claim {
-            entry, instance, ..
-        } = record
-        {
+        if let Record::Claim { entry, instance, .. } = record {
             self.epoch = Epoch(offset.0);
             self.holder = Some((entry.clone(), *instance));
             return Applied::Counted;
@@ -125,12 +113,9 @@
             Record::Claim { .. } => Applied::Void,
             Record::Release { .. } => self.release(),
             Record::Intent(intent) => self.open(time, intent),
-            Record::Settled {
-                program,
-                attempt,
-                charge_tokens,
-                ..
-            } => self.settle(time, program, *attempt, *charge_tokens),
+            Record::Settled { program, attempt, charge_tokens, .. } => {
+                self.settle(time, program, *attempt, *charge_tokens)
+            }
             Record::Outcome(outcome) => self.finish(time, outcome),
             Record::Ended { program, .. } => self.end(time, program),
             Record::Snapshot { snapshot, .. } => self.restore(time, snapshot),
@@ -147,10 +132,7 @@
     fn open(&mut self, time: UnixMs, intent: &IntentRecord) -> Applied {
         self.create_if_missing(&intent.program, time, intent.turn);
         self.change(&intent.program, |state| {
-            let newer = state
-                .open
-                .as_ref()
-                .is_none_or(|open| open.attempt < intent.attempt);
+            let newer = state.open.as_ref().is_none_or(|open| open.attempt < intent.attempt);
             let next = intent.turn == state.next_turn();
             if state.ended.is_some() || state.damaged || !newer || !next {
                 return Applied::Void;
@@ -220,11 +202,7 @@
             } else if same {
                 state.oldest = time;
             }
-            if same || fills_gap {
-                Applied::Counted
-            } else {
-                Applied::Void
-            }
+            if same || fills_gap { Applied::Counted } else { Applied::Void }
         })
     }
 
@@ -233,25 +211,17 @@
         let account = program.account();
         let is_root = *program == account;
         let ends = |id: &ProgramId| id == program || (is_root && id.account() == account);
-        let live = self
-            .programs
-            .iter()
-            .filter(|(_, state)| state.ended.is_none());
-        live.map(|(id, _)| id)
-            .filter(|id| ends(id))
-            .cloned()
-            .collect()
+        let live = self.programs.iter().filter(|(_, state)| state.ended.is_none());
+        live.map(|(id, _)| id).filter(|id| ends(id)).cloned().collect()
     }
 
     /// A program whose first known record is not of its first turn lacks the ones before it.
     fn create_if_missing(&mut self, program: &ProgramId, time: UnixMs, turn: TurnNo) {
-        self.programs
-            .entry(program.clone())
-            .or_insert_with(|| ProgramState {
-                damaged: turn != TurnNo(1),
-                turn_count: turn.0 - 1,
-                ..ProgramState::new(time)
-            });
+        self.programs.entry(program.clone()).or_insert_with(|| ProgramState {
+            damaged: turn != TurnNo(1),
+            turn_count: turn.0 - 1,
+            ..ProgramState::new(time)
+        });
     }
 
     /// Changes a program's state and its account with it.
--- a/src/programs/owner/attempts.rs
+++ b/src/programs/owner/attempts.rs
@@ -46,10 +46,7 @@
         match frame {
             AttemptFrame::Delta { text } => self.delta(cx, &program, &text),
             AttemptFrame::Done { result } => self.done(cx, &program, result),
-            AttemptFrame::Failed {
-                cause,
-                spent_tokens,
-            } => {
+            AttemptFrame::Failed { cause, spent_tokens } => {
                 self.failed(cx, &program, cause, spent_tokens);
             }
         }
@@ -62,10 +59,7 @@
             let under_way = matches!(active.phase, Phase::Running | Phase::Asking { .. });
             active.attempt == attempt && under_way
         };
-        self.active
-            .iter()
-            .find(|(_, active)| current(active))
-            .map(|(id, _)| id.clone())
+        self.active.iter().find(|(_, active)| current(active)).map(|(id, _)| id.clone())
     }
 
     fn delta(&mut self, cx: &mut Context<'_>, program: &ProgramId, text: &Arc<str>) {
@@ -114,11 +108,7 @@
             return;
         };
         if cause == FailureCause::Crashed {
-            cx.out.push(Action::Crashed {
-                workspace: program.workspace.clone(),
-                digest: active.digest,
-                attempt: active.attempt,
-            });
+            cx.env.crashed(&program.workspace, &active.digest, active.attempt);
         }
         if !cause.certainly_not_run() && !active.idempotent {
             self.done(cx, program, TurnResult::Unknown);
@@ -190,9 +180,7 @@
         }
         let doubled = self.limits.backoff_ms << active.attempts.saturating_sub(1).min(6);
         let jitter_ms = cx.env.random() % doubled.max(1);
-        active.phase = Phase::BackingOff {
-            until: cx.now.plus(doubled / 2 + jitter_ms),
-        };
+        active.phase = Phase::BackingOff { until: cx.now.plus(doubled / 2 + jitter_ms) };
     }
 
     /// Ends the turn's attempts without a result; the caller may send the turn again.
@@ -201,17 +189,12 @@
             return;
         };
         let refusal = match reason {
-            RefusalReason::CrashesEndpoints => Refusal {
-                ran: Ran::Ran,
-                reason,
-                retry_after_ms: None,
-            },
+            RefusalReason::CrashesEndpoints => {
+                Refusal { ran: Ran::Ran, reason, retry_after_ms: None }
+            }
             _ => Refusal::unknown(reason).retry_after(FAILED_RETRY_MS),
         };
-        active
-            .waiters
-            .iter()
-            .for_each(|waiter| cx.refuse(waiter.call, refusal));
+        active.waiters.iter().for_each(|waiter| cx.refuse(waiter.call, refusal));
     }
 
     /// Starts another attempt, on another endpoint if there is one.
@@ -222,10 +205,7 @@
         let Some(request) = active.request.clone() else {
             return;
         };
-        let settled = self
-            .fold
-            .program(program)
-            .is_none_or(|state| state.open.is_none());
+        let settled = self.fold.program(program).is_none_or(|state| state.open.is_none());
         if !settled {
             // The log still counts the last attempt's reservation against the budget.
             return;
@@ -237,9 +217,7 @@
         };
         let generated_tokens = active.generated_tokens;
         let worst_case = request.work.worst_case_tokens();
-        let reserve_tokens = worst_case
-            .saturating_sub(generated_tokens)
-            .max(worst_case.min(1));
+        let reserve_tokens = worst_case.saturating_sub(generated_tokens).max(worst_case.min(1));
         let account = self.fold.account(program);
         if !account.covers(reserve_tokens, request.limits.budget_tokens) {
             return self.give_up(cx, program, RefusalReason::BudgetExhausted);
@@ -268,10 +246,7 @@
         let epoch = self.tenure.epoch().unwrap_or_default();
         let next_ms = cx.now.plus(self.limits.ask_every_ms);
         if let Some(active) = self.active.get_mut(program) {
-            active.phase = Phase::Asking {
-                next_ms,
-                unanswered,
-            };
+            active.phase = Phase::Asking { next_ms, unanswered };
             cx.out.push(Action::Ask {
                 attempt: active.attempt,
                 endpoint: active.endpoint.clone(),
@@ -289,10 +264,8 @@
         let Some(program) = self.program_running(attempt) else {
             return;
         };
-        let Some(Phase::Asking {
-            next_ms,
-            unanswered,
-        }) = self.active.get(&program).map(|active| active.phase)
+        let Some(Phase::Asking { next_ms, unanswered }) =
+            self.active.get(&program).map(|active| active.phase)
         else {
             return;
         };
@@ -303,10 +276,7 @@
             AttemptReport::Over(AttemptFrame::Done { result }) => {
                 self.done_elsewhere(cx, &program, next_ms, result);
             }
-            AttemptReport::Over(AttemptFrame::Failed {
-                cause,
-                spent_tokens,
-            }) => {
+            AttemptReport::Over(AttemptFrame::Failed { cause, spent_tokens }) => {
                 self.failed(cx, &program, cause, spent_tokens);
             }
             AttemptReport::Running | AttemptReport::Over(AttemptFrame::Delta { .. }) => {
@@ -323,10 +293,7 @@
 
     fn set_asking(&mut self, program: &ProgramId, next_ms: TimeMs, unanswered: u32) {
         if let Some(active) = self.active.get_mut(program) {
-            active.phase = Phase::Asking {
-                next_ms,
-                unanswered,
-            };
+            active.phase = Phase::Asking { next_ms, unanswered };
         }
     }
 
@@ -338,10 +305,7 @@
         next_ms: TimeMs,
         result: TurnResult,
     ) {
-        let nobody_asked = self
-            .active
-            .get(program)
-            .is_some_and(|active| active.request.is_none());
+        let nobody_asked = self.active.get(program).is_some_and(|active| active.request.is_none());
         if nobody_asked && matches!(result, TurnResult::Answered { .. }) {
             // The call's messages come only with the caller's repeat, and a history without
             // them would be wrong. Until then the process beside the endpoint keeps the result.
@@ -358,28 +322,18 @@
     request: &TurnRequest,
 ) -> AttemptWork {
     match &request.work {
-        Work::Model {
-            model,
-            messages,
-            max_tokens,
-        } => {
+        Work::Model { model, messages, max_tokens, parameters } => {
             let mut all = state.map_or_else(Vec::new, ProgramState::history);
             all.extend(messages.iter().cloned());
             AttemptWork::Model {
                 model: model.clone(),
                 messages: all,
                 resume_text: active.text.as_str().into(),
-                max_tokens: max_tokens
-                    .saturating_sub(active.generated_tokens as u32)
-                    .max(1),
+                max_tokens: max_tokens.saturating_sub(active.generated_tokens as u32).max(1),
+                parameters: parameters.clone(),
             }
         }
-        Work::Service {
-            service,
-            action,
-            body,
-            idempotent,
-        } => AttemptWork::Service {
+        Work::Service { service, action, body, idempotent } => AttemptWork::Service {
             service: service.clone(),
             action: action.clone(),
             body: body.clone(),
--- a/src/programs/owner/log.rs
+++ b/src/programs/owner/log.rs
@@ -134,9 +134,7 @@
             return self.start_read(cx);
         }
         let recovered = std::mem::take(&mut self.log.recovered);
-        let Some(claimed_at) = recovered
-            .iter()
-            .find(|stored| self.is_own_claim(&stored.data))
+        let Some(claimed_at) = recovered.iter().find(|stored| self.is_own_claim(&stored.data))
         else {
             return self.append_again(cx);
         };
@@ -224,12 +222,7 @@
         self.active.remove(program);
         if let Some(epoch) = self.tenure.epoch() {
             let program = program.clone();
-            self.log.outbox.push(Record::Settled {
-                program,
-                epoch,
-                attempt,
-                charge_tokens: 0,
-            });
+            self.log.outbox.push(Record::Settled { program, epoch, attempt, charge_tokens: 0 });
         }
     }
 
@@ -240,14 +233,7 @@
         let turn = outcome.turn;
         for waiter in active.waiters {
             let result = outcome.result.clone();
-            cx.reply(
-                waiter.call,
-                Reply::Answer {
-                    turn,
-                    result,
-                    replayed: false,
-                },
-            );
+            cx.reply(waiter.call, Reply::Answer { turn, result, replayed: false });
         }
         self.release_if_idle(cx);
     }
@@ -256,31 +242,25 @@
         let below = |id: &ProgramId| {
             id == program || (program.root() == &*program.name && id.account() == *program)
         };
-        let over: Vec<ProgramId> = self
-            .fold
-            .programs()
-            .map(|(id, _)| id)
-            .filter(|id| below(id))
-            .cloned()
-            .collect();
+        let over: Vec<ProgramId> =
+            self.fold.programs().map(|(id, _)| id).filter(|id| below(id)).cloned().collect();
         over.iter().for_each(|id| self.free(cx, id));
-        let (told, waiting) = std::mem::take(&mut self.ending)
-            .into_iter()
-            .partition(|(_, id)| id == program);
+        let (told, waiting) =
+            std::mem::take(&mut self.ending).into_iter().partition(|(_, id)| id == program);
         self.ending = waiting;
         let told: Vec<(crate::programs::CallId, ProgramId)> = told;
-        told.into_iter()
-            .for_each(|(call, _)| cx.reply(call, Reply::Ended));
+        told.into_iter().for_each(|(call, _)| cx.reply(call, Reply::Ended));
     }
 
     pub(super) fn release_if_idle(&mut self, cx: &mut Context<'_>) {
         let _ = cx;
         let log = &self.log;
         let idle = self.active.is_empty() && log.outbox.is_empty() && log.in_flight.is_empty();
-        if self.tenure.is_leaving() && idle {
-            if let Some(epoch) = self.tenure.epoch() {
-                self.log.outbox.push(Record::Release { epoch });
-            }
+        if self.tenure.is_leaving()
+            && idle
+            && let Some(epoch) = self.tenure.epoch()
+        {
+            self.log.outbox.push(Record::Release { epoch });
         }
     }
 
@@ -300,10 +280,7 @@
         self.unconfirmed = waiting;
         for waiting in expired {
             // Whether another owner ran it meanwhile could not be asked.
-            cx.refuse(
-                waiting.call,
-                Refusal::unknown(RefusalReason::LogUnavailable),
-            );
+            cx.refuse(waiting.call, Refusal::unknown(RefusalReason::LogUnavailable));
         }
     }
 
--- a/src/programs/owner/messages.rs
+++ b/src/programs/owner/messages.rs
@@ -124,15 +124,6 @@
         /// What.
         reply: Reply,
     },
-    /// A call crashed the engine that ran it.
-    Crashed {
-        /// The workspace.
-        workspace: WorkspaceId,
-        /// Digest of the call.
-        digest: Digest,
-        /// The attempt.
-        attempt: AttemptId,
-    },
 }
 
 /// One try at a turn, as the process beside the endpoint gets it.
@@ -169,6 +160,8 @@
         resume_text: Arc<str>,
         /// The most tokens to generate.
         max_tokens: u32,
+        /// Further parameters, passed through unread.
+        parameters: serde_json::Map<String, serde_json::Value>,
     },
     /// A call of a service.
     Service {
@@ -251,6 +244,9 @@
     /// What is known of a call that may crash engines.
     fn standing(&self, workspace: &WorkspaceId, digest: &Digest) -> Standing;
 
+    /// A call crashed the engine that ran it. From now on `standing` counts it.
+    fn crashed(&mut self, workspace: &WorkspaceId, digest: &Digest, attempt: AttemptId);
+
     /// A random number, for back-off.
     fn random(&mut self) -> u64;
 }
--- a/src/programs/owner/mod.rs
+++ b/src/programs/owner/mod.rs
@@ -131,12 +131,7 @@
         event: Event,
         env: &mut dyn Surroundings,
     ) -> Vec<Action> {
-        let mut cx = Context {
-            now,
-            unix,
-            env,
-            out: Vec::new(),
-        };
+        let mut cx = Context { now, unix, env, out: Vec::new() };
         match event {
             Event::Claim => self.claim(&mut cx),
             Event::HandOver => self.hand_over(&mut cx),
@@ -159,11 +154,8 @@
             return;
         }
         self.tenure.handle(TenureEvent::Claim);
-        let claim = Record::Claim {
-            entry: self.entry.clone(),
-            instance: self.instance,
-            nonce: self.nonce,
-        };
+        let claim =
+            Record::Claim { entry: self.entry.clone(), instance: self.instance, nonce: self.nonce };
         self.log.in_flight.push_back(claim.clone());
         self.log.appending = true;
         cx.out.push(Action::Append(vec![claim]));
@@ -180,29 +172,17 @@
         self.log.in_flight.clear();
         self.log.outbox.clear();
         for (call, _) in std::mem::take(&mut self.parked) {
-            cx.refuse(
-                call,
-                Refusal::not_run(RefusalReason::NotOwner).retry_after(0),
-            );
+            cx.refuse(call, Refusal::not_run(RefusalReason::NotOwner).retry_after(0));
         }
         for waiting in std::mem::take(&mut self.unconfirmed) {
-            cx.refuse(
-                waiting.call,
-                Refusal::unknown(RefusalReason::NotOwner).retry_after(0),
-            );
+            cx.refuse(waiting.call, Refusal::unknown(RefusalReason::NotOwner).retry_after(0));
         }
         for (call, _) in std::mem::take(&mut self.ending) {
-            cx.refuse(
-                call,
-                Refusal::unknown(RefusalReason::NotOwner).retry_after(0),
-            );
+            cx.refuse(call, Refusal::unknown(RefusalReason::NotOwner).retry_after(0));
         }
         for (_, active) in std::mem::take(&mut self.active) {
             let refusal = refusal_when_lost(&active);
-            active
-                .waiters
-                .iter()
-                .for_each(|waiter| cx.refuse(waiter.call, refusal));
+            active.waiters.iter().for_each(|waiter| cx.refuse(waiter.call, refusal));
         }
     }
 }
--- a/src/programs/owner/requests.rs
+++ b/src/programs/owner/requests.rs
@@ -34,10 +34,7 @@
             return;
         }
         if !self.tenure.is_owning() {
-            cx.refuse(
-                call,
-                Refusal::not_run(RefusalReason::NotOwner).retry_after(0),
-            );
+            cx.refuse(call, Refusal::not_run(RefusalReason::NotOwner).retry_after(0));
             return;
         }
         match self.verdict(cx, &request) {
@@ -47,11 +44,7 @@
             Verdict::Refuse(refusal) => cx.refuse(call, refusal),
             Verdict::RefuseConfirmed(refusal) => {
                 let deadline = request.deadline;
-                self.unconfirmed.push(UnconfirmedRefusal {
-                    call,
-                    refusal,
-                    deadline,
-                });
+                self.unconfirmed.push(UnconfirmedRefusal { call, refusal, deadline });
                 self.start_read(cx);
             }
         }
@@ -60,10 +53,10 @@
     fn verdict(&self, cx: &Context<'_>, request: &TurnRequest) -> Verdict {
         use RefusalReason as Why;
         let known = self.fold.program(&request.program);
-        if let Some(state) = known {
-            if let Some(verdict) = recorded_verdict(state, request) {
-                return verdict;
-            }
+        if let Some(state) = known
+            && let Some(verdict) = recorded_verdict(state, request)
+        {
+            return verdict;
         }
         if let Some(active) = self.active.get(&request.program) {
             return active_verdict(active, request);
@@ -75,11 +68,7 @@
         }
         if cx.env.standing(&request.program.workspace, &request.digest) == Standing::GivenUp {
             let reason = Why::CrashesEndpoints;
-            return Verdict::Refuse(Refusal {
-                ran: Ran::Ran,
-                reason,
-                retry_after_ms: None,
-            });
+            return Verdict::Refuse(Refusal { ran: Ran::Ran, reason, retry_after_ms: None });
         }
         if next.0 > request.limits.max_turns {
             return Verdict::RefuseConfirmed(Refusal::not_run(Why::TurnsExhausted));
@@ -108,10 +97,7 @@
         let same =
             |id: &ProgramId| id.workspace == program.workspace && id.root() == program.root();
         let unrecorded = |active: &Active| active.phase == Phase::RecordingIntent;
-        let reserves = self
-            .active
-            .iter()
-            .filter(|(id, active)| same(id) && unrecorded(active));
+        let reserves = self.active.iter().filter(|(id, active)| same(id) && unrecorded(active));
         reserves.map(|(_, active)| active.reserve_tokens).sum()
     }
 
@@ -131,18 +117,13 @@
             reserve_tokens: request.work.worst_case_tokens(),
             idempotency_key: request.idempotency_key.clone(),
             generated_tokens: 0,
-            waiters: vec![Waiter {
-                call,
-                deadline: request.deadline,
-            }],
+            waiters: vec![Waiter { call, deadline: request.deadline }],
             text: String::new(),
             attempts: 0,
             phase: Phase::RecordingIntent,
             request: Some(request.clone()),
         };
-        self.log
-            .outbox
-            .push(intent_record(&request.program, &active));
+        self.log.outbox.push(intent_record(&request.program, &active));
         self.active.insert(request.program, active);
     }
 
@@ -150,10 +131,7 @@
         let Some(active) = self.active.get_mut(&request.program) else {
             return;
         };
-        active.waiters.push(Waiter {
-            call,
-            deadline: request.deadline,
-        });
+        active.waiters.push(Waiter { call, deadline: request.deadline });
         active.request.get_or_insert(request);
         if !active.text.is_empty() {
             let text = active.text.as_str().into();
@@ -162,29 +140,16 @@
     }
 
     fn replay(&mut self, cx: &mut Context<'_>, call: CallId, program: &ProgramId, turn: TurnNo) {
-        let entry = self
-            .fold
-            .program(program)
-            .and_then(|state| state.turn(turn));
+        let entry = self.fold.program(program).and_then(|state| state.turn(turn));
         if let Some(entry) = entry {
             let result = entry.result.clone();
-            cx.reply(
-                call,
-                Reply::Answer {
-                    turn,
-                    result,
-                    replayed: true,
-                },
-            );
+            cx.reply(call, Reply::Answer { turn, result, replayed: true });
         }
     }
 
     pub(super) fn end(&mut self, cx: &mut Context<'_>, call: CallId, program: ProgramId) {
         if !self.tenure.is_owning() {
-            cx.refuse(
-                call,
-                Refusal::not_run(RefusalReason::NotOwner).retry_after(0),
-            );
+            cx.refuse(call, Refusal::not_run(RefusalReason::NotOwner).retry_after(0));
             return;
         }
         self.ending.push((call, program.clone()));
@@ -210,11 +175,7 @@
         let sequence = self.next_sequence;
         self.next_sequence += 1;
         let epoch = self.tenure.epoch().unwrap_or_default();
-        AttemptId {
-            shard: self.shard,
-            epoch,
-            sequence,
-        }
+        AttemptId { shard: self.shard, epoch, sequence }
     }
 
     pub(super) fn place(
@@ -232,10 +193,7 @@
     }
 
     fn prompt_tokens(&self, request: &TurnRequest) -> u64 {
-        let history = self
-            .fold
-            .program(&request.program)
-            .map_or(0, ProgramState::history_bytes);
+        let history = self.fold.program(&request.program).map_or(0, ProgramState::history_bytes);
         let new = match &request.work {
             Work::Model { messages, .. } => messages.iter().map(|m| m.bytes()).sum(),
             Work::Service { body, .. } => body.len(),
@@ -246,18 +204,10 @@
     pub(super) fn free(&mut self, cx: &mut Context<'_>, program: &ProgramId) {
         if let Some(active) = self.active.remove(program) {
             let refusal = Refusal::unknown(RefusalReason::ProgramEnded);
-            active
-                .waiters
-                .iter()
-                .for_each(|waiter| cx.refuse(waiter.call, refusal));
-            cx.out.push(Action::Cancel {
-                attempt: active.attempt,
-                endpoint: active.endpoint,
-            });
+            active.waiters.iter().for_each(|waiter| cx.refuse(waiter.call, refusal));
+            cx.out.push(Action::Cancel { attempt: active.attempt, endpoint: active.endpoint });
         }
-        cx.out.push(Action::Free {
-            program: program.clone(),
-        });
+        cx.out.push(Action::Free { program: program.clone() });
     }
 }
 
@@ -284,13 +234,8 @@
     if state.damaged {
         return Some(Verdict::Refuse(Refusal::not_run(Why::HistoryGap)));
     }
-    let by_key = request
-        .idempotency_key
-        .as_deref()
-        .and_then(|key| state.turn_by_key(key));
-    let by_number = request
-        .turn
-        .and_then(|turn| Some((turn, state.turn(turn)?)));
+    let by_key = request.idempotency_key.as_deref().and_then(|key| state.turn_by_key(key));
+    let by_number = request.turn.and_then(|turn| Some((turn, state.turn(turn)?)));
     let (turn, entry) = by_key.or(by_number)?;
     match entry.digest == request.digest {
         true => Some(Verdict::Replay(turn)),
@@ -306,11 +251,7 @@
         Some(_) => Ran::Ran,
         None => Ran::Unknown,
     };
-    Refusal {
-        ran,
-        reason,
-        retry_after_ms: None,
-    }
+    Refusal { ran, reason, retry_after_ms: None }
 }
 
 fn active_verdict(active: &Active, request: &TurnRequest) -> Verdict {
@@ -325,9 +266,7 @@
         None if same_key => Verdict::Refuse(Refusal::not_run(Why::TurnConflict)),
         None => Verdict::Refuse(Refusal::not_run(Why::ProgramBusy).retry_after(BUSY_RETRY_MS)),
         Some(_) => {
-            let refusal = Refusal::not_run(Why::TurnTooEarly {
-                expected: active.turn,
-            });
+            let refusal = Refusal::not_run(Why::TurnTooEarly { expected: active.turn });
             Verdict::RefuseConfirmed(refusal.retry_after(BUSY_RETRY_MS))
         }
     }
--- a/src/programs/owner/upkeep.rs
+++ b/src/programs/owner/upkeep.rs
@@ -24,20 +24,15 @@
         let now = cx.now;
         for active in self.active.values_mut() {
             let untouched = active.attempts == 0 && active.phase == Phase::RecordingIntent;
-            let (expired, waiting): (Vec<_>, Vec<_>) = active
-                .waiters
-                .iter()
-                .copied()
-                .partition(|waiter| waiter.deadline <= now);
+            let (expired, waiting): (Vec<_>, Vec<_>) =
+                active.waiters.iter().copied().partition(|waiter| waiter.deadline <= now);
             active.waiters = waiting;
             let refusal = match untouched && active.waiters.is_empty() {
                 true => Refusal::not_run(RefusalReason::DeadlinePassed),
                 false => Refusal::unknown(RefusalReason::DeadlinePassed),
             };
             let refusal = refusal.retry_after(STILL_RUNNING_RETRY_MS);
-            expired
-                .iter()
-                .for_each(|waiter| cx.refuse(waiter.call, refusal));
+            expired.iter().for_each(|waiter| cx.refuse(waiter.call, refusal));
         }
     }
 
@@ -61,10 +56,7 @@
                 continue;
             };
             match phase {
-                Phase::Asking {
-                    next_ms,
-                    unanswered,
-                } if next_ms <= cx.now => {
+                Phase::Asking { next_ms, unanswered } if next_ms <= cx.now => {
                     self.ask(cx, &program, unanswered);
                 }
                 Phase::BackingOff { until } if until <= cx.now => {
@@ -82,9 +74,7 @@
         }
         let age_ms = self.limits.snapshot_age_ms;
         let due = |id: &ProgramId, state: &ProgramState| {
-            let over = state
-                .ended
-                .is_some_and(|at| cx.unix.since(at) > self.limits.tombstone_ms);
+            let over = state.ended.is_some_and(|at| cx.unix.since(at) > self.limits.tombstone_ms);
             !self.active.contains_key(id) && !over && cx.unix.since(state.oldest) >= age_ms
         };
         let old: Vec<ProgramId> = self
--- a/src/programs/state.rs
+++ b/src/programs/state.rs
@@ -105,10 +105,7 @@
 
     /// The finished turn that was called with this idempotency key, and its number.
     pub fn turn_by_key(&self, key: &str) -> Option<(TurnNo, &TurnEntry)> {
-        let index = self
-            .turns
-            .iter()
-            .position(|t| t.idempotency_key.as_deref() == Some(key))?;
+        let index = self.turns.iter().position(|t| t.idempotency_key.as_deref() == Some(key))?;
         Some((TurnNo(index as u32 + 1), &self.turns[index]))
     }
 
@@ -129,9 +126,7 @@
 
     /// Whether this attempt is the one under way.
     pub fn is_open(&self, attempt: AttemptId) -> bool {
-        self.open
-            .as_ref()
-            .is_some_and(|open| open.attempt == attempt)
+        self.open.as_ref().is_some_and(|open| open.attempt == attempt)
     }
 
     /// Charges the attempt under way and closes it.
--- a/src/programs/tenure.rs
+++ b/src/programs/tenure.rs
@@ -23,10 +23,7 @@
 #[derive(Debug, Default)]
 pub struct TenureMachine;
 
-#[state_machine(
-    initial = "State::idle()",
-    state(derive(Debug, Clone, Copy, PartialEq, Eq))
-)]
+#[state_machine(initial = "State::idle()", state(derive(Debug, Clone, Copy, PartialEq, Eq)))]
 impl TenureMachine {
     #[state]
     fn idle(event: &TenureEvent) -> Outcome<State> {
@@ -115,10 +112,7 @@
 
     /// Whether the claim or the read that follows it is still under way.
     pub fn is_starting(&self) -> bool {
-        matches!(
-            self.0.state(),
-            State::Claiming {} | State::Recovering { .. }
-        )
+        matches!(self.0.state(), State::Claiming {} | State::Recovering { .. })
     }
 
     /// Whether it is being given up.
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -73,9 +73,9 @@
         Some(endpoint)
     }
 
-    /// Forgets a program that has ended.
-    pub fn forget(&mut self, program: &ProgramId) {
-        self.last.remove(program);
+    /// Forgets a program that has ended; returns the endpoint that may hold its cache.
+    pub fn forget(&mut self, program: &ProgramId) -> Option<EndpointRef> {
+        self.last.remove(program)
     }
 
     fn next_random(&mut self) -> u64 {
@@ -106,14 +106,11 @@
         let mean = total / (loads.len().max(1) as u32);
         let bound = mean + mean * AFFINITY_SLACK_EIGHTHS / 8 + AFFINITY_FREE_LOAD;
         let holder = self.last.get(request.program);
-        let held = candidates
-            .iter()
-            .zip(&loads)
-            .find(|(view, _)| Some(&view.endpoint) == holder);
-        if let Some((view, load)) = held {
-            if *load <= bound {
-                return Some(view);
-            }
+        let held = candidates.iter().zip(&loads).find(|(view, _)| Some(&view.endpoint) == holder);
+        if let Some((view, load)) = held
+            && *load <= bound
+        {
+            return Some(view);
         }
         self.pick_least(request, candidates, &loads)
     }
@@ -131,9 +128,7 @@
             Digest::of(&[program, view.endpoint.vm.as_str().as_bytes()]).prefix()
         };
         let ranked = candidates.iter().zip(loads);
-        ranked
-            .min_by_key(|(view, load)| (**load, !view.near, rank(view)))
-            .map(|(view, _)| *view)
+        ranked.min_by_key(|(view, load)| (**load, !view.near, rank(view))).map(|(view, _)| *view)
     }
 
     /// The reported load and the own dispatches that the report can't have seen.
--- a/src/routing/view.rs
+++ b/src/routing/view.rs
@@ -19,13 +19,7 @@
 impl EndpointView {
     /// The view of a peer, if it stands beside an endpoint.
     pub fn of_peer(peer: &Peer, failure_domain: &str) -> Option<EndpointView> {
-        let Duty::Endpoint {
-            running,
-            queued,
-            concurrency,
-            ..
-        } = &peer.heartbeat.duty
-        else {
+        let Duty::Endpoint { running, queued, concurrency, .. } = &peer.heartbeat.duty else {
             return None;
         };
         Some(EndpointView {
--- a/src/settings/endpoint.rs
+++ b/src/settings/endpoint.rs
@@ -28,27 +28,12 @@
 impl EndpointSettings {
     /// Every setting of the role.
     pub const ALL: &'static [Setting] = with_common![
-        setting(
-            "backend",
-            "IP:PORT",
-            "the endpoint beside this process",
-            None
-        ),
-        setting(
-            "serves",
-            "NAME",
-            "the model or service that the endpoint serves",
-            None
-        ),
+        setting("backend", "IP:PORT", "the endpoint beside this process", None),
+        setting("serves", "NAME", "the model or service that the endpoint serves", None),
         setting("kind", "KIND", "engine or service", Some("engine")),
         setting("concurrency", "N", "calls that run at once", Some("16")),
         setting("queue", "N", "calls that wait at once", Some("256")),
-        setting(
-            "cache-lease-ms",
-            "MS",
-            "how long an idle program's cache is kept",
-            Some("300000")
-        ),
+        setting("cache-lease-ms", "MS", "how long an idle program's cache is kept", Some("300000")),
     ];
 
     /// Reads and checks them.
@@ -65,9 +50,7 @@
         let queue = reader.number("queue", 1, 100_000);
         let cache_lease_ms = reader.number("cache-lease-ms", 100, 86_400_000);
         reader.finish()?;
-        let (process, serves) = process
-            .zip(serves)
-            .ok_or(SettingsError::Faults(Vec::new()))?;
+        let (process, serves) = process.zip(serves).ok_or(SettingsError::Faults(Vec::new()))?;
         Ok(EndpointSettings {
             process,
             backend,
--- a/src/settings/entry.rs
+++ b/src/settings/entry.rs
@@ -36,61 +36,21 @@
 impl EntrySettings {
     /// Every setting of the role.
     pub const ALL: &'static [Setting] = with_common![
-        setting(
-            "listen",
-            "IP:PORT",
-            "where callers reach this entry",
-            Some("127.0.0.1:0")
-        ),
+        setting("listen", "IP:PORT", "where callers reach this entry", Some("127.0.0.1:0")),
         setting("log", "IP:PORT", "the platform's log", None),
-        setting(
-            "shards",
-            "N",
-            "number of shards, the same on every entry",
-            Some("16")
-        ),
-        setting(
-            "appends-per-s",
-            "N",
-            "log appends a second for the whole fleet",
-            Some("300")
-        ),
-        setting(
-            "log-timeout-ms",
-            "MS",
-            "how long a call to the log may take",
-            Some("2000")
-        ),
-        setting(
-            "log-retention-ms",
-            "MS",
-            "how long the log keeps records",
-            Some("86400000")
-        ),
+        setting("shards", "N", "number of shards, the same on every entry", Some("16")),
+        setting("appends-per-s", "N", "log appends a second for the whole fleet", Some("300")),
+        setting("log-timeout-ms", "MS", "how long a call to the log may take", Some("2000")),
+        setting("log-retention-ms", "MS", "how long the log keeps records", Some("86400000")),
         setting(
             "config-stale-ms",
             "MS",
             "how long a configuration may go unconfirmed",
             Some("4000")
         ),
-        setting(
-            "default-deadline-ms",
-            "MS",
-            "deadline of a call that names none",
-            Some("120000")
-        ),
-        setting(
-            "max-body-bytes",
-            "BYTES",
-            "the largest body of a call",
-            Some("2097152")
-        ),
-        setting(
-            "receive-timeout-ms",
-            "MS",
-            "how long a caller may take to send",
-            Some("10000")
-        ),
+        setting("default-deadline-ms", "MS", "deadline of a call that names none", Some("120000")),
+        setting("max-body-bytes", "BYTES", "the largest body of a call", Some("2097152")),
+        setting("receive-timeout-ms", "MS", "how long a caller may take to send", Some("10000")),
         setting(
             "program-idle-ms",
             "MS",
--- a/src/settings/fault.rs
+++ b/src/settings/fault.rs
@@ -36,10 +36,7 @@
                 write!(f, "{given} is not between {least} and {most}")
             }
             SettingFault::NotAnAddress(text) => {
-                write!(
-                    f,
-                    "{text:?} is not an IP address with a port, as in 127.0.0.1:7000"
-                )
+                write!(f, "{text:?} is not an IP address with a port, as in 127.0.0.1:7000")
             }
             SettingFault::BadName(fault) => write!(f, "{fault}"),
             SettingFault::NotOneOf(words) => write!(f, "must be one of {}", words.join(", ")),
--- a/src/settings/process.rs
+++ b/src/settings/process.rs
@@ -50,12 +50,7 @@
     meaning: &'static str,
     default: Option<&'static str>,
 ) -> Setting {
-    Setting {
-        name,
-        hint,
-        meaning,
-        default,
-    }
+    Setting { name, hint, meaning, default }
 }
 
 impl ProcessSettings {
--- a/src/settings/reader.rs
+++ b/src/settings/reader.rs
@@ -16,11 +16,14 @@
     pub default: Option<&'static str>,
 }
 
+/// Looks an environment variable up.
+type Environment = Box<dyn Fn(&str) -> Option<String>>;
+
 /// Reads settings and gathers all their faults.
 pub struct Reader {
     settings: &'static [Setting],
     matches: getopts::Matches,
-    env: Box<dyn Fn(&str) -> Option<String>>,
+    env: Environment,
     faults: Vec<(&'static str, SettingFault)>,
 }
 
@@ -35,16 +38,9 @@
             .parse(args)
             .map_err(|fault| SettingsError::CommandLine(fault.to_string()))?;
         if let Some(extra) = matches.free.first() {
-            return Err(SettingsError::CommandLine(format!(
-                "unexpected argument {extra:?}"
-            )));
+            return Err(SettingsError::CommandLine(format!("unexpected argument {extra:?}")));
         }
-        Ok(Reader {
-            settings,
-            matches,
-            env: Box::new(env),
-            faults: Vec::new(),
-        })
+        Ok(Reader { settings, matches, env: Box::new(env), faults: Vec::new() })
     }
 
     /// The help text.
@@ -53,15 +49,8 @@
     }
 
     fn raw(&mut self, name: &'static str) -> Option<String> {
-        let default = self
-            .settings
-            .iter()
-            .find(|setting| setting.name == name)?
-            .default;
-        let given = self
-            .matches
-            .opt_str(name)
-            .or_else(|| (self.env)(&env_name(name)));
+        let default = self.settings.iter().find(|setting| setting.name == name)?.default;
+        let given = self.matches.opt_str(name).or_else(|| (self.env)(&env_name(name)));
         let value = given.or_else(|| default.map(str::to_string));
         if value.is_none() {
             self.faults.push((name, SettingFault::Missing));
@@ -134,9 +123,7 @@
 fn options(settings: &'static [Setting]) -> getopts::Options {
     let mut options = getopts::Options::new();
     for setting in settings {
-        let default = setting
-            .default
-            .map_or(String::new(), |value| format!(" [default: {value}]"));
+        let default = setting.default.map_or(String::new(), |value| format!(" [default: {value}]"));
         let meaning = format!("{}{default}", setting.meaning);
         options.optopt("", setting.name, &meaning, setting.hint);
     }
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -25,18 +25,8 @@
         panic!("expected faults");
     };
     let names: Vec<&str> = faults.iter().map(|(name, _)| *name).collect();
-    assert_eq!(
-        names,
-        ["failure-domain", "vm-list", "heartbeat-ms", "shards"]
-    );
-    assert_eq!(
-        faults[3].1,
-        SettingFault::OutOfRange {
-            given: 0,
-            least: 1,
-            most: 4_096
-        }
-    );
+    assert_eq!(names, ["failure-domain", "vm-list", "heartbeat-ms", "shards"]);
+    assert_eq!(faults[3].1, SettingFault::OutOfRange { given: 0, least: 1, most: 4_096 });
 }
 
 #[test]
@@ -52,8 +42,5 @@
     let Err(SettingsError::Faults(faults)) = EndpointSettings::read(&args(given), |_| None) else {
         panic!("expected faults");
     };
-    assert_eq!(
-        faults,
-        [("kind", SettingFault::NotOneOf(&["engine", "service"]))]
-    );
+    assert_eq!(faults, [("kind", SettingFault::NotOneOf(&["engine", "service"]))]);
 }
--- a/src/telemetry/logs.rs
+++ b/src/telemetry/logs.rs
@@ -39,7 +39,5 @@
         .appender(Appender::builder().build("stderr", Box::new(appender)))
         .build(Root::builder().appender("stderr").build(filter))
         .map_err(|_| LogsError::Configuration)?;
-    log4rs::init_config(config)
-        .map(drop)
-        .map_err(|_| LogsError::AlreadyStarted)
+    log4rs::init_config(config).map(drop).map_err(|_| LogsError::AlreadyStarted)
 }
--- a/src/telemetry/numbers.rs
+++ b/src/telemetry/numbers.rs
@@ -24,8 +24,5 @@
 
 /// Starts to record metrics.
 pub fn start_metrics() -> Result<Metrics, BuildError> {
-    PrometheusBuilder::new()
-        .set_buckets(BUCKETS_MS)?
-        .install_recorder()
-        .map(Metrics)
+    PrometheusBuilder::new().set_buckets(BUCKETS_MS)?.install_recorder().map(Metrics)
 }
--- a/src/time.rs
+++ b/src/time.rs
@@ -40,9 +40,7 @@
 impl Clock {
     /// Starts a clock at zero.
     pub fn start() -> Clock {
-        Clock {
-            started: std::time::Instant::now(),
-        }
+        Clock { started: std::time::Instant::now() }
     }
 
     /// Monotonic time since the start.
--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -97,11 +97,7 @@
 
 /// Starts an engine.
 pub async fn spawn(address: SocketAddr, settings: Settings) -> std::io::Result<Running> {
-    let state = State {
-        settings,
-        run: 1,
-        ..State::default()
-    };
+    let state = State { settings, run: 1, ..State::default() };
     let state = Arc::new(Mutex::new(state));
     http::serve(address, move |request| {
         let state = state.clone();
@@ -122,10 +118,7 @@
     if request.headers().contains_key("authorization") {
         locked(state).authorizations += 1;
     }
-    if locked(state)
-        .down_until
-        .is_some_and(|until| Instant::now() < until)
-    {
+    if locked(state).down_until.is_some_and(|until| Instant::now() < until) {
         return http::json(StatusCode::SERVICE_UNAVAILABLE, &"restarting");
     }
     match (request.method().clone(), path.as_str()) {
@@ -188,10 +181,7 @@
         "/cache/free" => state.cache.free(&text("key")),
         "/cache/export" => {
             let tokens = state.cache.held(&text("key"));
-            return http::json(
-                StatusCode::OK,
-                &json!({ "key": text("key"), "tokens": tokens }),
-            );
+            return http::json(StatusCode::OK, &json!({ "key": text("key"), "tokens": tokens }));
         }
         "/cache/import" => {
             let capacity = state.settings.cache_tokens;
@@ -215,15 +205,10 @@
     let Some(call) = http::read_json::<Completion>(request).await else {
         return http::json(StatusCode::BAD_REQUEST, &"not a completion call");
     };
-    let contents: Vec<String> = call
-        .messages
-        .iter()
-        .map(|message| message["content"].to_string())
-        .collect();
+    let contents: Vec<String> =
+        call.messages.iter().map(|message| message["content"].to_string()).collect();
     let prompt_tokens = contents.iter().map(|text| text.len() as u64 / 4 + 1).sum();
-    let crashes = contents
-        .last()
-        .is_some_and(|text| text.contains(CRASH_MARK));
+    let crashes = contents.last().is_some_and(|text| text.contains(CRASH_MARK));
     let run = Run::begin(state, &call, prompt_tokens);
     let words = answer_words(&contents, call.max_tokens);
     let resumed = call.resume_text.split_inclusive(' ').count();
@@ -268,10 +253,7 @@
     contents.hash(&mut hasher);
     let first = format!("seen={} digest={:016x} ", contents.len(), hasher.finish());
     let mut words: Vec<String> = first.split_inclusive(' ').map(str::to_string).collect();
-    let wanted = contents
-        .last()
-        .and_then(|text| wanted_words(text))
-        .unwrap_or(8);
+    let wanted = contents.last().and_then(|text| wanted_words(text)).unwrap_or(8);
     words.extend((1..=wanted.min(max_tokens)).map(|n| format!("word{n} ")));
     words
 }
@@ -279,12 +261,7 @@
 /// A message may ask for a length, as in `words=40`.
 fn wanted_words(text: &str) -> Option<u64> {
     let digits = text.split("words=").nth(1)?;
-    digits
-        .chars()
-        .take_while(char::is_ascii_digit)
-        .collect::<String>()
-        .parse()
-        .ok()
+    digits.chars().take_while(char::is_ascii_digit).collect::<String>().parse().ok()
 }
 
 /// One stream that runs in the batch.
@@ -301,9 +278,7 @@
         let cached = state.cache.held(&call.cache_key).min(prompt_tokens);
         let capacity = state.settings.cache_tokens;
         if !call.cache_key.is_empty() {
-            state
-                .cache
-                .hold(&call.cache_key, prompt_tokens + call.max_tokens, capacity);
+            state.cache.hold(&call.cache_key, prompt_tokens + call.max_tokens, capacity);
         }
         state.running += 1;
         state.completions += 1;
--- a/standins/src/engine/cache.rs
+++ b/standins/src/engine/cache.rs
@@ -11,10 +11,7 @@
 impl Cache {
     /// Tokens held under a key.
     pub fn held(&self, key: &str) -> u64 {
-        self.entries
-            .iter()
-            .find(|(held, _)| held == key)
-            .map_or(0, |(_, tokens)| *tokens)
+        self.entries.iter().find(|(held, _)| held == key).map_or(0, |(_, tokens)| *tokens)
     }
 
     /// Tokens held in all.
@@ -56,7 +53,6 @@
 
     fn note(&mut self, kind: &str, key: &str) {
         let number = self.events.len();
-        self.events
-            .push(json!({ "number": number, "kind": kind, "key": key }));
+        self.events.push(json!({ "number": number, "kind": kind, "key": key }));
     }
 }
--- a/standins/src/http.rs
+++ b/standins/src/http.rs
@@ -59,9 +59,8 @@
             });
             connections.spawn(async move {
                 let io = TokioIo::new(stream);
-                let _ = hyper::server::conn::http1::Builder::new()
-                    .serve_connection(io, service)
-                    .await;
+                let _ =
+                    hyper::server::conn::http1::Builder::new().serve_connection(io, service).await;
             });
         }
     });
@@ -78,9 +77,7 @@
 
 /// A body that is known at once.
 pub fn whole(bytes: Vec<u8>) -> Body {
-    Full::new(Bytes::from(bytes))
-        .map_err(|never: Infallible| match never {})
-        .boxed()
+    Full::new(Bytes::from(bytes)).map_err(|never: Infallible| match never {}).boxed()
 }
 
 /// A body that is sent as it comes; an error cuts the connection.
@@ -89,9 +86,7 @@
     S: Stream<Item = Result<Bytes, std::io::Error>> + Send + Sync + 'static,
 {
     use futures_util::StreamExt;
-    Response::new(BodyExt::boxed(StreamBody::new(
-        stream.map(|part| part.map(Frame::data)),
-    )))
+    Response::new(BodyExt::boxed(StreamBody::new(stream.map(|part| part.map(Frame::data)))))
 }
 
 /// Reads a JSON body.
@@ -104,12 +99,7 @@
 pub fn query_number(request: &Request<Incoming>, name: &str) -> Option<u64> {
     let query = request.uri().query()?;
     let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    pairs
-        .into_iter()
-        .find(|(key, _)| *key == name)?
-        .1
-        .parse()
-        .ok()
+    pairs.into_iter().find(|(key, _)| *key == name)?.1.parse().ok()
 }
 
 /// Calls a stand-in with a JSON body and reads its JSON answer.
@@ -120,11 +110,7 @@
 ) -> Option<A> {
     let client = hyper_util::client::legacy::Client::builder(TokioExecutor::new()).build_http();
     let bytes = serde_json::to_vec(body).ok()?;
-    let request = Request::builder()
-        .method(method)
-        .uri(url)
-        .body(whole(bytes))
-        .ok()?;
+    let request = Request::builder().method(method).uri(url).body(whole(bytes)).ok()?;
     let response = client.request(request).await.ok()?;
     let bytes = response.into_body().collect().await.ok()?.to_bytes();
     serde_json::from_slice(&bytes).ok()
--- a/standins/src/log_service.rs
+++ b/standins/src/log_service.rs
@@ -88,13 +88,8 @@
 
 impl Service {
     async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
-        let path: Vec<String> = request
-            .uri()
-            .path()
-            .split('/')
-            .skip(1)
-            .map(str::to_string)
-            .collect();
+        let path: Vec<String> =
+            request.uri().path().split('/').skip(1).map(str::to_string).collect();
         let parts: Vec<&str> = path.iter().map(String::as_str).collect();
         match (request.method().clone(), parts.as_slice()) {
             (Method::POST, ["control"]) => self.control(request).await,
@@ -121,33 +116,18 @@
 
     fn counters(&self) -> Counters {
         let state = self.state.lock().expect("not poisoned");
-        Counters {
-            appends: state.appends,
-            records: state.records,
-            bytes: state.bytes,
-        }
+        Counters { appends: state.appends, records: state.records, bytes: state.bytes }
     }
 
     async fn slow(&self) {
-        let slow_ms = self
-            .state
-            .lock()
-            .expect("not poisoned")
-            .faults
-            .slow_ms
-            .unwrap_or(0);
+        let slow_ms = self.state.lock().expect("not poisoned").faults.slow_ms.unwrap_or(0);
         if slow_ms > 0 {
             tokio::time::sleep(Duration::from_millis(slow_ms)).await;
         }
     }
 
     fn out(&self) -> bool {
-        self.state
-            .lock()
-            .expect("not poisoned")
-            .faults
-            .outage
-            .unwrap_or(false)
+        self.state.lock().expect("not poisoned").faults.outage.unwrap_or(false)
     }
 
     async fn append(&self, name: &str, request: Request<Incoming>) -> Response<Body> {
@@ -183,18 +163,10 @@
         let limit = http::query_number(&request, "limit").unwrap_or(1_000) as usize;
         let wait_ms = http::query_number(&request, "wait_ms").unwrap_or(0);
         let grown = self.grown.notified();
-        let mut page = self
-            .state
-            .lock()
-            .expect("not poisoned")
-            .page(name, from, limit);
+        let mut page = self.state.lock().expect("not poisoned").page(name, from, limit);
         if page.records.is_empty() && wait_ms > 0 {
             let _ = tokio::time::timeout(Duration::from_millis(wait_ms), grown).await;
-            page = self
-                .state
-                .lock()
-                .expect("not poisoned")
-                .page(name, from, limit);
+            page = self.state.lock().expect("not poisoned").page(name, from, limit);
         }
         http::json(StatusCode::OK, &page)
     }
@@ -212,19 +184,12 @@
         let time_ms = unix_ms();
         self.appends += 1;
         self.records += records.len() as u64;
-        self.bytes += records
-            .iter()
-            .map(|record| record.to_string().len() as u64)
-            .sum::<u64>();
+        self.bytes += records.iter().map(|record| record.to_string().len() as u64).sum::<u64>();
         let stream = self.streams.entry(name.to_string()).or_default();
         let first = stream.earliest.max(1) + stream.records.len() as u64;
         stream.earliest = stream.earliest.max(1);
         let stored = records.into_iter().zip(first..);
-        stream.records.extend(stored.map(|(data, offset)| Stored {
-            offset,
-            time_ms,
-            data,
-        }));
+        stream.records.extend(stored.map(|(data, offset)| Stored { offset, time_ms, data }));
         self.expire();
         (first, time_ms)
     }
@@ -248,26 +213,12 @@
 
     fn page(&self, name: &str, from: u64, limit: usize) -> Page {
         let Some(stream) = self.streams.get(name) else {
-            return Page {
-                earliest_offset: 1,
-                next_offset: 1,
-                records: Vec::new(),
-            };
+            return Page { earliest_offset: 1, next_offset: 1, records: Vec::new() };
         };
         let skip = from.saturating_sub(stream.earliest) as usize;
-        let records: Vec<Stored> = stream
-            .records
-            .iter()
-            .skip(skip)
-            .take(limit)
-            .cloned()
-            .collect();
+        let records: Vec<Stored> = stream.records.iter().skip(skip).take(limit).cloned().collect();
         let end = stream.earliest + stream.records.len() as u64;
-        Page {
-            earliest_offset: stream.earliest,
-            next_offset: end,
-            records,
-        }
+        Page { earliest_offset: stream.earliest, next_offset: end, records }
     }
 }
 
--- a/standins/src/tool_service.rs
+++ b/standins/src/tool_service.rs
@@ -68,8 +68,5 @@
     if hang {
         tokio::time::sleep(Duration::from_secs(600)).await;
     }
-    http::json(
-        StatusCode::OK,
-        &serde_json::json!({ "action": path, "receipt": count }),
-    )
+    http::json(StatusCode::OK, &serde_json::json!({ "action": path, "receipt": count }))
 }
--- a/standins/src/vm_list.rs
+++ b/standins/src/vm_list.rs
@@ -60,14 +60,10 @@
         state.lock().expect("not poisoned").next = Some((due, list));
     }
     let mut state = state.lock().expect("not poisoned");
-    if state
-        .next
-        .as_ref()
-        .is_some_and(|(due, _)| *due <= Instant::now())
+    if state.next.as_ref().is_some_and(|(due, _)| *due <= Instant::now())
+        && let Some((_, list)) = state.next.take()
     {
-        if let Some((_, list)) = state.next.take() {
-            state.shown = list;
-        }
+        state.shown = list;
     }
     http::json(StatusCode::OK, &state.shown)
 }
