A property test drives owners, endpoints and a log through failures

Cause: the owner's promises were argued, not proved.

Change: one property test runs two owners, two endpoints' desks, a log and the callers of four programs (two share a budget) through random steps: kills, pauses past a takeover, lost and late appends, outages, broken connections, early and repeated turns. Order, history, at most once, budgets, truth of refusals and whole answers are checked at each step; after the faults every program has to end.

Ruled out: a simulator with networks and clocks of its own.

Before: no proof.

--- /dev/null
+++ b/src/programs/tests/world.rs
@@ -0,0 +1,547 @@
+use std::collections::HashMap;
+
+use super::callers::{Callers, TURNS};
+use super::fake_log::FakeLog;
+use super::{LIMITS, vm};
+use crate::endpoint::{Desk, DeskAction, DeskLimits, OrderPolicy, Submission};
+use crate::prelude::*;
+use crate::programs::{
+    Action, AppendError, Attempt, AttemptFrame, AttemptReport, AttemptWork, CallId, Event,
+    FailureCause, Finish, Limits, PlaceRequest, Record, Reply, ShardOwner, Standing, Surroundings,
+    TurnResult, Usage,
+};
+
+const SHARD: ShardId = ShardId(0);
+const PAGE: usize = 7;
+const CACHE_LEASE_MS: u64 = 30_000;
+
+/// One step of a run: what happens, and to whom.
+#[derive(Debug, Clone, Copy)]
+pub struct Step {
+    pub kind: u8,
+    pub arg: u8,
+}
+
+/// Something on its way from one part to another.
+#[derive(Debug, Clone)]
+enum Message {
+    Owner { nonce: u64, event: Event },
+    Append { nonce: u64, records: Vec<Record> },
+    Read { nonce: u64, from: Option<Offset> },
+    Submit { nonce: u64, attempt: Attempt },
+    Ask { nonce: u64, attempt: AttemptId, endpoint: EndpointRef, epoch: Epoch },
+    Reply { call: CallId, reply: Reply },
+}
+
+struct Entry {
+    owner: Option<ShardOwner>,
+    nonce: u64,
+    paused: bool,
+}
+
+struct Endpoint {
+    desk: Desk,
+    me: EndpointRef,
+    running: Vec<(Attempt, usize)>,
+    /// To which owner the frames of an attempt go; gone once the connection broke.
+    listeners: HashMap<AttemptId, u64>,
+}
+
+/// Two entries, two endpoints, a log and callers, driven one step at a time. Everything that
+/// must always hold is checked as it happens.
+pub struct World {
+    pub now: u64,
+    pub log: FakeLog,
+    pub callers: Callers,
+    entries: Vec<Entry>,
+    endpoints: Vec<Endpoint>,
+    net: Vec<Message>,
+    next_nonce: u64,
+    /// Appends that take effect but are not answered; later, or at once.
+    lose_next_append: bool,
+    delay_next_append: Option<()>,
+    delayed: Vec<Vec<Record>>,
+    pub executions: HashMap<(ProgramId, TurnNo), usize>,
+    generated: HashMap<ProgramId, u64>,
+    pub ignore_fences: bool,
+}
+
+struct Place<'a>(&'a [Endpoint], usize);
+
+impl Surroundings for Place<'_> {
+    fn place(&mut self, request: &PlaceRequest<'_>) -> Option<EndpointRef> {
+        let usable = |e: &&Endpoint| Some(&e.me.vm) != request.avoid;
+        let usable: Vec<&Endpoint> = self.0.iter().filter(usable).collect();
+        usable.get(self.1 % usable.len().max(1)).map(|endpoint| endpoint.me.clone())
+    }
+
+    fn standing(&self, _: &WorkspaceId, _: &Digest) -> Standing {
+        Standing::Clear
+    }
+
+    fn crashed(&mut self, _: &WorkspaceId, _: &Digest, _: AttemptId) {}
+
+    fn random(&mut self) -> u64 {
+        7
+    }
+}
+
+fn limits() -> Limits {
+    Limits {
+        snapshot_age_ms: 10_000,
+        program_idle_ms: 1 << 40,
+        tombstone_ms: 20_000,
+        ..Limits::default()
+    }
+}
+
+impl World {
+    pub fn new(programs: usize) -> World {
+        let entries = (0..2).map(|_| Entry { owner: None, nonce: 0, paused: false });
+        let mut world = World {
+            now: 1_000,
+            log: FakeLog::default(),
+            callers: Callers::new(programs),
+            entries: entries.collect(),
+            endpoints: Vec::new(),
+            net: Vec::new(),
+            next_nonce: 1,
+            lose_next_append: false,
+            delay_next_append: None,
+            delayed: Vec::new(),
+            executions: HashMap::new(),
+            generated: HashMap::new(),
+            ignore_fences: false,
+        };
+        world.endpoints = (0..2).map(|index| world.new_endpoint(index)).collect();
+        world
+    }
+
+    fn new_endpoint(&mut self, index: usize) -> Endpoint {
+        self.next_nonce += 1;
+        let me = EndpointRef { vm: vm(&format!("m{index}")), instance: Instance(self.next_nonce) };
+        let limits = DeskLimits {
+            concurrency: 2,
+            queue: 16,
+            cache_lease_ms: CACHE_LEASE_MS,
+            finished_bytes: 4_000,
+        };
+        let desk = Desk::new(me.clone(), limits, OrderPolicy::FairThenAttained);
+        Endpoint { desk, me, running: Vec::new(), listeners: HashMap::new() }
+    }
+
+    /// Does one step. Kinds are weighted towards plain progress.
+    pub fn step(&mut self, step: Step) {
+        let arg = usize::from(step.arg);
+        match step.kind % 32 {
+            0..=9 => self.deliver(arg),
+            10..=12 => self.tick(u64::from(step.arg) * 4),
+            13..=16 => self.progress(arg),
+            17..=19 => self.call(arg),
+            20 => self.call_early(arg),
+            21 => self.kill_entry(arg % 2),
+            22 => self.entries[arg % 2].paused = true,
+            23..=24 => self.entries[arg % 2].paused = false,
+            25 => self.claim(arg % 2),
+            26 => self.log.out = arg.is_multiple_of(3),
+            27 if arg.is_multiple_of(2) => self.lose_next_append = true,
+            27 => self.delay_next_append = Some(()),
+            28 => self.kill_endpoint(arg % 2),
+            29 => self.cut(arg),
+            30 => self.land_delayed(),
+            _ => self.abandon(arg),
+        }
+    }
+
+    /// Ends all faults and lets everything finish.
+    pub fn settle(&mut self) {
+        self.log.out = false;
+        self.lose_next_append = false;
+        self.delay_next_append = None;
+        for round in 0..4_000 {
+            self.entries.iter_mut().for_each(|entry| entry.paused = false);
+            if self.callers.programs.iter().all(|program| self.callers.is_done(program)) {
+                break;
+            }
+            if round % 8 == 0 {
+                self.call_all();
+            }
+            self.deliver_all();
+            (0..2).for_each(|index| self.progress_all(index));
+            self.tick(60);
+            self.land_delayed();
+        }
+        self.assert_done();
+    }
+
+    fn assert_done(&self) {
+        for program in &self.callers.programs {
+            let current = self.callers.current(program);
+            assert!(self.callers.is_done(program), "{program} is stuck at turn {current}");
+        }
+    }
+
+    fn call_all(&mut self) {
+        if self.entries.iter().all(|entry| entry.owner.is_none()) {
+            self.claim(0);
+        }
+        let programs = self.callers.programs.clone();
+        for program in programs {
+            let turn = self.callers.current(&program);
+            if turn <= TURNS && !self.callers.is_done(&program) {
+                (0..2).for_each(|entry| self.call_at(entry, &program, turn));
+            }
+        }
+    }
+
+    fn claim(&mut self, index: usize) {
+        if self.entries[index].paused {
+            return;
+        }
+        self.next_nonce += 1;
+        let nonce = self.next_nonce;
+        let name = vm(&format!("e{index}"));
+        let owner = ShardOwner::new(SHARD, name, Instance(index as u64), nonce, limits());
+        self.entries[index].owner = Some(owner);
+        self.entries[index].nonce = nonce;
+        self.handle(index, Event::Claim);
+    }
+
+    fn kill_entry(&mut self, index: usize) {
+        self.entries[index] = Entry { owner: None, nonce: 0, paused: false };
+    }
+
+    /// The process dies; what it had started at the engine has happened all the same.
+    fn kill_endpoint(&mut self, index: usize) {
+        let lost: Vec<(AttemptId, u64)> =
+            self.endpoints[index].listeners.iter().map(|(id, nonce)| (*id, *nonce)).collect();
+        self.endpoints[index] = self.new_endpoint(index);
+        for (attempt, nonce) in lost {
+            self.net.push(Message::Owner { nonce, event: Event::Lost { attempt } });
+        }
+    }
+
+    /// A connection between an owner and an endpoint breaks.
+    fn cut(&mut self, arg: usize) {
+        let endpoint = &mut self.endpoints[arg % 2];
+        let mut ids: Vec<AttemptId> = endpoint.listeners.keys().copied().collect();
+        ids.sort();
+        let Some(attempt) = ids.get(arg / 2 % ids.len().max(1)).copied() else {
+            return;
+        };
+        if let Some(nonce) = endpoint.listeners.remove(&attempt) {
+            self.net.push(Message::Owner { nonce, event: Event::Lost { attempt } });
+        }
+    }
+
+    fn abandon(&mut self, arg: usize) {
+        let waiting = self.callers.waiting();
+        let Some(call) = waiting.get(arg % waiting.len().max(1)).copied() else {
+            return;
+        };
+        self.callers.abandon(call);
+        (0..2).for_each(|index| self.handle(index, Event::CallerGone { call }));
+    }
+
+    fn call(&mut self, arg: usize) {
+        let program = self.callers.programs[arg / 2 % self.callers.programs.len()].clone();
+        let turn = self.callers.current(&program);
+        if turn <= TURNS && !self.callers.is_done(&program) {
+            self.call_at(arg % 2, &program, turn);
+        }
+    }
+
+    fn call_early(&mut self, arg: usize) {
+        let program = self.callers.programs[arg / 2 % self.callers.programs.len()].clone();
+        let turn = self.callers.current(&program) + 1;
+        if turn <= TURNS {
+            self.call_at(arg % 2, &program, turn);
+        }
+    }
+
+    fn call_at(&mut self, index: usize, program: &ProgramId, turn: u32) {
+        if self.entries[index].paused {
+            return;
+        }
+        if self.entries[index].owner.is_none() {
+            return;
+        }
+        let (call, request) = self.callers.open(self.now, program, turn);
+        self.handle(index, Event::Request { call, request });
+    }
+
+    fn tick(&mut self, ms: u64) {
+        self.now += ms;
+        (0..2).for_each(|index| self.handle(index, Event::Tick));
+        for index in 0..2 {
+            let actions = self.endpoints[index].desk.proceed(TimeMs(self.now));
+            self.desk_actions(index, actions);
+        }
+    }
+
+    fn handle(&mut self, index: usize, event: Event) {
+        let (now, unix) = (TimeMs(self.now), UnixMs(self.now));
+        let entry = &mut self.entries[index];
+        if entry.paused {
+            return;
+        }
+        let nonce = entry.nonce;
+        let Some(owner) = entry.owner.as_mut() else {
+            return;
+        };
+        let mut place = Place(&self.endpoints, self.now as usize / 7);
+        let actions = owner.handle(now, unix, event, &mut place);
+        if owner.tenure().is_lost() {
+            entry.owner = None;
+        }
+        actions.into_iter().for_each(|action| self.carry_out(nonce, action));
+    }
+
+    fn carry_out(&mut self, nonce: u64, action: Action) {
+        let message = match action {
+            Action::Append(records) => Message::Append { nonce, records },
+            Action::Read(from) => Message::Read { nonce, from },
+            Action::Dispatch(attempt) => Message::Submit { nonce, attempt },
+            Action::Ask { attempt, endpoint, epoch } => {
+                Message::Ask { nonce, attempt, endpoint, epoch }
+            }
+            Action::Reply { call, reply } => Message::Reply { call, reply },
+            Action::Cancel { .. } | Action::Free { .. } => return,
+        };
+        self.net.push(message);
+    }
+
+    fn deliver_all(&mut self) {
+        for _ in 0..self.net.len() {
+            self.deliver(0);
+        }
+    }
+
+    /// Delivers a message; those of one stream stay in order.
+    fn deliver(&mut self, arg: usize) {
+        if self.net.is_empty() {
+            return;
+        }
+        let chosen = arg % self.net.len();
+        let same = |message: &Message| match (&self.net[chosen], message) {
+            (Message::Reply { call, .. }, Message::Reply { call: other, .. }) => call == other,
+            (Message::Owner { nonce, .. }, Message::Owner { nonce: other, .. }) => nonce == other,
+            _ => false,
+        };
+        let first = self.net.iter().position(same).unwrap_or(chosen);
+        if self.waits_for_paused(&self.net[first]) {
+            return;
+        }
+        let message = self.net.remove(first);
+        self.arrive(message);
+    }
+
+    /// Whether a message waits in a paused process's buffers.
+    fn waits_for_paused(&self, message: &Message) -> bool {
+        let paused = |nonce: u64| self.entries.iter().any(|e| e.nonce == nonce && e.paused);
+        matches!(message, Message::Owner { nonce, .. } if paused(*nonce))
+    }
+
+    fn arrive(&mut self, message: Message) {
+        match message {
+            Message::Owner { nonce, event } => self.tell_owner(nonce, event),
+            Message::Append { nonce, records } => self.append(nonce, records),
+            Message::Read { nonce, from } => {
+                let page = match self.log.out {
+                    true => Err(AppendError::Unavailable),
+                    false => Ok(self.log.read(from, PAGE)),
+                };
+                self.net.push(Message::Owner { nonce, event: Event::Read(page) });
+            }
+            Message::Submit { nonce, attempt } => self.submit(nonce, attempt),
+            Message::Ask { nonce, attempt, endpoint, epoch } => {
+                let report = self.ask(attempt, &endpoint, epoch);
+                self.net.push(Message::Owner { nonce, event: Event::Report { attempt, report } });
+            }
+            Message::Reply { call, reply } => {
+                if let Some((program, turn)) = self.callers.told(call, reply) {
+                    let ran = self.executions.contains_key(&(program.clone(), TurnNo(turn)));
+                    let refused_all = !self.callers.may_have_run(&program, turn);
+                    assert!(!(ran && refused_all), "{program} turn {turn} ran, all refused");
+                }
+            }
+        }
+    }
+
+    fn tell_owner(&mut self, nonce: u64, event: Event) {
+        let Some(index) = self.entries.iter().position(|entry| entry.nonce == nonce) else {
+            return;
+        };
+        self.handle(index, event);
+    }
+
+    fn append(&mut self, nonce: u64, records: Vec<Record>) {
+        let result = if self.log.out {
+            Err(AppendError::Unavailable)
+        } else if self.delay_next_append.take().is_some() {
+            self.delayed.push(records);
+            Err(AppendError::NoAnswer)
+        } else {
+            let at = self.log.append(self.now, &records);
+            match std::mem::take(&mut self.lose_next_append) {
+                true => Err(AppendError::NoAnswer),
+                false => Ok(at),
+            }
+        };
+        self.net.push(Message::Owner { nonce, event: Event::Appended(result) });
+    }
+
+    /// Appends whose answer was given up on take effect late.
+    fn land_delayed(&mut self) {
+        if !self.delayed.is_empty() && !self.log.out {
+            let records = self.delayed.remove(0);
+            self.log.append(self.now, &records);
+        }
+    }
+
+    fn submit(&mut self, nonce: u64, attempt: Attempt) {
+        let id = attempt.id;
+        let target = self.endpoints.iter().position(|e| e.me.vm == attempt.target.vm).unwrap();
+        let endpoint = &mut self.endpoints[target];
+        match endpoint.desk.submit(TimeMs(self.now), attempt) {
+            Submission::Taken => {
+                endpoint.listeners.insert(id, nonce);
+                let actions = endpoint.desk.proceed(TimeMs(self.now));
+                self.desk_actions(target, actions);
+            }
+            Submission::Rejected => {
+                let cause = FailureCause::Rejected;
+                let frame = AttemptFrame::Failed { cause, spent_tokens: Some(0) };
+                let event = Event::Frame { attempt: id, frame };
+                self.net.push(Message::Owner { nonce, event });
+            }
+            Submission::Duplicate => {
+                self.net.push(Message::Owner { nonce, event: Event::Lost { attempt: id } });
+            }
+        }
+    }
+
+    fn ask(&mut self, attempt: AttemptId, at: &EndpointRef, epoch: Epoch) -> AttemptReport {
+        let endpoint = self.endpoints.iter_mut().find(|e| e.me.vm == at.vm).unwrap();
+        endpoint.desk.ask(attempt, at.instance, epoch)
+    }
+
+    fn desk_actions(&mut self, index: usize, actions: Vec<DeskAction>) {
+        for action in actions {
+            match action {
+                DeskAction::Start(attempt) => self.start(index, attempt),
+                DeskAction::End(attempt, frame) => self.frame(index, attempt, frame),
+                DeskAction::Stop(id) => self.stop(index, id),
+                DeskAction::FreeCache(_) => {}
+            }
+        }
+    }
+
+    /// The endpoint starts to run an attempt: order, history and at-most-once are checked here.
+    fn start(&mut self, index: usize, attempt: Attempt) {
+        let key = (attempt.program.clone(), attempt.turn);
+        let turn = attempt.turn.0;
+        assert!(
+            self.callers.may_have_run(&attempt.program, turn),
+            "{} turn {turn} runs though every call of it was refused as not run",
+            attempt.program
+        );
+        let expected = self.callers.history(&attempt.program, turn);
+        match &attempt.work {
+            AttemptWork::Model { messages, .. } => {
+                assert_eq!(*messages, expected, "a wrong history");
+            }
+            AttemptWork::Service { idempotent, .. } => {
+                let runs = self.executions.get(&key).copied().unwrap_or(0);
+                assert!(*idempotent || runs == 0, "{} turn {turn} runs twice", attempt.program);
+            }
+        }
+        *self.executions.entry(key).or_default() += 1;
+        self.endpoints[index].running.push((attempt, 0));
+    }
+
+    fn stop(&mut self, index: usize, id: AttemptId) {
+        let running = &mut self.endpoints[index].running;
+        if let Some(position) = running.iter().position(|(attempt, _)| attempt.id == id) {
+            let (_, sent) = running.remove(position);
+            let cause = FailureCause::Interrupted;
+            let spent_tokens = Some(sent as u64);
+            self.end(index, id, AttemptFrame::Failed { cause, spent_tokens });
+        }
+    }
+
+    fn progress_all(&mut self, index: usize) {
+        for _ in 0..8 {
+            self.progress(index);
+        }
+    }
+
+    /// A running attempt gets a token further, or ends.
+    fn progress(&mut self, arg: usize) {
+        let index = arg % 2;
+        let running = &mut self.endpoints[index].running;
+        let count = running.len();
+        let Some((attempt, sent)) = running.get_mut(arg / 2 % count.max(1)) else {
+            return;
+        };
+        let (id, words) = (attempt.id, answer_words(attempt));
+        if let Some(word) = words.get(*sent) {
+            *sent += 1;
+            let account = attempt.program.account();
+            let generated = self.generated.entry(account).or_default();
+            *generated += 1;
+            assert!(*generated <= LIMITS.budget_tokens, "a budget is exceeded");
+            let text = word.as_str().into();
+            return self.frame(index, id, AttemptFrame::Delta { text });
+        }
+        let result = result_of(attempt, &words);
+        let position = running.iter().position(|(attempt, _)| attempt.id == id).unwrap();
+        running.remove(position);
+        self.end(index, id, AttemptFrame::Done { result });
+    }
+
+    fn end(&mut self, index: usize, id: AttemptId, frame: AttemptFrame) {
+        self.endpoints[index].desk.ended(TimeMs(self.now), id, frame.clone());
+        self.frame(index, id, frame);
+        let actions = self.endpoints[index].desk.proceed(TimeMs(self.now));
+        self.desk_actions(index, actions);
+    }
+
+    fn frame(&mut self, index: usize, attempt: AttemptId, frame: AttemptFrame) {
+        let is_last = !matches!(frame, AttemptFrame::Delta { .. });
+        let listeners = &mut self.endpoints[index].listeners;
+        let nonce = listeners.get(&attempt).copied();
+        if is_last {
+            listeners.remove(&attempt);
+        }
+        if let Some(nonce) = nonce {
+            let event = Event::Frame { attempt, frame };
+            self.net.push(Message::Owner { nonce, event });
+        }
+    }
+}
+
+/// The words that an attempt still has to generate.
+fn answer_words(attempt: &Attempt) -> Vec<String> {
+    match &attempt.work {
+        AttemptWork::Model { messages, resume_text, max_tokens, .. } => {
+            let resumed = resume_text.split_inclusive(' ').count();
+            let all = (0..3).map(|n| format!("w{}-{n} ", messages.len()));
+            all.skip(resumed).take(*max_tokens as usize).collect()
+        }
+        AttemptWork::Service { .. } => Vec::new(),
+    }
+}
+
+fn result_of(attempt: &Attempt, words: &[String]) -> TurnResult {
+    match &attempt.work {
+        AttemptWork::Model { resume_text, .. } => TurnResult::Answered {
+            text: format!("{resume_text}{}", words.concat()).into(),
+            finish: Finish::Stop,
+            usage: Usage { prompt_tokens: 1, completion_tokens: words.len() as u64 },
+        },
+        AttemptWork::Service { body, .. } => {
+            TurnResult::Served { status: 200, body: format!("paid {body}").into() }
+        }
+    }
+}
