--- a/src/programs/tests/callers.rs
+++ b/src/programs/tests/callers.rs
@@ -25,6 +25,8 @@
     pub broke: Vec<ProgramId>,
     pub next_call: u64,
     pub refusals: HashMap<&'static str, usize>,
+    /// The newest refusal of each turn.
+    pub last_refusal: HashMap<(ProgramId, u32), Refusal>,
 }
 
 impl Callers {
@@ -41,6 +43,7 @@
             broke: Vec::new(),
             next_call: 0,
             refusals: HashMap::new(),
+            last_refusal: HashMap::new(),
         }
     }
 
@@ -128,6 +131,8 @@
     fn refused(&mut self, request: &TurnRequest, refusal: Refusal) -> Option<(ProgramId, u32)> {
         *self.refusals.entry(refusal.reason.code()).or_default() += 1;
         let program = &request.program;
+        let key = (program.clone(), request.turn.unwrap().0);
+        self.last_refusal.insert(key.clone(), refusal);
         match refusal.reason {
             RefusalReason::HistoryGap => self.lost.push(program.clone()),
             RefusalReason::BudgetExhausted => self.broke.push(program.clone()),
@@ -136,7 +141,6 @@
         if refusal.ran != Ran::NotRun {
             return None;
         }
-        let key = (program.clone(), request.turn.unwrap().0);
         *self.maybe_run.get_mut(&key).unwrap() -= 1;
         Some(key)
     }
