Rates are lent by one owner and borrowed for a second

Cause: the static split refuses calls within a workspace's rate as soon as the balancer favours an entry, and exceeds the burst when there are more entries than its calls.

Change: the entry that owns the shard a workspace falls to lends its rate. What is lent and may be unused counts against the burst; a lender must have seen in the log within a second that it still owns the shard; a new one waits until no share of its predecessor can be alive.

Ruled out: counting shares only against the bucket. A borrower can hold back a burst while the bucket fills again, and both meet in one moment.

Before: no proof. After: 500 interleavings of late, crossed and lost messages and takeovers admit nothing beyond rate and burst.

--- a/src/endpoint/process.rs
+++ b/src/endpoint/process.rs
@@ -133,7 +133,7 @@
                 self.carry_out(actions);
                 ControlReply::Done
             }
-            ControlRequest::Borrow { .. } => ControlReply::NotMine,
+            ControlRequest::Borrow(_) => ControlReply::NotMine,
         }
     }
 
--- a/src/entry/callers.rs
+++ b/src/entry/callers.rs
@@ -74,7 +74,8 @@
     entry: Arc<Entry>,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, ApiError> {
-    let (caller, contract) = admit(&entry, &request)?;
+    let (caller, contract) = authenticate(&entry, &request)?;
+    admit(&entry, &caller).await?;
     let headers = read_headers(&entry, &caller, &request)?;
     let body = receive(&entry, request).await?;
     let call: ChatCall = serde_json::from_slice(&body).map_err(|_| bad_request())?;
@@ -94,7 +95,8 @@
     service: &str,
     action: &str,
 ) -> Result<Response<Body>, ApiError> {
-    let (caller, contract) = admit(&entry, &request)?;
+    let (caller, contract) = authenticate(&entry, &request)?;
+    admit(&entry, &caller).await?;
     let headers = read_headers(&entry, &caller, &request)?;
     let service = ModelName::parse(service).map_err(|_| bad_request())?;
     let full_name = format!("{service}/{action}");
@@ -118,7 +120,7 @@
     request: Request<Incoming>,
     name: &str,
 ) -> Result<Response<Body>, ApiError> {
-    let (caller, _) = admit(&entry, &request)?;
+    let (caller, _) = authenticate(&entry, &request)?;
     let program = ProgramId::parse(caller.workspace, name).map_err(|_| bad_request())?;
     let deadline = entry.clock.now().plus(entry.settings.default_deadline_ms);
     let mut replies = carry(entry, Call::End { program, deadline });
@@ -146,9 +148,12 @@
     ApiError::not_run(ApiErrorCode::BadRequest)
 }
 
-/// Lets a call in: its key must act for a workspace, by a configuration that is known to be
-/// fresh, and the workspace's rate must allow it. The key itself goes no further than this.
-fn admit(entry: &Entry, request: &Request<Incoming>) -> Result<(Caller, Contract), ApiError> {
+/// Finds out who calls: the key must act for a workspace, by a configuration that is known to be
+/// fresh. The key itself goes no further than this.
+fn authenticate(
+    entry: &Entry,
+    request: &Request<Incoming>,
+) -> Result<(Caller, Contract), ApiError> {
     if !entry.is_ready() || !entry.config_is_fresh() {
         let error = ApiError::not_run(ApiErrorCode::NotReady);
         return Err(ApiError { retry_after_ms: Some(NOT_READY_RETRY_MS), ..error });
@@ -161,13 +166,17 @@
     let (workspace, key) = found.ok_or(ApiError::not_run(ApiErrorCode::BadKey))?;
     let contract = book.contract(&workspace).cloned();
     let contract = contract.ok_or(ApiError::not_run(ApiErrorCode::BadKey))?;
-    entry.take_rate(&workspace, &contract).map_err(|wait_ms| {
-        metrics::counter!("trefoil_rate_refusals", "workspace" => workspace.to_string())
-            .increment(1);
+    Ok((Caller { workspace, key }, contract))
+}
+
+/// Counts a call against its workspace's rate.
+async fn admit(entry: &Arc<Entry>, caller: &Caller) -> Result<(), ApiError> {
+    entry.take_rate(&caller.workspace).await.map_err(|wait_ms| {
+        let workspace = caller.workspace.to_string();
+        metrics::counter!("trefoil_rate_refusals", "workspace" => workspace).increment(1);
         let error = ApiError::not_run(ApiErrorCode::RateLimited);
         ApiError { retry_after_ms: Some(wait_ms), ..error }
-    })?;
-    Ok((Caller { workspace, key }, contract))
+    })
 }
 
 fn read_headers(
--- a/src/entry/config.rs
+++ b/src/entry/config.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use crate::contracts::{Book, ConfigRecord, Contract};
+use crate::contracts::{Book, ConfigRecord};
 use crate::entry::state::Entry;
 use crate::logstore::Page;
 use crate::prelude::*;
@@ -66,12 +66,6 @@
         self.config_age_ms().is_some_and(|age_ms| age_ms <= self.settings.config_stale_ms)
     }
 
-    /// Takes one call of a workspace's rate, or says when to come back.
-    pub fn take_rate(&self, workspace: &WorkspaceId, contract: &Contract) -> Result<(), u64> {
-        let entries = self.peers().listed_entries().max(1);
-        self.rates().admit(workspace, contract, entries, self.clock.now())
-    }
-
     /// How long ago the configuration was known to be the newest.
     pub fn config_age_ms(&self) -> Option<u64> {
         let confirmed = self.freshness.lock().expect("no holder panics").confirmed?;
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -4,7 +4,7 @@
 use tokio::sync::mpsc;
 
 use crate::contracts::ConfigRecord;
-use crate::entry::state::{Entry, Place};
+use crate::entry::state::{Entry, Ownership, Place};
 use crate::entry::surroundings::EntrySurroundings;
 use crate::entry::tasks;
 use crate::prelude::*;
@@ -26,6 +26,8 @@
     Owner { shard: ShardId, nonce: u64, event: Event },
     /// A crash that all entries have to learn of.
     PublishSuspect(ConfigRecord),
+    /// Make sure that a shard is still this entry's, or claim it if it falls to this entry.
+    Confirm { shard: ShardId },
     /// Give up every shard.
     HandOver,
 }
@@ -80,6 +82,11 @@
             Command::PublishSuspect(record) => {
                 tokio::spawn(tasks::publish(self.entry.clone(), record));
             }
+            Command::Confirm { shard } => {
+                if self.take_shard(shard) {
+                    self.handle(shard, Event::Confirm);
+                }
+            }
             Command::HandOver => self.hand_over(),
         }
     }
@@ -162,14 +169,21 @@
             log::info!(shard = shard.0; "lost a shard");
             self.owners.remove(&shard);
             self.entry.owned().remove(&shard);
+            self.entry.lenders().close(shard);
             return;
         }
-        if let Some(epoch) = tenure.epoch() {
-            let before = self.entry.owned().insert(shard, epoch);
+        let confirmed = owned.owner.confirmed();
+        if let Some((epoch, confirmed)) = tenure.epoch().zip(confirmed) {
+            let before = self.entry.owned().insert(shard, Ownership { epoch, confirmed });
             if before.is_none() {
                 log::info!(shard = shard.0, epoch = epoch.0; "owning a shard");
+                let now = self.entry.clock.now();
+                self.entry.lenders().open(now, shard, owned.owner.predecessor());
             }
         }
+        if tenure.is_leaving() {
+            self.entry.lenders().close(shard);
+        }
     }
 
     fn carry_out(&mut self, shard: ShardId, nonce: u64, action: Action) {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -8,6 +8,7 @@
 mod forward;
 mod peers;
 mod process;
+mod rates;
 mod state;
 mod surroundings;
 mod tasks;
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -105,7 +105,7 @@
         let duty = Duty::Entry {
             config: entry.current_book().through(),
             log_age_ms: entry.config_age_ms(),
-            owned: entry.owned().iter().map(|(shard, epoch)| (*shard, *epoch)).collect(),
+            owned: entry.owned().iter().map(|(shard, owned)| (*shard, owned.epoch)).collect(),
         };
         pulse.send(state, duty, &targets).await;
     }
--- a/src/entry/process.rs
+++ b/src/entry/process.rs
@@ -9,7 +9,7 @@
 use crate::entry::state::Entry;
 use crate::entry::{callers, config, peers};
 use crate::http::{ServerLimits, Serving, serve};
-use crate::link::{ControlReply, LinkServer};
+use crate::link::{ControlReply, ControlRequest, LinkServer};
 use crate::membership::Timings;
 use crate::prelude::*;
 use crate::settings::EntrySettings;
@@ -28,8 +28,10 @@
         peers::handle(peer_calls.clone(), request)
     })
     .await?;
+    let lending = entry.clone();
     let control_listen = SocketAddr::new(peers.address.ip(), 0);
-    let links = LinkServer::bind(control_listen, |_| async { ControlReply::NotMine }).await?;
+    let links =
+        LinkServer::bind(control_listen, move |request| control(lending.clone(), request)).await?;
     let admin = Admin::bind(settings.process.admin_listen, metrics).await?;
     let socket = UdpSocket::bind(peers.address).await?;
     let vm = &settings.process;
@@ -63,6 +65,15 @@
     Ok(())
 }
 
+async fn control(entry: Arc<Entry>, request: ControlRequest) -> ControlReply {
+    match request {
+        ControlRequest::Borrow(question) => entry.lend(question).await,
+        ControlRequest::Ask { .. }
+        | ControlRequest::Cancel { .. }
+        | ControlRequest::Free { .. } => ControlReply::NotMine,
+    }
+}
+
 async fn listen_for_callers(entry: &Arc<Entry>) -> std::io::Result<Serving> {
     let limits = ServerLimits {
         header_timeout: Duration::from_millis(entry.settings.receive_timeout_ms),
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -6,10 +6,11 @@
 
 use tokio::sync::{mpsc, watch};
 
-use crate::admission::StaticSplit;
+use crate::admission::Borrower;
 use crate::contracts::Book;
 use crate::entry::config::Freshness;
 use crate::entry::core::Command;
+use crate::entry::rates::Lenders;
 use crate::http::Client;
 use crate::link::LinkPool;
 use crate::logstore::{LogClient, Pacer};
@@ -37,13 +38,23 @@
     peers: Mutex<PeerTable>,
     router: Mutex<Router>,
     pacer: Mutex<Pacer>,
-    owned: Mutex<HashMap<ShardId, Epoch>>,
+    owned: Mutex<HashMap<ShardId, Ownership>>,
     suspects: Mutex<Suspects>,
-    rates: Mutex<StaticSplit>,
+    borrower: Mutex<Borrower>,
+    lenders: Mutex<Lenders>,
     ready: AtomicBool,
     leaving: watch::Sender<bool>,
 }
 
+/// A shard that this entry owns.
+#[value]
+#[derive(Copy)]
+pub(super) struct Ownership {
+    pub epoch: Epoch,
+    /// The last moment at which the log was asked and then showed that it is still ours.
+    pub confirmed: TimeMs,
+}
+
 /// Where a shard's calls go.
 #[value]
 pub(super) enum Place {
@@ -89,7 +100,8 @@
             pacer: Mutex::new(Pacer::new(settings.appends_per_s, now)),
             owned: Mutex::default(),
             suspects: Mutex::default(),
-            rates: Mutex::default(),
+            borrower: Mutex::new(Borrower::new(instance)),
+            lenders: Mutex::default(),
             ready: AtomicBool::new(false),
             leaving: watch::Sender::new(false),
             settings,
@@ -108,12 +120,16 @@
         locked(&self.router)
     }
 
-    pub fn owned(&self) -> MutexGuard<'_, HashMap<ShardId, Epoch>> {
+    pub fn owned(&self) -> MutexGuard<'_, HashMap<ShardId, Ownership>> {
         locked(&self.owned)
     }
 
-    pub fn rates(&self) -> MutexGuard<'_, StaticSplit> {
-        locked(&self.rates)
+    pub fn borrower(&self) -> MutexGuard<'_, Borrower> {
+        locked(&self.borrower)
+    }
+
+    pub fn lenders(&self) -> MutexGuard<'_, Lenders> {
+        locked(&self.lenders)
     }
 
     pub fn current_book(&self) -> Arc<Book> {
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -1,3 +1,4 @@
+use crate::admission::{BorrowRequest, Loan};
 use crate::prelude::*;
 use crate::programs::AttemptReport;
 
@@ -24,14 +25,7 @@
         program: ProgramId,
     },
     /// Lend a share of a workspace's rate.
-    Borrow {
-        /// The workspace.
-        workspace: WorkspaceId,
-        /// The borrower.
-        borrower: VmName,
-        /// Calls wanted.
-        wanted: u32,
-    },
+    Borrow(BorrowRequest),
 }
 
 /// The answer.
@@ -42,14 +36,7 @@
     /// Done.
     Done,
     /// A share of a workspace's rate.
-    Lent {
-        /// Calls that the borrower may admit.
-        calls: u32,
-        /// For how long.
-        for_ms: u64,
-        /// If there were none: when to ask again.
-        retry_after_ms: u64,
-    },
+    Lent(Loan),
     /// This process can't answer that.
     NotMine,
 }
--- a/src/programs/mod.rs
+++ b/src/programs/mod.rs
@@ -19,7 +19,7 @@
 pub use fold::{Applied, ShardFold};
 pub use owner::{
     Action, AppendError, AppendedAt, Attempt, AttemptFrame, AttemptReport, AttemptWork, Event,
-    FailureCause, Limits, PlaceRequest, ReadPage, ShardOwner, Standing, Surroundings,
+    FailureCause, Limits, PlaceRequest, Predecessor, ReadPage, ShardOwner, Standing, Surroundings,
 };
 pub use record::{IntentRecord, OutcomeRecord, ProgramSnapshot, Record, StoredRecord};
 pub use state::{Account, OpenIntent, ProgramState, TurnEntry};
--- a/src/programs/owner/log.rs
+++ b/src/programs/owner/log.rs
@@ -1,9 +1,10 @@
 use super::{Context, ShardOwner};
 use crate::prelude::*;
-use crate::programs::owner::{Action, AppendError, AppendedAt, ReadPage};
+use crate::programs::owner::{Action, AppendError, AppendedAt, Predecessor, ReadPage};
 use crate::programs::tenure::TenureEvent;
 use crate::programs::{
     Active, Applied, OutcomeRecord, Phase, Record, Refusal, RefusalReason, Reply, ShardFold,
+    StoredRecord,
 };
 
 impl ShardOwner {
@@ -18,6 +19,7 @@
         let batch = std::mem::take(&mut log.outbox);
         log.in_flight = batch.iter().cloned().collect();
         log.appending = true;
+        log.append_asked = cx.now;
         cx.out.push(Action::Append(batch));
     }
 
@@ -44,6 +46,7 @@
             self.start_read(cx);
             return;
         }
+        self.confirmed = self.confirmed.max(Some(self.log.append_asked));
         let batch: Vec<Record> = self.log.in_flight.drain(..).collect();
         for (offset, record) in (at.first.0..).map(Offset).zip(batch) {
             self.apply(cx, offset, at.time_ms, &record);
@@ -64,6 +67,7 @@
             return;
         }
         self.log.reading = true;
+        self.log.read_asked = cx.now;
         cx.out.push(Action::Read(self.read_from()));
     }
 
@@ -106,6 +110,7 @@
         if more {
             return self.start_read(cx);
         }
+        self.confirmed = self.confirmed.max(Some(self.log.read_asked));
         self.confirm_refusals(cx);
         self.append_again(cx);
     }
@@ -118,6 +123,7 @@
         }
         let batch: Vec<Record> = self.log.in_flight.iter().cloned().collect();
         self.log.appending = true;
+        self.log.append_asked = cx.now;
         cx.out.push(Action::Append(batch));
     }
 
@@ -139,6 +145,9 @@
             return self.append_again(cx);
         };
         let epoch = Epoch(claimed_at.offset.0);
+        let before: Vec<_> = recovered.iter().filter(|r| r.offset < claimed_at.offset).collect();
+        self.predecessor = predecessor(earliest, &before);
+        self.confirmed = Some(self.log.read_asked);
         let first = recovered.first().map_or(earliest, |first| first.offset);
         self.fold = ShardFold::of_stream(first, &recovered);
         self.log.in_flight.clear();
@@ -291,3 +300,15 @@
         Some(Record::Snapshot { epoch, snapshot })
     }
 }
+
+/// Who owned the shard before a claim, by the records in front of it.
+fn predecessor(earliest: Offset, before: &[&StoredRecord<Record>]) -> Predecessor {
+    let of_tenure = |record: &&&StoredRecord<Record>| {
+        matches!(record.data, Record::Claim { .. } | Record::Release { .. })
+    };
+    match before.iter().rfind(of_tenure).map(|stored| &stored.data) {
+        Some(Record::Release { .. }) => Predecessor::Released,
+        None if earliest <= Offset(1) && before.is_empty() => Predecessor::None,
+        _ => Predecessor::Unknown,
+    }
+}
--- a/src/programs/owner/messages.rs
+++ b/src/programs/owner/messages.rs
@@ -10,6 +10,8 @@
     Claim,
     /// Give it up once nothing is under way.
     HandOver,
+    /// Make sure that the shard is still ours.
+    Confirm,
     /// A caller wants a turn run.
     Request {
         /// The caller.
@@ -276,6 +278,18 @@
     GivenUp,
 }
 
+/// Who owned a shard before.
+#[value]
+#[derive(Copy)]
+pub enum Predecessor {
+    /// Nobody, ever.
+    None,
+    /// An owner that gave it up.
+    Released,
+    /// An owner that may not know yet that it has been replaced.
+    Unknown,
+}
+
 /// Bounds of an owner.
 #[value]
 #[derive(Copy)]
--- a/src/programs/owner/mod.rs
+++ b/src/programs/owner/mod.rs
@@ -10,7 +10,7 @@
 
 pub use messages::{
     Action, AppendError, AppendedAt, Attempt, AttemptFrame, AttemptReport, AttemptWork, Event,
-    FailureCause, Limits, PlaceRequest, ReadPage, Standing, Surroundings,
+    FailureCause, Limits, PlaceRequest, Predecessor, ReadPage, Standing, Surroundings,
 };
 
 use messages::UnconfirmedRefusal;
@@ -28,6 +28,8 @@
     nonce: u64,
     limits: Limits,
     tenure: Tenure,
+    predecessor: Predecessor,
+    confirmed: Option<TimeMs>,
     fold: ShardFold,
     active: HashMap<ProgramId, Active>,
     next_sequence: u64,
@@ -48,6 +50,9 @@
     reading: bool,
     /// A read was asked for while another was under way.
     read_again: bool,
+    /// When the read or the append under way was asked for.
+    read_asked: TimeMs,
+    append_asked: TimeMs,
     /// Pages of the first read, until its end.
     recovered: Vec<StoredRecord<Record>>,
     failing: bool,
@@ -88,6 +93,8 @@
             nonce,
             limits,
             tenure: Tenure::new(),
+            predecessor: Predecessor::Unknown,
+            confirmed: None,
             fold: ShardFold::new(),
             active: HashMap::new(),
             next_sequence: 1,
@@ -113,6 +120,16 @@
         &self.fold
     }
 
+    /// Who owned the shard before.
+    pub fn predecessor(&self) -> Predecessor {
+        self.predecessor
+    }
+
+    /// The last moment at which the log was asked and then showed that the shard is still ours.
+    pub fn confirmed(&self) -> Option<TimeMs> {
+        self.confirmed
+    }
+
     /// Turns under way.
     pub fn active(&self) -> impl Iterator<Item = (&ProgramId, &Active)> {
         self.active.iter()
@@ -135,6 +152,7 @@
         match event {
             Event::Claim => self.claim(&mut cx),
             Event::HandOver => self.hand_over(&mut cx),
+            Event::Confirm => self.start_read(&mut cx),
             Event::Request { call, request } => self.request(&mut cx, call, request),
             Event::End { call, program } => self.end(&mut cx, call, program),
             Event::CallerGone { call } => self.caller_gone(call),
