Waits for a lender end early when it is known to be gone or the log is out

Cause: in an outage of the log each call waited 6 s for a lender that could not confirm its shard, and after an entry's death for its missed heartbeats.

Change: with the log failing, a call is refused at once with log_unavailable; a silent lender is probed, and a refused connection counts as its death. The property test runs with tight budgets, short deadlines and attempts that are overtaken by the break of their connection.

--- a/src/entry/callers.rs
+++ b/src/entry/callers.rs
@@ -11,10 +11,11 @@
 use crate::entry::answers::Answering;
 use crate::entry::api::{ApiError, ApiErrorCode, ChatCall};
 use crate::entry::forward::{Call, carry};
+use crate::entry::rates::RateRefusal;
 use crate::entry::state::Entry;
 use crate::http::{Body, json, read_body};
 use crate::prelude::*;
-use crate::programs::{Ran, Reply, TurnRequest, Work};
+use crate::programs::{Ran, RefusalReason, Reply, TurnRequest, Work};
 
 /// Names the program; without it the call is a program of its own.
 const PROGRAM: HeaderName = HeaderName::from_static("x-trefoil-program");
@@ -28,6 +29,7 @@
 const MAX_DEADLINE_MS: u64 = 3_600_000;
 const MAX_KEY_BYTES: usize = 256;
 const NOT_READY_RETRY_MS: u64 = 1_000;
+const LOG_RETRY_MS: u64 = 2_000;
 
 /// Who calls.
 #[value]
@@ -75,8 +77,8 @@
     request: Request<Incoming>,
 ) -> Result<Response<Body>, ApiError> {
     let (caller, contract) = authenticate(&entry, &request)?;
-    admit(&entry, &caller).await?;
     let headers = read_headers(&entry, &caller, &request)?;
+    admit(&entry, &caller, headers.deadline).await?;
     let body = receive(&entry, request).await?;
     let call: ChatCall = serde_json::from_slice(&body).map_err(|_| bad_request())?;
     let stream = call.stream;
@@ -96,8 +98,8 @@
     action: &str,
 ) -> Result<Response<Body>, ApiError> {
     let (caller, contract) = authenticate(&entry, &request)?;
-    admit(&entry, &caller).await?;
     let headers = read_headers(&entry, &caller, &request)?;
+    admit(&entry, &caller, headers.deadline).await?;
     let service = ModelName::parse(service).map_err(|_| bad_request())?;
     let full_name = format!("{service}/{action}");
     if !contract.allows_action(&full_name) {
@@ -170,13 +172,21 @@
 }
 
 /// Counts a call against its workspace's rate.
-async fn admit(entry: &Arc<Entry>, caller: &Caller) -> Result<(), ApiError> {
-    entry.take_rate(&caller.workspace).await.map_err(|wait_ms| {
-        let workspace = caller.workspace.to_string();
-        metrics::counter!("trefoil_rate_refusals", "workspace" => workspace).increment(1);
-        let error = ApiError::not_run(ApiErrorCode::RateLimited);
-        ApiError { retry_after_ms: Some(wait_ms), ..error }
-    })
+async fn admit(entry: &Arc<Entry>, caller: &Caller, deadline: TimeMs) -> Result<(), ApiError> {
+    let refusal = match entry.take_rate(&caller.workspace, deadline).await {
+        Ok(()) => return Ok(()),
+        Err(refusal) => refusal,
+    };
+    let workspace = caller.workspace.to_string();
+    metrics::counter!("trefoil_rate_refusals", "workspace" => workspace).increment(1);
+    let (code, retry_after_ms) = match refusal {
+        RateRefusal::UsedUp { wait_ms } => (ApiErrorCode::RateLimited, wait_ms),
+        RateRefusal::NoLender => (ApiErrorCode::NotReady, NOT_READY_RETRY_MS),
+        RateRefusal::LogUnavailable => {
+            (ApiErrorCode::Refused(RefusalReason::LogUnavailable), LOG_RETRY_MS)
+        }
+    };
+    Err(ApiError { retry_after_ms: Some(retry_after_ms), ..ApiError::not_run(code) })
 }
 
 fn read_headers(
--- a/src/entry/config.rs
+++ b/src/entry/config.rs
@@ -25,8 +25,12 @@
         let from = entry.current_book().through().plus(1);
         let asked = entry.clock.now();
         match entry.log.read::<ConfigRecord>(CONFIG_STREAM, from, READ_WAIT).await {
-            Ok(page) => take(&entry, asked, from, &page),
+            Ok(page) => {
+                entry.note_log(true);
+                take(&entry, asked, from, &page);
+            }
             Err(fault) => {
+                entry.note_log(false);
                 log::warn!(fault:?; "the configuration could not be read");
                 tokio::time::sleep(RETRY).await;
             }
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -19,7 +19,7 @@
 use crate::programs::Reply;
 
 /// Where operators and other entries ask how this one does.
-const STATUS: &str = "/status";
+pub(super) const STATUS: &str = "/status";
 const MAX_MESSAGE_BYTES: usize = 64 << 20;
 const RECEIVE_TIMEOUT: Duration = Duration::from_secs(30);
 const MAX_DATAGRAM_BYTES: usize = 64 << 10;
--- a/src/entry/rates.rs
+++ b/src/entry/rates.rs
@@ -1,12 +1,15 @@
 //! Borrows shares of workspaces' rates, and lends those that fall to this entry's shards.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::admission::{Admission, BorrowRequest, Lender, LendingTimes, Loan};
 use crate::contracts::Contract;
 use crate::entry::core::Command;
+use crate::entry::peers::STATUS;
 use crate::entry::state::{Entry, Place};
+use crate::http::CallError;
 use crate::link::{ControlReply, ControlRequest};
 use crate::prelude::*;
 use crate::programs::Predecessor;
@@ -18,8 +21,18 @@
 const POLL: Duration = Duration::from_millis(10);
 /// Tries of a lender to have its ownership confirmed before it answers.
 const CONFIRM_TRIES: usize = 10;
-/// When to come back if no lender could be reached.
-const NO_LENDER_RETRY_MS: u64 = 500;
+
+/// Why a call was not let in by its workspace's rate.
+#[value]
+#[derive(Copy)]
+pub(super) enum RateRefusal {
+    /// The rate is used up until after this time.
+    UsedUp { wait_ms: u64 },
+    /// No lender could be reached in time.
+    NoLender,
+    /// The log is out, and with it every lender.
+    LogUnavailable,
+}
 
 /// The lenders of this entry's shards.
 #[derive(Default)]
@@ -52,8 +65,12 @@
     }
 
     /// Takes one call of a workspace's rate, or says when to come back.
-    pub async fn take_rate(self: &Arc<Entry>, workspace: &WorkspaceId) -> Result<(), u64> {
-        let give_up = self.clock.now().plus(MAX_WAIT_MS);
+    pub async fn take_rate(
+        self: &Arc<Entry>,
+        workspace: &WorkspaceId,
+        deadline: TimeMs,
+    ) -> Result<(), RateRefusal> {
+        let give_up = self.clock.now().plus(MAX_WAIT_MS).min(deadline);
         loop {
             let now = self.clock.now();
             let admission = self.borrower().admit(now, workspace);
@@ -62,7 +79,9 @@
                     self.borrow_early(workspace);
                     return Ok(());
                 }
-                Admission::Refused { wait_ms } => return Err(wait_ms),
+                Admission::Refused { wait_ms } => return Err(RateRefusal::UsedUp { wait_ms }),
+                // A lender that can't ask the log may have been replaced, and must not lend.
+                Admission::Ask if self.is_log_failing() => return Err(RateRefusal::LogUnavailable),
                 Admission::Ask => {}
             }
             let question = self.borrower().ask(now, workspace, 1);
@@ -71,7 +90,7 @@
                 None => tokio::time::sleep(POLL).await,
             }
             if self.clock.now() >= give_up {
-                return Err(NO_LENDER_RETRY_MS);
+                return Err(RateRefusal::NoLender);
             }
         }
     }
@@ -93,13 +112,7 @@
         let reply = match self.locate(shard) {
             Place::Here => self.lend(question.clone()).await,
             Place::There(vm, _) => {
-                let control = self.peers().on(&vm).map(|peer| peer.heartbeat.control);
-                let request = ControlRequest::Borrow(question.clone());
-                match control {
-                    Some(at) => self.links.ask(at, request, ASK_TIMEOUT).await.ok(),
-                    None => None,
-                }
-                .unwrap_or(ControlReply::NotMine)
+                self.borrow_there(&vm, ControlRequest::Borrow(question.clone())).await
             }
         };
         match reply {
@@ -114,6 +127,29 @@
         }
     }
 
+    async fn borrow_there(&self, vm: &VmName, request: ControlRequest) -> ControlReply {
+        let peer = self.peers().on(vm).map(|p| (p.heartbeat.control, p.heartbeat.address));
+        let Some((control, address)) = peer else {
+            return ControlReply::NotMine;
+        };
+        match self.links.ask(control, request, ASK_TIMEOUT).await {
+            Ok(reply) => reply,
+            Err(_) => {
+                self.probe(vm, address).await;
+                ControlReply::NotMine
+            }
+        }
+    }
+
+    /// Finds out whether anything still listens where a silent peer did. If not, its run is gone,
+    /// and its shards need not wait until its heartbeats are missed.
+    async fn probe(&self, vm: &VmName, address: SocketAddr) {
+        let answer = self.http.get::<serde_json::Value>(address, STATUS, ASK_TIMEOUT).await;
+        if answer == Err(CallError::NotSent) {
+            self.peers().refused(vm);
+        }
+    }
+
     /// Answers a borrower, itself included.
     pub async fn lend(self: &Arc<Entry>, question: BorrowRequest) -> ControlReply {
         let shard = self.rate_shard(&question.workspace);
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -43,6 +43,7 @@
     borrower: Mutex<Borrower>,
     lenders: Mutex<Lenders>,
     ready: AtomicBool,
+    log_failing: AtomicBool,
     leaving: watch::Sender<bool>,
 }
 
@@ -103,6 +104,7 @@
             borrower: Mutex::new(Borrower::new(instance)),
             lenders: Mutex::default(),
             ready: AtomicBool::new(false),
+            log_failing: AtomicBool::new(false),
             leaving: watch::Sender::new(false),
             settings,
         }
@@ -146,6 +148,16 @@
         self.ready.load(Ordering::Relaxed)
     }
 
+    /// Takes note of whether the log answered.
+    pub fn note_log(&self, answered: bool) {
+        self.log_failing.store(!answered, Ordering::Relaxed);
+    }
+
+    /// Whether the log did not answer when last asked.
+    pub fn is_log_failing(&self) -> bool {
+        self.log_failing.load(Ordering::Relaxed)
+    }
+
     /// How this entry does, for operators.
     pub fn status(&self) -> serde_json::Value {
         let shards: Vec<u16> = self.owned().keys().map(|shard| shard.0).collect();
@@ -156,6 +168,7 @@
             "ready": self.is_ready() && !self.is_leaving(),
             "config": self.current_book().through(),
             "config_age_ms": self.config_age_ms(),
+            "log_failing": self.is_log_failing(),
             "shards": shards,
             "peers": peers,
         })
--- a/src/entry/tasks.rs
+++ b/src/entry/tasks.rs
@@ -51,6 +51,7 @@
     let elapsed_ms = back.entry.clock.now().since(started) as f64;
     metrics::histogram!("trefoil_log_append_ms").record(elapsed_ms);
     metrics::histogram!("trefoil_log_batch_records").record(records.len() as f64);
+    back.entry.note_log(result.is_ok());
     if let Err(fault) = result {
         log::warn!(shard = back.shard.0, fault:?; "the log did not answer an append");
     }
--- a/src/programs/tests/callers.rs
+++ b/src/programs/tests/callers.rs
@@ -7,7 +7,7 @@
 /// Turns of each program.
 pub const TURNS: u32 = 4;
 /// How long a caller waits.
-const DEADLINE_MS: u64 = 8_000;
+const DEADLINE_MS: u64 = 1_500;
 
 /// The callers of a few programs, and what they were told.
 pub struct Callers {
--- a/src/programs/tests/mod.rs
+++ b/src/programs/tests/mod.rs
@@ -8,7 +8,7 @@
 use crate::prelude::*;
 use crate::programs::{Message, ProgramLimits, TurnRequest, Work};
 
-pub(crate) const LIMITS: ProgramLimits = ProgramLimits { budget_tokens: 60, max_turns: 20 };
+pub(crate) const LIMITS: ProgramLimits = ProgramLimits { budget_tokens: 14, max_turns: 20 };
 pub(crate) const MAX_TOKENS: u32 = 4;
 
 pub(crate) fn vm(name: &str) -> VmName {
--- a/src/programs/tests/world.rs
+++ b/src/programs/tests/world.rs
@@ -122,7 +122,7 @@
             concurrency: 2,
             queue: 16,
             cache_lease_ms: CACHE_LEASE_MS,
-            finished_bytes: 4_000,
+            finished_bytes: 400,
         };
         let desk = Desk::new(me.clone(), limits, OrderPolicy::FairThenAttained);
         Endpoint { desk, me, running: Vec::new(), listeners: HashMap::new() }
@@ -245,8 +245,17 @@
         }
     }
 
-    /// A connection between an owner and an endpoint breaks.
+    /// A connection between an owner and an endpoint breaks, perhaps with the attempt on its way:
+    /// the owner hears of the break before the endpoint hears of the attempt.
     pub fn cut(&mut self, arg: usize) {
+        let submits = self.net.iter().filter_map(|message| match message {
+            Message::Submit { nonce, attempt } => Some((*nonce, attempt.id)),
+            _ => None,
+        });
+        if let Some((nonce, attempt)) = submits.last().filter(|_| arg.is_multiple_of(2)) {
+            self.net.push(Message::Owner { nonce, event: Event::Lost { attempt } });
+            return;
+        }
         let endpoint = &mut self.endpoints[arg % 2];
         let mut ids: Vec<AttemptId> = endpoint.listeners.keys().copied().collect();
         ids.sort();
