Borrow call by call, and a stock only for busy workspaces; an experiment tool

Change: a call borrows one share for 60 ms; from 16 calls in a tenth of a second on an entry keeps a stock for a second; shares end at their time.

--- /dev/null
+++ b/lab/src/main.rs
@@ -0,0 +1,19 @@
+//! Experiments on the decisions of trefoilproxy. Each prints a table; seeds are fixed.
+
+mod random;
+mod rates;
+
+use std::process::ExitCode;
+
+const USAGE: &str = "Usage: trefoil-lab rates";
+
+fn main() -> ExitCode {
+    match std::env::args().nth(1).as_deref() {
+        Some("rates") => rates::run(),
+        _ => {
+            eprintln!("{USAGE}");
+            return ExitCode::from(2);
+        }
+    }
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/lab/src/random.rs
@@ -0,0 +1,24 @@
+//! Seeded random numbers: the same on every run and machine.
+
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+/// A seeded source.
+pub struct Random(SmallRng);
+
+impl Random {
+    /// A source that gives the same numbers for the same seed.
+    pub fn new(seed: u64) -> Random {
+        Random(SmallRng::seed_from_u64(seed))
+    }
+
+    /// A number below a bound.
+    pub fn below(&mut self, bound: u64) -> u64 {
+        self.0.random_range(0..bound.max(1))
+    }
+
+    /// A number from 0 to 1.
+    pub fn unit(&mut self) -> f64 {
+        self.0.random()
+    }
+}
--- a/src/admission/lender.rs
+++ b/src/admission/lender.rs
@@ -16,9 +16,9 @@
 }
 
 impl LendingTimes {
-    /// How long a share may live, by the lender's clock.
-    pub fn loan_ms(&self) -> u64 {
-        self.stretched(self.lend_ms)
+    /// How long a share lent for `lend_ms` may live, by the lender's clock.
+    pub fn loan_ms(&self, lend_ms: u64) -> u64 {
+        self.stretched(lend_ms)
     }
 
     /// How long a new lender waits before it lends: the one before it may lend for
@@ -51,6 +51,8 @@
     pub unused: u64,
     /// Calls that it wants on top.
     pub wanted: u64,
+    /// For how long it wants them.
+    pub for_ms: u64,
 }
 
 /// The lender's answer.
@@ -105,7 +107,10 @@
     /// A lender whose predecessor stopped to lend before it released the shard: only the shares
     /// that it lent have to be waited out.
     pub fn after_release(times: LendingTimes, claimed: TimeMs) -> Lender {
-        Lender { opens_at: claimed.plus(times.loan_ms()), ..Lender::new(times, claimed) }
+        Lender {
+            opens_at: claimed.plus(times.loan_ms(times.lend_ms)),
+            ..Lender::new(times, claimed)
+        }
     }
 
     /// Lends. `confirmed` is when the lender last asked the log and was told that it still owns
@@ -133,8 +138,9 @@
         });
         account.follow(rate_per_s, burst, now);
         account.expire(now);
-        let until = now.plus(self.times.loan_ms());
-        account.lend(now, request, until, self.times.lend_ms)
+        let for_ms = request.for_ms.min(self.times.lend_ms);
+        let until = now.plus(self.times.loan_ms(for_ms));
+        account.lend(now, request, until, for_ms)
     }
 
     /// Workspaces with an account.
@@ -155,8 +161,16 @@
         }
     }
 
+    /// Ends the shares that have run out, each at its time: from then on the bucket fills further.
+    /// Ending them all now would lose what it would have gained since.
     fn expire(&mut self, now: TimeMs) {
-        self.loans.retain(|_, loan| loan.until > now);
+        while let Some(until) = self.loans.values().map(|loan| loan.until).min() {
+            if until > now {
+                break;
+            }
+            self.loans.retain(|_, loan| loan.until > until);
+            self.fit_bucket(until);
+        }
         self.fit_bucket(now);
     }
 
@@ -176,6 +190,8 @@
             return refusal(for_ms);
         }
         let held = known.map_or(0, |loan| loan.calls.min(request.unused));
+        // Should this answer be lost, the borrower still holds what it has for as long as before.
+        let until = known.map_or(until, |loan| loan.until.max(until));
         // What the borrower says it has used no longer stands against the burst.
         let sequence = request.sequence;
         self.loans.insert(request.borrower, Outstanding { calls: held, sequence, until });
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -8,7 +8,7 @@
 mod lender;
 mod split;
 
-pub use borrower::{Admission, Borrower};
+pub use borrower::{Admission, Borrower, STOCK_FROM_CALLS};
 pub use bucket::Bucket;
 pub use lender::{BorrowRequest, Lender, LendingTimes, Loan};
 pub use split::StaticSplit;
--- a/src/admission/tests.rs
+++ b/src/admission/tests.rs
@@ -31,7 +31,7 @@
 impl Fleet {
     fn new() -> Fleet {
         // Clocks run apart by at most the assumed bound: a borrower's may be slow.
-        let borrower = |index: u64| (Borrower::new(Instance(index)), 1_000 - index * 4);
+        let borrower = |index: u64| (Borrower::new(Instance(index), 1), 1_000 - index * 4);
         let mut fleet = Fleet {
             now: 0,
             borrowers: (0..3).map(borrower).collect(),
@@ -40,7 +40,8 @@
             answers: Vec::new(),
             admitted: Vec::new(),
         };
-        fleet.take_over();
+        let lender = Lender::first(TIMES, TimeMs(0));
+        fleet.lenders.push(Lending { lender, confirmed: 0 });
         fleet
     }
 
@@ -94,9 +95,9 @@
 
     fn step(&mut self, kind: u8, arg: usize) {
         match kind % 16 {
-            0..=4 => self.call(arg % 3, arg / 3),
-            5..=8 => self.answer(arg),
-            9..=11 => self.deliver(arg),
+            0..=4 => (0..=arg % 4).for_each(|_| self.call(arg % 3, arg / 3)),
+            5..=8 => (0..2).for_each(|_| self.answer(arg)),
+            9..=11 => (0..2).for_each(|_| self.deliver(arg)),
             12 | 13 => self.now += arg as u64 / 2,
             14 => {
                 // A paused borrower or a lost message: the question is forgotten.
@@ -136,7 +137,14 @@
 }
 
 fn question(sequence: u64, unused: u64, wanted: u64) -> BorrowRequest {
-    BorrowRequest { workspace: workspace(), borrower: Instance(1), sequence, unused, wanted }
+    BorrowRequest {
+        workspace: workspace(),
+        borrower: Instance(1),
+        sequence,
+        unused,
+        wanted,
+        for_ms: 500,
+    }
 }
 
 fn lend(lender: &mut Lender, now: u64, request: &BorrowRequest) -> Loan {
@@ -174,3 +182,41 @@
     assert_eq!(refused.calls, 0);
     assert_eq!(lend(&mut lender, 5_000 + refused.wait_ms, &question(3, 0, 1)).calls, 1);
 }
+
+/// Shares ran out while nobody asked. The bucket must have filled since each of them ended, not
+/// only from the next question on: a workspace well within its rate would be refused.
+#[test]
+fn a_bucket_fills_from_the_end_of_a_share_not_from_the_next_question() {
+    let mut lender = Lender::first(TIMES, TimeMs(0));
+    assert_eq!(lend(&mut lender, 0, &question(1, 0, BURST)).calls, BURST);
+    assert_eq!(lend(&mut lender, 5_000, &question(2, 0, BURST)).calls, BURST);
+}
+
+/// A question is overtaken by the borrower's next one. It says that more is unused and asks for
+/// more; taken at its word it would forget the newer share, which is still out.
+#[test]
+fn a_question_that_was_overtaken_changes_nothing() {
+    let mut lender = Lender::first(TIMES, TimeMs(0));
+    assert_eq!(lend(&mut lender, 0, &question(2, 0, 6)).calls, 6);
+    assert_eq!(lend(&mut lender, 1, &question(1, 0, 4)).calls, 0);
+    assert_eq!(lend(&mut lender, 300, &question(3, 6, BURST)).calls, 4);
+}
+
+/// A borrower holds a share for long, asks for another for a moment, and the answer is lost: it
+/// keeps the first for as long as before, and so it must stand against the burst.
+#[test]
+fn a_share_outlives_a_lost_answer_to_a_shorter_question() {
+    let mut lender = Lender::first(TIMES, TimeMs(0));
+    assert_eq!(lend(&mut lender, 0, &question(1, 0, 6)).calls, 6);
+    let short = BorrowRequest { for_ms: 10, ..question(2, 6, 1) };
+    lend(&mut lender, 1, &short);
+    let other = BorrowRequest { borrower: Instance(2), ..question(1, 0, BURST) };
+    assert!(lend(&mut lender, 400, &other).calls <= BURST - 6);
+}
+
+/// The borrower's clock runs slower than the lender's by the bound assumed.
+#[test]
+fn a_share_is_over_at_a_slow_borrower_before_the_lender_counts_it_free() {
+    let slow_ms = 500 * 1_000 / (1_000 - TIMES.drift_per_mille);
+    assert!(TIMES.loan_ms(500) > slow_ms);
+}
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -6,7 +6,7 @@
 
 use tokio::sync::{mpsc, watch};
 
-use crate::admission::Borrower;
+use crate::admission::{Borrower, STOCK_FROM_CALLS};
 use crate::contracts::Book;
 use crate::entry::config::Freshness;
 use crate::entry::core::Command;
@@ -101,7 +101,7 @@
             pacer: Mutex::new(Pacer::new(settings.appends_per_s, now)),
             owned: Mutex::default(),
             suspects: Mutex::default(),
-            borrower: Mutex::new(Borrower::new(instance)),
+            borrower: Mutex::new(Borrower::new(instance, STOCK_FROM_CALLS)),
             lenders: Mutex::default(),
             ready: AtomicBool::new(false),
             log_failing: AtomicBool::new(false),
