--- a/src/contracts/book.rs
+++ b/src/contracts/book.rs
@@ -57,6 +57,8 @@
     through: Offset,
     workspaces: HashMap<WorkspaceId, Workspace>,
     suspects: HashMap<(WorkspaceId, Digest), Vec<AttemptId>>,
+    /// Which keys were granted with a digest of this slot; some may be revoked since.
+    slots: HashMap<u64, Vec<(WorkspaceId, KeyId)>>,
 }
 
 impl Book {
@@ -89,14 +91,15 @@
         keys
     }
 
-    /// The workspace that a key acts for. Every key is compared, whichever one matches.
+    /// The workspace that a key acts for.
     pub fn authenticate(&self, digest: &KeyDigest) -> Option<(WorkspaceId, KeyId)> {
-        let in_force = self.workspaces.iter().filter(|(_, found)| found.contract.is_some());
-        let keys = in_force.flat_map(|(id, found)| found.keys.iter().map(move |key| (id, key)));
-        keys.fold(None, |match_so_far, (id, (key, known))| match known == digest {
-            true => Some((id.clone(), key.clone())),
-            false => match_so_far,
-        })
+        let candidates = self.slots.get(&digest.slot())?;
+        candidates.iter().find(|(id, key)| self.matches(id, key, digest)).cloned()
+    }
+
+    fn matches(&self, workspace: &WorkspaceId, key: &KeyId, digest: &KeyDigest) -> bool {
+        let found = self.workspaces.get(workspace).filter(|found| found.contract.is_some());
+        found.and_then(|found| found.keys.get(key)).is_some_and(|known| known == digest)
     }
 
     /// Whether a key still acts for a workspace.
@@ -203,17 +206,33 @@
             Operation::Publish { contract } => found.contract = Some(contract.clone()),
             Operation::Withdraw => {
                 found.contract = None;
-                found.keys.clear();
+                let keys = std::mem::take(&mut found.keys);
+                keys.iter().for_each(|(key, digest)| self.clear_slot(workspace, key, digest));
             }
             Operation::Grant { key, digest } => {
-                found.keys.insert(key.clone(), *digest);
+                if let Some(old) = found.keys.insert(key.clone(), *digest) {
+                    self.clear_slot(workspace, key, &old);
+                }
+                let slot = self.slots.entry(digest.slot()).or_default();
+                slot.push((workspace.clone(), key.clone()));
             }
             Operation::Revoke { key } => {
-                found.keys.remove(key);
+                if let Some(digest) = found.keys.remove(key) {
+                    self.clear_slot(workspace, key, &digest);
+                }
             }
         }
         Change::Accepted(offset)
     }
+
+    fn clear_slot(&mut self, workspace: &WorkspaceId, key: &KeyId, digest: &KeyDigest) {
+        if let Some(slot) = self.slots.get_mut(&digest.slot()) {
+            slot.retain(|(id, known)| (id, known) != (workspace, key));
+            if slot.is_empty() {
+                self.slots.remove(&digest.slot());
+            }
+        }
+    }
 }
 
 impl From<&BookSnapshot> for Book {
@@ -228,10 +247,18 @@
         });
         let suspects = snapshot.suspects.iter();
         let suspects = suspects.map(|(id, digest, at)| ((id.clone(), *digest), at.clone()));
+        let mut slots: HashMap<u64, Vec<(WorkspaceId, KeyId)>> = HashMap::new();
+        for found in &snapshot.workspaces {
+            for (key, digest) in &found.keys {
+                let slot = slots.entry(digest.slot()).or_default();
+                slot.push((found.workspace.clone(), key.clone()));
+            }
+        }
         Book {
             through: snapshot.through,
             workspaces: workspaces.collect(),
             suspects: suspects.collect(),
+            slots,
         }
     }
 }
--- a/src/contracts/keys.rs
+++ b/src/contracts/keys.rs
@@ -28,6 +28,14 @@
     }
 }
 
+impl KeyDigest {
+    /// Where it is looked up. A guesser who learns from the time of a look-up how much of this
+    /// was right learns nothing of the key: it is a part of a digest that he can't steer.
+    pub(super) fn slot(&self) -> u64 {
+        self.0.prefix()
+    }
+}
+
 /// Compares in constant time: otherwise the time of a refusal would tell how much of a guessed
 /// digest was right.
 impl PartialEq for KeyDigest {
--- a/src/entry/config.rs
+++ b/src/entry/config.rs
@@ -1,8 +1,11 @@
 use std::time::Duration;
 
-use crate::contracts::{Book, ConfigRecord};
+use crate::contracts::{Book, BookSnapshot, ConfigRecord};
+use crate::entry::freshness::{Freshness, PeerConfig, judge};
+use crate::entry::peers::CONFIG;
 use crate::entry::state::Entry;
 use crate::logstore::Page;
+use crate::membership::Duty;
 use crate::prelude::*;
 
 /// The stream that operators publish to.
@@ -10,13 +13,48 @@
 /// How long a read waits for something new.
 const READ_WAIT: Duration = Duration::from_millis(500);
 const RETRY: Duration = Duration::from_millis(250);
+const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// How far the configuration in force is confirmed.
 #[value]
 #[derive(Copy, Default)]
-pub(super) struct Freshness {
+pub(super) struct Confirmation {
     /// When the end of the stream was last read, and so this book known to be the newest.
-    pub confirmed: Option<TimeMs>,
+    pub read_at: Option<TimeMs>,
+    /// When the log took the oldest record that no snapshot stands for.
+    pub uncovered_since: Option<UnixMs>,
+}
+
+/// Takes note of how old the records are that no snapshot stands for.
+fn note_covered(confirmation: &mut Confirmation, page: &Page<ConfigRecord>) {
+    for stored in &page.records {
+        match stored.data {
+            ConfigRecord::Snapshot(_) => confirmation.uncovered_since = None,
+            _ => {
+                confirmation.uncovered_since.get_or_insert(stored.time_ms);
+            }
+        }
+    }
+}
+
+/// While the log is out, takes what peers know; before records expire, writes a snapshot for
+/// them. Never returns.
+pub(super) async fn keep(entry: Arc<Entry>) {
+    loop {
+        tokio::time::sleep(RETRY).await;
+        if let Freshness::Fetch(address) = entry.judge_config() {
+            let fetched = entry.http.get::<BookSnapshot>(address, CONFIG, FETCH_TIMEOUT).await;
+            if let Ok(snapshot) = fetched {
+                entry.put_in_force(Book::from(&snapshot));
+            }
+        }
+        if entry.owes_snapshot() {
+            let record = ConfigRecord::Snapshot(entry.current_book().snapshot());
+            if entry.log.append(CONFIG_STREAM, &[record]).await.is_ok() {
+                entry.confirmation().uncovered_since = None;
+            }
+        }
+    }
 }
 
 /// Keeps the book level with the log. Never returns.
@@ -56,23 +94,62 @@
     };
     if page.at_end() {
         // What was accepted after the question may be missing: it is fresh as of the question.
-        entry.freshness.lock().expect("no holder panics").confirmed = Some(asked);
-    }
-    if book.through() > entry.current_book().through() {
-        log::info!(through = book.through().0; "configuration in force");
-        entry.book.send_replace(Arc::new(book));
+        entry.confirmation().read_at = Some(asked);
     }
+    note_covered(&mut entry.confirmation(), page);
+    entry.put_in_force(book);
 }
 
 impl Entry {
-    /// Whether the configuration is known to be the newest, or lately was.
+    /// Puts a book in force, unless that would take the configuration back.
+    fn put_in_force(&self, book: Book) {
+        let through = book.through();
+        let is_newer = self.book.send_if_modified(|current| {
+            let is_newer = through > current.through();
+            if is_newer {
+                *current = Arc::new(book);
+            }
+            is_newer
+        });
+        if is_newer {
+            log::info!(through = through.0; "configuration in force");
+        }
+    }
+
+    /// Whether it is for this entry to write a snapshot: records are half-way to their end, and
+    /// no other entry comes before it. Two that think so only write one too many.
+    fn owes_snapshot(&self) -> bool {
+        let Some(since) = self.confirmation().uncovered_since else {
+            return false;
+        };
+        let due = self.clock.unix().since(since) >= self.settings.log_retention_ms / 2;
+        due && self.peers().live_entries().all(|peer| peer.heartbeat.vm > *self.vm())
+    }
+
+    /// Whether callers may be let in by the configuration in force.
     pub fn config_is_fresh(&self) -> bool {
-        self.config_age_ms().is_some_and(|age_ms| age_ms <= self.settings.config_stale_ms)
+        self.judge_config() == Freshness::Fresh
+    }
+
+    fn judge_config(&self) -> Freshness {
+        let own = (self.current_book().through(), self.config_age_ms());
+        let now = self.clock.now();
+        let peers = self.peers();
+        let entries = peers.live_entries().filter_map(|peer| match &peer.heartbeat.duty {
+            Duty::Entry { config, log_age_ms, .. } => Some(PeerConfig {
+                config: *config,
+                age_ms: log_age_ms.map(|age_ms| age_ms + now.since(peer.heard)),
+                address: peer.heartbeat.address,
+            }),
+            Duty::Endpoint { .. } => None,
+        });
+        let entries: Vec<PeerConfig> = entries.collect();
+        judge(own, self.settings.config_stale_ms, &entries, peers.listed_entries())
     }
 
     /// How long ago the configuration was known to be the newest.
     pub fn config_age_ms(&self) -> Option<u64> {
-        let confirmed = self.freshness.lock().expect("no holder panics").confirmed?;
-        Some(self.clock.now().since(confirmed))
+        let read_at = self.confirmation().read_at?;
+        Some(self.clock.now().since(read_at))
     }
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -6,6 +6,7 @@
 mod config;
 mod core;
 mod forward;
+mod freshness;
 mod peers;
 mod process;
 mod rates;
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -20,6 +20,8 @@
 
 /// Where operators and other entries ask how this one does.
 pub(super) const STATUS: &str = "/status";
+/// Where entries take the configuration from each other while the log is out.
+pub(super) const CONFIG: &str = "/config";
 const MAX_MESSAGE_BYTES: usize = 64 << 20;
 const RECEIVE_TIMEOUT: Duration = Duration::from_secs(30);
 const MAX_DATAGRAM_BYTES: usize = 64 << 10;
@@ -28,6 +30,7 @@
 pub(super) async fn handle(entry: Arc<Entry>, request: Request<Incoming>) -> Response<Body> {
     match (request.method(), request.uri().path()) {
         (&Method::POST, TURNS) => turn(entry, request).await,
+        (&Method::GET, CONFIG) => json(StatusCode::OK, &entry.current_book().snapshot()),
         (&Method::GET, STATUS) => json(StatusCode::OK, &entry.status()),
         (&Method::POST, ENDS) => end(entry, request).await,
         _ => json(StatusCode::NOT_FOUND, &"no such call"),
--- a/src/entry/process.rs
+++ b/src/entry/process.rs
@@ -39,6 +39,7 @@
     let tasks = [
         tokio::spawn(Core::new(entry.clone()).run(queue)),
         tokio::spawn(config::follow(entry.clone())),
+        tokio::spawn(config::keep(entry.clone())),
         tokio::spawn(peers::listen(entry.clone(), pulse.socket())),
         tokio::spawn(peers::beat(entry.clone(), pulse)),
     ];
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -8,7 +8,7 @@
 
 use crate::admission::{Borrower, STOCK_FROM_CALLS};
 use crate::contracts::Book;
-use crate::entry::config::Freshness;
+use crate::entry::config::Confirmation;
 use crate::entry::core::Command;
 use crate::entry::rates::Lenders;
 use crate::http::Client;
@@ -34,7 +34,7 @@
     pub log: LogClient,
     pub commands: mpsc::UnboundedSender<Command>,
     pub book: watch::Sender<Arc<Book>>,
-    pub freshness: Mutex<Freshness>,
+    confirmation: Mutex<Confirmation>,
     peers: Mutex<PeerTable>,
     router: Mutex<Router>,
     pacer: Mutex<Pacer>,
@@ -95,7 +95,7 @@
             log,
             commands,
             book: watch::Sender::new(Arc::new(Book::default())),
-            freshness: Mutex::default(),
+            confirmation: Mutex::default(),
             peers: Mutex::new(PeerTable::new(timings)),
             router: Mutex::new(Router::new(RoutingPolicy::CacheAffinity, instance.0)),
             pacer: Mutex::new(Pacer::new(settings.appends_per_s, now)),
@@ -134,6 +134,10 @@
         locked(&self.lenders)
     }
 
+    pub fn confirmation(&self) -> MutexGuard<'_, Confirmation> {
+        locked(&self.confirmation)
+    }
+
     pub fn current_book(&self) -> Arc<Book> {
         self.book.borrow().clone()
     }
