Calls that crash engines are given up on after two, and neighbours are cleared

Change: a crash is the engine's run that ended; only a crash while running alone proves guilt; what ends well alone is cleared for all. The same first call of several programs goes to one endpoint by its digest, suspects all to one, and the process beside an endpoint remembers what ran when its engine crashed, so that it does not run it again before the owners know.

Ruled out: giving up after two crashes beside others: it can't tell the guilty from a neighbour whose call runs on both engines.

With entries whose views of the load differ, first runs may still meet at two engines: not proved.

--- a/src/admission/borrower.rs
+++ b/src/admission/borrower.rs
@@ -136,10 +136,9 @@
 
     /// Takes note that a question got no answer.
     pub fn unanswered(&mut self, request: &BorrowRequest) {
-        if let Some(share) = self.shares.get_mut(&request.workspace) {
-            if share.sequence == request.sequence {
-                share.asked = None;
-            }
+        let share = self.shares.get_mut(&request.workspace);
+        if let Some(share) = share.filter(|share| share.sequence == request.sequence) {
+            share.asked = None;
         }
     }
 
--- a/src/contracts/book.rs
+++ b/src/contracts/book.rs
@@ -5,9 +5,6 @@
 use crate::prelude::*;
 use crate::programs::Standing;
 
-/// Crashes after which a call is not run again.
-const CRASHES_TO_GIVE_UP: usize = 2;
-
 /// A change that lost against another.
 #[wire]
 pub struct Conflict {
@@ -56,7 +53,7 @@
 pub struct Book {
     through: Offset,
     workspaces: HashMap<WorkspaceId, Workspace>,
-    suspects: HashMap<(WorkspaceId, Digest), Vec<AttemptId>>,
+    suspects: HashMap<(WorkspaceId, Digest), Vec<Crash>>,
     /// Which keys were granted with a digest of this slot; some may be revoked since.
     slots: HashMap<u64, Vec<(WorkspaceId, KeyId)>>,
 }
@@ -114,15 +111,19 @@
         &self,
         workspace: &WorkspaceId,
         digest: &Digest,
-        unrecorded: &[AttemptId],
+        unrecorded: &[Crash],
     ) -> Standing {
         let recorded = self.suspects.get(&(workspace.clone(), *digest));
         let recorded = recorded.map_or(&[][..], Vec::as_slice);
-        let new = unrecorded.iter().filter(|attempt| !recorded.contains(attempt));
-        match recorded.len() + new.count() {
-            0 => Standing::Clear,
-            crashes if crashes < CRASHES_TO_GIVE_UP => Standing::Suspect,
-            _ => Standing::GivenUp,
+        let mut crashes = recorded.iter().chain(unrecorded);
+        // Beside others a call is only a suspect: calls that ran on two engines which another
+        // call crashed would otherwise be given up on with it.
+        if crashes.clone().any(|crash| crash.alone) {
+            return Standing::GivenUp;
+        }
+        match crashes.next() {
+            Some(_) => Standing::Suspect,
+            None => Standing::Clear,
         }
     }
 
@@ -137,10 +138,18 @@
                 let change = self.change(offset, workspace, *base, operation);
                 Verdict::Change { id: *id, change }
             }
-            ConfigRecord::Suspect { workspace, digest, attempt } => {
+            ConfigRecord::Suspect { workspace, digest, crash } => {
                 let crashes = self.suspects.entry((workspace.clone(), *digest)).or_default();
-                if !crashes.contains(attempt) {
-                    crashes.push(*attempt);
+                if !crashes.contains(crash) {
+                    crashes.push(crash.clone());
+                }
+                Verdict::Taken
+            }
+            ConfigRecord::Cleared { workspace, digest } => {
+                let key = (workspace.clone(), *digest);
+                let guilty = |crashes: &Vec<Crash>| crashes.iter().any(|crash| crash.alone);
+                if !self.suspects.get(&key).is_some_and(guilty) {
+                    self.suspects.remove(&key);
                 }
                 Verdict::Taken
             }
--- a/src/contracts/record.rs
+++ b/src/contracts/record.rs
@@ -45,8 +45,15 @@
         workspace: WorkspaceId,
         /// Digest of the call.
         digest: Digest,
-        /// The attempt that crashed.
-        attempt: AttemptId,
+        /// The crash.
+        crash: Crash,
+    },
+    /// A suspected call ran alone and ended well.
+    Cleared {
+        /// The workspace.
+        workspace: WorkspaceId,
+        /// Digest of the call.
+        digest: Digest,
     },
     /// The whole configuration up to an offset, so that older records may expire.
     Snapshot(BookSnapshot),
@@ -59,8 +66,8 @@
     pub through: Offset,
     /// Every workspace: its version, its contract and its keys.
     pub workspaces: Vec<WorkspaceSnapshot>,
-    /// Calls that crash engines, with the attempts that crashed.
-    pub suspects: Vec<(WorkspaceId, Digest, Vec<AttemptId>)>,
+    /// Calls that ran on engines when they crashed, with those crashes.
+    pub suspects: Vec<(WorkspaceId, Digest, Vec<Crash>)>,
 }
 
 /// One workspace in a snapshot.
--- a/src/endpoint/backend.rs
+++ b/src/endpoint/backend.rs
@@ -161,7 +161,7 @@
     async fn broken(&self, run_before: u64, tokens: u64) -> AttemptFrame {
         let cause = match self.engine_run().await == run_before {
             true => FailureCause::Interrupted,
-            false => FailureCause::Crashed,
+            false => FailureCause::Crashed { run: run_before },
         };
         failed(cause, Some(tokens))
     }
--- a/src/endpoint/desk.rs
+++ b/src/endpoint/desk.rs
@@ -6,6 +6,8 @@
 
 /// Bytes of text to a token, for guessing costs.
 const BYTES_PER_TOKEN: u64 = 4;
+/// Calls remembered as crashing the engine.
+const MAX_CRASHERS: usize = 10_000;
 /// What a service call counts as, in tokens.
 const SERVICE_COST_TOKENS: u64 = 50;
 
@@ -50,12 +52,20 @@
 
 struct Running {
     program: ProgramId,
+    digest: Digest,
     deadline: TimeMs,
     is_model: bool,
     alone: bool,
     stopped: bool,
 }
 
+/// What is known of a call that ran when the engine crashed.
+#[derive(Clone, Copy)]
+struct Crasher {
+    run: u64,
+    alone: bool,
+}
+
 struct Queued {
     attempt: Attempt,
     deadline: TimeMs,
@@ -72,6 +82,8 @@
     finished: Finished,
     order: ServiceOrder,
     leases: CacheLeases,
+    /// Calls that ran when the engine crashed.
+    crashers: HashMap<(WorkspaceId, Digest), Crasher>,
     draining: bool,
 }
 
@@ -87,6 +99,7 @@
             finished: Finished::new(limits.finished_bytes),
             order: ServiceOrder::new(policy),
             leases: CacheLeases::new(limits.cache_lease_ms),
+            crashers: HashMap::new(),
             draining: false,
         }
     }
@@ -182,6 +195,7 @@
     /// Takes note of the end of a running attempt.
     pub fn ended(&mut self, now: TimeMs, attempt: AttemptId, end: AttemptFrame) {
         if let Some(running) = self.running.remove(&attempt) {
+            self.note_end(&running, &end);
             if running.is_model {
                 self.leases.renew(now, &cache_key(&running.program));
             }
@@ -189,6 +203,26 @@
         }
     }
 
+    /// The same call may wait here for other callers, or come yet: it would crash the engine once
+    /// more before the owners have told each other. One that ends well alone is cleared.
+    fn note_end(&mut self, running: &Running, end: &AttemptFrame) {
+        let key = (running.program.workspace.clone(), running.digest);
+        let alone = running.alone;
+        match end {
+            AttemptFrame::Failed { cause: FailureCause::Crashed { run }, .. } => {
+                if self.crashers.len() >= MAX_CRASHERS {
+                    self.crashers.clear();
+                }
+                let known_alone = self.crashers.get(&key).is_some_and(|known| known.alone);
+                self.crashers.insert(key, Crasher { run: *run, alone: alone || known_alone });
+            }
+            AttemptFrame::Done { .. } if alone => {
+                self.crashers.remove(&key);
+            }
+            _ => {}
+        }
+    }
+
     /// Frees what the engine holds for a program that has ended.
     pub fn free(&mut self, program: &ProgramId) -> Vec<DeskAction> {
         let of_program = |running: &Running| running.program == *program;
@@ -232,6 +266,7 @@
         self.queue.retain(|queued| queued.deadline > now);
         let mut actions: Vec<DeskAction> =
             late.into_iter().map(|id| self.end_unstarted(id, FailureCause::Expired)).collect();
+        actions.extend(self.end_crashers());
         for (id, running) in &mut self.running {
             if running.deadline <= now && !running.stopped {
                 running.stopped = true;
@@ -248,6 +283,23 @@
         actions
     }
 
+    /// Ends waiting calls that are known to crash the engine, as if they had done it again. One
+    /// that is only suspected may still run alone.
+    fn end_crashers(&mut self) -> Vec<DeskAction> {
+        let crash_of = |queued: &Queued| {
+            let attempt = &queued.attempt;
+            let key = (attempt.program.workspace.clone(), attempt.digest);
+            let known = self.crashers.get(&key)?;
+            (known.alone || !attempt.alone).then_some((attempt.id, known.run))
+        };
+        let known: Vec<(AttemptId, u64)> = self.queue.iter().filter_map(crash_of).collect();
+        self.queue.retain(|queued| known.iter().all(|(id, _)| *id != queued.attempt.id));
+        known
+            .into_iter()
+            .map(|(id, run)| self.end_unstarted(id, FailureCause::Crashed { run }))
+            .collect()
+    }
+
     fn end_unstarted(&mut self, attempt: AttemptId, cause: FailureCause) -> DeskAction {
         let end = AttemptFrame::Failed { cause, spent_tokens: Some(0) };
         self.finished.remember(attempt, end.clone());
@@ -276,6 +328,7 @@
         }
         let running = Running {
             program: attempt.program.clone(),
+            digest: attempt.digest,
             deadline: queued.deadline,
             is_model,
             alone: attempt.alone,
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -24,8 +24,8 @@
     /// Something happened to what an owner asked for. The nonce tells which owner of the shard:
     /// one that was lost must not get the answers meant for its successor, nor the reverse.
     Owner { shard: ShardId, nonce: u64, event: Event },
-    /// A crash that all entries have to learn of.
-    PublishSuspect(ConfigRecord),
+    /// Something that all entries have to learn of.
+    Publish(ConfigRecord),
     /// Make sure that a shard is still this entry's, or claim it if it falls to this entry.
     Confirm { shard: ShardId },
     /// Give up every shard.
@@ -79,7 +79,7 @@
             Command::Turn { request, replies } => self.turn(request, replies),
             Command::End { program, replies } => self.end(program, replies),
             Command::Owner { shard, nonce, event } => self.event(shard, nonce, event),
-            Command::PublishSuspect(record) => {
+            Command::Publish(record) => {
                 tokio::spawn(tasks::publish(self.entry.clone(), record));
             }
             Command::Confirm { shard } => {
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -22,7 +22,7 @@
 use crate::time::Clock;
 
 /// Crashes of calls that this entry knows of and the log may not have yet.
-type Suspects = HashMap<(WorkspaceId, Digest), Vec<AttemptId>>;
+type Suspects = HashMap<(WorkspaceId, Digest), Vec<Crash>>;
 
 /// What the tasks of an entry share. Each lock is held for a few steps and never over an await.
 pub(super) struct Entry {
@@ -203,9 +203,12 @@
     }
 
     /// Counts a crash at once; the log learns of it meanwhile.
-    pub fn note_crash(&self, workspace: &WorkspaceId, digest: &Digest, attempt: AttemptId) {
+    pub fn note_crash(&self, workspace: &WorkspaceId, digest: &Digest, crash: Crash) {
         let mut own = locked(&self.suspects);
-        own.entry((workspace.clone(), *digest)).or_default().push(attempt);
+        let crashes = own.entry((workspace.clone(), *digest)).or_default();
+        if !crashes.contains(&crash) {
+            crashes.push(crash);
+        }
     }
 
     /// Whether another entry may still own a shard: it is not dead, and nobody else owns it.
@@ -219,6 +222,11 @@
         alive && !replaced
     }
 
+    /// Forgets crashes that the log holds by now, or that proved to be another call's.
+    pub fn forget_crashes(&self, workspace: &WorkspaceId, digest: &Digest) {
+        locked(&self.suspects).remove(&(workspace.clone(), *digest));
+    }
+
     /// Where the calls of a shard go: to its owner, or else to the entry that all would pick.
     pub fn locate(&self, shard: ShardId) -> Place {
         if self.owned().contains_key(&shard) {
--- a/src/entry/surroundings.rs
+++ b/src/entry/surroundings.rs
@@ -22,11 +22,16 @@
         self.0.standing(workspace, digest)
     }
 
-    fn crashed(&mut self, workspace: &WorkspaceId, digest: &Digest, attempt: AttemptId) {
-        self.0.note_crash(workspace, digest, attempt);
-        let record =
-            ConfigRecord::Suspect { workspace: workspace.clone(), digest: *digest, attempt };
-        let _ = self.0.commands.send(Command::PublishSuspect(record));
+    fn crashed(&mut self, workspace: &WorkspaceId, digest: &Digest, crash: Crash) {
+        self.0.note_crash(workspace, digest, crash.clone());
+        let record = ConfigRecord::Suspect { workspace: workspace.clone(), digest: *digest, crash };
+        let _ = self.0.commands.send(Command::Publish(record));
+    }
+
+    fn cleared(&mut self, workspace: &WorkspaceId, digest: &Digest) {
+        self.0.forget_crashes(workspace, digest);
+        let record = ConfigRecord::Cleared { workspace: workspace.clone(), digest: *digest };
+        let _ = self.0.commands.send(Command::Publish(record));
     }
 
     fn random(&mut self) -> u64 {
--- a/src/entry/tasks.rs
+++ b/src/entry/tasks.rs
@@ -166,14 +166,22 @@
     }
 }
 
-/// Writes to the configuration stream until the log takes it. Sending it twice does no harm: a
-/// crash is counted by its attempt.
+/// Writes to the configuration stream until the log takes it, and then leaves the matter to the
+/// book. Sending it twice does no harm: a crash is counted once.
 pub(super) async fn publish(entry: Arc<Entry>, record: ConfigRecord) {
     for _ in 0..PUBLISH_TRIES {
-        if entry.log.append(CONFIG_STREAM, std::slice::from_ref(&record)).await.is_ok() {
-            return;
+        match entry.log.append(CONFIG_STREAM, std::slice::from_ref(&record)).await {
+            Ok(at) => return leave_to_book(&entry, &record, at.first).await,
+            Err(_) => tokio::time::sleep(PUBLISH_RETRY).await,
         }
-        tokio::time::sleep(PUBLISH_RETRY).await;
     }
     log::error!("a crash could not be recorded: the log took no records for minutes");
 }
+
+async fn leave_to_book(entry: &Entry, record: &ConfigRecord, recorded: Offset) {
+    let mut book = entry.book.subscribe();
+    let in_force = book.wait_for(|book| book.through() >= recorded).await.is_ok();
+    if let (true, ConfigRecord::Suspect { workspace, digest, .. }) = (in_force, record) {
+        entry.forget_crashes(workspace, digest);
+    }
+}
--- a/src/ids/mod.rs
+++ b/src/ids/mod.rs
@@ -4,7 +4,9 @@
 mod numbers;
 
 pub use names::{InvalidName, ModelName, ProgramId, VmName, WorkspaceId};
-pub use numbers::{AttemptId, Digest, EndpointRef, Epoch, Instance, Offset, ShardId, TurnNo};
+pub use numbers::{
+    AttemptId, Crash, Digest, EndpointRef, Epoch, Instance, Offset, ShardId, TurnNo,
+};
 
 #[cfg(test)]
 mod tests;
--- a/src/ids/numbers.rs
+++ b/src/ids/numbers.rs
@@ -90,6 +90,17 @@
     pub instance: Instance,
 }
 
+/// One crash of an engine: many attempts can see the same one.
+#[name]
+pub struct Crash {
+    /// The engine's VM.
+    pub vm: VmName,
+    /// The engine's run that ended.
+    pub run: u64,
+    /// Whether the call ran alone: then no other can have been the cause.
+    pub alone: bool,
+}
+
 /// A SHA-256 digest, written as hex.
 #[key]
 pub struct Digest([u8; 32]);
--- a/src/programs/active.rs
+++ b/src/programs/active.rs
@@ -62,6 +62,8 @@
     pub text: String,
     /// Attempts dispatched so far.
     pub attempts: u32,
+    /// Whether the newest attempt runs alone.
+    pub alone: bool,
     /// Where it stands.
     pub phase: Phase,
 }
@@ -82,6 +84,7 @@
             waiters: Vec::new(),
             text: String::new(),
             attempts: 1,
+            alone: false,
             phase: Phase::Asking { next_ms: now, unanswered: 0 },
         }
     }
--- a/src/programs/owner/attempts.rs
+++ b/src/programs/owner/attempts.rs
@@ -25,16 +25,18 @@
         active.attempts += 1;
         let deadline = active.deadline().unwrap_or(request.deadline);
         let standing = cx.env.standing(&program.workspace, &active.digest);
+        active.alone = standing != Standing::Clear;
         let state = self.fold.program(program);
         let attempt = Attempt {
             id: active.attempt,
             target: active.endpoint.clone(),
             program: program.clone(),
             turn: active.turn,
+            digest: active.digest,
             work: attempt_work(state, active, &request),
             attained_tokens: self.fold.account(program).spent_tokens,
             deadline_in_ms: deadline.since(cx.now),
-            alone: standing != Standing::Clear,
+            alone: active.alone,
         };
         cx.out.push(Action::Dispatch(attempt));
     }
@@ -45,7 +47,10 @@
         };
         match frame {
             AttemptFrame::Delta { text } => self.delta(cx, &program, &text),
-            AttemptFrame::Done { result } => self.done(cx, &program, result),
+            AttemptFrame::Done { result } => {
+                self.clear_suspicion(cx, &program);
+                self.done(cx, &program, result);
+            }
             AttemptFrame::Failed { cause, spent_tokens } => {
                 self.failed(cx, &program, cause, spent_tokens);
             }
@@ -107,8 +112,9 @@
         let Some(active) = self.active.get(program) else {
             return;
         };
-        if cause == FailureCause::Crashed {
-            cx.env.crashed(&program.workspace, &active.digest, active.attempt);
+        if let FailureCause::Crashed { run } = cause {
+            let crash = Crash { vm: active.endpoint.vm.clone(), run, alone: active.alone };
+            cx.env.crashed(&program.workspace, &active.digest, crash);
         }
         if !cause.certainly_not_run() && !active.idempotent {
             self.done(cx, program, TurnResult::Unknown);
@@ -123,6 +129,12 @@
         self.back_off_or_give_up(cx, program, cause);
     }
 
+    fn clear_suspicion(&self, cx: &mut Context<'_>, program: &ProgramId) {
+        if let Some(active) = self.active.get(program).filter(|active| active.alone) {
+            cx.env.cleared(&program.workspace, &active.digest);
+        }
+    }
+
     fn count_generated(&mut self, program: &ProgramId, spent_tokens: Option<u64>) {
         if let Some(active) = self.active.get_mut(program) {
             active.generated_tokens += spent_tokens.unwrap_or(0);
--- a/src/programs/owner/messages.rs
+++ b/src/programs/owner/messages.rs
@@ -139,6 +139,8 @@
     pub program: ProgramId,
     /// The turn.
     pub turn: TurnNo,
+    /// Digest of the call.
+    pub digest: Digest,
     /// What to run.
     pub work: AttemptWork,
     /// Tokens that the program had used before, for the order of service.
@@ -209,7 +211,10 @@
     /// The deadline passed in the queue.
     Expired,
     /// The engine crashed under it, alone or beside others.
-    Crashed,
+    Crashed {
+        /// The engine's run that ended.
+        run: u64,
+    },
     /// The engine broke the stream or did not end it in time: it may have run.
     Interrupted,
     /// It was cancelled.
@@ -247,7 +252,10 @@
     fn standing(&self, workspace: &WorkspaceId, digest: &Digest) -> Standing;
 
     /// A call crashed the engine that ran it. From now on `standing` counts it.
-    fn crashed(&mut self, workspace: &WorkspaceId, digest: &Digest, attempt: AttemptId);
+    fn crashed(&mut self, workspace: &WorkspaceId, digest: &Digest, crash: Crash);
+
+    /// A suspected call ran alone and ended well: it is no suspect any more.
+    fn cleared(&mut self, workspace: &WorkspaceId, digest: &Digest);
 
     /// A random number, for back-off.
     fn random(&mut self) -> u64;
@@ -262,6 +270,12 @@
     pub target: &'a ModelName,
     /// Rough size of the prompt, in tokens.
     pub prompt_tokens: u64,
+    /// Digest of the call: the same calls of several programs are kept together.
+    pub digest: &'a Digest,
+    /// Whether the program starts with it.
+    pub is_first: bool,
+    /// Whether it is suspected of crashing engines.
+    pub is_suspect: bool,
     /// The endpoint to avoid: the last attempt failed there.
     pub avoid: Option<&'a VmName>,
 }
@@ -274,7 +288,7 @@
     Clear,
     /// It was running when an engine crashed: it runs alone from now on.
     Suspect,
-    /// It crashed two: it is not run again.
+    /// It crashed one while it ran alone: it is not run again.
     GivenUp,
 }
 
--- a/src/programs/owner/requests.rs
+++ b/src/programs/owner/requests.rs
@@ -120,6 +120,7 @@
             waiters: vec![Waiter { call, deadline: request.deadline }],
             text: String::new(),
             attempts: 0,
+            alone: false,
             phase: Phase::RecordingIntent,
             request: Some(request.clone()),
         };
@@ -184,10 +185,14 @@
         request: &TurnRequest,
         avoid: Option<&VmName>,
     ) -> Option<EndpointRef> {
+        let standing = cx.env.standing(&request.program.workspace, &request.digest);
         cx.env.place(&PlaceRequest {
             program: &request.program,
             target: request.work.target(),
             prompt_tokens: self.prompt_tokens(request),
+            digest: &request.digest,
+            is_first: self.fold.program(&request.program).is_none_or(|s| s.turn_count == 0),
+            is_suspect: standing != Standing::Clear,
             avoid,
         })
     }
--- a/src/programs/tests/world.rs
+++ b/src/programs/tests/world.rs
@@ -78,7 +78,9 @@
         Standing::Clear
     }
 
-    fn crashed(&mut self, _: &WorkspaceId, _: &Digest, _: AttemptId) {}
+    fn crashed(&mut self, _: &WorkspaceId, _: &Digest, _: Crash) {}
+
+    fn cleared(&mut self, _: &WorkspaceId, _: &Digest) {}
 
     fn random(&mut self) -> u64 {
         7
@@ -248,11 +250,11 @@
     /// A connection between an owner and an endpoint breaks, perhaps with the attempt on its way:
     /// the owner hears of the break before the endpoint hears of the attempt.
     pub fn cut(&mut self, arg: usize) {
-        let submits = self.net.iter().filter_map(|message| match message {
+        let mut submits = self.net.iter().filter_map(|message| match message {
             Message::Submit { nonce, attempt } => Some((*nonce, attempt.id)),
             _ => None,
         });
-        if let Some((nonce, attempt)) = submits.last().filter(|_| arg.is_multiple_of(2)) {
+        if let Some((nonce, attempt)) = submits.next_back().filter(|_| arg.is_multiple_of(2)) {
             self.net.push(Message::Owner { nonce, event: Event::Lost { attempt } });
             return;
         }
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -62,6 +62,12 @@
         if candidates.is_empty() {
             candidates = endpoints.iter().collect();
         }
+        if request.is_suspect {
+            // Every entry picks the same one: callers that send one crashing call at once must
+            // not crash an engine each.
+            let chosen = candidates.iter().min_by_key(|view| rank(request, view))?;
+            return Some(chosen.endpoint.clone());
+        }
         let chosen = match self.policy {
             RoutingPolicy::Random => self.pick_random(&candidates),
             RoutingPolicy::RoundRobin => self.pick_next(&candidates),
@@ -105,30 +111,32 @@
         let total: u32 = loads.iter().sum();
         let mean = total / (loads.len().max(1) as u32);
         let bound = mean + mean * AFFINITY_SLACK_EIGHTHS / 8 + AFFINITY_FREE_LOAD;
+        if request.is_first {
+            // The same call sent by several callers meets at one endpoint: its prompt is cached
+            // there, and if it crashes engines it crashes one and not one for each caller.
+            let fits = candidates.iter().zip(&loads).filter(|(_, load)| **load <= bound);
+            let first = fits.min_by_key(|(view, _)| rank(request, view));
+            return first.map(|(view, _)| *view);
+        }
         let holder = self.last.get(request.program);
         let held = candidates.iter().zip(&loads).find(|(view, _)| Some(&view.endpoint) == holder);
-        if let Some((view, load)) = held
-            && *load <= bound
-        {
-            return Some(view);
+        match held {
+            Some((view, load)) if *load <= bound => Some(view),
+            _ => self.pick_least(request, candidates, &loads),
         }
-        self.pick_least(request, candidates, &loads)
     }
 
-    /// The least load; among equals the nearer one, then one that depends on the program, so
-    /// that several entries with the same reports don't all choose the same.
+    /// The least load; among equals the nearer one, then one that depends on the call, so that
+    /// several entries with the same reports don't all choose the same for different calls.
     fn pick_least<'a>(
         &self,
         request: &PlaceRequest<'_>,
         candidates: &[&'a EndpointView],
         loads: &[u32],
     ) -> Option<&'a EndpointView> {
-        let rank = |view: &EndpointView| {
-            let program = request.program.name.as_bytes();
-            Digest::of(&[program, view.endpoint.vm.as_str().as_bytes()]).prefix()
-        };
         let ranked = candidates.iter().zip(loads);
-        ranked.min_by_key(|(view, load)| (**load, !view.near, rank(view))).map(|(view, _)| *view)
+        let least = ranked.min_by_key(|(view, load)| (**load, !view.near, rank(request, view)));
+        least.map(|(view, _)| *view)
     }
 
     /// The reported load and the own dispatches that the report can't have seen.
@@ -150,3 +158,9 @@
         times.push(now);
     }
 }
+
+/// Orders endpoints in a way of its own for each call, the same on every entry.
+fn rank(request: &PlaceRequest<'_>, view: &EndpointView) -> u64 {
+    let vm = view.endpoint.vm.as_str().as_bytes();
+    Digest::of(&[request.digest.as_bytes(), vm]).prefix()
+}
--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -210,8 +210,8 @@
     let prompt_tokens = contents.iter().map(|text| text.len() as u64 / 4 + 1).sum();
     let crashes = contents.last().is_some_and(|text| text.contains(CRASH_MARK));
     let run = Run::begin(state, &call, prompt_tokens);
-    let words = answer_words(&contents, call.max_tokens);
     let resumed = call.resume_text.split_inclusive(' ').count();
+    let words = answer_words(&contents, resumed as u64 + call.max_tokens);
     http::streamed(async_stream::stream! {
         run.prefill().await;
         if crashes {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -240,3 +240,52 @@
     assert_eq!(resent.code(), "program_ended");
     tokio::time::sleep(Duration::ZERO).await;
 }
+
+/// Three callers send the same call at once, through different entries, and it crashes every
+/// engine that runs it. Innocent calls run beside it. At most two engines crash in the whole
+/// fleet; each of the three gets its final answer at once, and so does a resend after the entries
+/// that knew were replaced. The innocent calls finish.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_that_crashes_engines_is_given_up_on_after_two() {
+    let mut deployment = Deployment::start().await;
+    let entries = deployment.entries();
+    let caller = deployment.caller();
+    let innocent: Vec<_> = (0..6)
+        .map(|number| {
+            let (caller, entries) = (caller.clone(), entries.clone());
+            let call = completion(&format!("i{number}"), 1, "words=60");
+            tokio::spawn(async move { caller.insist(&entries, &call, 10).await })
+        })
+        .collect();
+    wait_running(&deployment, 6).await;
+    let crash = |number: usize| completion(&format!("x{number}"), 1, "please crash-engine");
+    let guilty: Vec<_> = (0..3)
+        .map(|number| {
+            let (caller, entry) = (caller.clone(), entries[number % 2]);
+            let call = crash(number);
+            tokio::spawn(async move { caller.call(entry, &call).await })
+        })
+        .collect();
+    for run in guilty {
+        let answer = run.await.unwrap();
+        assert_eq!(answer.code(), "crashes_endpoints", "{answer:?}");
+    }
+    for run in innocent {
+        let answer = run.await.unwrap();
+        assert!(answer.text().ends_with("word60 "), "{answer:?}");
+    }
+    for vm in ["e0", "e1"] {
+        let domain = if vm == "e0" { "a" } else { "b" };
+        deployment.fleet.entries.get_mut(vm).unwrap().kill();
+        deployment.fleet.start_entry(vm, domain).unwrap();
+        deployment.fleet.list().await;
+        assert!(deployment.fleet.wait_ready().await);
+    }
+    let again = caller.insist(&deployment.entries(), &crash(9), 10).await;
+    assert_eq!(again.code(), "crashes_endpoints", "{again:?}");
+    let mut crashes = 0;
+    for engine in &deployment.engines {
+        crashes += common::get(engine.address, "/control").await["run"].as_u64().unwrap() - 1;
+    }
+    assert!(crashes <= 2, "{crashes} engines crashed");
+}
