Overload: new programs are turned away first, and first those of greedy workspaces

Change: a program's first call is refused, at once and with a spread time to come back, when it could not start soon; calls of programs under way may queue. In the zone before that only workspaces that had more than their contract's part lately are turned away.

--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,15 +1,20 @@
 //! Experiments on the decisions of trefoilproxy. Each prints a table; seeds are fixed.
 
+mod engines;
+mod policies;
 mod random;
 mod rates;
 
 use std::process::ExitCode;
 
-const USAGE: &str = "Usage: trefoil-lab rates";
+const USAGE: &str = "Usage: trefoil-lab rates|policies|overload|flood";
 
 fn main() -> ExitCode {
     match std::env::args().nth(1).as_deref() {
         Some("rates") => rates::run(),
+        Some("policies") => policies::run(),
+        Some("overload") => policies::overload(),
+        Some("flood") => policies::flood(),
         _ => {
             eprintln!("{USAGE}");
             return ExitCode::from(2);
--- a/src/entry/api.rs
+++ b/src/entry/api.rs
@@ -123,9 +123,10 @@
         RefusalReason::AttemptsFailed
         | RefusalReason::CrashesEndpoints
         | RefusalReason::OwnerLost => StatusCode::BAD_GATEWAY,
-        RefusalReason::NoEndpoint | RefusalReason::LogUnavailable | RefusalReason::NotOwner => {
-            StatusCode::SERVICE_UNAVAILABLE
-        }
+        RefusalReason::NoEndpoint
+        | RefusalReason::Overloaded
+        | RefusalReason::LogUnavailable
+        | RefusalReason::NotOwner => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
 
--- a/src/entry/callers.rs
+++ b/src/entry/callers.rs
@@ -240,5 +240,6 @@
         work,
         deadline: headers.deadline,
         limits: contract.program,
+        weight: contract.rate_per_s,
     }
 }
--- a/src/entry/surroundings.rs
+++ b/src/entry/surroundings.rs
@@ -2,14 +2,14 @@
 use crate::entry::core::Command;
 use crate::entry::state::Entry;
 use crate::prelude::*;
-use crate::programs::{PlaceRequest, Standing, Surroundings};
+use crate::programs::{PlaceRefusal, PlaceRequest, Standing, Surroundings};
 use crate::routing::EndpointView;
 
 /// An entry as the owners of its shards see it.
 pub(super) struct EntrySurroundings<'a>(pub &'a Entry);
 
 impl Surroundings for EntrySurroundings<'_> {
-    fn place(&mut self, request: &PlaceRequest<'_>) -> Option<EndpointRef> {
+    fn place(&mut self, request: &PlaceRequest<'_>) -> Result<EndpointRef, PlaceRefusal> {
         let domain = self.0.settings.process.failure_domain.clone();
         let peers = self.0.peers();
         let live = peers.live_endpoints(request.target);
--- a/src/entry/wire.rs
+++ b/src/entry/wire.rs
@@ -18,6 +18,8 @@
     pub deadline_in_ms: u64,
     /// What the program may use.
     pub limits: ProgramLimits,
+    /// The workspace's part of what there is, against the others'.
+    pub weight: u32,
 }
 
 impl TurnMessage {
@@ -31,6 +33,7 @@
             work: self.work,
             deadline: now.plus(self.deadline_in_ms),
             limits: self.limits,
+            weight: self.weight,
         }
     }
 
@@ -44,6 +47,7 @@
             work: request.work.clone(),
             deadline_in_ms: request.deadline.since(now),
             limits: request.limits,
+            weight: request.weight,
         }
     }
 }
--- a/src/programs/call.rs
+++ b/src/programs/call.rs
@@ -137,6 +137,8 @@
     pub deadline: TimeMs,
     /// What the program may use.
     pub limits: ProgramLimits,
+    /// The workspace's part of what there is, against the others': its contract's rate.
+    pub weight: u32,
 }
 
 /// Tokens that a call used.
@@ -217,6 +219,8 @@
     TurnsExhausted,
     /// No live endpoint serves the model or service.
     NoEndpoint,
+    /// The endpoints have more than they can run in time.
+    Overloaded,
     /// The deadline has passed.
     DeadlinePassed,
     /// The log takes no records at present.
@@ -243,6 +247,7 @@
             RefusalReason::BudgetExhausted => "budget_exhausted",
             RefusalReason::TurnsExhausted => "turns_exhausted",
             RefusalReason::NoEndpoint => "no_endpoint",
+            RefusalReason::Overloaded => "overloaded",
             RefusalReason::DeadlinePassed => "deadline_passed",
             RefusalReason::LogUnavailable => "log_unavailable",
             RefusalReason::NotOwner => "not_owner",
--- a/src/programs/mod.rs
+++ b/src/programs/mod.rs
@@ -19,7 +19,8 @@
 pub use fold::{Applied, ShardFold};
 pub use owner::{
     Action, AppendError, AppendedAt, Attempt, AttemptFrame, AttemptReport, AttemptWork, Event,
-    FailureCause, Limits, PlaceRequest, Predecessor, ReadPage, ShardOwner, Standing, Surroundings,
+    FailureCause, Limits, PlaceRefusal, PlaceRequest, Predecessor, ReadPage, ShardOwner, Standing,
+    Surroundings,
 };
 pub use record::{IntentRecord, OutcomeRecord, ProgramSnapshot, Record, StoredRecord};
 pub use state::{Account, OpenIntent, ProgramState, TurnEntry};
--- a/src/programs/owner/attempts.rs
+++ b/src/programs/owner/attempts.rs
@@ -224,8 +224,8 @@
         }
         let avoid = active.endpoint.vm.clone();
         let endpoint = match self.place(cx, &request, Some(&avoid)) {
-            Some(endpoint) => endpoint,
-            None => return self.give_up(cx, program, RefusalReason::NoEndpoint),
+            Ok(endpoint) => endpoint,
+            Err(refusal) => return self.give_up(cx, program, refusal.into()),
         };
         let generated_tokens = active.generated_tokens;
         let worst_case = request.work.worst_case_tokens();
--- a/src/programs/owner/messages.rs
+++ b/src/programs/owner/messages.rs
@@ -246,7 +246,7 @@
 /// What an owner asks of its surroundings while it decides.
 pub trait Surroundings {
     /// Picks an endpoint for an attempt.
-    fn place(&mut self, request: &PlaceRequest<'_>) -> Option<EndpointRef>;
+    fn place(&mut self, request: &PlaceRequest<'_>) -> Result<EndpointRef, PlaceRefusal>;
 
     /// What is known of a call that may crash engines.
     fn standing(&self, workspace: &WorkspaceId, digest: &Digest) -> Standing;
@@ -272,6 +272,8 @@
     pub prompt_tokens: u64,
     /// Digest of the call: the same calls of several programs are kept together.
     pub digest: &'a Digest,
+    /// The workspace's part of what there is, against the others'.
+    pub weight: u32,
     /// Whether the program starts with it.
     pub is_first: bool,
     /// Whether it is suspected of crashing engines.
@@ -280,6 +282,16 @@
     pub avoid: Option<&'a VmName>,
 }
 
+/// Why no endpoint was picked.
+#[value]
+#[derive(Copy)]
+pub enum PlaceRefusal {
+    /// No live endpoint serves the model or service.
+    NoEndpoint,
+    /// Those that do have more than they can run in time.
+    Overloaded,
+}
+
 /// What is known of a call that may crash engines.
 #[value]
 #[derive(Copy)]
--- a/src/programs/owner/mod.rs
+++ b/src/programs/owner/mod.rs
@@ -10,7 +10,8 @@
 
 pub use messages::{
     Action, AppendError, AppendedAt, Attempt, AttemptFrame, AttemptReport, AttemptWork, Event,
-    FailureCause, Limits, PlaceRequest, Predecessor, ReadPage, Standing, Surroundings,
+    FailureCause, Limits, PlaceRefusal, PlaceRequest, Predecessor, ReadPage, Standing,
+    Surroundings,
 };
 
 use messages::UnconfirmedRefusal;
--- a/src/programs/owner/requests.rs
+++ b/src/programs/owner/requests.rs
@@ -2,7 +2,7 @@
 use super::{Context, ShardOwner};
 use crate::prelude::*;
 use crate::programs::active::Waiter;
-use crate::programs::owner::{Action, PlaceRequest, Standing};
+use crate::programs::owner::{Action, PlaceRefusal, PlaceRequest, Standing};
 use crate::programs::{
     Active, CallId, IntentRecord, Phase, ProgramState, Ran, Record, Refusal, RefusalReason, Reply,
     TurnRequest, Work,
@@ -17,6 +17,15 @@
 /// A rough measure of English text, for routing only.
 const BYTES_PER_TOKEN: usize = 4;
 
+impl From<PlaceRefusal> for RefusalReason {
+    fn from(refusal: PlaceRefusal) -> RefusalReason {
+        match refusal {
+            PlaceRefusal::NoEndpoint => RefusalReason::NoEndpoint,
+            PlaceRefusal::Overloaded => RefusalReason::Overloaded,
+        }
+    }
+}
+
 /// What to do with a call.
 enum Verdict {
     Start(TurnNo),
@@ -102,10 +111,14 @@
     }
 
     fn start(&mut self, cx: &mut Context<'_>, call: CallId, turn: TurnNo, request: TurnRequest) {
-        let Some(endpoint) = self.place(cx, &request, None) else {
-            let refusal = Refusal::not_run(RefusalReason::NoEndpoint);
-            cx.refuse(call, refusal.retry_after(NO_ENDPOINT_RETRY_MS));
-            return;
+        let endpoint = match self.place(cx, &request, None) {
+            Ok(endpoint) => endpoint,
+            Err(refusal) => {
+                // Spread, so that those who are turned away together don't come back together.
+                let retry_ms = NO_ENDPOINT_RETRY_MS + cx.env.random() % NO_ENDPOINT_RETRY_MS;
+                cx.refuse(call, Refusal::not_run(refusal.into()).retry_after(retry_ms));
+                return;
+            }
         };
         let attempt = self.next_attempt();
         let active = Active {
@@ -184,13 +197,14 @@
         cx: &mut Context<'_>,
         request: &TurnRequest,
         avoid: Option<&VmName>,
-    ) -> Option<EndpointRef> {
+    ) -> Result<EndpointRef, PlaceRefusal> {
         let standing = cx.env.standing(&request.program.workspace, &request.digest);
         cx.env.place(&PlaceRequest {
             program: &request.program,
             target: request.work.target(),
             prompt_tokens: self.prompt_tokens(request),
             digest: &request.digest,
+            weight: request.weight,
             is_first: self.fold.program(&request.program).is_none_or(|s| s.turn_count == 0),
             is_suspect: standing != Standing::Clear,
             avoid,
--- a/src/programs/tests/mod.rs
+++ b/src/programs/tests/mod.rs
@@ -29,6 +29,7 @@
         work,
         deadline: TimeMs(deadline),
         limits: LIMITS,
+        weight: 1,
     }
 }
 
--- a/src/programs/tests/world.rs
+++ b/src/programs/tests/world.rs
@@ -7,8 +7,8 @@
 use crate::prelude::*;
 use crate::programs::{
     Action, AppendError, Attempt, AttemptFrame, AttemptReport, AttemptWork, CallId, Event,
-    FailureCause, Finish, Limits, PlaceRequest, Record, Reply, ShardOwner, Standing, Surroundings,
-    TurnResult, Usage,
+    FailureCause, Finish, Limits, PlaceRefusal, PlaceRequest, Record, Reply, ShardOwner, Standing,
+    Surroundings, TurnResult, Usage,
 };
 
 const SHARD: ShardId = ShardId(0);
@@ -68,10 +68,11 @@
 struct Place<'a>(&'a [Endpoint], usize);
 
 impl Surroundings for Place<'_> {
-    fn place(&mut self, request: &PlaceRequest<'_>) -> Option<EndpointRef> {
+    fn place(&mut self, request: &PlaceRequest<'_>) -> Result<EndpointRef, PlaceRefusal> {
         let usable = |e: &&Endpoint| Some(&e.me.vm) != request.avoid;
         let usable: Vec<&Endpoint> = self.0.iter().filter(usable).collect();
-        usable.get(self.1 % usable.len().max(1)).map(|endpoint| endpoint.me.clone())
+        let chosen = usable.get(self.1 % usable.len().max(1));
+        chosen.map(|endpoint| endpoint.me.clone()).ok_or(PlaceRefusal::NoEndpoint)
     }
 
     fn standing(&self, _: &WorkspaceId, _: &Digest) -> Standing {
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -1,9 +1,11 @@
 //! Routing: which endpoint runs an attempt.
 
 mod router;
+mod shares;
 mod view;
 
-pub use router::{Router, RoutingPolicy};
+pub use router::{Router, RoutingPolicy, Shedding};
+pub use shares::ProgramShares;
 pub use view::EndpointView;
 
 #[cfg(test)]
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -1,8 +1,8 @@
 use std::collections::HashMap;
 
 use crate::prelude::*;
-use crate::programs::PlaceRequest;
-use crate::routing::EndpointView;
+use crate::programs::{PlaceRefusal, PlaceRequest};
+use crate::routing::{EndpointView, ProgramShares};
 
 /// How an endpoint is chosen. The baselines stay for comparison.
 #[value]
@@ -19,6 +19,18 @@
     CacheAffinity,
 }
 
+/// What is refused when calls would wait too long. The baselines stay for comparison.
+#[value]
+#[derive(Copy)]
+pub enum Shedding {
+    /// Nothing.
+    None,
+    /// Programs that have not begun.
+    NewPrograms,
+    /// The same, and first those of workspaces that had more than their part.
+    Fair,
+}
+
 /// How far above the mean load the endpoint that holds the cache may be, as a fraction of the
 /// mean in eighths.
 const AFFINITY_SLACK_EIGHTHS: u32 = 4;
@@ -26,12 +38,22 @@
 const AFFINITY_FREE_LOAD: u32 = 4;
 /// An estimate of one dispatch stands until a report that can have seen it, and no longer.
 const DISPATCH_MEMORY_MS: u64 = 1_000;
+/// Load up to which programs are let in, in eighths of what runs at once.
+const FIRST_CALL_ROOM_EIGHTHS: u32 = 10;
+/// The same for workspaces that had more than their part lately.
+const GREEDY_ROOM_EIGHTHS: u32 = 7;
+/// The same where workspaces are not told apart.
+const BLIND_ROOM_EIGHTHS: u32 = 8;
+/// Load up to which programs under way go on, in multiples of what runs at once.
+const LATER_CALL_ROOM: u32 = 4;
 /// Programs whose last endpoint is remembered.
 const MAX_REMEMBERED: usize = 200_000;
 
 /// Chooses endpoints.
 pub struct Router {
     policy: RoutingPolicy,
+    shedding: Shedding,
+    shares: ProgramShares,
     turn: usize,
     random: u64,
     last: HashMap<ProgramId, EndpointRef>,
@@ -43,6 +65,8 @@
     pub fn new(policy: RoutingPolicy, seed: u64) -> Router {
         Router {
             policy,
+            shedding: Shedding::Fair,
+            shares: ProgramShares::default(),
             turn: 0,
             random: seed | 1,
             last: HashMap::new(),
@@ -50,13 +74,18 @@
         }
     }
 
+    /// The same router with another way of shedding.
+    pub fn with_shedding(self, shedding: Shedding) -> Router {
+        Router { shedding, ..self }
+    }
+
     /// Chooses among live endpoints that serve the call.
     pub fn place(
         &mut self,
         now: TimeMs,
         request: &PlaceRequest<'_>,
         endpoints: &[EndpointView],
-    ) -> Option<EndpointRef> {
+    ) -> Result<EndpointRef, PlaceRefusal> {
         let avoided = |view: &&EndpointView| Some(&view.endpoint.vm) != request.avoid;
         let mut candidates: Vec<&EndpointView> = endpoints.iter().filter(avoided).collect();
         if candidates.is_empty() {
@@ -65,8 +94,8 @@
         if request.is_suspect {
             // Every entry picks the same one: callers that send one crashing call at once must
             // not crash an engine each.
-            let chosen = candidates.iter().min_by_key(|view| rank(request, view))?;
-            return Some(chosen.endpoint.clone());
+            let chosen = candidates.iter().min_by_key(|view| rank(request, view));
+            return chosen.map(|view| view.endpoint.clone()).ok_or(PlaceRefusal::NoEndpoint);
         }
         let chosen = match self.policy {
             RoutingPolicy::Random => self.pick_random(&candidates),
@@ -74,9 +103,45 @@
             RoutingPolicy::LeastReported => candidates.iter().min_by_key(|v| v.reported).copied(),
             RoutingPolicy::CacheAffinity => self.pick_affine(now, request, &candidates),
         };
-        let endpoint = chosen?.endpoint.clone();
+        let chosen = chosen.ok_or(PlaceRefusal::NoEndpoint)?;
+        if self.shedding != Shedding::None && self.is_overloaded(now, request, chosen) {
+            return Err(PlaceRefusal::Overloaded);
+        }
+        if request.is_first {
+            self.shares.let_in(now, &request.program.workspace, request.weight);
+        }
+        let endpoint = chosen.endpoint.clone();
         self.remember(now, request.program, &endpoint);
-        Some(endpoint)
+        Ok(endpoint)
+    }
+
+    /// Whether a call would wait too long even where it is best placed.
+    ///
+    /// Beyond capacity something has to be refused. A program that has not begun loses nothing by
+    /// it; one under way has its history, its cache and its caller's time in it. So programs are
+    /// let in only while calls can start soon, and those under way may queue. Without this all
+    /// of them grow slower together until each misses its deadline.
+    ///
+    /// Workspaces that had more than their part lately are turned away first: a flood of one would
+    /// otherwise shut out the others in proportion.
+    fn is_overloaded(
+        &mut self,
+        now: TimeMs,
+        request: &PlaceRequest<'_>,
+        chosen: &EndpointView,
+    ) -> bool {
+        let load = self.load(now, chosen);
+        if !request.is_first {
+            return load >= (chosen.concurrency * LATER_CALL_ROOM).max(1);
+        }
+        let workspace = &request.program.workspace;
+        let is_fair = self.shedding == Shedding::Fair;
+        let eighths = match is_fair && self.shares.is_above_share(now, workspace) {
+            true => GREEDY_ROOM_EIGHTHS,
+            false if is_fair => FIRST_CALL_ROOM_EIGHTHS,
+            false => BLIND_ROOM_EIGHTHS,
+        };
+        load >= (chosen.concurrency * eighths / 8).max(1)
     }
 
     /// Forgets a program that has ended; returns the endpoint that may hold its cache.
@@ -115,8 +180,8 @@
             // The same call sent by several callers meets at one endpoint: its prompt is cached
             // there, and if it crashes engines it crashes one and not one for each caller.
             let fits = candidates.iter().zip(&loads).filter(|(_, load)| **load <= bound);
-            let first = fits.min_by_key(|(view, _)| rank(request, view));
-            return first.map(|(view, _)| *view);
+            let first = fits.min_by_key(|(view, _)| rank(request, view)).map(|(view, _)| *view);
+            return first.or_else(|| self.pick_least(request, candidates, &loads));
         }
         let holder = self.last.get(request.program);
         let held = candidates.iter().zip(&loads).find(|(view, _)| Some(&view.endpoint) == holder);
