A load tool over real processes

Cause: no figures of the whole path. The tool measures turns a second, appends a turn, cost a turn, the time until a change is in force and the takeover after a kill, on loopback with the stand-ins.

Ruled out: an external load generator; it does not know which answers are whole.

--- /dev/null
+++ b/standins/src/bin/trefoil-load.rs
@@ -0,0 +1,212 @@
+//! Measures a small deployment of real processes on loopback: turns a second, latencies, appends
+//! a turn, and what the entries and the processes beside endpoints cost.
+
+use std::io::Error;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::Instant;
+
+use hyper::Method;
+use serde_json::{Value, json};
+use trefoil_standins::caller::{Answer, Caller, completion};
+use trefoil_standins::engine::Settings;
+use trefoil_standins::fleet::Fleet;
+use trefoil_standins::http::call;
+use trefoil_standins::{engine, log_service, vm_list};
+
+const KEY: &str = "key-of-the-load-measurement";
+const CONTRACT: &str = "workspace = \"load\"\nrate_per_s = 100000\nburst = 100000\n\
+                        models = [\"small\"]\n[program]\nbudget_tokens = 1000000\nmax_turns = 240\n";
+const TURNS: u32 = 8;
+const CLOCK_TICKS_PER_S: f64 = 100.0;
+const PAGE_KIB: u64 = 4;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let programs = std::env::args().nth(1).and_then(|n| n.parse().ok()).unwrap_or(64);
+    match measure(programs).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => {
+            eprintln!("load: {fault}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn measure(concurrent: usize) -> std::io::Result<()> {
+    let anywhere = SocketAddr::from(([127, 0, 0, 1], 0));
+    let log = log_service::spawn(anywhere).await?;
+    let vms = vm_list::spawn(anywhere).await?;
+    let quick =
+        Settings { token_us: 500, token_us_per_running: 0, prefill_us: 1, ..Settings::default() };
+    let engines =
+        [engine::spawn(anywhere, quick.clone()).await?, engine::spawn(anywhere, quick).await?];
+    let me = std::env::current_exe()?;
+    let programs = me.parent().map(Path::to_path_buf).ok_or(Error::other("no folder"))?;
+    let mut fleet = start_fleet(&programs, log.address, vms.address)?;
+    for (index, engine) in engines.iter().enumerate() {
+        let vm = format!("m{index}");
+        fleet.start_endpoint(&vm, "a", ("engine", "small", engine.address))?;
+    }
+    fleet.list().await;
+    if !fleet.wait_ready().await {
+        return Err(Error::other("the entries do not get ready"));
+    }
+    publish(&fleet)?;
+    let entries = [fleet.callers("e0"), fleet.callers("e1")];
+    let before = usage(&fleet);
+    let counted = log_counters(log.address).await;
+    let started = Instant::now();
+    let runs = (0..concurrent).map(|number| tokio::spawn(run_program(entries, number)));
+    let mut latencies_us = Vec::new();
+    let mut failed = 0;
+    for run in runs.collect::<Vec<_>>() {
+        let (turns, bad) = run.await.map_err(Error::other)?;
+        latencies_us.extend(turns);
+        failed += bad;
+    }
+    let seconds = started.elapsed().as_secs_f64();
+    let appends = log_counters(log.address).await;
+    report(concurrent, seconds, &mut latencies_us, failed);
+    report_log(&counted, &appends, latencies_us.len(), seconds);
+    report_usage(&before, &usage(&fleet), latencies_us.len());
+    measure_takeover(&mut fleet, concurrent).await;
+    Ok(())
+}
+
+fn start_fleet(programs: &Path, log: SocketAddr, vms: SocketAddr) -> std::io::Result<Fleet> {
+    let mut fleet = Fleet::new(programs, log, vms);
+    fleet.endpoint_flags = ["--concurrency", "256"].map(str::to_string).to_vec();
+    fleet.start_entry("e0", "a")?;
+    fleet.start_entry("e1", "b")?;
+    Ok(fleet)
+}
+
+fn publish(fleet: &Fleet) -> std::io::Result<()> {
+    let file: PathBuf =
+        std::env::temp_dir().join(format!("trefoil-load-{}.toml", std::process::id()));
+    std::fs::write(&file, CONTRACT)?;
+    let path = file.to_string_lossy().to_string();
+    let (published, said) = fleet.ctl(&["publish", &path, "--wait"], "")?;
+    std::fs::remove_file(&file)?;
+    let started = Instant::now();
+    let (granted, more) = fleet.ctl(&["grant", "load", "main", "--wait"], KEY)?;
+    let ms = started.elapsed().as_millis();
+    println!("a key granted and in force on every entry: {ms} ms, with the tool's own start");
+    match published + granted {
+        0 => Ok(()),
+        _ => Err(Error::other(format!("{said}{more}"))),
+    }
+}
+
+async fn run_program(entries: [SocketAddr; 2], number: usize) -> (Vec<u64>, usize) {
+    let caller = Caller::new(KEY);
+    let name = format!("load-{number}");
+    let mut latencies_us = Vec::new();
+    let mut failed = 0;
+    for turn in 1..=TURNS {
+        let entry = entries[(number + turn as usize) % 2];
+        let started = Instant::now();
+        let answer = caller.insist(&[entry], &completion(&name, turn, "words=12"), 20).await;
+        latencies_us.push(started.elapsed().as_micros() as u64);
+        failed += usize::from(!matches!(answer, Answer::Whole(_)));
+    }
+    (latencies_us, failed)
+}
+
+async fn log_counters(log: SocketAddr) -> Value {
+    let url = format!("http://{log}/control");
+    call(Method::GET, &url, &json!({})).await.unwrap_or_default()
+}
+
+/// Processor seconds and resident KiB of each process, from the kernel's accounting.
+fn usage(fleet: &Fleet) -> Vec<(String, f64, u64)> {
+    let all = fleet.entries.values().chain(fleet.endpoints.values());
+    let mut usage: Vec<(String, f64, u64)> = all
+        .map(|process| {
+            let read = |file: &str| {
+                std::fs::read_to_string(format!("/proc/{}/{file}", process.id()))
+                    .unwrap_or_default()
+            };
+            let stat = read("stat");
+            let fields: Vec<&str> = stat.split_whitespace().collect();
+            let ticks = |index: usize| fields.get(index).and_then(|f| f.parse::<f64>().ok());
+            let cpu_s = (ticks(13).unwrap_or(0.0) + ticks(14).unwrap_or(0.0)) / CLOCK_TICKS_PER_S;
+            let statm = read("statm");
+            let pages = statm.split_whitespace().nth(1).and_then(|p| p.parse::<u64>().ok());
+            (process.name.clone(), cpu_s, pages.unwrap_or(0) * PAGE_KIB)
+        })
+        .collect();
+    usage.sort_by(|a, b| a.0.cmp(&b.0));
+    usage
+}
+
+fn report(concurrent: usize, seconds: f64, latencies_us: &mut [u64], failed: usize) {
+    latencies_us.sort_unstable();
+    let at = |percent: usize| {
+        let index = (latencies_us.len() * percent / 100).min(latencies_us.len() - 1);
+        latencies_us[index] as f64 / 1_000.0
+    };
+    println!(
+        "{concurrent} programs of {TURNS} turns at once: {:.0} turns/s, turn p50 {:.1} ms p95 {:.1} ms \
+         p99 {:.1} ms, not whole {failed}",
+        latencies_us.len() as f64 / seconds,
+        at(50),
+        at(95),
+        at(99)
+    );
+}
+
+fn report_log(before: &Value, after: &Value, turns: usize, seconds: f64) {
+    let grown = |field: &str| {
+        (after[field].as_u64().unwrap_or(0) - before[field].as_u64().unwrap_or(0)) as f64
+    };
+    println!(
+        "log: {:.2} appends a turn, {:.0} appends/s, {:.1} records an append, {:.0} bytes a turn",
+        grown("appends") / turns as f64,
+        grown("appends") / seconds,
+        grown("records") / grown("appends").max(1.0),
+        grown("bytes") / turns as f64
+    );
+}
+
+/// Kills an entry and sends each program's next turn to the other at once.
+async fn measure_takeover(fleet: &mut Fleet, programs: usize) {
+    let entry = fleet.callers("e0");
+    if let Some(killed) = fleet.entries.get_mut("e1") {
+        killed.kill();
+    }
+    let started = Instant::now();
+    let turns = (0..programs).map(|number| {
+        tokio::spawn(async move {
+            let call = completion(&format!("load-{number}"), TURNS + 1, "words=1");
+            let answer = Caller::new(KEY).insist(&[entry], &call, 40).await;
+            (started.elapsed().as_millis() as u64, matches!(answer, Answer::Whole(_)))
+        })
+    });
+    let mut waits_ms = Vec::new();
+    let mut whole = 0;
+    for turn in turns.collect::<Vec<_>>() {
+        if let Ok((ms, is_whole)) = turn.await {
+            waits_ms.push(ms);
+            whole += usize::from(is_whole);
+        }
+    }
+    waits_ms.sort_unstable();
+    println!(
+        "an entry killed: next turns of {programs} programs, whole {whole}, p50 {} ms, last {} ms",
+        waits_ms.get(programs / 2).copied().unwrap_or(0),
+        waits_ms.last().copied().unwrap_or(0)
+    );
+}
+
+fn report_usage(before: &[(String, f64, u64)], after: &[(String, f64, u64)], turns: usize) {
+    for ((name, cpu_before, _), (_, cpu_after, resident_kib)) in before.iter().zip(after) {
+        println!(
+            "{name}: {:.2} ms of processor a turn of the fleet, {:.1} MB resident",
+            (cpu_after - cpu_before) * 1_000.0 / turns as f64,
+            *resident_kib as f64 / 1_024.0
+        );
+    }
+}
