A retry budget for each workspace; frozen entries and entries started in an outage

Cause: each failing call was run three times whatever the others did, and two promises of the configuration had no proof over processes.

Change: a workspace's retries are bounded to a tenth of its successes and ten saved up. Two end-to-end tests: a key revoked while an entry was frozen past the time that a configuration may go unconfirmed, and an entry started while the log is out.

Ruled out: one budget for all workspaces; a failing one would use up the others'.

--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -17,7 +17,7 @@
 use crate::membership::{Peer, PeerTable, Timings};
 use crate::prelude::*;
 use crate::programs::Standing;
-use crate::routing::{Router, RoutingPolicy};
+use crate::routing::{RetryBudget, Router, RoutingPolicy};
 use crate::settings::EntrySettings;
 use crate::time::Clock;
 
@@ -37,6 +37,7 @@
     confirmation: Mutex<Confirmation>,
     peers: Mutex<PeerTable>,
     router: Mutex<Router>,
+    retries: Mutex<RetryBudget>,
     pacer: Mutex<Pacer>,
     owned: Mutex<HashMap<ShardId, Ownership>>,
     suspects: Mutex<Suspects>,
@@ -98,6 +99,7 @@
             confirmation: Mutex::default(),
             peers: Mutex::new(PeerTable::new(timings)),
             router: Mutex::new(Router::new(RoutingPolicy::CacheAffinity, instance.0)),
+            retries: Mutex::default(),
             pacer: Mutex::new(Pacer::new(settings.appends_per_s, now)),
             owned: Mutex::default(),
             suspects: Mutex::default(),
@@ -122,6 +124,10 @@
         locked(&self.router)
     }
 
+    pub fn retries(&self) -> MutexGuard<'_, RetryBudget> {
+        locked(&self.retries)
+    }
+
     pub fn owned(&self) -> MutexGuard<'_, HashMap<ShardId, Ownership>> {
         locked(&self.owned)
     }
--- a/src/entry/surroundings.rs
+++ b/src/entry/surroundings.rs
@@ -34,6 +34,14 @@
         let _ = self.0.commands.send(Command::Publish(record));
     }
 
+    fn succeeded(&mut self, workspace: &WorkspaceId) {
+        self.0.retries().succeeded(workspace);
+    }
+
+    fn take_retry(&mut self, workspace: &WorkspaceId) -> bool {
+        self.0.retries().take(workspace)
+    }
+
     fn random(&mut self) -> u64 {
         rand::random()
     }
--- a/src/programs/owner/attempts.rs
+++ b/src/programs/owner/attempts.rs
@@ -49,6 +49,7 @@
             AttemptFrame::Delta { text } => self.delta(cx, &program, &text),
             AttemptFrame::Done { result } => {
                 self.clear_suspicion(cx, &program);
+                cx.env.succeeded(&program.workspace);
                 self.done(cx, &program, result);
             }
             AttemptFrame::Failed { cause, spent_tokens } => {
@@ -182,7 +183,8 @@
         let out_of_tries = active.attempts >= self.limits.max_attempts;
         let given_up = standing == Standing::GivenUp || out_of_tries;
         let nobody_waits = active.waiters.is_empty() || cause == FailureCause::Cancelled;
-        if given_up || nobody_waits || active.request.is_none() {
+        let over = given_up || nobody_waits || active.request.is_none();
+        if over || !cx.env.take_retry(&program.workspace) {
             let reason = match standing {
                 Standing::GivenUp => RefusalReason::CrashesEndpoints,
                 _ => RefusalReason::AttemptsFailed,
--- a/src/programs/owner/messages.rs
+++ b/src/programs/owner/messages.rs
@@ -257,6 +257,12 @@
     /// A suspected call ran alone and ended well: it is no suspect any more.
     fn cleared(&mut self, workspace: &WorkspaceId, digest: &Digest);
 
+    /// Counts an attempt that succeeded.
+    fn succeeded(&mut self, workspace: &WorkspaceId);
+
+    /// Takes a retry from the workspace's budget, if there is one left.
+    fn take_retry(&mut self, workspace: &WorkspaceId) -> bool;
+
     /// A random number, for back-off.
     fn random(&mut self) -> u64;
 }
--- a/src/programs/tests/world.rs
+++ b/src/programs/tests/world.rs
@@ -83,6 +83,12 @@
 
     fn cleared(&mut self, _: &WorkspaceId, _: &Digest) {}
 
+    fn succeeded(&mut self, _: &WorkspaceId) {}
+
+    fn take_retry(&mut self, _: &WorkspaceId) -> bool {
+        true
+    }
+
     fn random(&mut self) -> u64 {
         7
     }
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -1,9 +1,11 @@
 //! Routing: which endpoint runs an attempt.
 
+mod retries;
 mod router;
 mod shares;
 mod view;
 
+pub use retries::RetryBudget;
 pub use router::{Router, RoutingPolicy, Shedding};
 pub use shares::ProgramShares;
 pub use view::EndpointView;
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -1,4 +1,4 @@
-use super::{EndpointView, ProgramShares, Router, RoutingPolicy, Shedding};
+use super::{EndpointView, ProgramShares, RetryBudget, Router, RoutingPolicy, Shedding};
 use crate::prelude::*;
 use crate::programs::{PlaceRefusal, PlaceRequest};
 
@@ -123,3 +123,15 @@
     assert!(shares.is_above_share(TimeMs(10), &small));
     assert!(!shares.is_above_share(TimeMs(600_000), &small));
 }
+
+/// Every attempt fails. A workspace's retries end after what it had saved up, and come back at a
+/// tenth of its successes; another workspace's are its own.
+#[test]
+fn retries_are_a_tenth_of_successes() {
+    let mut budget = RetryBudget::default();
+    let (failing, other) = (WorkspaceId::parse("f").unwrap(), WorkspaceId::parse("o").unwrap());
+    assert_eq!((0..100).filter(|_| budget.take(&failing)).count(), 10);
+    assert!(budget.take(&other));
+    (0..20).for_each(|_| budget.succeeded(&failing));
+    assert_eq!((0..100).filter(|_| budget.take(&failing)).count(), 2);
+}
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -238,7 +238,6 @@
     .await;
     let resent = caller.call(entries[0], &completion("e0", 2, "x")).await;
     assert_eq!(resent.code(), "program_ended");
-    tokio::time::sleep(Duration::ZERO).await;
 }
 
 /// Three callers send the same call at once, through different entries, and it crashes every
@@ -289,3 +288,50 @@
     }
     assert!(crashes <= 2, "{crashes} engines crashed");
 }
+
+/// An entry is frozen while a key is revoked. When it wakes up it has an old configuration, and
+/// knows by its clock that it may be old: the key is not let in there either.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_revoked_while_an_entry_was_frozen_is_not_let_in_there() {
+    let flags = ["--config-stale-ms", "700"];
+    let deployment = Deployment::start_with(Settings::default(), &flags, &[]).await;
+    let key = "key-to-be-revoked-77";
+    deployment.grant("ice", "second", key);
+    let caller = Caller::new(key);
+    let entry = deployment.entries()[1];
+    assert!(matches!(caller.call(entry, &completion("z", 1, "x")).await, Answer::Whole(_)));
+    deployment.fleet.entries["e1"].signal("STOP");
+    let (code, said) = deployment.fleet.ctl(&["revoke", "ice", "second"], "").unwrap();
+    assert_eq!(code, 0, "{said}");
+    // Longer than a configuration may go unconfirmed.
+    tokio::time::sleep(Duration::from_millis(900)).await;
+    deployment.fleet.entries["e1"].signal("CONT");
+    let answer = caller.call(entry, &completion("z", 2, "x")).await;
+    assert!(["not_ready", "bad_key"].contains(&answer.code()), "{answer:?}");
+    eventually("the refusal of the key", || async {
+        caller.call(entry, &completion("z", 2, "x")).await.code() == "bad_key"
+    })
+    .await;
+}
+
+/// The log is out and an entry is replaced. It takes the configuration from its peer, so that it
+/// knows keys and refuses truthfully, and serves once the log is back.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_started_in_an_outage_takes_its_peers_configuration() {
+    let mut deployment = Deployment::start().await;
+    deployment.fault_log(json!({ "outage": true })).await;
+    deployment.fleet.entries.get_mut("e1").unwrap().kill();
+    deployment.fleet.start_entry("e1", "b").unwrap();
+    deployment.fleet.list().await;
+    assert!(deployment.fleet.wait_ready().await);
+    let entry = deployment.entries()[1];
+    let known = deployment.caller().call(entry, &completion("y", 1, "x")).await;
+    assert_eq!(known.code(), "log_unavailable", "{known:?}");
+    let unknown =
+        Caller::new("key-that-nobody-granted").call(entry, &completion("y", 1, "x")).await;
+    assert_eq!(unknown.code(), "bad_key");
+    deployment.fault_log(json!({ "outage": false })).await;
+    let entries = [entry];
+    let served = deployment.caller().insist(&entries, &completion("y", 1, "x"), 20).await;
+    assert!(matches!(served, Answer::Whole(_)), "{served:?}");
+}
