Entries that come back get their part of the shards

Cause: shards moved only at a death, so that an entry replaced last owned none.

Change: an entry that owns half as much again as its part gives one idle shard up each half second, to the entry that all would pick.

Ruled out: giving up shards with turns under way. New calls of the shard would wait for the longest of them.

Before: after a kill and a restart the other entry kept all shards.

--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -15,6 +15,9 @@
 /// Time between two ticks of the owners.
 const TICK: Duration = Duration::from_millis(25);
 
+/// Time between two shards that are given up for balance.
+const REBALANCE_MS: u64 = 500;
+
 /// What the core is told.
 pub(super) enum Command {
     /// A caller's turn, for a shard of this entry.
@@ -44,6 +47,7 @@
     calls: HashMap<CallId, mpsc::UnboundedSender<Reply>>,
     next_call: u64,
     limits: Limits,
+    rebalanced: TimeMs,
 }
 
 impl Core {
@@ -56,7 +60,14 @@
             tombstone_ms: settings.log_retention_ms,
             ..Limits::default()
         };
-        Core { entry, owners: HashMap::new(), calls: HashMap::new(), next_call: 0, limits }
+        Core {
+            entry,
+            owners: HashMap::new(),
+            calls: HashMap::new(),
+            next_call: 0,
+            limits,
+            rebalanced: TimeMs(0),
+        }
     }
 
     /// Runs until every sender of commands is gone.
@@ -222,6 +233,30 @@
         self.drop_gone_callers();
         let shards: Vec<ShardId> = self.owners.keys().copied().collect();
         shards.into_iter().for_each(|shard| self.handle(shard, Event::Tick));
+        self.rebalance();
+    }
+
+    /// Gives an idle shard up when this entry owns far more than its part and another would be
+    /// picked for it. Entries that join late own nothing otherwise: shards move only at a death.
+    fn rebalance(&mut self) {
+        let now = self.entry.clock.now();
+        if now.since(self.rebalanced) < REBALANCE_MS || self.entry.is_leaving() {
+            return;
+        }
+        self.rebalanced = now;
+        let entries = 1 + self.entry.peers().live_entries().count();
+        let part = usize::from(self.entry.settings.shards).div_ceil(entries);
+        if self.owners.len() <= part + part / 2 {
+            return;
+        }
+        let is_idle = |owned: &Owned| {
+            owned.owner.tenure().is_owning() && owned.owner.active().next().is_none()
+        };
+        let idle = self.owners.iter().filter(|(_, owned)| is_idle(owned)).map(|(shard, _)| *shard);
+        let elsewhere = idle.into_iter().find(|shard| self.entry.preferred(*shard) != Place::Here);
+        if let Some(shard) = elsewhere {
+            self.handle(shard, Event::HandOver);
+        }
     }
 
     fn drop_gone_callers(&mut self) {
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -242,6 +242,13 @@
         if let Some((owner, _)) = peers.owner_of(shard) {
             return Place::There(owner.heartbeat.vm.clone(), owner.heartbeat.address);
         }
+        drop(peers);
+        self.preferred(shard)
+    }
+
+    /// The entry that all would pick to own a shard.
+    pub fn preferred(&self, shard: ShardId) -> Place {
+        let peers = self.peers();
         let rank =
             |vm: &VmName| Digest::of(&[&shard.0.to_le_bytes(), vm.as_str().as_bytes()]).prefix();
         let others = peers.live_entries();
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -120,3 +120,33 @@
     let engine = common::get(deployment.engines[0].address, "/control").await;
     assert_eq!(engine["authorizations"], json!(0));
 }
+
+/// An entry was killed and its shards were claimed by the other. When it is back, the other gives
+/// idle shards up to it, and programs go on through both.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_comes_back_gets_its_part_of_the_shards() {
+    let mut deployment = Deployment::start().await;
+    let caller = deployment.caller();
+    deployment.fleet.entries.get_mut("e1").unwrap().kill();
+    let names: Vec<String> = (0..40).map(|number| format!("b{number}")).collect();
+    for name in &names {
+        let entry = deployment.entries()[0];
+        let answer = caller.insist(&[entry], &completion(name, 1, "first"), 5).await;
+        assert!(answer.text().starts_with("seen=1 "), "{answer:?}");
+    }
+    deployment.fleet.start_entry("e1", "b").unwrap();
+    deployment.fleet.list().await;
+    assert!(deployment.fleet.wait_ready().await);
+    common::eventually("a share of the shards", || async {
+        let call = completion("b0", 1, "first");
+        caller.call(deployment.entries()[1], &call).await;
+        let owned = deployment.owners().await;
+        owned.iter().all(|(_, shards)| *shards <= 12)
+    })
+    .await;
+    for name in &names {
+        let entries = deployment.entries();
+        let answer = caller.insist(&entries, &completion(name, 2, "second"), 10).await;
+        assert!(answer.text().starts_with("seen=3 "), "{name}: {answer:?}");
+    }
+}
