--- a/standins/src/bin/trefoil-load.rs
+++ b/standins/src/bin/trefoil-load.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use hyper::Method;
 use serde_json::{Value, json};
@@ -20,6 +20,8 @@
                         models = [\"small\"]\n[program]\nbudget_tokens = 1000000\nmax_turns = 240\n";
 const TURNS: u32 = 8;
 const DEFAULT_SHARDS: usize = 8;
+const DEFAULT_WORDS: usize = 12;
+const IDLE: Duration = Duration::from_secs(5);
 const CLOCK_TICKS_PER_S: f64 = 100.0;
 const PAGE_KIB: u64 = 4;
 
@@ -28,7 +30,8 @@
     let number = |index| std::env::args().nth(index).and_then(|n| n.parse().ok());
     let programs = number(1).unwrap_or(64);
     let shards = number(2).unwrap_or(DEFAULT_SHARDS);
-    match measure(programs, shards).await {
+    let words = number(3).unwrap_or(DEFAULT_WORDS);
+    match measure(programs, shards, words).await {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
             eprintln!("load: {fault}");
@@ -37,7 +40,7 @@
     }
 }
 
-async fn measure(concurrent: usize, shards: usize) -> std::io::Result<()> {
+async fn measure(concurrent: usize, shards: usize, words: usize) -> std::io::Result<()> {
     let anywhere = SocketAddr::from(([127, 0, 0, 1], 0));
     let log = log_service::spawn(anywhere).await?;
     let vms = vm_list::spawn(anywhere).await?;
@@ -61,7 +64,7 @@
     let before = usage(&fleet);
     let counted = log_counters(log.address).await;
     let started = Instant::now();
-    let runs = (0..concurrent).map(|number| tokio::spawn(run_program(entries, number)));
+    let runs = (0..concurrent).map(|number| tokio::spawn(run_program(entries, number, words)));
     let mut latencies_us = Vec::new();
     let mut failed = 0;
     for run in runs.collect::<Vec<_>>() {
@@ -74,6 +77,7 @@
     report(concurrent, seconds, &mut latencies_us, failed);
     report_log(&counted, &appends, latencies_us.len(), seconds);
     report_usage(&before, &usage(&fleet), latencies_us.len());
+    measure_idle(&fleet).await;
     measure_takeover(&mut fleet, concurrent).await;
     Ok(())
 }
@@ -109,7 +113,7 @@
     }
 }
 
-async fn run_program(entries: [SocketAddr; 2], number: usize) -> (Vec<u64>, usize) {
+async fn run_program(entries: [SocketAddr; 2], number: usize, words: usize) -> (Vec<u64>, usize) {
     let caller = Caller::new(KEY);
     let name = format!("load-{number}");
     let mut latencies_us = Vec::new();
@@ -117,7 +121,9 @@
     for turn in 1..=TURNS {
         let entry = entries[(number + turn as usize) % 2];
         let started = Instant::now();
-        let answer = caller.insist(&[entry], &completion(&name, turn, "words=12"), 20).await;
+        let mut call = completion(&name, turn, &format!("words={words}"));
+        call.body["max_tokens"] = json!(words + 2);
+        let answer = caller.insist(&[entry], &call, 20).await;
         latencies_us.push(started.elapsed().as_micros() as u64);
         if !matches!(answer, Answer::Whole(_)) {
             println!("{name} turn {turn}: {answer:?}");
@@ -183,6 +189,15 @@
     );
 }
 
+async fn measure_idle(fleet: &Fleet) {
+    let before = usage(fleet);
+    tokio::time::sleep(IDLE).await;
+    for ((name, cpu_before, _), (_, cpu_after, _)) in before.iter().zip(usage(fleet)) {
+        let percent = (cpu_after - cpu_before) / IDLE.as_secs_f64() * 100.0;
+        println!("{name}: {percent:.1}% of a core while idle");
+    }
+}
+
 /// Kills an entry and sends each program's next turn to the other at once.
 async fn measure_takeover(fleet: &mut Fleet, programs: usize) {
     let entry = fleet.callers("e0");
