A crashing call's final answer waits for its record; suspects meet at one engine

Read from the dispatches of failing runs, one after another: - an entry that knew of a crash sent the suspect to the engine that had crashed, one that had tried it there to another; - a call turned away by an engine that its like had just crashed was told 'rejected' and went to the next engine beside others; - the stand-in counted one crash under two such calls as two; - the final answer came before the crash was recorded: entries killed right after it took the knowledge along, and the resend crashed another engine.

Change: all entries leave out the engines that crashed under the call and pick the same one; the process beside an endpoint waits for the end of the same call and reports what it learns; a final answer waits, up to a second, for the record. An owner lost in a stream names a time to come back; both roles report /status.

Ruled out: accepting one crash more. The bound is two endpoints.

--- a/src/contracts/book.rs
+++ b/src/contracts/book.rs
@@ -105,6 +105,12 @@
         found.is_some_and(|found| found.contract.is_some() && found.keys.contains_key(key))
     }
 
+    /// The crashes under which a call ran.
+    pub fn crashes(&self, workspace: &WorkspaceId, digest: &Digest) -> &[Crash] {
+        let recorded = self.suspects.get(&(workspace.clone(), *digest));
+        recorded.map_or(&[], Vec::as_slice)
+    }
+
     /// What is known of a call that may crash engines, together with crashes that the log may
     /// not have yet.
     pub fn standing(
@@ -113,9 +119,7 @@
         digest: &Digest,
         unrecorded: &[Crash],
     ) -> Standing {
-        let recorded = self.suspects.get(&(workspace.clone(), *digest));
-        let recorded = recorded.map_or(&[][..], Vec::as_slice);
-        let mut crashes = recorded.iter().chain(unrecorded);
+        let mut crashes = self.crashes(workspace, digest).iter().chain(unrecorded);
         // Beside others a call is only a suspect: calls that ran on two engines which another
         // call crashed would otherwise be given up on with it.
         if crashes.clone().any(|crash| crash.alone) {
--- a/src/endpoint/desk.rs
+++ b/src/endpoint/desk.rs
@@ -57,6 +57,8 @@
     is_model: bool,
     alone: bool,
     stopped: bool,
+    /// The engine turned it away: it never started there.
+    turned_away: bool,
 }
 
 /// What is known of a call that ran when the engine crashed.
@@ -192,15 +194,44 @@
         }
     }
 
-    /// Takes note of the end of a running attempt.
-    pub fn ended(&mut self, now: TimeMs, attempt: AttemptId, end: AttemptFrame) {
-        if let Some(running) = self.running.remove(&attempt) {
+    /// Takes note that the engine turned a running attempt away. Returns whether the same call
+    /// runs there for another program, so that its end must be waited for.
+    ///
+    /// That call may just have crashed the engine, which is why this one was turned away. Told
+    /// only "rejected", its owner would send it to the next engine as if it were innocent.
+    pub fn turned_away(&mut self, attempt: AttemptId) -> bool {
+        let Some(running) = self.running.get_mut(&attempt) else {
+            return false;
+        };
+        running.turned_away = true;
+        let (workspace, digest) = (running.program.workspace.clone(), running.digest);
+        self.running.values().any(|other| {
+            let same = other.digest == digest && other.program.workspace == workspace;
+            same && !other.turned_away
+        })
+    }
+
+    /// Takes note of the end of a running attempt; returns how it ended, by all that is known.
+    pub fn ended(&mut self, now: TimeMs, attempt: AttemptId, end: AttemptFrame) -> AttemptFrame {
+        let Some(running) = self.running.remove(&attempt) else {
+            return end;
+        };
+        let key = (running.program.workspace.clone(), running.digest);
+        let end = match self.crashers.get(&key) {
+            Some(known) if running.turned_away => AttemptFrame::Failed {
+                cause: FailureCause::Crashed { run: known.run },
+                spent_tokens: Some(0),
+            },
+            _ => end,
+        };
+        if !running.turned_away {
             self.note_end(&running, &end);
-            if running.is_model {
-                self.leases.renew(now, &cache_key(&running.program));
-            }
-            self.finished.remember(attempt, end);
         }
+        if running.is_model {
+            self.leases.renew(now, &cache_key(&running.program));
+        }
+        self.finished.remember(attempt, end.clone());
+        end
     }
 
     /// The same call may wait here for other callers, or come yet: it would crash the engine once
@@ -333,6 +364,7 @@
             is_model,
             alone: attempt.alone,
             stopped: false,
+            turned_away: false,
         };
         self.running.insert(attempt.id, running);
         Some(attempt)
--- a/src/endpoint/process.rs
+++ b/src/endpoint/process.rs
@@ -24,6 +24,10 @@
 /// How long an endpoint may take to obey a stop before its attempt counts as broken.
 const STOP_GRACE: Duration = Duration::from_secs(2);
 
+/// How long the end of the same call for another program is waited for.
+const SAME_CALL_WAIT_MS: u64 = 3_000;
+const SAME_CALL_POLL: Duration = Duration::from_millis(5);
+
 /// The process beside an endpoint, with its desk and the tasks around it.
 pub(super) struct Slot {
     desk: Mutex<Desk>,
@@ -58,6 +62,8 @@
     let pulse = Pulse::new(&settings.process, instance, peers.address, links.address, socket);
     slot.adopt_cache().await;
     admin.announce("endpoint", &settings.process.vm, &[("peer", peers.address)]);
+    let reported = slot.clone();
+    admin.report(move || reported.status());
     admin.set_ready(true);
     let beating = slot.clone();
     let heartbeat = tokio::spawn(async move { beating.beat(pulse).await });
@@ -74,6 +80,10 @@
     Ok(())
 }
 
+fn is_rejection(end: &AttemptFrame) -> bool {
+    matches!(end, AttemptFrame::Failed { cause: FailureCause::Rejected, .. })
+}
+
 impl Slot {
     fn new(me: EndpointRef, settings: EndpointSettings) -> Slot {
         let limits = DeskLimits {
@@ -92,6 +102,19 @@
         }
     }
 
+    fn status(&self) -> serde_json::Value {
+        let desk = self.desk();
+        serde_json::json!({
+            "role": "endpoint",
+            "vm": self.settings.process.vm,
+            "serves": self.settings.serves,
+            "running": desk.running(),
+            "queued": desk.queued(),
+            "cache_leases": desk.leases(),
+            "draining": desk.is_draining(),
+        })
+    }
+
     fn desk(&self) -> std::sync::MutexGuard<'_, Desk> {
         self.desk.lock().expect("no holder panics")
     }
@@ -190,11 +213,21 @@
         let elapsed_ms = self.clock.now().since(started) as f64;
         metrics::histogram!("trefoil_attempt_ms", "workspace" => workspace).record(elapsed_ms);
         self.stops.lock().expect("no holder panics").remove(&id);
-        self.desk().ended(self.clock.now(), id, end.clone());
+        if is_rejection(&end) {
+            self.wait_for_same_call(id).await;
+        }
+        let end = self.desk().ended(self.clock.now(), id, end);
         self.tell(id, end);
         self.proceed();
     }
 
+    async fn wait_for_same_call(&self, id: AttemptId) {
+        let started = self.clock.now();
+        while self.desk().turned_away(id) && self.clock.now().since(started) < SAME_CALL_WAIT_MS {
+            tokio::time::sleep(SAME_CALL_POLL).await;
+        }
+    }
+
     /// Waits for a stop, passes it on, and gives up on an endpoint that does not obey.
     async fn stopped(&self, id: AttemptId, mut stopped: watch::Receiver<bool>) -> AttemptFrame {
         if stopped.wait_for(|stop| *stop).await.is_err() {
--- a/src/endpoint/tests.rs
+++ b/src/endpoint/tests.rs
@@ -137,3 +137,21 @@
     desk.ended(TimeMs(5_200), attempt(5, 2).id, crashed());
     assert_eq!(started(&desk.proceed(TimeMs(5_200))), [1]);
 }
+
+/// Two programs make the same call. The first crashes the engine; the second finds it down and is
+/// turned away before the crash was noted. It waits for the first one's end and is reported as
+/// crashed with it, so that its owner runs it alone next, and not on the next engine beside others.
+#[test]
+fn a_call_turned_away_by_a_crash_of_its_like_shares_the_suspicion() {
+    let mut desk = desk();
+    let first = attempt(5, 1);
+    let second = Attempt { digest: first.digest, ..attempt(5, 2) };
+    desk.submit(TimeMs(0), first.clone());
+    desk.submit(TimeMs(0), second.clone());
+    assert_eq!(started(&desk.proceed(TimeMs(0))), [1, 2]);
+    assert!(desk.turned_away(second.id));
+    desk.ended(TimeMs(1), first.id, crashed());
+    assert!(!desk.turned_away(second.id));
+    let rejected = AttemptFrame::Failed { cause: FailureCause::Rejected, spent_tokens: Some(0) };
+    assert_eq!(desk.ended(TimeMs(2), second.id, rejected), crashed_unstarted());
+}
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -224,7 +224,17 @@
         let Some(replies) = self.calls.get(&call) else {
             return;
         };
-        let _ = replies.send(reply);
+        let gives_up = matches!(
+            reply,
+            Reply::Refused(Refusal { reason: RefusalReason::CrashesEndpoints, .. })
+        );
+        match gives_up {
+            true => {
+                let entry = self.entry.clone();
+                tokio::spawn(tasks::reply_when_recorded(entry, replies.clone(), reply));
+            }
+            false => drop(replies.send(reply)),
+        }
         if is_final {
             self.calls.remove(&call);
         }
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -99,7 +99,7 @@
             match relay {
                 Relay::Finished => return,
                 Relay::Cut if !may_repeat => {
-                    return self.refuse(Refusal::unknown(RefusalReason::OwnerLost));
+                    return self.refuse(self.owner_lost());
                 }
                 Relay::Cut | Relay::NotThere => {}
             }
@@ -107,7 +107,7 @@
             if retry_at >= self.call.deadline() {
                 let refusal = match relay {
                     Relay::NotThere => Refusal::not_run(RefusalReason::NotOwner),
-                    _ => Refusal::unknown(RefusalReason::OwnerLost),
+                    Relay::Cut | Relay::Finished => return self.refuse(self.owner_lost()),
                 };
                 return self.refuse(refusal.retry_after(MAX_BACKOFF_MS));
             }
@@ -116,6 +116,15 @@
         }
     }
 
+    /// The owner was lost with the call. A repeat that it recognises is worth sending.
+    fn owner_lost(&self) -> Refusal {
+        let refusal = Refusal::unknown(RefusalReason::OwnerLost);
+        match self.call.is_recognised() {
+            true => refusal.retry_after(MAX_BACKOFF_MS),
+            false => refusal,
+        }
+    }
+
     fn refuse(&self, refusal: Refusal) {
         let _ = self.replies.send(Reply::Refused(refusal));
     }
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -1,6 +1,6 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -45,6 +45,8 @@
     lenders: Mutex<Lenders>,
     ready: AtomicBool,
     log_failing: AtomicBool,
+    /// Crashes that the log has not taken yet.
+    crashes_to_record: AtomicUsize,
     leaving: watch::Sender<bool>,
 }
 
@@ -106,6 +108,7 @@
             lenders: Mutex::default(),
             ready: AtomicBool::new(false),
             log_failing: AtomicBool::new(false),
+            crashes_to_record: AtomicUsize::new(0),
             leaving: watch::Sender::new(false),
             settings,
         }
@@ -207,6 +210,30 @@
         self.book.borrow().standing(workspace, digest, crashes)
     }
 
+    /// Counts a crash that has to be recorded.
+    pub fn owe_crash_record(&self) {
+        self.crashes_to_record.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Takes note that the log has taken one, or that it was given up.
+    pub fn settle_crash_record(&self) {
+        self.crashes_to_record.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    /// Whether every crash is recorded.
+    pub fn crashes_are_recorded(&self) -> bool {
+        self.crashes_to_record.load(Ordering::Relaxed) == 0
+    }
+
+    /// The VMs on which engines crashed under a call.
+    pub fn crashed_vms(&self, workspace: &WorkspaceId, digest: &Digest) -> Vec<VmName> {
+        let own = locked(&self.suspects);
+        let unrecorded = own.get(&(workspace.clone(), *digest)).into_iter().flatten();
+        let book = self.book.borrow();
+        let recorded = book.crashes(workspace, digest).iter();
+        recorded.chain(unrecorded).map(|crash| crash.vm.clone()).collect()
+    }
+
     /// Counts a crash at once; the log learns of it meanwhile.
     pub fn note_crash(&self, workspace: &WorkspaceId, digest: &Digest, crash: Crash) {
         let mut own = locked(&self.suspects);
--- a/src/entry/surroundings.rs
+++ b/src/entry/surroundings.rs
@@ -13,8 +13,11 @@
         let domain = self.0.settings.process.failure_domain.clone();
         let peers = self.0.peers();
         let live = peers.live_endpoints(request.target);
-        let views: Vec<EndpointView> =
+        let mut views: Vec<EndpointView> =
             live.filter_map(|peer| EndpointView::of_peer(peer, &domain)).collect();
+        if request.is_suspect {
+            self.leave_out_crashed(request, &mut views);
+        }
         self.0.router().place(self.0.clock.now(), request, &views)
     }
 
@@ -24,6 +27,7 @@
 
     fn crashed(&mut self, workspace: &WorkspaceId, digest: &Digest, crash: Crash) {
         self.0.note_crash(workspace, digest, crash.clone());
+        self.0.owe_crash_record();
         let record = ConfigRecord::Suspect { workspace: workspace.clone(), digest: *digest, crash };
         let _ = self.0.commands.send(Command::Publish(record));
     }
@@ -50,3 +54,15 @@
         rand::random()
     }
 }
+
+impl EntrySurroundings<'_> {
+    /// Leaves out the endpoints that crashed under a suspected call. All entries know of the same
+    /// crashes, and so pick the same endpoint for it, whichever they tried themselves; and a VM
+    /// that crashes by itself does not convict it.
+    fn leave_out_crashed(&self, request: &PlaceRequest<'_>, views: &mut Vec<EndpointView>) {
+        let crashed = self.0.crashed_vms(&request.program.workspace, request.digest);
+        if views.iter().any(|view| !crashed.contains(&view.endpoint.vm)) {
+            views.retain(|view| !crashed.contains(&view.endpoint.vm));
+        }
+    }
+}
--- a/src/entry/tasks.rs
+++ b/src/entry/tasks.rs
@@ -6,6 +6,7 @@
 use http_body_util::BodyExt;
 use hyper::Method;
 use hyper::body::Incoming;
+use tokio::sync::mpsc;
 
 use crate::contracts::ConfigRecord;
 use crate::endpoint::ATTEMPTS;
@@ -16,12 +17,15 @@
 use crate::link::{ControlReply, ControlRequest};
 use crate::prelude::*;
 use crate::programs::{
-    Attempt, AttemptFrame, AttemptReport, Event, FailureCause, ReadPage, Record,
+    Attempt, AttemptFrame, AttemptReport, Event, FailureCause, ReadPage, Record, Reply,
 };
 
 const ASK_TIMEOUT: Duration = Duration::from_millis(1_000);
 const PUBLISH_RETRY: Duration = Duration::from_millis(500);
 const PUBLISH_TRIES: usize = 600;
+/// How long a final answer waits for the record of a crash. With the log out it is given without.
+const RECORD_WAIT_MS: u64 = 1_000;
+const RECORD_POLL: Duration = Duration::from_millis(2);
 
 /// Where the answers to a task go.
 pub(super) struct Back {
@@ -79,7 +83,7 @@
     log::info!(
         program = attempt.program.to_string(), turn = attempt.turn.0, attempt = id.to_string(),
         workspace = attempt.program.workspace.as_str(), epoch = id.epoch.0,
-        endpoint = attempt.target.vm.as_str();
+        endpoint = attempt.target.vm.as_str(), alone = attempt.alone;
         "dispatching an attempt"
     );
     let address = {
@@ -172,13 +176,38 @@
 /// Writes to the configuration stream until the log takes it, and then leaves the matter to the
 /// book. Sending it twice does no harm: a crash is counted once.
 pub(super) async fn publish(entry: Arc<Entry>, record: ConfigRecord) {
+    let recorded = publish_until_taken(&entry, &record).await;
+    if matches!(record, ConfigRecord::Suspect { .. }) {
+        entry.settle_crash_record();
+    }
+    match recorded {
+        Some(offset) => leave_to_book(&entry, &record, offset).await,
+        None => log::error!("a crash could not be recorded: the log took nothing for minutes"),
+    }
+}
+
+async fn publish_until_taken(entry: &Entry, record: &ConfigRecord) -> Option<Offset> {
     for _ in 0..PUBLISH_TRIES {
-        match entry.log.append(CONFIG_STREAM, std::slice::from_ref(&record)).await {
-            Ok(at) => return leave_to_book(&entry, &record, at.first).await,
+        match entry.log.append(CONFIG_STREAM, std::slice::from_ref(record)).await {
+            Ok(at) => return Some(at.first),
             Err(_) => tokio::time::sleep(PUBLISH_RETRY).await,
         }
     }
-    log::error!("a crash could not be recorded: the log took no records for minutes");
+    None
+}
+
+/// Gives a caller its final answer about a call that crashes engines, once that is recorded: an
+/// entry that died in between would take the knowledge along, and a resend would crash another.
+pub(super) async fn reply_when_recorded(
+    entry: Arc<Entry>,
+    replies: mpsc::UnboundedSender<Reply>,
+    reply: Reply,
+) {
+    let started = entry.clock.now();
+    while !entry.crashes_are_recorded() && entry.clock.now().since(started) < RECORD_WAIT_MS {
+        tokio::time::sleep(RECORD_POLL).await;
+    }
+    let _ = replies.send(reply);
 }
 
 async fn leave_to_book(entry: &Entry, record: &ConfigRecord, recorded: Offset) {
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -86,17 +86,17 @@
         request: &PlaceRequest<'_>,
         endpoints: &[EndpointView],
     ) -> Result<EndpointRef, PlaceRefusal> {
-        let avoided = |view: &&EndpointView| Some(&view.endpoint.vm) != request.avoid;
-        let mut candidates: Vec<&EndpointView> = endpoints.iter().filter(avoided).collect();
-        if candidates.is_empty() {
-            candidates = endpoints.iter().collect();
-        }
         if request.is_suspect {
             // Every entry picks the same one: callers that send one crashing call at once must
             // not crash an engine each.
-            let chosen = candidates.iter().min_by_key(|view| rank(request, view));
+            let chosen = endpoints.iter().min_by_key(|view| rank(request, view));
             return chosen.map(|view| view.endpoint.clone()).ok_or(PlaceRefusal::NoEndpoint);
         }
+        let avoided = |view: &&EndpointView| Some(&view.endpoint.vm) != request.avoid;
+        let mut candidates: Vec<&EndpointView> = endpoints.iter().filter(avoided).collect();
+        if candidates.is_empty() {
+            candidates = endpoints.iter().collect();
+        }
         let chosen = match self.policy {
             RoutingPolicy::Random => self.pick_random(&candidates),
             RoutingPolicy::RoundRobin => self.pick_next(&candidates),
--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -305,8 +305,12 @@
         tokio::time::sleep(Duration::from_micros(pause_us)).await;
     }
 
+    /// Crashes the engine, unless it has crashed under this stream already.
     fn crash(&self) {
         let mut state = locked(&self.state);
+        if state.run != self.run {
+            return;
+        }
         state.run += 1;
         state.cache = Cache::default();
         state.down_until = Some(Instant::now() + Duration::from_millis(state.settings.restart_ms));
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -335,3 +335,39 @@
     let served = deployment.caller().insist(&entries, &completion("y", 1, "x"), 20).await;
     assert!(matches!(served, Answer::Whole(_)), "{served:?}");
 }
+
+/// The owner is killed while its answers stream through another entry. No part of an answer
+/// passes for the whole: the caller gets an error, or a cut, and the same call again gives the
+/// whole answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_cut_by_its_owners_death_never_passes_for_whole() {
+    let mut deployment = Deployment::start().await;
+    let entry = deployment.entries()[0];
+    let caller = deployment.caller();
+    let call = |number: usize| completion(&format!("m{number}"), 1, "words=60");
+    let streaming: Vec<_> = (0..16)
+        .map(|number| {
+            let (caller, call) = (caller.clone(), call(number));
+            tokio::spawn(async move { caller.call(entry, &call).await })
+        })
+        .collect();
+    wait_running(&deployment, 16).await;
+    deployment.fleet.entries.get_mut("e1").unwrap().kill();
+    let mut lost = 0;
+    for run in streaming {
+        match run.await.unwrap() {
+            Answer::Whole(text) => assert!(text.ends_with("word60 "), "{text}"),
+            Answer::Error { code, ran, retry_after_ms, .. } => {
+                assert_eq!((code.as_str(), ran.as_str()), ("owner_lost", "unknown"));
+                assert!(retry_after_ms.is_some());
+                lost += 1;
+            }
+            Answer::Cut => lost += 1,
+        }
+    }
+    assert!(lost > 0, "no program was owned by the entry that was killed");
+    for number in 0..16 {
+        let answer = caller.insist(&[entry], &call(number), 20).await;
+        assert!(answer.text().ends_with("word60 "), "{answer:?}");
+    }
+}
