One type for an open attempt, smaller files, engine priorities

Ruled out: measuring the priority's effect: at today's concurrency the batch is never full, so no claim is made for it.

--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -5,6 +5,7 @@
 mod random;
 mod rates;
 mod slopes;
+mod tables;
 
 use std::process::ExitCode;
 
@@ -13,9 +14,9 @@
 fn main() -> ExitCode {
     match std::env::args().nth(1).as_deref() {
         Some("rates") => rates::run(),
-        Some("policies") => policies::run(),
-        Some("overload") => policies::overload(),
-        Some("flood") => policies::flood(),
+        Some("policies") => tables::run(),
+        Some("overload") => tables::overload(),
+        Some("flood") => tables::flood(),
         Some("slopes") => slopes::run(),
         _ => {
             eprintln!("{USAGE}");
--- a/lab/src/policies.rs
+++ b/lab/src/policies.rs
@@ -1,6 +1,6 @@
-//! Routing and order of service on seeded traces of both deployments' size, with bursts, pauses,
-//! sub-agents, one workspace at several times its share, an engine that dies, a slow one, one that
-//! leaves, and reports that lag.
+//! Programs on engines, by the real routing and order of service: seeded traces with bursts,
+//! pauses, sub-agents, one workspace at several times its share, an engine that dies, a slow one,
+//! one that leaves, and reports that lag.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -16,8 +16,8 @@
 const STEP_MS: u64 = 5;
 const RUN_MS: u64 = 240_000;
 /// Programs that start so early or late are run, but not counted.
-const WARM_UP_MS: u64 = 20_000;
-const COUNTED_UNTIL_MS: u64 = 180_000;
+pub const WARM_UP_MS: u64 = 20_000;
+pub const COUNTED_UNTIL_MS: u64 = 180_000;
 const ENTRIES: usize = 3;
 const TURN_DEADLINE_MS: u64 = 20_000;
 const WORKSPACES: u64 = 8;
@@ -25,23 +25,22 @@
 const WEIGHTS: [u32; WORKSPACES as usize] = [37, 27, 7, 7, 7, 7, 7, 7];
 /// The workspace that sends several times its share.
 const FLOODING: u64 = 7;
-const SEEDS: [u64; 5] = [1, 2, 3, 4, 5];
 const RETRY_MS: u64 = 1_000;
 const MAX_REFUSALS: u32 = 5;
 
 /// A deployment: its engines, and how its programs look.
 #[derive(Clone, Copy)]
 pub struct Deployment {
-    name: &'static str,
-    engines: usize,
-    programs_per_s: f64,
-    max_turns: u64,
-    pause_ms: u64,
+    pub name: &'static str,
+    pub engines: usize,
+    pub programs_per_s: f64,
+    pub max_turns: u64,
+    pub pause_ms: u64,
     /// Programs that one workspace adds to each of the others' in the middle third.
-    flood: u64,
+    pub flood: u64,
 }
 
-const ICE_WATCH: Deployment = Deployment {
+pub const ICE_WATCH: Deployment = Deployment {
     name: "Ice Watch",
     engines: 9,
     programs_per_s: 3.0,
@@ -49,7 +48,7 @@
     pause_ms: 1_500,
     flood: 0,
 };
-const BIOGAS_LEDGER: Deployment = Deployment {
+pub const BIOGAS_LEDGER: Deployment = Deployment {
     name: "Biogas Ledger",
     engines: 9,
     programs_per_s: 2.0,
@@ -83,17 +82,17 @@
 
 /// What a run is judged by.
 #[derive(Default, Clone)]
-struct Score {
-    latency_ms: Vec<u64>,
-    worst_workspace: f64,
-    wasted: f64,
-    finished: usize,
-    failed: usize,
+pub struct Score {
+    pub latency_ms: Vec<u64>,
+    pub worst_workspace: f64,
+    pub wasted: f64,
+    pub finished: usize,
+    pub failed: usize,
     /// Failed programs of the worst served workspace that does not flood, in percent.
-    worst_failed: f64,
+    pub worst_failed: f64,
 }
 
-struct Run {
+pub struct Run {
     random: Random,
     programs: Vec<Program>,
     agenda: BinaryHeap<Reverse<(u64, u64, usize, bool)>>,
@@ -108,7 +107,7 @@
 }
 
 impl Run {
-    fn new(
+    pub fn new(
         deployment: Deployment,
         load: f64,
         routing: RoutingPolicy,
@@ -189,7 +188,7 @@
         self.agenda.push(Reverse((at, self.sequence, program, is_start)));
     }
 
-    fn run(mut self) -> Score {
+    pub fn run(mut self) -> Score {
         let mut now = 0;
         while now < RUN_MS {
             self.faults(now);
@@ -375,126 +374,3 @@
         score
     }
 }
-
-fn percentile(sorted: &[u64], percent: usize) -> f64 {
-    let index = (sorted.len() * percent / 100).min(sorted.len().saturating_sub(1));
-    sorted.get(index).map_or(0.0, |ms| *ms as f64 / 1_000.0)
-}
-
-/// Mean over the seeds, and half of the distance between the extremes.
-fn spread(values: &[f64]) -> (f64, f64) {
-    let mean = values.iter().sum::<f64>() / values.len() as f64;
-    let least = values.iter().copied().fold(f64::INFINITY, f64::min);
-    let most = values.iter().copied().fold(f64::NEG_INFINITY, f64::max);
-    (mean, (most - least) / 2.0)
-}
-
-fn row(
-    deployment: Deployment,
-    load: f64,
-    routing: RoutingPolicy,
-    order: OrderPolicy,
-    shedding: Shedding,
-) {
-    let scores: Vec<Score> = SEEDS
-        .iter()
-        .map(|seed| Run::new(deployment, load, routing, order, shedding, *seed).run())
-        .collect();
-    let column =
-        |value: &dyn Fn(&Score) -> f64| spread(&scores.iter().map(value).collect::<Vec<f64>>());
-    let p50 = column(&|score| percentile(&score.latency_ms, 50));
-    let p95 = column(&|score| percentile(&score.latency_ms, 95));
-    let p99 = column(&|score| percentile(&score.latency_ms, 99));
-    let wasted = column(&|score| score.wasted * 100.0);
-    let worst = column(&|score| score.worst_workspace);
-    let seconds = (COUNTED_UNTIL_MS - WARM_UP_MS) as f64 / 1_000.0;
-    let goodput = column(&|score| score.finished as f64 / seconds);
-    let worst_failed = column(&|score| score.worst_failed);
-    let failed = column(&|score| {
-        100.0 * score.failed as f64 / (score.failed + score.finished).max(1) as f64
-    });
-    println!(
-        "{:<13} {load:>4} {:<14} {:<17} {:<12} {:>6.1} ±{:<4.1} {:>6.1} ±{:<4.1} {:>6.1} ±{:<4.1} \
-         {:>5.1} ±{:<4.1} {:>5.2} ±{:<4.2} {:>5.2} {:>5.1} {:>6.1}",
-        deployment.name,
-        format!("{routing:?}"),
-        format!("{order:?}"),
-        format!("{shedding:?}"),
-        p50.0,
-        p50.1,
-        p95.0,
-        p95.1,
-        p99.0,
-        p99.1,
-        wasted.0,
-        wasted.1,
-        worst.0,
-        worst.1,
-        goodput.0,
-        failed.0,
-        worst_failed.0,
-    );
-}
-
-fn head() {
-    println!(
-        "{:<13} {:>4} {:<14} {:<17} {:<12} {:<12} {:<12} {:<12} {:<11} {:<11} {:>5} {:>5} {:>6}",
-        "deployment",
-        "load",
-        "routing",
-        "order",
-        "shedding",
-        "p50 s",
-        "p95 s",
-        "p99 s",
-        "wasted %",
-        "worst/mean",
-        "good",
-        "fail%",
-        "worst%"
-    );
-}
-
-/// Prints the tables.
-pub fn run() {
-    head();
-    for deployment in [ICE_WATCH, BIOGAS_LEDGER] {
-        for routing in [
-            RoutingPolicy::Random,
-            RoutingPolicy::RoundRobin,
-            RoutingPolicy::LeastReported,
-            RoutingPolicy::CacheAffinity,
-        ] {
-            row(deployment, 1.0, routing, OrderPolicy::FairThenAttained, Shedding::Fair);
-        }
-        for order in [OrderPolicy::Fifo, OrderPolicy::FairShare] {
-            row(deployment, 1.0, RoutingPolicy::CacheAffinity, order, Shedding::Fair);
-        }
-    }
-}
-
-/// Prints what becomes of each order of service beyond capacity.
-pub fn overload() {
-    head();
-    let order = OrderPolicy::FairThenAttained;
-    for load in [1.0, 2.0, 3.0, 5.0] {
-        for shedding in [Shedding::None, Shedding::NewPrograms, Shedding::Fair] {
-            row(ICE_WATCH, load, RoutingPolicy::CacheAffinity, order, shedding);
-        }
-    }
-}
-
-/// Prints how the others fare while one workspace floods.
-pub fn flood() {
-    head();
-    let affinity = RoutingPolicy::CacheAffinity;
-    for flood in [0, 1, 4] {
-        println!("{flood} programs of the flooding workspace for each of the others'");
-        let deployment = Deployment { flood, ..BIOGAS_LEDGER };
-        for shedding in [Shedding::None, Shedding::NewPrograms, Shedding::Fair] {
-            for order in [OrderPolicy::Fifo, OrderPolicy::FairThenAttained] {
-                row(deployment, 1.5, affinity, order, shedding);
-            }
-        }
-    }
-}
--- /dev/null
+++ b/lab/src/tables.rs
@@ -0,0 +1,133 @@
+//! The tables of routing, order of service and overload, over five seeds.
+
+use trefoilproxy::endpoint::OrderPolicy;
+use trefoilproxy::routing::{RoutingPolicy, Shedding};
+
+use crate::policies::{
+    BIOGAS_LEDGER, COUNTED_UNTIL_MS, Deployment, ICE_WATCH, Run, Score, WARM_UP_MS,
+};
+
+const SEEDS: [u64; 5] = [1, 2, 3, 4, 5];
+
+fn percentile(sorted: &[u64], percent: usize) -> f64 {
+    let index = (sorted.len() * percent / 100).min(sorted.len().saturating_sub(1));
+    sorted.get(index).map_or(0.0, |ms| *ms as f64 / 1_000.0)
+}
+
+/// Mean over the seeds, and half of the distance between the extremes.
+fn spread(values: &[f64]) -> (f64, f64) {
+    let mean = values.iter().sum::<f64>() / values.len() as f64;
+    let least = values.iter().copied().fold(f64::INFINITY, f64::min);
+    let most = values.iter().copied().fold(f64::NEG_INFINITY, f64::max);
+    (mean, (most - least) / 2.0)
+}
+
+fn row(
+    deployment: Deployment,
+    load: f64,
+    routing: RoutingPolicy,
+    order: OrderPolicy,
+    shedding: Shedding,
+) {
+    let scores: Vec<Score> = SEEDS
+        .iter()
+        .map(|seed| Run::new(deployment, load, routing, order, shedding, *seed).run())
+        .collect();
+    let column =
+        |value: &dyn Fn(&Score) -> f64| spread(&scores.iter().map(value).collect::<Vec<f64>>());
+    let p50 = column(&|score| percentile(&score.latency_ms, 50));
+    let p95 = column(&|score| percentile(&score.latency_ms, 95));
+    let p99 = column(&|score| percentile(&score.latency_ms, 99));
+    let wasted = column(&|score| score.wasted * 100.0);
+    let worst = column(&|score| score.worst_workspace);
+    let seconds = (COUNTED_UNTIL_MS - WARM_UP_MS) as f64 / 1_000.0;
+    let goodput = column(&|score| score.finished as f64 / seconds);
+    let worst_failed = column(&|score| score.worst_failed);
+    let failed = column(&|score| {
+        100.0 * score.failed as f64 / (score.failed + score.finished).max(1) as f64
+    });
+    println!(
+        "{:<13} {load:>4} {:<14} {:<17} {:<12} {:>6.1} ±{:<4.1} {:>6.1} ±{:<4.1} {:>6.1} ±{:<4.1} \
+         {:>5.1} ±{:<4.1} {:>5.2} ±{:<4.2} {:>5.2} {:>5.1} {:>6.1}",
+        deployment.name,
+        format!("{routing:?}"),
+        format!("{order:?}"),
+        format!("{shedding:?}"),
+        p50.0,
+        p50.1,
+        p95.0,
+        p95.1,
+        p99.0,
+        p99.1,
+        wasted.0,
+        wasted.1,
+        worst.0,
+        worst.1,
+        goodput.0,
+        failed.0,
+        worst_failed.0,
+    );
+}
+
+fn head() {
+    println!(
+        "{:<13} {:>4} {:<14} {:<17} {:<12} {:<12} {:<12} {:<12} {:<11} {:<11} {:>5} {:>5} {:>6}",
+        "deployment",
+        "load",
+        "routing",
+        "order",
+        "shedding",
+        "p50 s",
+        "p95 s",
+        "p99 s",
+        "wasted %",
+        "worst/mean",
+        "good",
+        "fail%",
+        "worst%"
+    );
+}
+
+/// Prints the tables.
+pub fn run() {
+    head();
+    for deployment in [ICE_WATCH, BIOGAS_LEDGER] {
+        for routing in [
+            RoutingPolicy::Random,
+            RoutingPolicy::RoundRobin,
+            RoutingPolicy::LeastReported,
+            RoutingPolicy::CacheAffinity,
+        ] {
+            row(deployment, 1.0, routing, OrderPolicy::FairThenAttained, Shedding::Fair);
+        }
+        for order in [OrderPolicy::Fifo, OrderPolicy::FairShare] {
+            row(deployment, 1.0, RoutingPolicy::CacheAffinity, order, Shedding::Fair);
+        }
+    }
+}
+
+/// Prints what becomes of each order of service beyond capacity.
+pub fn overload() {
+    head();
+    let order = OrderPolicy::FairThenAttained;
+    for load in [1.0, 2.0, 3.0, 5.0] {
+        for shedding in [Shedding::None, Shedding::NewPrograms, Shedding::Fair] {
+            row(ICE_WATCH, load, RoutingPolicy::CacheAffinity, order, shedding);
+        }
+    }
+}
+
+/// Prints how the others fare while one workspace floods.
+pub fn flood() {
+    head();
+    let affinity = RoutingPolicy::CacheAffinity;
+    for flood in [0, 1, 4] {
+        println!("{flood} programs of the flooding workspace for each of the others'");
+        let deployment = Deployment { flood, ..BIOGAS_LEDGER };
+        for shedding in [Shedding::None, Shedding::NewPrograms, Shedding::Fair] {
+            for order in [OrderPolicy::Fifo, OrderPolicy::FairThenAttained] {
+                row(deployment, 1.5, affinity, order, shedding);
+            }
+        }
+    }
+}
--- a/src/endpoint/backend.rs
+++ b/src/endpoint/backend.rs
@@ -138,6 +138,8 @@
         call.insert("stream".to_string(), json!(true));
         call.insert("request_id".to_string(), json!(attempt.id.to_string()));
         call.insert("cache_key".to_string(), json!(cache_key(&attempt.program)));
+        // Engines serve the least number first: the program that has had the least.
+        call.insert("priority".to_string(), json!(attempt.attained_tokens));
         call.insert("resume_text".to_string(), json!(resume_text));
         let body = Bytes::from(serde_json::Value::Object(call).to_string());
         let started = self.http.start(Method::POST, self.address, COMPLETIONS, body).await;
--- a/src/programs/active.rs
+++ b/src/programs/active.rs
@@ -1,5 +1,5 @@
 use crate::prelude::*;
-use crate::programs::{CallId, OpenIntent, TurnRequest};
+use crate::programs::{CallId, IntentRecord, TurnRequest};
 
 /// Where an active turn stands.
 #[value]
@@ -70,7 +70,7 @@
 
 impl Active {
     /// A turn that an earlier owner left open, to be asked about.
-    pub fn left_open(open: &OpenIntent, now: TimeMs) -> Active {
+    pub fn left_open(open: &IntentRecord, now: TimeMs) -> Active {
         Active {
             turn: open.turn,
             digest: open.digest,
--- a/src/programs/fold.rs
+++ b/src/programs/fold.rs
@@ -2,8 +2,7 @@
 
 use crate::prelude::*;
 use crate::programs::{
-    Account, IntentRecord, OpenIntent, OutcomeRecord, ProgramSnapshot, ProgramState, Record,
-    StoredRecord,
+    Account, IntentRecord, OutcomeRecord, ProgramSnapshot, ProgramState, Record, StoredRecord,
 };
 
 /// Whether a record counts.
@@ -142,7 +141,7 @@
             // The attempt before this one was never settled: nobody knows what it used.
             let superseded = state.reserved_tokens();
             state.settle(superseded);
-            state.open = Some(OpenIntent::from(intent));
+            state.open = Some(intent.clone());
             state.last_attempt = Some(intent.attempt);
             state.newest = time;
             Applied::Counted
--- a/src/programs/mod.rs
+++ b/src/programs/mod.rs
@@ -23,7 +23,7 @@
     Surroundings,
 };
 pub use record::{IntentRecord, OutcomeRecord, ProgramSnapshot, Record, StoredRecord};
-pub use state::{Account, OpenIntent, ProgramState, TurnEntry};
+pub use state::{Account, ProgramState, TurnEntry};
 pub use tenure::Tenure;
 
 #[cfg(test)]
--- a/src/programs/record.rs
+++ b/src/programs/record.rs
@@ -1,5 +1,5 @@
 use crate::prelude::*;
-use crate::programs::{Message, OpenIntent, TurnEntry, TurnResult};
+use crate::programs::{Message, TurnEntry, TurnResult};
 
 /// A record as the log holds it.
 #[wire]
@@ -116,7 +116,7 @@
     /// Tokens charged so far.
     pub spent_tokens: u64,
     /// An intent that an earlier owner left open.
-    pub open: Option<OpenIntent>,
+    pub open: Option<IntentRecord>,
     /// The newest attempt that was ever opened.
     pub last_attempt: Option<AttemptId>,
     /// When it ended.
--- a/src/programs/state.rs
+++ b/src/programs/state.rs
@@ -24,39 +24,6 @@
     }
 }
 
-/// An attempt whose outcome is not recorded yet.
-#[wire]
-pub struct OpenIntent {
-    /// The turn.
-    pub turn: TurnNo,
-    /// Digest of the call.
-    pub digest: Digest,
-    /// The attempt.
-    pub attempt: AttemptId,
-    /// Where it went.
-    pub endpoint: EndpointRef,
-    /// Tokens reserved.
-    pub reserve_tokens: u64,
-    /// Whether it may be run again.
-    pub idempotent: bool,
-    /// The caller's key, if it gave one.
-    pub idempotency_key: Option<Arc<str>>,
-}
-
-impl From<&IntentRecord> for OpenIntent {
-    fn from(record: &IntentRecord) -> OpenIntent {
-        OpenIntent {
-            turn: record.turn,
-            digest: record.digest,
-            attempt: record.attempt,
-            endpoint: record.endpoint.clone(),
-            reserve_tokens: record.reserve_tokens,
-            idempotent: record.idempotent,
-            idempotency_key: record.idempotency_key.clone(),
-        }
-    }
-}
-
 /// What the log says of one program.
 #[value]
 pub struct ProgramState {
@@ -67,7 +34,7 @@
     /// Tokens charged to this program.
     pub spent_tokens: u64,
     /// The attempt under way.
-    pub open: Option<OpenIntent>,
+    pub open: Option<IntentRecord>,
     /// The newest attempt that was ever opened.
     pub last_attempt: Option<AttemptId>,
     /// When it ended.
--- a/src/programs/tests/world.rs
+++ b/src/programs/tests/world/mod.rs
@@ -1,14 +1,15 @@
+mod endpoints;
+
 use std::collections::HashMap;
 
 use super::callers::{Callers, TURNS};
 use super::fake_log::FakeLog;
-use super::{LIMITS, vm};
-use crate::endpoint::{Desk, DeskAction, DeskLimits, OrderPolicy, Submission};
+use super::vm;
+use crate::endpoint::{Desk, DeskLimits, OrderPolicy};
 use crate::prelude::*;
 use crate::programs::{
-    Action, AppendError, Attempt, AttemptFrame, AttemptReport, AttemptWork, CallId, Event,
-    FailureCause, Finish, Limits, PlaceRefusal, PlaceRequest, Record, Reply, ShardOwner, Standing,
-    Surroundings, TurnResult, Usage,
+    Action, AppendError, Attempt, CallId, Event, Limits, PlaceRefusal, PlaceRequest, Record, Reply,
+    ShardOwner, Standing, Surroundings,
 };
 
 const SHARD: ShardId = ShardId(0);
@@ -450,182 +451,4 @@
             self.log.append(self.now, &records);
         }
     }
-
-    fn submit(&mut self, nonce: u64, attempt: Attempt) {
-        let id = attempt.id;
-        let target = self.endpoints.iter().position(|e| e.me.vm == attempt.target.vm).unwrap();
-        let endpoint = &mut self.endpoints[target];
-        match endpoint.desk.submit(TimeMs(self.now), attempt) {
-            Submission::Taken => {
-                endpoint.listeners.insert(id, nonce);
-                let actions = endpoint.desk.proceed(TimeMs(self.now));
-                self.desk_actions(target, actions);
-            }
-            Submission::Rejected => {
-                let cause = FailureCause::Rejected;
-                let frame = AttemptFrame::Failed { cause, spent_tokens: Some(0) };
-                let event = Event::Frame { attempt: id, frame };
-                self.net.push(Message::Owner { nonce, event });
-            }
-            Submission::Duplicate => {
-                self.net.push(Message::Owner { nonce, event: Event::Lost { attempt: id } });
-            }
-        }
-    }
-
-    fn ask(&mut self, attempt: AttemptId, at: &EndpointRef, epoch: Epoch) -> AttemptReport {
-        let endpoint = self.endpoints.iter_mut().find(|e| e.me.vm == at.vm).unwrap();
-        endpoint.desk.ask(attempt, at.instance, epoch)
-    }
-
-    fn desk_actions(&mut self, index: usize, actions: Vec<DeskAction>) {
-        for action in actions {
-            match action {
-                DeskAction::Start(attempt) => self.start(index, attempt),
-                DeskAction::End(attempt, frame) => self.frame(index, attempt, frame),
-                DeskAction::Stop(id) => self.stop(index, id),
-                DeskAction::FreeCache(_) => {}
-            }
-        }
-    }
-
-    /// The endpoint starts to run an attempt: order, history and at-most-once are checked here.
-    fn start(&mut self, index: usize, attempt: Attempt) {
-        let key = (attempt.program.clone(), attempt.turn);
-        let turn = attempt.turn.0;
-        assert!(
-            self.callers.may_have_run(&attempt.program, turn),
-            "{} turn {turn} runs though every call of it was refused as not run",
-            attempt.program
-        );
-        let expected = self.recorded_history(&attempt.program, turn);
-        match &attempt.work {
-            AttemptWork::Model { messages, .. } => {
-                assert_eq!(*messages, expected, "a wrong history");
-            }
-            AttemptWork::Service { idempotent, .. } => {
-                let runs = self.executions.get(&key).copied().unwrap_or(0);
-                assert!(*idempotent || runs == 0, "{} turn {turn} runs twice", attempt.program);
-            }
-        }
-        *self.executions.entry(key).or_default() += 1;
-        self.endpoints[index].running.push((attempt, 0));
-    }
-
-    /// The conversation that the model must see in a turn, by what the log says of the turns
-    /// before it.
-    fn recorded_history(&self, program: &ProgramId, turn: u32) -> Vec<crate::programs::Message> {
-        let fold = self.log.fold();
-        let mut history = Vec::new();
-        for earlier in 1..turn {
-            let state = fold.program(program);
-            let recorded = state.and_then(|state| state.turn(TurnNo(earlier)));
-            let Some(recorded) = recorded else {
-                panic!("{program} turn {turn} runs before turn {earlier} has ended");
-            };
-            history.extend(Callers::work(program, earlier).messages());
-            if let TurnResult::Answered { text, .. } = &recorded.result {
-                history.push(crate::programs::Message::text("assistant", text));
-            }
-        }
-        history.extend(Callers::work(program, turn).messages());
-        history
-    }
-
-    /// An answer that a caller gets stands in the log already.
-    fn check_recorded(&self, call: CallId, reply: &Reply) {
-        let Reply::Answer { turn, result, .. } = reply else {
-            return;
-        };
-        if let Some(program) = self.callers.program_of(call) {
-            let fold = self.log.fold();
-            let recorded = fold.program(&program).and_then(|state| state.turn(*turn));
-            assert_eq!(recorded.map(|entry| &entry.result), Some(result), "not what is recorded");
-        }
-    }
-
-    fn stop(&mut self, index: usize, id: AttemptId) {
-        let running = &mut self.endpoints[index].running;
-        if let Some(position) = running.iter().position(|(attempt, _)| attempt.id == id) {
-            let (_, sent) = running.remove(position);
-            let cause = FailureCause::Interrupted;
-            let spent_tokens = Some(sent as u64);
-            self.end(index, id, AttemptFrame::Failed { cause, spent_tokens });
-        }
-    }
-
-    fn progress_all(&mut self, index: usize) {
-        for _ in 0..8 {
-            self.progress(index);
-        }
-    }
-
-    /// A running attempt gets a token further, or ends.
-    fn progress(&mut self, arg: usize) {
-        let index = arg % 2;
-        let running = &mut self.endpoints[index].running;
-        let count = running.len();
-        let Some((attempt, sent)) = running.get_mut(arg / 2 % count.max(1)) else {
-            return;
-        };
-        let (id, words) = (attempt.id, answer_words(attempt));
-        if let Some(word) = words.get(*sent) {
-            *sent += 1;
-            let account = attempt.program.account();
-            let generated = self.generated.entry(account).or_default();
-            *generated += 1;
-            assert!(*generated <= LIMITS.budget_tokens, "a budget is exceeded");
-            let text = word.as_str().into();
-            return self.frame(index, id, AttemptFrame::Delta { text });
-        }
-        let result = result_of(attempt, &words);
-        let position = running.iter().position(|(attempt, _)| attempt.id == id).unwrap();
-        running.remove(position);
-        self.end(index, id, AttemptFrame::Done { result });
-    }
-
-    fn end(&mut self, index: usize, id: AttemptId, frame: AttemptFrame) {
-        self.endpoints[index].desk.ended(TimeMs(self.now), id, frame.clone());
-        self.frame(index, id, frame);
-        let actions = self.endpoints[index].desk.proceed(TimeMs(self.now));
-        self.desk_actions(index, actions);
-    }
-
-    fn frame(&mut self, index: usize, attempt: AttemptId, frame: AttemptFrame) {
-        let is_last = !matches!(frame, AttemptFrame::Delta { .. });
-        let listeners = &mut self.endpoints[index].listeners;
-        let nonce = listeners.get(&attempt).copied();
-        if is_last {
-            listeners.remove(&attempt);
-        }
-        if let Some(nonce) = nonce {
-            let event = Event::Frame { attempt, frame };
-            self.net.push(Message::Owner { nonce, event });
-        }
-    }
-}
-
-/// The words that an attempt still has to generate.
-fn answer_words(attempt: &Attempt) -> Vec<String> {
-    match &attempt.work {
-        AttemptWork::Model { messages, resume_text, max_tokens, .. } => {
-            let resumed = resume_text.split_inclusive(' ').count();
-            let all = (0..3).map(|n| format!("w{}-{n} ", messages.len()));
-            all.skip(resumed).take(*max_tokens as usize).collect()
-        }
-        AttemptWork::Service { .. } => Vec::new(),
-    }
-}
-
-fn result_of(attempt: &Attempt, words: &[String]) -> TurnResult {
-    match &attempt.work {
-        AttemptWork::Model { resume_text, .. } => TurnResult::Answered {
-            text: format!("{resume_text}{}", words.concat()).into(),
-            finish: Finish::Stop,
-            usage: Usage { prompt_tokens: 1, completion_tokens: words.len() as u64 },
-        },
-        AttemptWork::Service { body, .. } => {
-            TurnResult::Served { status: 200, body: format!("paid {body}").into() }
-        }
-    }
 }
--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -7,7 +7,7 @@
 
 mod cache;
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -43,6 +43,8 @@
     pub checks_fencing: bool,
     /// How long it is away after a crash.
     pub restart_ms: u64,
+    /// Streams that run at once; more wait, those with the least `priority` first.
+    pub max_batch: u64,
     /// Cut every stream after this many tokens; 0 cuts none.
     pub cut_after_tokens: u64,
 }
@@ -57,6 +59,7 @@
             load_lag_ms: 200,
             checks_fencing: true,
             restart_ms: 100,
+            max_batch: 1_024,
             cut_after_tokens: 0,
         }
     }
@@ -73,6 +76,8 @@
     cache_key: String,
     #[serde(default)]
     resume_text: String,
+    #[serde(default)]
+    priority: u64,
 }
 
 #[derive(Default)]
@@ -82,11 +87,14 @@
     run: u64,
     down_until: Option<Instant>,
     running: u64,
+    /// The priorities and numbers of streams that wait to run.
+    waiting: BTreeSet<(u64, u64)>,
     cancelled: HashSet<String>,
     cache: Cache,
     load: (Option<Instant>, u64),
     fencing: u64,
     models: HashMap<String, String>,
+    arrivals: u64,
     completions: u64,
     authorizations: u64,
     prompt_tokens: u64,
@@ -209,6 +217,7 @@
         call.messages.iter().map(|message| message["content"].to_string()).collect();
     let prompt_tokens = contents.iter().map(|text| text.len() as u64 / 4 + 1).sum();
     let crashes = contents.last().is_some_and(|text| text.contains(CRASH_MARK));
+    wait_for_batch(state, call.priority).await;
     let run = Run::begin(state, &call, prompt_tokens);
     let resumed = call.resume_text.split_inclusive(' ').count();
     let words = answer_words(&contents, resumed as u64 + call.max_tokens);
@@ -243,6 +252,41 @@
     })
 }
 
+/// Waits until the batch has room and no stream of a lesser number waits for it.
+async fn wait_for_batch(state: &Shared, priority: u64) {
+    let place = Place::take(state, priority);
+    while !place.may_run() {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
+
+/// A stream's place among those that wait; given up when it runs or its caller goes away.
+struct Place {
+    state: Shared,
+    place: (u64, u64),
+}
+
+impl Place {
+    fn take(shared: &Shared, priority: u64) -> Place {
+        let mut state = locked(shared);
+        state.arrivals += 1;
+        let place = (priority, state.arrivals);
+        state.waiting.insert(place);
+        Place { state: shared.clone(), place }
+    }
+
+    fn may_run(&self) -> bool {
+        let state = locked(&self.state);
+        state.running < state.settings.max_batch && state.waiting.first() == Some(&self.place)
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        locked(&self.state).waiting.remove(&self.place);
+    }
+}
+
 fn event(value: &Value) -> Bytes {
     Bytes::from(format!("data: {value}\n\n"))
 }
