What an outage of the log costs: refusing against waiting, measured

Cause: refusing new calls at once was chosen without figures.

Ruled out: waiting by default. A long outage would hold every caller until its deadline. A buffer on two backups is not built and not measured.

Conclusion: refusing stays the default; who weighs refusals most sets wait.

--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -58,6 +58,7 @@
             snapshot_age_ms: settings.log_retention_ms / 2,
             program_idle_ms: settings.program_idle_ms,
             tombstone_ms: settings.log_retention_ms,
+            waits_for_log: settings.waits_for_log,
             ..Limits::default()
         };
         Core {
--- a/src/entry/rates.rs
+++ b/src/entry/rates.rs
@@ -70,7 +70,11 @@
         workspace: &WorkspaceId,
         deadline: TimeMs,
     ) -> Result<(), RateRefusal> {
-        let give_up = self.clock.now().plus(MAX_WAIT_MS).min(deadline);
+        let waits_for_log = self.settings.waits_for_log;
+        let give_up = match waits_for_log {
+            true => deadline,
+            false => self.clock.now().plus(MAX_WAIT_MS).min(deadline),
+        };
         loop {
             let now = self.clock.now();
             let admission = self.borrower().admit(now, workspace);
@@ -81,7 +85,9 @@
                 }
                 Admission::Refused { wait_ms } => return Err(RateRefusal::UsedUp { wait_ms }),
                 // A lender that can't ask the log may have been replaced, and must not lend.
-                Admission::Ask if self.is_log_failing() => return Err(RateRefusal::LogUnavailable),
+                Admission::Ask if self.is_log_failing() && !waits_for_log => {
+                    return Err(RateRefusal::LogUnavailable);
+                }
                 Admission::Ask => {}
             }
             let question = self.borrower().ask(now, workspace, 1);
--- a/src/programs/owner/messages.rs
+++ b/src/programs/owner/messages.rs
@@ -355,6 +355,8 @@
     pub program_idle_ms: u64,
     /// Time for which an ended program's name stays taken.
     pub tombstone_ms: u64,
+    /// Whether new calls wait for a log that fails.
+    pub waits_for_log: bool,
 }
 
 impl Default for Limits {
@@ -370,6 +372,7 @@
             snapshots_per_tick: 8,
             program_idle_ms: 24 * HOUR_MS,
             tombstone_ms: 24 * HOUR_MS,
+            waits_for_log: false,
         }
     }
 }
--- a/src/programs/owner/requests.rs
+++ b/src/programs/owner/requests.rs
@@ -93,7 +93,7 @@
         if request.deadline <= cx.now {
             return Verdict::Refuse(Refusal::not_run(Why::DeadlinePassed));
         }
-        if self.log.failing {
+        if self.log.failing && !self.limits.waits_for_log {
             return Verdict::Refuse(
                 Refusal::not_run(Why::LogUnavailable).retry_after(LOG_RETRY_MS),
             );
--- a/src/settings/entry.rs
+++ b/src/settings/entry.rs
@@ -4,6 +4,8 @@
 use super::{ProcessSettings, Reader, Setting, SettingsError};
 use crate::prelude::*;
 
+const WHEN_LOG_FAILS: &[&str] = &["refuse", "wait"];
+
 /// Settings of `trefoilproxyd entry`.
 #[value]
 pub struct EntrySettings {
@@ -31,6 +33,8 @@
     pub receive_timeout_ms: u64,
     /// Idle time after which a program is ended.
     pub program_idle_ms: u64,
+    /// Whether new calls wait for a log that fails, up to their deadline, or are refused at once.
+    pub waits_for_log: bool,
 }
 
 impl EntrySettings {
@@ -51,6 +55,7 @@
         setting("default-deadline-ms", "MS", "deadline of a call that names none", Some("120000")),
         setting("max-body-bytes", "BYTES", "the largest body of a call", Some("2097152")),
         setting("receive-timeout-ms", "MS", "how long a caller may take to send", Some("10000")),
+        setting("when-log-fails", "WORD", "refuse new calls, or let them wait", Some("refuse")),
         setting(
             "program-idle-ms",
             "MS",
@@ -77,6 +82,7 @@
         let default_deadline_ms = reader.number("default-deadline-ms", 1, DAY_MS);
         let max_body_bytes = reader.number("max-body-bytes", 1_024, 1 << 30);
         let receive_timeout_ms = reader.number("receive-timeout-ms", 10, 600_000);
+        let waits_for_log = reader.word("when-log-fails", WHEN_LOG_FAILS) == "wait";
         let program_idle_ms = reader.number("program-idle-ms", 1_000, 365 * DAY_MS);
         reader.finish()?;
         Ok(EntrySettings {
@@ -92,6 +98,7 @@
             max_body_bytes,
             receive_timeout_ms,
             program_idle_ms,
+            waits_for_log,
         })
     }
 }
--- a/standins/src/bin/trefoil-load.rs
+++ b/standins/src/bin/trefoil-load.rs
@@ -21,6 +21,7 @@
 const TURNS: u32 = 8;
 const DEFAULT_SHARDS: usize = 8;
 const DEFAULT_WORDS: usize = 12;
+const OUTAGE_AFTER: Duration = Duration::from_millis(300);
 const IDLE: Duration = Duration::from_secs(5);
 const CLOCK_TICKS_PER_S: f64 = 100.0;
 const PAGE_KIB: u64 = 4;
@@ -31,7 +32,9 @@
     let programs = number(1).unwrap_or(64);
     let shards = number(2).unwrap_or(DEFAULT_SHARDS);
     let words = number(3).unwrap_or(DEFAULT_WORDS);
-    match measure(programs, shards, words).await {
+    let outage_ms = number(4).unwrap_or(0) as u64;
+    let when_log_fails = std::env::args().nth(5).unwrap_or("refuse".to_string());
+    match measure(programs, (shards, words), (outage_ms, &when_log_fails)).await {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
             eprintln!("load: {fault}");
@@ -40,7 +43,11 @@
     }
 }
 
-async fn measure(concurrent: usize, shards: usize, words: usize) -> std::io::Result<()> {
+async fn measure(
+    concurrent: usize,
+    (shards, words): (usize, usize),
+    (outage_ms, when_log_fails): (u64, &str),
+) -> std::io::Result<()> {
     let anywhere = SocketAddr::from(([127, 0, 0, 1], 0));
     let log = log_service::spawn(anywhere).await?;
     let vms = vm_list::spawn(anywhere).await?;
@@ -56,6 +63,11 @@
         fleet.start_endpoint(&vm, "a", ("engine", "small", engine.address))?;
     }
     fleet.list().await;
+    let flags = ["--when-log-fails", when_log_fails, "--config-stale-ms", "60000"];
+    fleet.entry_flags.extend(flags.map(str::to_string));
+    fleet.start_entry("e0", "a")?;
+    fleet.start_entry("e1", "b")?;
+    fleet.list().await;
     if !fleet.wait_ready().await {
         return Err(Error::other("the entries do not get ready"));
     }
@@ -64,6 +76,7 @@
     let before = usage(&fleet);
     let counted = log_counters(log.address).await;
     let started = Instant::now();
+    let outage = tokio::spawn(outage(log.address, outage_ms));
     let runs = (0..concurrent).map(|number| tokio::spawn(run_program(entries, number, words)));
     let mut latencies_us = Vec::new();
     let mut failed = 0;
@@ -73,6 +86,7 @@
         failed += bad;
     }
     let seconds = started.elapsed().as_secs_f64();
+    let _ = outage.await;
     let appends = log_counters(log.address).await;
     report(concurrent, seconds, &mut latencies_us, failed);
     report_log(&counted, &appends, latencies_us.len(), seconds);
@@ -82,6 +96,18 @@
     Ok(())
 }
 
+/// The log goes out a little after the start.
+async fn outage(log: SocketAddr, outage_ms: u64) {
+    if outage_ms == 0 {
+        return;
+    }
+    let url = format!("http://{log}/control");
+    tokio::time::sleep(OUTAGE_AFTER).await;
+    let _: Option<Value> = call(Method::POST, &url, &json!({ "outage": true })).await;
+    tokio::time::sleep(Duration::from_millis(outage_ms)).await;
+    let _: Option<Value> = call(Method::POST, &url, &json!({ "outage": false })).await;
+}
+
 fn start_fleet(
     programs: &Path,
     log: SocketAddr,
@@ -91,8 +117,6 @@
     let mut fleet = Fleet::new(programs, log, vms);
     fleet.endpoint_flags = ["--concurrency", "256"].map(str::to_string).to_vec();
     fleet.entry_flags = vec!["--shards".to_string(), shards.to_string()];
-    fleet.start_entry("e0", "a")?;
-    fleet.start_entry("e1", "b")?;
     Ok(fleet)
 }
 
