Reading as a newcomer: what nothing used is gone

Cause: placements summed up the history's bytes for a number that routing never read; some arguments were only passed on.

Ruled out: keeping the number for a later policy; it cost each placement a walk over the program's turns.

--- a/lab/src/policies.rs
+++ b/lab/src/policies.rs
@@ -262,7 +262,6 @@
         let request = PlaceRequest {
             program: &program.id,
             target: &target,
-            prompt_tokens: job.prompt,
             digest: &digest,
             weight: WEIGHTS[program.workspace as usize],
             is_first: program.turn == 0,
--- a/lab/src/slopes.rs
+++ b/lab/src/slopes.rs
@@ -150,7 +150,6 @@
                 let request = PlaceRequest {
                     program,
                     target: &target,
-                    prompt_tokens: 100,
                     digest: &digest,
                     weight: 1,
                     is_first,
--- a/src/programs/owner/log.rs
+++ b/src/programs/owner/log.rs
@@ -259,7 +259,7 @@
             let result = outcome.result.clone();
             cx.reply(waiter.call, Reply::Answer { turn, result, replayed: false });
         }
-        self.release_if_idle(cx);
+        self.release_if_idle();
     }
 
     fn ended(&mut self, cx: &mut Context<'_>, program: &ProgramId) {
@@ -269,15 +269,13 @@
         let over: Vec<ProgramId> =
             self.fold.programs().map(|(id, _)| id).filter(|id| below(id)).cloned().collect();
         over.iter().for_each(|id| self.free(cx, id));
-        let (told, waiting) =
+        let (told, waiting): (Vec<_>, Vec<_>) =
             std::mem::take(&mut self.ending).into_iter().partition(|(_, id)| id == program);
         self.ending = waiting;
-        let told: Vec<(crate::programs::CallId, ProgramId)> = told;
         told.into_iter().for_each(|(call, _)| cx.reply(call, Reply::Ended));
     }
 
-    pub(super) fn release_if_idle(&mut self, cx: &mut Context<'_>) {
-        let _ = cx;
+    pub(super) fn release_if_idle(&mut self) {
         let log = &self.log;
         let idle = self.active.is_empty() && log.outbox.is_empty() && log.in_flight.is_empty();
         if self.tenure.is_leaving()
--- a/src/programs/owner/messages.rs
+++ b/src/programs/owner/messages.rs
@@ -285,8 +285,6 @@
     pub program: &'a ProgramId,
     /// The model or service.
     pub target: &'a ModelName,
-    /// Rough size of the prompt, in tokens.
-    pub prompt_tokens: u64,
     /// Digest of the call: the same calls of several programs are kept together.
     pub digest: &'a Digest,
     /// The workspace's part of what there is, against the others'.
--- a/src/programs/owner/mod.rs
+++ b/src/programs/owner/mod.rs
@@ -154,7 +154,7 @@
         let mut cx = Context { now, unix, env, out: Vec::new() };
         match event {
             Event::Claim => self.claim(&mut cx),
-            Event::HandOver => self.hand_over(&mut cx),
+            Event::HandOver => self.hand_over(),
             Event::Confirm => self.start_read(&mut cx),
             Event::Request { call, request } => self.request(&mut cx, call, request),
             Event::End { call, program } => self.end(&mut cx, call, program),
@@ -183,9 +183,9 @@
         cx.out.push(Action::Append(vec![claim]));
     }
 
-    fn hand_over(&mut self, cx: &mut Context<'_>) {
+    fn hand_over(&mut self) {
         self.tenure.handle(TenureEvent::HandOver);
-        self.release_if_idle(cx);
+        self.release_if_idle();
     }
 
     /// Gives the shard up for good: everything that still waits is told so.
--- a/src/programs/owner/requests.rs
+++ b/src/programs/owner/requests.rs
@@ -5,7 +5,7 @@
 use crate::programs::owner::{Action, PlaceRefusal, PlaceRequest, Standing};
 use crate::programs::{
     Active, CallId, IntentRecord, Phase, ProgramState, Ran, Record, Refusal, RefusalReason, Reply,
-    TurnRequest, Work,
+    TurnRequest,
 };
 
 /// When to come back while another call of the program runs or its predecessor is missing.
@@ -14,8 +14,6 @@
 const NO_ENDPOINT_RETRY_MS: u64 = 1_000;
 /// When to come back while the log takes no records.
 const LOG_RETRY_MS: u64 = 2_000;
-/// A rough measure of English text, for routing only.
-const BYTES_PER_TOKEN: usize = 4;
 
 impl From<PlaceRefusal> for RefusalReason {
     fn from(refusal: PlaceRefusal) -> RefusalReason {
@@ -202,7 +200,6 @@
         cx.env.place(&PlaceRequest {
             program: &request.program,
             target: request.work.target(),
-            prompt_tokens: self.prompt_tokens(request),
             digest: &request.digest,
             weight: request.weight,
             is_first: self.fold.program(&request.program).is_none_or(|s| s.turn_count == 0),
@@ -211,15 +208,6 @@
         })
     }
 
-    fn prompt_tokens(&self, request: &TurnRequest) -> u64 {
-        let history = self.fold.program(&request.program).map_or(0, ProgramState::history_bytes);
-        let new = match &request.work {
-            Work::Model { messages, .. } => messages.iter().map(|m| m.bytes()).sum(),
-            Work::Service { body, .. } => body.len(),
-        };
-        ((history + new) / BYTES_PER_TOKEN) as u64
-    }
-
     pub(super) fn free(&mut self, cx: &mut Context<'_>, program: &ProgramId) {
         if let Some(active) = self.active.remove(program) {
             let refusal = Refusal::unknown(RefusalReason::ProgramEnded);
--- a/src/programs/owner/upkeep.rs
+++ b/src/programs/owner/upkeep.rs
@@ -16,7 +16,7 @@
             self.snapshot_old(cx);
             self.end_idle(cx);
         }
-        self.release_if_idle(cx);
+        self.release_if_idle();
     }
 
     /// Tells callers whose deadline has passed; their turn goes on unless nothing was dispatched.
--- a/src/programs/state.rs
+++ b/src/programs/state.rs
@@ -14,16 +14,6 @@
     pub result: TurnResult,
 }
 
-impl TurnEntry {
-    fn bytes(&self) -> usize {
-        let answer = match &self.result {
-            TurnResult::Answered { text, .. } => text.len(),
-            TurnResult::Served { .. } | TurnResult::Unknown => 0,
-        };
-        answer + self.messages.iter().map(Message::bytes).sum::<usize>()
-    }
-}
-
 /// What the log says of one program.
 #[value]
 pub struct ProgramState {
@@ -84,11 +74,6 @@
         self.turns.iter().flat_map(turn_messages).collect()
     }
 
-    /// Rough size of the conversation so far.
-    pub fn history_bytes(&self) -> usize {
-        self.turns.iter().map(TurnEntry::bytes).sum()
-    }
-
     /// Tokens reserved by the attempt under way.
     pub fn reserved_tokens(&self) -> u64 {
         self.open.as_ref().map_or(0, |open| open.reserve_tokens)
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -40,7 +40,6 @@
         let request = PlaceRequest {
             program: &program,
             target: &self.target,
-            prompt_tokens: 100,
             digest: &Digest::of(&[b"the same call"]),
             weight: 1,
             is_first,
