--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -38,6 +38,10 @@
     let said: Value = serde_json::from_str(&said).unwrap();
     assert_eq!(said["in_force"], true);
 
+    let (code, said) = ctl(&["status"]);
+    assert_eq!(code, 0, "{said}");
+    assert!(said.contains("ice version") && said.contains("entry e1: configuration"), "{said}");
+
     // An operator who saw the version before loses, and is told which one won.
     let (code, said) = ctl(&["publish", &changed, "--base", "1"]);
     assert_eq!(code, 4, "{said}");
