A read of the configuration waits a quarter of the time it may go unconfirmed

Found by reading, not by a failing run.

Ruled out: confirming as of the answer: a frozen process would take an old answer for fresh.

Before -> after: longest age on an idle stream 1,000 ms -> half of the limit.

--- a/src/entry/config.rs
+++ b/src/entry/config.rs
@@ -10,8 +10,8 @@
 
 /// The stream that operators publish to.
 pub const CONFIG_STREAM: &str = "config";
-/// How long a read waits for something new.
-const READ_WAIT: Duration = Duration::from_millis(500);
+/// How long a read waits for something new, at most.
+const MAX_READ_WAIT_MS: u64 = 500;
 const RETRY: Duration = Duration::from_millis(250);
 const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -58,11 +58,16 @@
 }
 
 /// Keeps the book level with the log. Never returns.
+///
+/// A configuration is confirmed as of the question, so that two waits pass before an idle stream
+/// confirms it anew: a wait must stay well below the time that it may go unconfirmed.
 pub(super) async fn follow(entry: Arc<Entry>) {
+    let wait_ms = MAX_READ_WAIT_MS.min(entry.settings.config_stale_ms / 4);
+    let wait = Duration::from_millis(wait_ms);
     loop {
         let from = entry.current_book().through().plus(1);
         let asked = entry.clock.now();
-        match entry.log.read::<ConfigRecord>(CONFIG_STREAM, from, READ_WAIT).await {
+        match entry.log.read::<ConfigRecord>(CONFIG_STREAM, from, wait).await {
             Ok(page) => {
                 entry.note_log(true);
                 take(&entry, asked, from, &page);
