A test of calls that wait for the log

Change: an end-to-end test: a call in an outage is answered once the log is back; one whose deadline passes first is told that it was not run.

Ruled out: a test in the state machine alone; the rate's lender waits too.

Before: no test.

--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -371,3 +371,32 @@
         assert!(answer.text().ends_with("word60 "), "{answer:?}");
     }
 }
+
+/// The operator has chosen to let calls wait for the log. A call that comes in an outage is not
+/// refused: it is answered once the log is back. One whose deadline passes first is told,
+/// truthfully, that it was not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_wait_for_the_log_where_the_operator_says_so() {
+    let flags = ["--when-log-fails", "wait", "--config-stale-ms", "60000"];
+    let deployment = Deployment::start_with(Settings::default(), &flags, &[]).await;
+    let entry = deployment.entries()[0];
+    let caller = deployment.caller();
+    caller.call(entry, &completion("v", 1, "before")).await;
+    deployment.fault_log(json!({ "outage": true })).await;
+    eventually("the outage in the entry's view", || async {
+        deployment.fleet.status("e0").await.unwrap_or_default()["log_failing"] == true
+    })
+    .await;
+    let mut short = completion("w", 1, "short");
+    short.deadline_ms = 300;
+    let refused = caller.call(entry, &short).await;
+    assert!(matches!(&refused, Answer::Error { ran, .. } if ran == "not_run"), "{refused:?}");
+    let waiting = {
+        let caller = caller.clone();
+        tokio::spawn(async move { caller.call(entry, &completion("v", 2, "during")).await })
+    };
+    tokio::task::yield_now().await;
+    deployment.fault_log(json!({ "outage": false })).await;
+    let answer = waiting.await.unwrap();
+    assert!(answer.text().starts_with("seen=3 "), "{answer:?}");
+}
