--- a/src/endpoint/backend.rs
+++ b/src/endpoint/backend.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::{Buf, Bytes};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::Method;
 use hyper::body::Incoming;
@@ -9,7 +9,7 @@
 use serde_json::json;
 
 use crate::endpoint::desk::cache_key;
-use crate::http::{CallError, Client};
+use crate::http::{CallError, Client, LineReader};
 use crate::prelude::*;
 use crate::programs::{
     Attempt, AttemptFrame, AttemptWork, FailureCause, Finish, TurnResult, Usage,
@@ -198,31 +198,23 @@
     /// Reads the engine's stream to its end; `None` if it broke before.
     async fn follow(
         &mut self,
-        mut body: Incoming,
+        body: Incoming,
         on_text: &mut impl FnMut(Arc<str>),
     ) -> Option<AttemptFrame> {
-        let mut buffer = bytes::BytesMut::new();
+        let mut lines = LineReader::open(body, MAX_EVENT_BYTES);
         loop {
-            while let Some(line) = take_line(&mut buffer) {
-                match read_event(&line)? {
-                    Step::Nothing => {}
-                    Step::Text(text) => {
-                        self.text.push_str(&text);
-                        self.tokens += 1;
-                        on_text(text);
-                    }
-                    Step::Finished(finish, usage) => return Some(self.done(finish, usage)),
-                    Step::Cancelled => {
-                        return Some(failed(FailureCause::Cancelled, Some(self.tokens)));
-                    }
+            let line = lines.next().await?;
+            match read_event(&line)? {
+                Step::Nothing => {}
+                Step::Text(text) => {
+                    self.text.push_str(&text);
+                    self.tokens += 1;
+                    on_text(text);
+                }
+                Step::Finished(finish, usage) => return Some(self.done(finish, usage)),
+                Step::Cancelled => {
+                    return Some(failed(FailureCause::Cancelled, Some(self.tokens)));
                 }
-            }
-            let frame = body.frame().await?.ok()?;
-            if let Ok(data) = frame.into_data() {
-                buffer.extend_from_slice(data.chunk());
-            }
-            if buffer.len() > MAX_EVENT_BYTES {
-                return None;
             }
         }
     }
@@ -233,11 +225,6 @@
     }
 }
 
-fn take_line(buffer: &mut bytes::BytesMut) -> Option<bytes::BytesMut> {
-    let end = buffer.iter().position(|byte| *byte == b'\n')?;
-    Some(buffer.split_to(end + 1))
-}
-
 /// Reads one line of the stream; `None` if it is not what an engine sends.
 fn read_event(line: &[u8]) -> Option<Step> {
     let line = line.trim_ascii();
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -105,24 +105,27 @@
 
     fn turn(&mut self, request: TurnRequest, replies: mpsc::UnboundedSender<Reply>) {
         let shard = request.program.shard(self.entry.settings.shards);
-        if !self.take_shard(shard) {
-            let refusal = Refusal::not_run(RefusalReason::NotOwner).retry_after(0);
-            let _ = replies.send(Reply::Refused(refusal));
-            return;
-        }
-        let call = self.register(replies);
-        self.handle(shard, Event::Request { call, request });
+        self.take_call(shard, replies, |call| Event::Request { call, request });
     }
 
     fn end(&mut self, program: ProgramId, replies: mpsc::UnboundedSender<Reply>) {
         let shard = program.shard(self.entry.settings.shards);
+        self.take_call(shard, replies, |call| Event::End { call, program });
+    }
+
+    fn take_call(
+        &mut self,
+        shard: ShardId,
+        replies: mpsc::UnboundedSender<Reply>,
+        event: impl FnOnce(CallId) -> Event,
+    ) {
         if !self.take_shard(shard) {
             let refusal = Refusal::not_run(RefusalReason::NotOwner).retry_after(0);
             let _ = replies.send(Reply::Refused(refusal));
             return;
         }
         let call = self.register(replies);
-        self.handle(shard, Event::End { call, program });
+        self.handle(shard, event(call));
     }
 
     fn register(&mut self, replies: mpsc::UnboundedSender<Reply>) -> CallId {
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -3,8 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::{Buf, Bytes, BytesMut};
-use http_body_util::BodyExt;
+use bytes::Bytes;
 use hyper::Method;
 use hyper::body::Incoming;
 use serde::Serialize;
@@ -13,7 +12,7 @@
 use crate::entry::core::Command;
 use crate::entry::state::{Entry, Place};
 use crate::entry::wire::TurnMessage;
-use crate::http::CallError;
+use crate::http::{CallError, LineReader};
 use crate::prelude::*;
 use crate::programs::{Ran, Refusal, RefusalReason, Reply, TurnRequest};
 
@@ -22,6 +21,8 @@
 /// Where entries take the end of programs of their shards.
 pub(super) const ENDS: &str = "/ends";
 
+/// The longest reply that another entry sends.
+const MAX_LINE_BYTES: usize = 64 << 20;
 /// How often a call that waits looks whether its owner is still there.
 const OWNER_CHECK: Duration = Duration::from_millis(50);
 /// The owner itself refuses at the deadline; this is for one that can't.
@@ -201,28 +202,19 @@
         }
     }
 
-    async fn relay_body(&mut self, mut body: Incoming) -> Relay {
-        let mut buffer = BytesMut::new();
+    async fn relay_body(&mut self, body: Incoming) -> Relay {
+        let mut lines = LineReader::open(body, MAX_LINE_BYTES);
         loop {
-            let part = tokio::select! {
-                part = body.frame() => part,
+            let line = tokio::select! {
+                line = lines.next() => line,
                 () = self.replies.closed() => return Relay::Finished,
             };
-            let Some(Ok(part)) = part else {
+            let Some(reply) = line.and_then(|line| serde_json::from_slice::<Reply>(&line).ok())
+            else {
                 return Relay::Cut;
             };
-            let Ok(data) = part.into_data() else {
-                continue;
-            };
-            buffer.extend_from_slice(data.chunk());
-            while let Some(end) = buffer.iter().position(|byte| *byte == b'\n') {
-                let line = buffer.split_to(end + 1);
-                let Ok(reply) = serde_json::from_slice::<Reply>(&line) else {
-                    return Relay::Cut;
-                };
-                if let Some(relay) = self.pass_on(reply) {
-                    return relay;
-                }
+            if let Some(relay) = self.pass_on(reply) {
+                return relay;
             }
         }
     }
--- a/src/entry/tasks.rs
+++ b/src/entry/tasks.rs
@@ -2,8 +2,6 @@
 
 use std::time::Duration;
 
-use bytes::{Buf, BytesMut};
-use http_body_util::BodyExt;
 use hyper::Method;
 use hyper::body::Incoming;
 use tokio::sync::mpsc;
@@ -13,13 +11,15 @@
 use crate::entry::config::CONFIG_STREAM;
 use crate::entry::core::Command;
 use crate::entry::state::Entry;
-use crate::http::CallError;
+use crate::http::{CallError, LineReader};
 use crate::link::{ControlReply, ControlRequest};
 use crate::prelude::*;
 use crate::programs::{
     Attempt, AttemptFrame, AttemptReport, Event, FailureCause, ReadPage, Record, Reply,
 };
 
+/// The longest frame of an attempt: a whole answer.
+const MAX_FRAME_BYTES: usize = 64 << 20;
 const ASK_TIMEOUT: Duration = Duration::from_millis(1_000);
 const PUBLISH_RETRY: Duration = Duration::from_millis(500);
 const PUBLISH_TRIES: usize = 600;
@@ -112,23 +112,16 @@
 }
 
 /// Passes frames on; returns whether the last one came.
-async fn follow(back: &Back, attempt: AttemptId, mut body: Incoming) -> bool {
-    let mut buffer = BytesMut::new();
-    while let Some(Ok(part)) = body.frame().await {
-        let Ok(data) = part.into_data() else {
-            continue;
+async fn follow(back: &Back, attempt: AttemptId, body: Incoming) -> bool {
+    let mut lines = LineReader::open(body, MAX_FRAME_BYTES);
+    while let Some(line) = lines.next().await {
+        let Ok(frame) = serde_json::from_slice::<AttemptFrame>(&line) else {
+            return false;
         };
-        buffer.extend_from_slice(data.chunk());
-        while let Some(end) = buffer.iter().position(|byte| *byte == b'\n') {
-            let line = buffer.split_to(end + 1);
-            let Ok(frame) = serde_json::from_slice::<AttemptFrame>(&line) else {
-                return false;
-            };
-            let is_last = !matches!(frame, AttemptFrame::Delta { .. });
-            back.tell(Event::Frame { attempt, frame });
-            if is_last {
-                return true;
-            }
+        let is_last = !matches!(frame, AttemptFrame::Delta { .. });
+        back.tell(Event::Frame { attempt, frame });
+        if is_last {
+            return true;
         }
     }
     false
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -2,8 +2,10 @@
 
 mod body;
 mod client;
+mod line_reader;
 mod server;
 
 pub use body::{Body, BodyFault, empty, json, lines, read_body, streamed, whole};
 pub use client::{CallError, Client};
+pub use line_reader::LineReader;
 pub use server::{ServerLimits, Serving, serve};
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -154,3 +154,16 @@
     }
     panic!("{what} does not come about");
 }
+
+/// Waits until the engines run so many calls.
+pub async fn wait_running(deployment: &Deployment, wanted: u64) {
+    eventually("the calls under way", || async {
+        let mut running = 0;
+        for engine in &deployment.engines {
+            let state = get(engine.address, "/control").await;
+            running += state["running"].as_u64().unwrap_or(0);
+        }
+        running >= wanted
+    })
+    .await;
+}
