--- /dev/null
+++ b/src/catalog/tests.rs
@@ -0,0 +1,72 @@
+use super::*;
+use crate::prelude::*;
+
+fn route(host: &str, prefix: &str, service: &str) -> Route {
+    Route {
+        host: host.into(),
+        prefix: prefix.into(),
+        repeat: Repeat::Idempotent,
+        timeout_ms: 1_000,
+        target_ms: 100,
+        gap_target_ms: 0,
+        priority: 0,
+        attempts: 2,
+        history_ms: None,
+        public: false,
+        backends: vec![Backend { service: service.into(), weight: 1 }],
+    }
+}
+
+fn declared(version: u64, routes: Vec<Route>) -> Declared {
+    let limits = Limits {
+        header_bytes: 16_384,
+        body_bytes: 1 << 20,
+        header_timeout_ms: 3_000,
+        idle_timeout_ms: 15_000,
+    };
+    Declared { version, routes, services: vec![], workspaces: vec![], limits }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let routes = vec![route("a", "/x/", "one"), route("a", "/x/y/", "two"), route("b", "/", "b")];
+    let catalog = Catalog::succeed(None, declared(1, routes)).expect("first");
+    let service = |host, path| {
+        catalog.route(host, path).and_then(|route| route.service(0)).map(|name| name.to_string())
+    };
+    assert_eq!(service("a", "/x/y/z"), Some("two".to_string()));
+    assert_eq!(service("a", "/x/yz"), Some("one".to_string()));
+    assert_eq!(service("a", "/y/"), None);
+    assert_eq!(service("b", "/x/y/"), Some("b".to_string()));
+}
+
+#[test]
+fn a_configuration_never_goes_back() {
+    let newer = Catalog::succeed(None, declared(7, vec![])).expect("first");
+    let fault = Catalog::succeed(Some(&newer), declared(6, vec![])).map(|c| c.version());
+    assert_eq!(fault, Err(CatalogFault::NotNewer { in_force: 7, offered: 6 }));
+}
+
+#[test]
+fn weights_share_a_route() {
+    let mut shared = route("a", "/", "one");
+    shared.backends = vec![
+        Backend { service: "one".into(), weight: 9 },
+        Backend { service: "two".into(), weight: 1 },
+    ];
+    let to_two = (0..1_000).filter(|hash| shared.service(*hash).is_some_and(|s| &**s == "two"));
+    assert_eq!(to_two.count(), 100);
+    shared.backends.clear();
+    assert_eq!(shared.service(5), None);
+}
+
+#[test]
+fn a_key_names_its_workspace_and_is_not_kept() {
+    let workspace = Workspace { name: "w".into(), priority: None, rate_per_s: 1.0, burst: 1.0 };
+    let mut with_key = declared(1, vec![]);
+    with_key.workspaces = vec![(workspace, vec![Digest::of(&[b"secret"])])];
+    let catalog = Catalog::succeed(None, with_key).expect("first");
+    assert!(catalog.holder(Digest::of(&[b"secret"])).is_some());
+    assert!(catalog.holder(Digest::of(&[b"Secret"])).is_none());
+    assert!(!format!("{catalog:?}").contains("secret"));
+}
--- /dev/null
+++ b/src/gateway/call.rs
@@ -0,0 +1,98 @@
+use serde::{Deserialize, Serialize};
+
+use crate::prelude::*;
+
+/// What the head of a request says, decoded.
+#[value]
+pub struct Call {
+    /// The request's id: one attempt of its caller.
+    pub request: Arc<str>,
+    /// The host it is meant for.
+    pub host: Arc<str>,
+    /// How long its caller waits.
+    pub wait_ms: Option<u64>,
+    /// The digest of the key it bears.
+    pub key: Option<Digest>,
+    /// The program it belongs to.
+    pub program: Option<Arc<str>>,
+    /// Tokens that the program may generate in all.
+    pub budget: Option<u64>,
+    /// Tokens of its prompt, as far as the caller knows.
+    pub prompt_tokens: u64,
+    /// The most tokens that it may generate.
+    pub most_tokens: u64,
+    /// The turn that it continues from.
+    pub previous: Option<Arc<str>>,
+    /// Parts of its prompt as hashes, with their tokens.
+    pub parts: Vec<(u64, u64)>,
+    /// What is left until its program should be finished.
+    pub finish_ms: Option<u64>,
+}
+
+/// How a request is to be served, as decided where it arrived.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Order {
+    /// The workspace that holds the key.
+    pub workspace: Arc<str>,
+    /// The service that runs it.
+    pub service: Arc<str>,
+    /// What is left of its time.
+    pub left_ms: u64,
+    /// The most endpoints it may be sent to.
+    pub attempts: u32,
+    /// The time to its first byte that its operator aims at.
+    pub target_ms: u64,
+    /// How long its history is kept; none: it has no history.
+    pub history_ms: Option<u64>,
+    /// Tokens that one event stands for.
+    pub tokens_per_event: u64,
+    /// Its rank: zero is first.
+    pub priority: u8,
+}
+
+/// Why a request is not answered by an endpoint. Those marked so promise that it has not run and
+/// never will.
+#[value]
+#[derive(Copy, Hash)]
+pub enum Refusal {
+    /// Its head can't be understood.
+    BadCall,
+    /// Its body is larger than allowed.
+    TooLarge,
+    /// No route. Only said with a configuration in force.
+    NoRoute,
+    /// Its key is of no workspace.
+    UnknownKey,
+    /// Its workspace has used up its rate. Promises.
+    OverRate {
+        /// When there may be room.
+        retry_after_ms: u64,
+    },
+    /// Its program's budget is spent. Promises.
+    BudgetSpent,
+    /// There is no such turn in its workspace.
+    NoSuchTurn,
+    /// It can't be served now. Promises.
+    Unavailable {
+        /// When it may be served.
+        retry_after_ms: u64,
+    },
+    /// It has crashed endpoints and is not tried again. Promises.
+    CrashesEndpoints,
+    /// It was sent and may have run.
+    OutcomeUnknown,
+    /// Its time is over; it may have run.
+    TimedOut,
+}
+
+/// What an endpoint's answer is worth.
+#[value]
+#[derive(Copy)]
+pub enum Reply {
+    /// The endpoint has not run the request, and says so.
+    NotRun,
+    /// The request's own answer.
+    Own,
+    /// An answer to another request, or one that can't be trusted.
+    Foreign,
+}
--- /dev/null
+++ b/src/gateway/config_feed.rs
@@ -0,0 +1,99 @@
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::state::Gateway;
+use super::{Position, StoreError};
+use crate::catalog::Catalog;
+
+/// How long the store holds a read for a newer configuration. Source: the age of what is known must
+/// stay well under the time within which a withdrawn key must end.
+const WAIT_MS: u64 = 1_000;
+
+/// The longest that a read may take before it is given up. Source: its wait, and half of that for a
+/// slow answer.
+const READ_TIMEOUT_MS: u64 = WAIT_MS + 600;
+
+/// Pause after a failed read.
+const RETRY_MS: u64 = 100;
+
+/// The configuration in force, and when it was last known to be the newest.
+#[derive(Default)]
+pub(super) struct InForce {
+    catalog: RefCell<Option<Rc<Catalog>>>,
+    confirmed_at_ms: Cell<Option<u64>>,
+}
+
+impl InForce {
+    /// The configuration, if one is known.
+    pub(super) fn catalog(&self) -> Option<Rc<Catalog>> {
+        self.catalog.borrow().clone()
+    }
+
+    /// Whether the configuration was the newest `within_ms` ago, counted from the start of the read
+    /// that said so. Time while the VM was suspended counts: a key may have been withdrawn then.
+    pub(super) fn is_fresh(&self, within_ms: u64) -> bool {
+        let age_ms = self.age_ms();
+        self.catalog.borrow().is_some() && age_ms.is_some_and(|age_ms| age_ms < within_ms)
+    }
+
+    /// Milliseconds since the configuration was known to be the newest.
+    pub(super) fn age_ms(&self) -> Option<u64> {
+        self.confirmed_at_ms.get().map(|at| boot_ms().saturating_sub(at))
+    }
+}
+
+/// A clock that goes on while the VM is suspended.
+fn boot_ms() -> u64 {
+    let now = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    now.tv_sec as u64 * 1_000 + now.tv_nsec as u64 / 1_000_000
+}
+
+/// Follows the configuration for as long as the process lives.
+pub(super) async fn follow_configuration(gateway: Rc<Gateway>) {
+    let mut from = None;
+    let mut failing = false;
+    loop {
+        match read_once(&gateway, from).await {
+            Ok(next) => {
+                if std::mem::take(&mut failing) {
+                    log::info!("the configuration can be read again");
+                }
+                from = Some(next);
+            }
+            Err(fault) => {
+                if !std::mem::replace(&mut failing, true) {
+                    log::warn!(fault:display; "the configuration can't be read");
+                }
+                if fault == StoreError::Expired {
+                    from = None;
+                }
+                tokio::time::sleep(Duration::from_millis(RETRY_MS)).await;
+            }
+        }
+    }
+}
+
+async fn read_once(gateway: &Rc<Gateway>, from: Option<Position>) -> Result<Position, StoreError> {
+    let started_ms = boot_ms();
+    let read = gateway.store.configurations(from, WAIT_MS);
+    let limit = Duration::from_millis(READ_TIMEOUT_MS);
+    let feed = tokio::time::timeout(limit, read)
+        .await
+        .unwrap_or_else(|_| Err(StoreError::NoAnswer("timeout".to_string())))?;
+    for declared in feed.items {
+        let version = declared.version;
+        let in_force = gateway.in_force.catalog();
+        match Catalog::succeed(in_force.as_deref(), declared) {
+            Ok(catalog) => {
+                log::info!(version; "a configuration is in force");
+                let mut rates = gateway.rates.borrow_mut();
+                catalog.workspaces().for_each(|w| rates.know(gateway.now(), w));
+                *gateway.in_force.catalog.borrow_mut() = Some(Rc::new(catalog));
+            }
+            Err(fault) => log::debug!(fault:display; "a configuration was passed over"),
+        }
+    }
+    gateway.in_force.confirmed_at_ms.set(Some(started_ms));
+    Ok(feed.next)
+}
--- /dev/null
+++ b/src/gateway/endpoint_feed.rs
@@ -0,0 +1,88 @@
+use std::collections::HashSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::state::Gateway;
+use super::{Feed, Position, StoreError};
+use crate::prelude::*;
+use crate::replicas::Change;
+
+/// Pause between two reads of the endpoints' list. Source: an endpoint that leaves must get nothing
+/// new after two seconds; a quarter of that leaves room for a slow answer and a second read.
+const POLL_MS: u64 = 400;
+
+/// The longest that a read may take.
+const READ_TIMEOUT_MS: u64 = 700;
+
+/// Follows the endpoints' list for as long as the process lives.
+pub(super) async fn follow_endpoints(gateway: Rc<Gateway>) {
+    let mut from = None;
+    let mut failing = false;
+    loop {
+        match read_once(&gateway, from).await {
+            Ok(feed) => {
+                if std::mem::take(&mut failing) {
+                    log::info!("the endpoints' list can be read again");
+                    gateway.directory.borrow_mut().list_is_back(gateway.now());
+                }
+                from = Some(feed.next);
+                apply(&gateway, feed);
+            }
+            Err(fault) => {
+                if !std::mem::replace(&mut failing, true) {
+                    log::warn!(fault:display; "the endpoints' list can't be read");
+                }
+                if fault == StoreError::Expired {
+                    from = None;
+                }
+            }
+        }
+        gateway.directory.borrow_mut().tidy(gateway.now());
+        gateway.connections.tidy(gateway.now());
+        tokio::time::sleep(Duration::from_millis(POLL_MS)).await;
+    }
+}
+
+async fn read_once(
+    gateway: &Rc<Gateway>,
+    from: Option<Position>,
+) -> Result<Feed<Change>, StoreError> {
+    let limit = Duration::from_millis(READ_TIMEOUT_MS);
+    tokio::time::timeout(limit, gateway.store.endpoints(from))
+        .await
+        .unwrap_or_else(|_| Err(StoreError::NoAnswer("timeout".to_string())))
+}
+
+fn apply(gateway: &Gateway, feed: Feed<Change>) {
+    let now = gateway.now();
+    let mut directory = gateway.directory.borrow_mut();
+    if feed.whole {
+        let listed: HashSet<Arc<str>> = feed.items.iter().filter_map(listed).collect();
+        let known: Vec<Arc<str>> = directory.all().map(|(_, r)| r.id.clone()).collect();
+        for id in known.into_iter().filter(|id| !listed.contains(id)) {
+            directory.apply(now, Change::Removed(id));
+        }
+    }
+    for change in feed.items {
+        log_change(&change);
+        directory.apply(now, change);
+    }
+}
+
+fn listed(change: &Change) -> Option<Arc<str>> {
+    match change {
+        Change::Announced(id, _) => Some(id.clone()),
+        Change::Removed(_) | Change::Unreadable(_) => None,
+    }
+}
+
+fn log_change(change: &Change) {
+    match change {
+        Change::Announced(id, announced) if announced.leaving => {
+            log::info!(endpoint:% = id; "an endpoint is leaving");
+        }
+        Change::Announced(..) => {}
+        Change::Removed(id) => log::info!(endpoint:% = id; "an endpoint is gone from the list"),
+        Change::Unreadable(id) => log::warn!(endpoint:% = id; "an endpoint's entry is unreadable"),
+    }
+}
--- /dev/null
+++ b/src/gateway/find.rs
@@ -0,0 +1,113 @@
+//! Turns that were answered under another program, and so lie in another shard.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::Request;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Bytes;
+use tokio::time::timeout;
+
+use super::Refusal;
+use super::message::{FindTurn, FoundTurn};
+use super::owned_shard::{OwnedShard, Stage};
+use super::state::Gateway;
+use crate::turns::{Record, Turn, TurnKey};
+
+/// Where an entry is asked for a turn.
+pub(super) const FIND_PATH: &str = "/find-turn";
+
+/// The longest wait for another entry's search. Source: it confirms its epochs at the store, which
+/// takes some ten milliseconds, and a quarter of a second when the store is slow.
+const FIND_TIMEOUT_MS: u64 = 600;
+
+/// The most bytes of a chain. Source: 160,000 tokens at two bytes, with room for the framing.
+const CHAIN_MOST_BYTES: usize = 1 << 20;
+
+/// When to return if a search was not complete: a shard is between two owners.
+const INCOMPLETE_RETRY_MS: u64 = 300;
+
+type Chain = Vec<(TurnKey, Turn)>;
+
+/// The turn and all before it. Those of another shard are taken over: `records` then holds what
+/// makes them durable here.
+///
+/// That there is no such turn is said only after all shards were searched, each by an owner that
+/// the store has just confirmed: a process that was paused past its tenure holds an old state and
+/// would deny turns that its successor has answered.
+pub(super) async fn find_chain(
+    gateway: &Rc<Gateway>,
+    shard: &OwnedShard,
+    turn: TurnKey,
+    records: &mut Vec<Record>,
+) -> Result<Chain, Refusal> {
+    if let Some(chain) = held(shard, turn) {
+        return Ok(chain);
+    }
+    let own = search_own(gateway, turn).await;
+    let mut searched: HashSet<u32> = own.searched.into_iter().collect();
+    let mut chain = own.chain;
+    if chain.is_none() {
+        let asked = gateway.shards.other_owners();
+        let answers = asked.into_iter().map(|address| ask(gateway, address, turn));
+        for found in futures_util::future::join_all(answers).await.into_iter().flatten() {
+            searched.extend(found.searched);
+            chain = chain.or(found.chain);
+        }
+    }
+    match chain {
+        Some(chain) => {
+            records.extend(shard.ledger.borrow_mut().adopt(chain.clone()));
+            Ok(chain)
+        }
+        None if searched.len() as u32 >= gateway.shards.count() => Err(Refusal::NoSuchTurn),
+        None => Err(Refusal::Unavailable { retry_after_ms: INCOMPLETE_RETRY_MS }),
+    }
+}
+
+fn held(shard: &OwnedShard, turn: TurnKey) -> Option<Chain> {
+    let ledger = shard.ledger.borrow();
+    let chain = ledger.chain(turn)?;
+    Some(chain.into_iter().map(|(key, turn)| (key, turn.clone())).collect())
+}
+
+/// Searches this process's shards.
+pub(super) async fn search_own(gateway: &Gateway, turn: TurnKey) -> FoundTurn {
+    let serving = gateway.shards.all_own();
+    let serving: Vec<_> = serving.into_iter().filter(|s| s.stage() == Stage::Serving).collect();
+    if let Some(chain) = serving.iter().find_map(|shard| held(shard, turn)) {
+        return FoundTurn { chain: Some(chain), searched: Vec::new() };
+    }
+    let confirmed = serving.iter().map(|shard| shard.writer.append(Vec::new()));
+    let confirmed = futures_util::future::join_all(confirmed);
+    let answers = timeout(Duration::from_millis(FIND_TIMEOUT_MS), confirmed).await;
+    let answers = answers.unwrap_or_default();
+    // A turn may have been recorded while the confirmations were under way.
+    let chain = serving.iter().find_map(|shard| held(shard, turn));
+    let searched = serving.iter().zip(answers).filter(|(_, answer)| answer.is_ok());
+    FoundTurn { chain, searched: searched.map(|(shard, _)| shard.number).collect() }
+}
+
+async fn ask(gateway: &Rc<Gateway>, address: SocketAddr, turn: TurnKey) -> Option<FoundTurn> {
+    let answer =
+        timeout(Duration::from_millis(FIND_TIMEOUT_MS), call(gateway, address, turn)).await;
+    match answer {
+        Ok(Some(found)) => Some(found),
+        Ok(None) | Err(_) => {
+            log::warn!(address:display; "an entry could not be asked for a turn");
+            None
+        }
+    }
+}
+
+async fn call(gateway: &Rc<Gateway>, address: SocketAddr, turn: TurnKey) -> Option<FoundTurn> {
+    let question = postcard::to_allocvec(&FindTurn { turn }).ok()?;
+    let request = Request::post(FIND_PATH).body(Full::new(Bytes::from(question))).ok()?;
+    let mut connection = gateway.connections.take(gateway.now(), address).await.ok()?;
+    let answer = connection.sender.send_request(request).await.ok()?;
+    let whole = Limited::new(answer.into_body(), CHAIN_MOST_BYTES).collect().await.ok()?;
+    gateway.connections.keep(gateway.now(), connection);
+    postcard::from_bytes(&whole.to_bytes()).ok()
+}
--- /dev/null
+++ b/src/gateway/forward.rs
@@ -0,0 +1,205 @@
+//! Turns on their way from the entry that took them to the owner of their program's shard.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
+use http_body_util::Full;
+use hyper::body::{Bytes, Incoming};
+use tokio::sync::mpsc;
+
+use super::owned_shard::{OwnedShard, Stage};
+use super::plain::end_to_end;
+use super::state::Gateway;
+use super::turn::{next_piece, within};
+use super::{AnswerBody, Order, Refusal};
+use crate::http::ConnectFault;
+use crate::prelude::*;
+
+/// Carries the [`Order`] of a forwarded turn.
+pub(super) const ORDER_HEADER: &str = "x-trefoil-order";
+
+/// Marks an answer: this entry does not own the shard, and nothing was done.
+pub(super) const MOVED_HEADER: &str = "x-trefoil-moved";
+
+/// How long a turn may wait for its shard to find an owner. Source: an owner that dies is replaced
+/// once its membership lapses, after one and a half seconds, and its records are read.
+const OWNER_WAIT_MOST_MS: u64 = 1_900;
+
+/// Part of a request's time that the wait for an owner may use up: beyond, the turn itself could
+/// not end in time.
+const OWNER_WAIT_PART: f64 = 0.6;
+
+/// Pause between two looks for an owner.
+const LOOK_AGAIN_MS: u64 = 20;
+
+/// When to return if a shard has no owner.
+const NO_OWNER_RETRY_MS: u64 = 400;
+
+/// Pieces that wait for a slow caller.
+const PIECES_WAITING_MOST: usize = 32;
+
+/// A turn as its caller sent it.
+pub(super) struct Forwarded {
+    pub(super) request: Arc<str>,
+    pub(super) method: Method,
+    pub(super) uri: Uri,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+    pub(super) order: Order,
+    pub(super) ends_at: TimeMs,
+}
+
+/// Where a shard's turns are served.
+pub(super) enum Served {
+    /// Here.
+    Here(Rc<OwnedShard>),
+    /// At another entry, which has answered.
+    There(Response<AnswerBody>),
+}
+
+/// Finds the owner of a shard; if that is another entry, has it serve the turn.
+///
+/// A turn goes to another owner only while it is certain that the last one has not taken it: after
+/// a connection that broke behind the request, its outcome is unknown.
+pub(super) async fn find_owner(
+    gateway: &Rc<Gateway>,
+    shard: u32,
+    turn: &Forwarded,
+) -> Result<Served, Refusal> {
+    let arrived = gateway.now();
+    let time_ms = turn.ends_at.since(arrived);
+    let wait_ms = ((time_ms as f64 * OWNER_WAIT_PART) as u64).min(OWNER_WAIT_MOST_MS);
+    loop {
+        if let Some(own) = gateway.shards.own(shard).filter(|own| own.stage() == Stage::Serving) {
+            return Ok(Served::Here(own));
+        }
+        if let Some(owner) = gateway.shards.other(shard) {
+            match send(gateway, owner.address, turn).await? {
+                Sent::Answered(response) => return Ok(Served::There(response)),
+                Sent::Moved => gateway.shards.forget(owner.address, Some(shard)),
+                Sent::Unreached(fault) => {
+                    gateway.shards.forget(owner.address, None);
+                    if fault == ConnectFault::Refused {
+                        sign_off(gateway, owner.address).await;
+                    }
+                }
+            }
+        }
+        if gateway.now().since(arrived) >= wait_ms {
+            log::info!(request:% = turn.request, shard; "a turn found no owner of its shard");
+            return Err(Refusal::Unavailable { retry_after_ms: NO_OWNER_RETRY_MS });
+        }
+        tokio::select! {
+            () = gateway.shards.changed.notified() => {}
+            () = tokio::time::sleep(Duration::from_millis(LOOK_AGAIN_MS)) => {}
+        }
+    }
+}
+
+/// Signs off an entry whose process is gone while its VM lives, so that its shards are dealt anew at
+/// once instead of after its membership lapses. If it lives after all, the epochs keep it harmless.
+async fn sign_off(gateway: &Gateway, address: std::net::SocketAddr) {
+    let Some(name) = gateway.peers.borrow_mut().take_name_once(address) else {
+        return;
+    };
+    log::info!(peer:% = name; "an entry is gone; its shards are dealt anew");
+    if let Err(fault) = gateway.store.leave(&name).await {
+        log::warn!(peer:% = name, fault:display; "an entry could not be signed off");
+    }
+    gateway.renew_membership();
+}
+
+enum Sent {
+    Answered(Response<AnswerBody>),
+    Moved,
+    Unreached(ConnectFault),
+}
+
+async fn send(
+    gateway: &Rc<Gateway>,
+    address: std::net::SocketAddr,
+    turn: &Forwarded,
+) -> Result<Sent, Refusal> {
+    let mut connection = match gateway.connections.take(gateway.now(), address).await {
+        Ok(connection) => connection,
+        Err(fault) => return Ok(Sent::Unreached(fault)),
+    };
+    let Some(request) = compose(gateway, turn) else {
+        return Err(Refusal::TimedOut);
+    };
+    let answer = connection.sender.try_send_request(request);
+    let response = match within(gateway, turn.ends_at, answer).await? {
+        Ok(response) => response,
+        Err(mut fault) => {
+            return match fault.take_message() {
+                Some(_) => Ok(Sent::Moved),
+                None => Err(Refusal::OutcomeUnknown),
+            };
+        }
+    };
+    let (head, body) = response.into_parts();
+    if head.headers.contains_key(MOVED_HEADER) {
+        return Ok(Sent::Moved);
+    }
+    let (pieces, passing) = mpsc::channel(PIECES_WAITING_MOST);
+    let ends_at = turn.ends_at;
+    let pass = pass_on(gateway.clone(), ends_at, body, pieces);
+    let keeper = gateway.clone();
+    tokio::task::spawn_local(async move {
+        if pass.await {
+            keeper.connections.keep(keeper.now(), connection);
+        }
+    });
+    let mut response = Response::new(AnswerBody::passing(passing));
+    *response.status_mut() = head.status;
+    *response.headers_mut() = end_to_end(head.headers);
+    Ok(Sent::Answered(response))
+}
+
+/// Passes a body on; `true` once it has ended whole.
+async fn pass_on(
+    gateway: Rc<Gateway>,
+    ends_at: TimeMs,
+    mut body: Incoming,
+    pieces: mpsc::Sender<Option<Bytes>>,
+) -> bool {
+    loop {
+        let next = tokio::select! {
+            next = next_piece(&gateway, ends_at, &mut body) => next,
+            () = pieces.closed() => return false,
+        };
+        let Ok(piece) = next else {
+            return false;
+        };
+        let ended = piece.is_none();
+        if pieces.send(piece).await.is_err() {
+            return false;
+        }
+        if ended {
+            return true;
+        }
+    }
+}
+
+fn compose(gateway: &Gateway, turn: &Forwarded) -> Option<Request<Full<Bytes>>> {
+    let left_ms = turn.ends_at.since(gateway.now());
+    let order = Order { left_ms, ..turn.order.clone() };
+    let order = hex::encode(postcard::to_allocvec(&order).ok()?);
+    let mut request = Request::new(Full::new(turn.body.clone()));
+    *request.method_mut() = turn.method.clone();
+    *request.uri_mut() = turn.uri.clone();
+    let mut headers = turn.headers.clone();
+    headers.remove(http::header::AUTHORIZATION);
+    headers.insert(ORDER_HEADER, HeaderValue::from_str(&order).ok()?);
+    *request.headers_mut() = end_to_end(headers);
+    (left_ms > 0).then_some(request)
+}
+
+/// The answer of an entry that does not own the shard.
+pub(super) fn moved() -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::whole(Bytes::new()));
+    *response.status_mut() = StatusCode::MISDIRECTED_REQUEST;
+    response.headers_mut().insert(MOVED_HEADER, HeaderValue::from_static("1"));
+    response
+}
--- /dev/null
+++ b/src/gateway/gossip.rs
@@ -0,0 +1,169 @@
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::net::UdpSocket;
+
+use super::PeerRecord;
+use super::message::Gossip;
+use super::owned_shard::Stage;
+use super::shard_table::Owner;
+use super::state::Gateway;
+use crate::prelude::*;
+
+/// Pause between two messages to the others while requests are running. Source: what an entry takes
+/// out of a workspace's rate in this time must be small against its burst.
+const TELL_EVERY_MS: u64 = 100;
+
+/// Pause between two messages while nothing has changed.
+const TELL_IDLE_MS: u64 = 300;
+
+/// The most bytes of a datagram. Source: what a link carries in one frame.
+const DATAGRAM_MOST_BYTES: usize = 1_400;
+
+/// The most rows of each list in one message, so that it fits a datagram; lists that are longer are
+/// told in turn.
+const ROWS_MOST: usize = 50;
+
+/// Crashing requests are told for this long.
+const SUSPECTS_TOLD_MS: u64 = 5_000;
+
+/// Pause between two reads of the list of entries while it can't be read.
+const PEERS_RETRY_MS: u64 = 200;
+
+/// Pause between two reads of the list of entries. Source: a new entry tells all that it knows of;
+/// the list only finds those that were announced at the same moment.
+const PEERS_EVERY_MS: u64 = 10_000;
+
+/// Announces this entry and follows the list of the others.
+pub(super) async fn follow_peers(gateway: Rc<Gateway>) {
+    let own = PeerRecord { name: gateway.settings.name.clone(), address: gateway.settings.peers };
+    while let Err(fault) = gateway.store.announce(&own).await {
+        log::warn!(fault:display; "this entry can't be announced");
+        tokio::time::sleep(Duration::from_millis(PEERS_RETRY_MS)).await;
+    }
+    loop {
+        let pause_ms = match gateway.store.peers().await {
+            Ok(records) => {
+                let others = records.into_iter().filter(|record| record.address != own.address);
+                let mut peers = gateway.peers.borrow_mut();
+                others.for_each(|peer| peers.know(gateway.now(), peer.address, peer.name));
+                PEERS_EVERY_MS
+            }
+            Err(fault) => {
+                log::warn!(fault:display; "the list of entries can't be read");
+                PEERS_RETRY_MS
+            }
+        };
+        gateway.news.notify_one();
+        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+    }
+}
+
+/// Tells the other entries what this one owns, runs and admits, for as long as the process lives.
+pub(super) async fn tell_peers(gateway: Rc<Gateway>, socket: Rc<UdpSocket>, life: u64) {
+    let mut told = None;
+    let mut told_at = TimeMs::default();
+    let mut round = 0;
+    loop {
+        let gossip = compose(&gateway, life, round);
+        let now = gateway.now();
+        let unchanged = told.as_ref() == Some(&gossip);
+        if !unchanged || now.since(told_at) >= TELL_IDLE_MS {
+            tell(&gateway, &socket, &gossip).await;
+            told = Some(gossip);
+            told_at = now;
+            round += 1;
+        }
+        for address in gateway.peers.borrow_mut().fallen_silent(now) {
+            log::info!(address:display; "an entry has fallen silent");
+            gateway.shards.forget(address, None);
+        }
+        tokio::select! {
+            () = tokio::time::sleep(Duration::from_millis(TELL_EVERY_MS)) => {}
+            () = gateway.news.notified() => {}
+        }
+    }
+}
+
+fn compose(gateway: &Gateway, life: u64, round: usize) -> Gossip {
+    let own = gateway.shards.all_own();
+    let serving = own.iter().filter(|shard| shard.stage() == Stage::Serving);
+    let directory = gateway.directory.borrow();
+    let running = directory.all().filter(|(_, replica)| replica.in_flight > 0);
+    let running = running.map(|(_, r)| (endpoint_hash(&r.id), r.in_flight)).collect();
+    Gossip {
+        life,
+        name: gateway.settings.name.clone(),
+        leaving: gateway.draining.get(),
+        shards: serving.map(|shard| (shard.number, shard.epoch)).collect(),
+        running: in_turn(running, round),
+        taken: in_turn(gateway.rates.borrow().taken(), round),
+        suspects: gateway.suspects.borrow().recent(gateway.now(), SUSPECTS_TOLD_MS),
+    }
+}
+
+fn in_turn<T>(mut rows: Vec<T>, round: usize) -> Vec<T> {
+    if rows.len() > ROWS_MOST {
+        let start = (round * ROWS_MOST) % rows.len();
+        rows.rotate_left(start);
+        rows.truncate(ROWS_MOST);
+    }
+    rows
+}
+
+async fn tell(gateway: &Gateway, socket: &UdpSocket, gossip: &Gossip) {
+    let bytes = match postcard::to_allocvec(gossip) {
+        Ok(bytes) if bytes.len() <= DATAGRAM_MOST_BYTES => bytes,
+        Ok(bytes) => return log::error!(bytes = bytes.len(); "a message to the peers is too long"),
+        Err(fault) => return log::error!(fault:display; "a message to the peers can't be encoded"),
+    };
+    let addresses = gateway.peers.borrow().addresses();
+    for address in addresses {
+        if let Err(fault) = socket.send_to(&bytes, address).await {
+            log::debug!(address:display, fault:display; "a message to a peer was not sent");
+        }
+    }
+}
+
+/// Takes the other entries' messages in, for as long as the process lives.
+pub(super) async fn hear_peers(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
+    let mut buffer = vec![0; 2 * DATAGRAM_MOST_BYTES];
+    loop {
+        match socket.recv_from(&mut buffer).await {
+            Ok((length, from)) => match postcard::from_bytes::<Gossip>(&buffer[..length]) {
+                Ok(gossip) => hear(&gateway, from, &gossip),
+                Err(fault) => log::warn!(from:display, fault:display; "an unreadable message"),
+            },
+            Err(fault) => {
+                log::warn!(fault:display; "messages of the peers can't be received");
+                tokio::time::sleep(Duration::from_millis(TELL_EVERY_MS)).await;
+            }
+        }
+    }
+}
+
+fn hear(gateway: &Gateway, from: SocketAddr, gossip: &Gossip) {
+    let now = gateway.now();
+    if gateway.peers.borrow_mut().heard(now, from, gossip) {
+        log::info!(peer:% = gossip.name; "an entry was heard for the first time");
+        gateway.news.notify_one();
+    }
+    for (shard, epoch) in &gossip.shards {
+        gateway.shards.told(*shard, Owner { address: from, epoch: *epoch });
+    }
+    gateway.rates.borrow_mut().tell(gossip.life, &gossip.taken);
+    let mut suspects = gateway.suspects.borrow_mut();
+    gossip.suspects.iter().for_each(|(request, crashes)| suspects.told(now, *request, *crashes));
+    let mut directory = gateway.directory.borrow_mut();
+    let peers = gateway.peers.borrow();
+    let loads: Vec<_> = directory
+        .all()
+        .map(|(key, replica)| (key, peers.running(endpoint_hash(&replica.id))))
+        .collect();
+    loads.into_iter().for_each(|(key, load)| directory.tell_others(key, load));
+}
+
+fn endpoint_hash(id: &str) -> u64 {
+    Digest::of(&[id.as_bytes()]).prefix()
+}
--- /dev/null
+++ b/src/gateway/peers.rs
@@ -0,0 +1,108 @@
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use super::message::Gossip;
+use crate::prelude::*;
+use crate::quota::Peering;
+
+/// An entry that was not heard from for this long has nothing running and owns nothing. Source: six
+/// messages lost in a row.
+const SILENT_AFTER_MS: u64 = 1_500;
+
+/// An entry that was not heard from for this long no longer takes part of the workspaces' rates.
+/// Source: a cut or frozen entry admits requests on its own; a minute outlasts both.
+const FORGOTTEN_AFTER_MS: u64 = 60_000;
+
+/// This entry is cut off if it hears from less than half of the others within this time.
+const IN_TOUCH_MS: u64 = 700;
+
+#[derive(Debug)]
+struct Peer {
+    name: Arc<str>,
+    life: u64,
+    heard_at: Option<TimeMs>,
+    known_at: TimeMs,
+    leaving: bool,
+    running: HashMap<u64, u32>,
+    signed_off: Option<u64>,
+}
+
+/// The other entries.
+#[derive(Debug, Default)]
+pub(super) struct Peers {
+    peers: HashMap<SocketAddr, Peer>,
+}
+
+impl Peers {
+    /// An entry is known to exist, alive or not.
+    pub(super) fn know(&mut self, now: TimeMs, address: SocketAddr, name: Arc<str>) {
+        self.peers.entry(address).or_insert_with(|| Peer {
+            name,
+            life: 0,
+            heard_at: None,
+            known_at: now,
+            leaving: false,
+            running: HashMap::new(),
+            signed_off: None,
+        });
+    }
+
+    /// An entry was heard. `true` if it was not known, or is in a new life.
+    pub(super) fn heard(&mut self, now: TimeMs, address: SocketAddr, gossip: &Gossip) -> bool {
+        self.know(now, address, gossip.name.clone());
+        let Some(peer) = self.peers.get_mut(&address) else {
+            return false;
+        };
+        let new = peer.life != gossip.life;
+        peer.life = gossip.life;
+        peer.heard_at = Some(now);
+        peer.leaving = gossip.leaving;
+        peer.running = gossip.running.iter().copied().collect();
+        new
+    }
+
+    /// Where to send messages.
+    pub(super) fn addresses(&self) -> Vec<SocketAddr> {
+        self.peers.keys().copied().collect()
+    }
+
+    /// Entries that have fallen silent since they were heard last; each is told of once.
+    pub(super) fn fallen_silent(&mut self, now: TimeMs) -> Vec<SocketAddr> {
+        let silent = |peer: &Peer| peer.heard_at.is_some_and(|at| now.since(at) > SILENT_AFTER_MS);
+        let silent: Vec<_> =
+            self.peers.iter().filter(|(_, p)| silent(p)).map(|(address, _)| *address).collect();
+        for address in &silent {
+            if let Some(peer) = self.peers.get_mut(address) {
+                peer.running.clear();
+                peer.known_at = peer.heard_at.take().unwrap_or(now);
+            }
+        }
+        self.peers
+            .retain(|_, p| p.heard_at.is_some() || now.since(p.known_at) < FORGOTTEN_AFTER_MS);
+        silent
+    }
+
+    /// Requests that the others have running at an endpoint.
+    pub(super) fn running(&self, endpoint: u64) -> u32 {
+        self.peers.values().filter_map(|peer| peer.running.get(&endpoint)).sum()
+    }
+
+    /// The entry's name, once in each of its lives.
+    pub(super) fn take_name_once(&mut self, address: SocketAddr) -> Option<Arc<str>> {
+        let peer = self.peers.get_mut(&address)?;
+        let first = peer.signed_off.replace(peer.life) != Some(peer.life);
+        first.then(|| peer.name.clone())
+    }
+
+    /// How the workspaces' rates are shared now.
+    pub(super) fn peering(&self, now: TimeMs) -> Peering {
+        let sharing = self.peers.values().filter(|peer| peer.life != 0 && !peer.leaving);
+        let (mut others, mut in_touch) = (0, 0);
+        for peer in sharing {
+            others += 1;
+            let recent = peer.heard_at.is_some_and(|at| now.since(at) < IN_TOUCH_MS);
+            in_touch += u32::from(recent);
+        }
+        Peering { entries: others + 1, in_touch: in_touch * 2 >= others }
+    }
+}
--- /dev/null
+++ b/src/gateway/plain.rs
@@ -0,0 +1,137 @@
+use std::rc::Rc;
+
+use http::{Response, response};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Bytes;
+
+use super::attempt::{Answer, Attempted, Job, attempt};
+use super::state::Gateway;
+use super::{AnswerBody, Refusal};
+use crate::catalog::Repeat;
+use crate::replicas::{ReplicaKey, Want};
+
+/// The most bytes of an answer that is held until it is whole.
+const WHOLE_ANSWER_MOST_BYTES: usize = 4 << 20;
+
+/// Attempts that never reached an endpoint, or were refused by it, beyond those a route allows to
+/// run. They cost the endpoints nothing, but a request must not wander over all of them.
+const UNRUN_ATTEMPTS_MOST: u32 = 3;
+
+/// When to return if no endpoint takes the request now. Source: about two mean running times.
+const NO_ENDPOINT_RETRY_MS: u64 = 150;
+
+/// Attempts of one request, one after the other.
+pub(super) struct Dispatch<'a> {
+    gateway: &'a Rc<Gateway>,
+    job: &'a Job,
+    not: Vec<ReplicaKey>,
+    may_have_run: u32,
+    not_run: u32,
+}
+
+impl<'a> Dispatch<'a> {
+    pub(super) fn open(gateway: &'a Rc<Gateway>, job: &'a Job) -> Dispatch<'a> {
+        Dispatch { gateway, job, not: Vec::new(), may_have_run: 0, not_run: 0 }
+    }
+
+    /// The next endpoint's answer. What may run once only is tried again only while it is certain
+    /// that it has not run.
+    pub(super) async fn answer(&mut self) -> Result<Answer, Refusal> {
+        while let Some(endpoint) = self.next() {
+            match attempt(self.gateway, self.job, endpoint).await {
+                Attempted::Answered(answer) => {
+                    self.may_have_run += 1;
+                    self.not.push(endpoint);
+                    return Ok(*answer);
+                }
+                Attempted::NotRun => {
+                    self.not_run += 1;
+                    self.not.push(endpoint);
+                }
+                Attempted::NeverSent { stale_connection: true } => self.not_run += 1,
+                Attempted::NeverSent { stale_connection: false } => {
+                    self.not_run += 1;
+                    self.not.push(endpoint);
+                    self.gateway.endpoint_failed(endpoint);
+                }
+                Attempted::Unknown => {
+                    self.may_have_run += 1;
+                    self.not.push(endpoint);
+                    self.broke_off(endpoint).await;
+                    if self.job.repeat != Repeat::Idempotent {
+                        return Err(Refusal::OutcomeUnknown);
+                    }
+                }
+            }
+        }
+        Err(match self.may_have_run {
+            0 => Refusal::Unavailable { retry_after_ms: NO_ENDPOINT_RETRY_MS },
+            _ => Refusal::OutcomeUnknown,
+        })
+    }
+
+    /// An endpoint broke the request off after it was sent.
+    pub(super) async fn broke_off(&self, endpoint: ReplicaKey) {
+        self.gateway.endpoint_failed(endpoint);
+        self.gateway.suspect(self.job, endpoint).await;
+    }
+
+    fn next(&self) -> Option<ReplicaKey> {
+        let spent = self.may_have_run >= self.job.order.attempts.max(1)
+            || self.not_run >= UNRUN_ATTEMPTS_MOST
+            || (self.may_have_run > 0 && self.job.repeat != Repeat::Idempotent)
+            || self.gateway.is_guilty(self.job.suspect);
+        if spent {
+            return None;
+        }
+        let want = Want {
+            service: self.job.order.service.clone(),
+            parts: self.job.parts.clone(),
+            not: self.not.clone(),
+        };
+        self.gateway.choose(&want)
+    }
+}
+
+/// Serves a request whose answer is passed on once it is whole.
+pub(super) async fn serve_plain(
+    gateway: &Rc<Gateway>,
+    job: &Job,
+) -> Result<Response<AnswerBody>, Refusal> {
+    let mut dispatch = Dispatch::open(gateway, job);
+    loop {
+        let Answer { head, body, lease } = dispatch.answer().await?;
+        let endpoint = lease.endpoint;
+        match Limited::new(body, WHOLE_ANSWER_MOST_BYTES).collect().await {
+            Ok(whole) => {
+                lease.finish();
+                gateway.cleared(job.suspect);
+                return Ok(pass_whole(head, whole.to_bytes()));
+            }
+            Err(_) => {
+                drop(lease);
+                dispatch.broke_off(endpoint).await;
+                if job.repeat != Repeat::Idempotent {
+                    return Err(Refusal::OutcomeUnknown);
+                }
+            }
+        }
+    }
+}
+
+/// An endpoint's answer with its body, framed anew.
+pub(super) fn pass_whole(head: response::Parts, body: Bytes) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::whole(body));
+    *response.status_mut() = head.status;
+    *response.headers_mut() = end_to_end(head.headers);
+    response
+}
+
+/// Headers without those that concern one connection only.
+pub(super) fn end_to_end(mut headers: http::HeaderMap) -> http::HeaderMap {
+    for name in ["connection", "keep-alive", "transfer-encoding", "content-length", "te", "upgrade"]
+    {
+        headers.remove(name);
+    }
+    headers
+}
--- /dev/null
+++ b/src/gateway/process.rs
@@ -0,0 +1,107 @@
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::net::UdpSocket;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+
+use super::config_feed::follow_configuration;
+use super::endpoint_feed::follow_endpoints;
+use super::gossip::{follow_peers, hear_peers, tell_peers};
+use super::server::{Door, accept, listen};
+use super::state::Gateway;
+use super::tenure::Tenure;
+use super::{GatewayError, GatewaySettings, Protocol, Store};
+use crate::daemon::Shutdown;
+use crate::telemetry::Metrics;
+
+/// Part of the time between SIGTERM and SIGKILL for which requests are still taken. The balancer
+/// needs two seconds to notice; the rest is left for answers under way.
+const TAKE_PART: f64 = 0.45;
+
+/// Part of that time after which the process ends, whatever is still running.
+const END_PART: f64 = 0.92;
+
+/// Pause between two looks at what is still running.
+const LOOK_AGAIN_MS: u64 = 20;
+
+/// Pause between two upkeeps of the metrics.
+const METRICS_UPKEEP_MS: u64 = 5_000;
+
+/// Runs a gateway until SIGTERM. Needs a [`tokio::task::LocalSet`].
+///
+/// # Errors
+/// If an address can't be listened on, or signals can't be listened to.
+pub async fn run(
+    settings: GatewaySettings,
+    store: Rc<dyn Store>,
+    protocol: Rc<dyn Protocol>,
+    metrics: Metrics,
+) -> Result<(), GatewayError> {
+    let mut shutdown = Shutdown::install().map_err(GatewayError::Signals)?;
+    let mut reload = signal(SignalKind::hangup()).map_err(GatewayError::Signals)?;
+    let callers = listen(settings.callers).await?;
+    let ready = listen(settings.ready).await?;
+    let peers = listen(settings.peers).await?;
+    let address = settings.peers;
+    let datagrams = UdpSocket::bind(address).await;
+    let datagrams = datagrams.map_err(|fault| GatewayError::Listen { address, fault })?;
+    let datagrams = Rc::new(datagrams);
+    let (close, closing) = watch::channel(false);
+    let metrics_at = settings.metrics;
+    let gateway = Gateway::open(settings, store, protocol);
+    if let Some(address) = metrics_at {
+        let listener = listen(address).await?;
+        let (gateway, metrics) = (gateway.clone(), metrics.clone());
+        spawn_local(accept(gateway, listener, Door::Metrics, metrics, closing.clone()));
+    }
+    let doors = [(callers, Door::Callers), (ready, Door::Ready), (peers, Door::Peers)];
+    for (listener, door) in doors {
+        spawn_local(accept(gateway.clone(), listener, door, metrics.clone(), closing.clone()));
+    }
+    let tenure = Tenure::open(gateway.clone());
+    // Distinguishes this life from earlier ones of the VM; it orders nothing.
+    let life = gateway.unix().0.max(1);
+    spawn_local(follow_configuration(gateway.clone()));
+    spawn_local(follow_endpoints(gateway.clone()));
+    spawn_local(follow_peers(gateway.clone()));
+    spawn_local(tell_peers(gateway.clone(), datagrams.clone(), life));
+    spawn_local(hear_peers(gateway.clone(), datagrams));
+    spawn_local(tenure.clone().keep());
+    spawn_local(async move {
+        loop {
+            tokio::time::sleep(Duration::from_millis(METRICS_UPKEEP_MS)).await;
+            metrics.upkeep();
+        }
+    });
+    log::info!(vm:% = gateway.settings.name, callers:% = gateway.settings.callers; "started");
+    loop {
+        tokio::select! {
+            () = shutdown.requested() => break,
+            _ = reload.recv() => log::info!("reload: nothing in the settings changes at run time"),
+        }
+    }
+    drain(&gateway, &tenure, &close).await;
+    log::info!("stopped");
+    Ok(())
+}
+
+/// Ends without losing a request: shards go to other entries, callers are told to go elsewhere,
+/// and answers under way are finished.
+async fn drain(gateway: &Rc<Gateway>, tenure: &Tenure, close: &watch::Sender<bool>) {
+    log::info!(running = gateway.running.get(); "shutting down");
+    let started = gateway.now();
+    gateway.draining.set(true);
+    tenure.leave().await;
+    let grace_ms = gateway.settings.bounds.grace_ms as f64;
+    let (take_ms, end_ms) = ((grace_ms * TAKE_PART) as u64, (grace_ms * END_PART) as u64);
+    let so_far = |gateway: &Gateway| gateway.now().since(started);
+    tokio::time::sleep(Duration::from_millis(take_ms.saturating_sub(so_far(gateway)))).await;
+    close.send_replace(true);
+    while gateway.running.get() > 0 && so_far(gateway) < end_ms {
+        tokio::time::sleep(Duration::from_millis(LOOK_AGAIN_MS)).await;
+    }
+    // Connections close behind their last answer; the bytes of that answer need a moment.
+    tokio::time::sleep(Duration::from_millis(LOOK_AGAIN_MS)).await;
+}
--- /dev/null
+++ b/src/gateway/reservation.rs
@@ -0,0 +1,51 @@
+use std::rc::Rc;
+
+use super::Refusal;
+use super::owned_shard::OwnedShard;
+use crate::prelude::*;
+use crate::turns::{AccountKey, Record};
+
+/// Tokens reserved for a turn under way. Dropped without [`Reservation::settle`], it settles what
+/// was handed out so far, so that a turn that breaks off holds no budget.
+pub(super) struct Reservation {
+    shard: Rc<OwnedShard>,
+    program: AccountKey,
+    most: u64,
+    settled: bool,
+    /// Tokens handed out.
+    pub(super) used: u64,
+}
+
+impl Reservation {
+    /// Reserves the most that a turn may generate out of its program's budget; yields the record
+    /// that makes it durable.
+    pub(super) fn open(
+        shard: &Rc<OwnedShard>,
+        program: AccountKey,
+        (budget, most): (u64, u64),
+        kept_until: UnixMs,
+    ) -> Result<(Reservation, Record), Refusal> {
+        let reserved = shard.ledger.borrow_mut().reserve(program, budget, most, kept_until);
+        let record = reserved.map_err(|spent| {
+            log::info!(used = spent.used, budget; "a program's budget is spent");
+            Refusal::BudgetSpent
+        })?;
+        let shard = shard.clone();
+        Ok((Reservation { shard, program, most, settled: false, used: 0 }, record))
+    }
+
+    /// The turn is over; yields the record that says so.
+    pub(super) fn settle(&mut self) -> Record {
+        self.settled = true;
+        self.shard.ledger.borrow_mut().settle(self.program, self.most, self.used)
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        if !self.settled {
+            let record = self.settle();
+            drop(self.shard.writer.append(vec![record]));
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/serve.rs
@@ -0,0 +1,260 @@
+//! One request, from its arrival at any entry to its answer.
+
+use std::rc::Rc;
+
+use http::{Request, Response, request};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::{Bytes, Incoming};
+
+use super::attempt::Job;
+use super::forward::{Forwarded, ORDER_HEADER, Served, find_owner, moved};
+use super::owned_shard::{OwnedShard, Stage};
+use super::plain::{end_to_end, serve_plain};
+use super::state::Gateway;
+use super::turn::{TurnCall, serve_turn, within};
+use super::{AnswerBody, Call, Order, Refusal};
+use crate::catalog::{Catalog, Repeat, Route, Workspace};
+use crate::prelude::*;
+use crate::turns::{AccountKey, TurnKey};
+
+/// When to return if this entry knows no configuration that is fresh enough.
+const NOT_READY_RETRY_MS: u64 = 300;
+
+/// A workspace's name where the configuration has none.
+const NO_WORKSPACE: &str = "";
+
+/// The most bytes of a forwarded turn. Source: what a record of the store holds.
+const FORWARDED_MOST_BYTES: usize = 4 << 20;
+
+/// Serves a caller's request.
+pub(super) async fn serve_caller(
+    gateway: Rc<Gateway>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let running = gateway.enter();
+    let arrived = gateway.now();
+    let (head, body) = request.into_parts();
+    let Some(call) = gateway.protocol.read(&head) else {
+        return refuse(&gateway, None, Refusal::BadCall);
+    };
+    let outcome = admit_and_serve(&gateway, arrived, head, &call, body).await;
+    let took_ms = gateway.now().since(arrived);
+    match outcome {
+        Ok(response) => {
+            let status = response.status().as_u16();
+            log::info!(request:% = call.request, status, took_ms; "answered");
+            response.map(|body| body.counted(running))
+        }
+        Err(refusal) => {
+            let config_age_ms = gateway.in_force.age_ms().unwrap_or(u64::MAX);
+            log::info!(request:% = call.request, refusal:?, took_ms, config_age_ms; "refused");
+            refuse(&gateway, Some(&call.request), refusal)
+        }
+    }
+}
+
+fn refuse(gateway: &Gateway, request: Option<&str>, refusal: Refusal) -> Response<AnswerBody> {
+    gateway.protocol.refuse(request, refusal).map(AnswerBody::whole)
+}
+
+async fn admit_and_serve(
+    gateway: &Rc<Gateway>,
+    arrived: TimeMs,
+    head: request::Parts,
+    call: &Call,
+    body: Incoming,
+) -> Result<Response<AnswerBody>, Refusal> {
+    let not_ready = Refusal::Unavailable { retry_after_ms: NOT_READY_RETRY_MS };
+    let catalog = gateway.in_force.catalog().ok_or(not_ready)?;
+    let limits = catalog.limits();
+    let body = match Limited::new(body, limits.body_bytes).collect().await {
+        Ok(whole) => whole.to_bytes(),
+        Err(fault) if fault.is::<http_body_util::LengthLimitError>() => {
+            return Err(Refusal::TooLarge);
+        }
+        Err(_) => return Err(Refusal::BadCall),
+    };
+    // The body may have taken its time: what holds now decides, not what held before.
+    let catalog = gateway.in_force.catalog().unwrap_or(catalog);
+    let fresh = gateway.in_force.is_fresh(gateway.settings.bounds.revoke_ms);
+    let route = catalog.route(&call.host, head.uri.path());
+    // What an old configuration denies, a newer one may allow.
+    let route = route.cloned().ok_or(if fresh { Refusal::NoRoute } else { not_ready })?;
+    let workspace = match admit(gateway, &catalog, &route, call) {
+        Err(Refusal::UnknownKey) if !fresh => return Err(not_ready),
+        admitted => admitted?,
+    };
+    if !route.public && catalog.asks_for_keys() && !fresh {
+        return Err(not_ready);
+    }
+    let order = order(&catalog, &route, workspace.as_deref(), call)?;
+    if gateway.is_guilty(suspect(&order.workspace, &head, &body)) {
+        return Err(Refusal::CrashesEndpoints);
+    }
+    let ends_at = arrived.plus(order.left_ms);
+    let admitted = Admitted { head, call, order, body, ends_at };
+    if admitted.order.history_ms.is_some() {
+        return serve_at_owner(gateway, admitted).await;
+    }
+    let job = admitted.into_job(gateway, route.repeat);
+    within(gateway, ends_at, serve_plain(gateway, &job)).await?
+}
+
+fn admit(
+    gateway: &Gateway,
+    catalog: &Catalog,
+    route: &Route,
+    call: &Call,
+) -> Result<Option<Arc<Workspace>>, Refusal> {
+    if route.public || !catalog.asks_for_keys() {
+        return Ok(None);
+    }
+    let key = call.key.ok_or(Refusal::UnknownKey)?;
+    let workspace = catalog.holder(key).ok_or(Refusal::UnknownKey)?;
+    let now = gateway.now();
+    let peering = gateway.peers.borrow().peering(now);
+    let taken = gateway.rates.borrow_mut().take(now, workspace, peering);
+    taken.map_err(|retry_after_ms| Refusal::OverRate { retry_after_ms })?;
+    Ok(Some(workspace.clone()))
+}
+
+fn order(
+    catalog: &Catalog,
+    route: &Route,
+    workspace: Option<&Workspace>,
+    call: &Call,
+) -> Result<Order, Refusal> {
+    let program = call.program.as_ref().unwrap_or(&call.request);
+    let affinity = AccountKey::of(&route.prefix, program).hash();
+    let service = route.service(affinity).ok_or(Refusal::NoRoute)?;
+    let priority = workspace.and_then(|w| w.priority).unwrap_or(route.priority);
+    let tokens_per_event = catalog.service(service).map_or(0, |s| s.tokens_per_event);
+    Ok(Order {
+        workspace: workspace.map_or_else(|| NO_WORKSPACE.into(), |w| w.name.clone()),
+        service: service.clone(),
+        left_ms: call.wait_ms.unwrap_or(u64::MAX).min(route.timeout_ms),
+        attempts: route.attempts,
+        target_ms: route.target_ms,
+        history_ms: route.history_ms,
+        tokens_per_event,
+        priority,
+    })
+}
+
+/// A request that may be served, with all that is known of it.
+struct Admitted<'a> {
+    head: request::Parts,
+    call: &'a Call,
+    order: Order,
+    body: Bytes,
+    ends_at: TimeMs,
+}
+
+impl Admitted<'_> {
+    fn suspect(&self) -> u64 {
+        suspect(&self.order.workspace, &self.head, &self.body)
+    }
+
+    fn program(&self) -> AccountKey {
+        program(self.call, &self.order)
+    }
+
+    fn into_job(self, gateway: &Gateway, repeat: Repeat) -> Job {
+        let suspect = self.suspect();
+        let mut headers = end_to_end(self.head.headers);
+        gateway.protocol.strip(&mut headers);
+        Job {
+            request: self.call.request.clone(),
+            method: self.head.method,
+            uri: self.head.uri,
+            headers,
+            body: self.body,
+            order: self.order,
+            repeat,
+            parts: self.call.parts.clone(),
+            suspect,
+            ends_at: self.ends_at,
+        }
+    }
+
+    fn forwarded(&self) -> Forwarded {
+        Forwarded {
+            request: self.call.request.clone(),
+            method: self.head.method.clone(),
+            uri: self.head.uri.clone(),
+            headers: self.head.headers.clone(),
+            body: self.body.clone(),
+            order: self.order.clone(),
+            ends_at: self.ends_at,
+        }
+    }
+}
+
+/// What a request's crashes are counted under: the same for each attempt of the same caller.
+fn suspect(workspace: &str, head: &request::Parts, body: &[u8]) -> u64 {
+    Digest::of(&[workspace.as_bytes(), head.uri.path().as_bytes(), body]).prefix()
+}
+
+fn program(call: &Call, order: &Order) -> AccountKey {
+    AccountKey::of(&order.workspace, call.program.as_ref().unwrap_or(&call.request))
+}
+
+async fn serve_at_owner(
+    gateway: &Rc<Gateway>,
+    admitted: Admitted<'_>,
+) -> Result<Response<AnswerBody>, Refusal> {
+    let shard = admitted.program().shard(gateway.shards.count());
+    match find_owner(gateway, shard, &admitted.forwarded()).await? {
+        Served::There(response) => Ok(response),
+        Served::Here(shard) => serve_here(gateway, shard, admitted).await,
+    }
+}
+
+async fn serve_here(
+    gateway: &Rc<Gateway>,
+    shard: Rc<OwnedShard>,
+    admitted: Admitted<'_>,
+) -> Result<Response<AnswerBody>, Refusal> {
+    let (call, workspace) = (admitted.call, admitted.order.workspace.clone());
+    let turn = TurnCall {
+        turn: TurnKey::of(&workspace, &call.request),
+        previous: call.previous.as_ref().map(|id| TurnKey::of(&workspace, id)),
+        program: admitted.program(),
+        budget: call.budget.unwrap_or(u64::MAX),
+        most_tokens: call.most_tokens,
+        history_ms: admitted.order.history_ms.unwrap_or(0),
+        job: admitted.into_job(gateway, Repeat::Stream),
+    };
+    serve_turn(gateway, shard, turn).await
+}
+
+/// Serves a turn that another entry has sent here.
+pub(super) async fn serve_forwarded(
+    gateway: &Rc<Gateway>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let running = gateway.enter();
+    let arrived = gateway.now();
+    let (mut head, body) = request.into_parts();
+    let order = head.headers.remove(ORDER_HEADER).and_then(|value| read_order(value.as_bytes()));
+    let call = gateway.protocol.read(&head);
+    let (Some(order), Some(call)) = (order, call) else {
+        return refuse(gateway, None, Refusal::BadCall);
+    };
+    let shard = program(&call, &order).shard(gateway.shards.count());
+    let Some(shard) = gateway.shards.own(shard).filter(|s| s.stage() == Stage::Serving) else {
+        return moved();
+    };
+    let Ok(body) = Limited::new(body, FORWARDED_MOST_BYTES).collect().await else {
+        return refuse(gateway, Some(&call.request), Refusal::BadCall);
+    };
+    let ends_at = arrived.plus(order.left_ms);
+    let admitted = Admitted { head, call: &call, order, body: body.to_bytes(), ends_at };
+    let served = serve_here(gateway, shard, admitted).await;
+    let served = served.unwrap_or_else(|refusal| refuse(gateway, Some(&call.request), refusal));
+    served.map(|body| body.counted(running))
+}
+
+fn read_order(hex_text: &[u8]) -> Option<Order> {
+    postcard::from_bytes(&hex::decode(hex_text).ok()?).ok()
+}
--- /dev/null
+++ b/src/gateway/server.rs
@@ -0,0 +1,157 @@
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use http_body_util::BodyExt;
+use hyper::body::{Bytes, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use super::find::{FIND_PATH, search_own};
+use super::message::FindTurn;
+use super::serve::{serve_caller, serve_forwarded};
+use super::state::Gateway;
+use super::{AnswerBody, GatewayError};
+use crate::http::tune;
+use crate::telemetry::Metrics;
+
+/// A connection of a caller stays open this long without a request. Source: well beyond what
+/// configurations set, since a connection that closes as a request comes costs its caller a retry.
+const CALLERS_IDLE_MOST_MS: u64 = 60_000;
+
+/// Buffer of a connection. Source: the largest head that configurations allow, with room.
+const CONNECTION_BUFFER_BYTES: usize = 64 * 1024;
+
+/// Pause after a failed accept, which mostly means that descriptors have run out.
+const ACCEPT_RETRY_MS: u64 = 20;
+
+/// Which requests a listener takes.
+#[derive(Clone, Copy)]
+pub(super) enum Door {
+    /// Callers' requests.
+    Callers,
+    /// Whether this entry is ready.
+    Ready,
+    /// The other entries' calls.
+    Peers,
+    /// The metrics.
+    Metrics,
+}
+
+/// Listens on an address.
+pub(super) async fn listen(address: SocketAddr) -> Result<TcpListener, GatewayError> {
+    TcpListener::bind(address).await.map_err(|fault| GatewayError::Listen { address, fault })
+}
+
+/// Takes connections for as long as the process lives. Once `closing` is set, connections close
+/// after the request that they carry.
+pub(super) async fn accept(
+    gateway: Rc<Gateway>,
+    listener: TcpListener,
+    door: Door,
+    metrics: Metrics,
+    closing: watch::Receiver<bool>,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tune(&stream);
+                let serving = serve_connection(
+                    gateway.clone(),
+                    stream,
+                    door,
+                    metrics.clone(),
+                    closing.clone(),
+                );
+                tokio::task::spawn_local(serving);
+            }
+            Err(fault) => {
+                log::warn!(fault:display; "a connection could not be accepted");
+                tokio::time::sleep(Duration::from_millis(ACCEPT_RETRY_MS)).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(
+    gateway: Rc<Gateway>,
+    stream: TcpStream,
+    door: Door,
+    metrics: Metrics,
+    mut closing: watch::Receiver<bool>,
+) {
+    let service = service_fn(move |request| {
+        let (gateway, metrics) = (gateway.clone(), metrics.clone());
+        async move { Ok::<_, Infallible>(answer(gateway, door, &metrics, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(CALLERS_IDLE_MOST_MS))
+        .max_buf_size(CONNECTION_BUFFER_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        _ = closing.wait_for(|closing| *closing) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(fault) = ended {
+        log::debug!(fault:display; "a caller's connection ended");
+    }
+}
+
+async fn answer(
+    gateway: Rc<Gateway>,
+    door: Door,
+    metrics: &Metrics,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    match door {
+        Door::Callers => {
+            let draining = gateway.clone();
+            let mut response = serve_caller(gateway, request).await;
+            if draining.draining.get() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(header::CONNECTION, close);
+            }
+            response
+        }
+        Door::Ready => status(match gateway.is_ready() {
+            true => StatusCode::OK,
+            false => StatusCode::SERVICE_UNAVAILABLE,
+        }),
+        Door::Metrics => Response::new(AnswerBody::whole(metrics.render().into())),
+        Door::Peers if request.uri().path() == FIND_PATH => find(&gateway, request).await,
+        Door::Peers => serve_forwarded(&gateway, request).await,
+    }
+}
+
+fn status(status: StatusCode) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::whole(Bytes::new()));
+    *response.status_mut() = status;
+    response
+}
+
+async fn find(gateway: &Gateway, request: Request<Incoming>) -> Response<AnswerBody> {
+    let Ok(body) = request.into_body().collect().await else {
+        return status(StatusCode::BAD_REQUEST);
+    };
+    let Ok(question) = postcard::from_bytes::<FindTurn>(&body.to_bytes()) else {
+        return status(StatusCode::BAD_REQUEST);
+    };
+    let found = search_own(gateway, question.turn).await;
+    match postcard::to_allocvec(&found) {
+        Ok(bytes) => Response::new(AnswerBody::whole(bytes.into())),
+        Err(fault) => {
+            log::error!(fault:display; "a chain can't be encoded");
+            status(StatusCode::INTERNAL_SERVER_ERROR)
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/settings.rs
@@ -0,0 +1,34 @@
+use std::net::SocketAddr;
+
+use crate::prelude::*;
+
+/// Bounds that a deployment's operator sets.
+#[value]
+#[derive(Copy)]
+pub struct Bounds {
+    /// A key withdrawn longer ago than this must not be served.
+    pub revoke_ms: u64,
+    /// From SIGTERM to SIGKILL.
+    pub grace_ms: u64,
+    /// An endpoint that leaves must get nothing new after this.
+    pub drain_ms: u64,
+}
+
+/// What a gateway has to know to start.
+#[value]
+pub struct GatewaySettings {
+    /// The name of its VM.
+    pub name: Arc<str>,
+    /// Its failure domain.
+    pub failure_domain: Arc<str>,
+    /// Where it takes callers' requests.
+    pub callers: SocketAddr,
+    /// Where it says whether it is ready.
+    pub ready: SocketAddr,
+    /// Where it takes the other entries' messages and calls.
+    pub peers: SocketAddr,
+    /// Where it serves its metrics.
+    pub metrics: Option<SocketAddr>,
+    /// Bounds to keep.
+    pub bounds: Bounds,
+}
--- /dev/null
+++ b/src/gateway/state.rs
@@ -0,0 +1,165 @@
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use tokio::sync::Notify;
+
+use super::attempt::Job;
+use super::config_feed::InForce;
+use super::peers::Peers;
+use super::rates::Rates;
+use super::shard_table::ShardTable;
+use super::suspects::Suspects;
+use super::{GatewaySettings, Protocol, Store};
+use crate::http::Connections;
+use crate::prelude::*;
+use crate::replicas::{Directory, Placement, ReplicaKey, Want};
+use crate::time::Clock;
+
+/// All that the tasks of a gateway share. They run on one thread.
+pub(super) struct Gateway {
+    pub(super) settings: GatewaySettings,
+    pub(super) store: Rc<dyn Store>,
+    pub(super) protocol: Rc<dyn Protocol>,
+    pub(super) in_force: InForce,
+    pub(super) directory: RefCell<Directory>,
+    pub(super) placement: RefCell<Placement>,
+    pub(super) connections: Rc<Connections>,
+    pub(super) rates: RefCell<Rates>,
+    pub(super) suspects: RefCell<Suspects>,
+    pub(super) shards: ShardTable,
+    pub(super) peers: RefCell<Peers>,
+    /// Something happened that the other entries should hear at once.
+    pub(super) news: Notify,
+    /// The membership should be renewed at once.
+    pub(super) renew: Notify,
+    /// Set by SIGTERM.
+    pub(super) draining: Cell<bool>,
+    /// Requests of callers and peers being served.
+    pub(super) running: Cell<u32>,
+    clock: Clock,
+}
+
+impl Gateway {
+    pub(super) fn open(
+        settings: GatewaySettings,
+        store: Rc<dyn Store>,
+        protocol: Rc<dyn Protocol>,
+    ) -> Rc<Gateway> {
+        let shards = ShardTable::open(store.shards());
+        let placement = Placement::open(settings.failure_domain.clone());
+        Rc::new(Gateway {
+            settings,
+            store,
+            protocol,
+            in_force: InForce::default(),
+            directory: RefCell::default(),
+            placement: RefCell::new(placement),
+            connections: Rc::default(),
+            rates: RefCell::default(),
+            suspects: RefCell::default(),
+            shards,
+            peers: RefCell::default(),
+            news: Notify::new(),
+            renew: Notify::new(),
+            draining: Cell::new(false),
+            running: Cell::new(0),
+            clock: Clock::start(),
+        })
+    }
+
+    /// Monotonic time since the start.
+    pub(super) fn now(&self) -> TimeMs {
+        self.clock.now()
+    }
+
+    /// Wall-clock time.
+    pub(super) fn unix(&self) -> UnixMs {
+        self.clock.unix()
+    }
+
+    /// Where an endpoint is, and its id.
+    pub(super) fn endpoint(&self, key: ReplicaKey) -> Option<(SocketAddr, Arc<str>)> {
+        let directory = self.directory.borrow();
+        directory.get(key).map(|replica| (replica.announced.address, replica.id.clone()))
+    }
+
+    /// The best endpoint for a request.
+    pub(super) fn choose(&self, want: &Want) -> Option<ReplicaKey> {
+        self.placement.borrow_mut().choose(self.now(), &self.directory.borrow(), want)
+    }
+
+    /// An endpoint broke off or can't be reached.
+    pub(super) fn endpoint_failed(&self, key: ReplicaKey) {
+        self.directory.borrow_mut().failed(self.now(), key);
+    }
+
+    /// A request broke off at an endpoint: if the endpoint is down, the request may have done it.
+    ///
+    /// A lost answer alone proves nothing, and counting it would condemn sound requests; an endpoint
+    /// that has closed its other connections too, or refuses a new one, has crashed.
+    pub(super) async fn suspect(&self, job: &Job, endpoint: ReplicaKey) {
+        let Some((address, id)) = self.endpoint(endpoint) else {
+            return;
+        };
+        let crashed = match self.connections.all_closed(address) {
+            Some(all_closed) => all_closed,
+            None => match self.connections.open(address).await {
+                Ok(connection) => {
+                    self.connections.keep(self.now(), connection);
+                    false
+                }
+                Err(_) => true,
+            },
+        };
+        let crashes = match crashed {
+            true => self.suspects.borrow_mut().crashed(self.now(), job.suspect),
+            false => 0,
+        };
+        log::info!(request:% = job.request, endpoint:% = id, crashes; "broke off at an endpoint");
+        if crashed {
+            self.news.notify_one();
+        }
+    }
+
+    /// Whether a request has crashed too many endpoints.
+    pub(super) fn is_guilty(&self, suspect: u64) -> bool {
+        self.suspects.borrow().guilty(self.now(), suspect)
+    }
+
+    /// A request was answered.
+    pub(super) fn cleared(&self, suspect: u64) {
+        self.suspects.borrow_mut().cleared(suspect);
+    }
+
+    /// Asks the group of owners for the deal in force.
+    pub(super) fn renew_membership(&self) {
+        self.renew.notify_one();
+    }
+
+    /// Counts a request as running until the guard is dropped.
+    pub(super) fn enter(self: &Rc<Self>) -> Running {
+        self.running.set(self.running.get() + 1);
+        Running(self.clone())
+    }
+
+    /// Whether callers should come here.
+    pub(super) fn is_ready(&self) -> bool {
+        !self.draining.get() && self.in_force.is_fresh(self.settings.bounds.revoke_ms * 3 / 5)
+    }
+}
+
+/// A request being served.
+pub(super) struct Running(Rc<Gateway>);
+
+impl std::fmt::Debug for Running {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Running")
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.running.set(self.0.running.get() - 1);
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,11 +4,13 @@
 //! daemon's tasks feed them with events and clock values and carry out the actions they return.
 
 pub mod admission;
+pub mod catalog;
 pub mod contracts;
 pub mod ctl;
 pub mod daemon;
 pub mod endpoint;
 pub mod entry;
+pub mod gateway;
 pub mod http;
 pub mod ids;
 pub mod link;
@@ -16,7 +18,10 @@
 pub mod membership;
 pub mod prelude;
 pub mod programs;
+pub mod quota;
+pub mod replicas;
 pub mod routing;
 pub mod settings;
 pub mod telemetry;
 pub mod time;
+pub mod turns;
--- /dev/null
+++ b/src/quota/mod.rs
@@ -0,0 +1,8 @@
+//! Rate and burst of a workspace over all entries together, from what the entries tell each other.
+
+mod shared_bucket;
+
+pub use shared_bucket::{Peering, SharedBucket};
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/quota/tests.rs
@@ -0,0 +1,74 @@
+use super::*;
+use crate::prelude::*;
+
+const TOGETHER: Peering = Peering { entries: 4, in_touch: true };
+
+/// Plays entries that are offered `offered_per_s` calls each and tell each other every 100 ms, for
+/// ten seconds; the most admitted in any five.
+fn most_in_window(rate: f64, burst: f64, offered_per_s: &[u64], in_touch: bool) -> u64 {
+    let mut entries: Vec<_> =
+        offered_per_s.iter().map(|_| SharedBucket::open(TimeMs(0), rate, burst)).collect();
+    let peering = Peering { entries: entries.len() as u32, in_touch };
+    let mut admitted = vec![0_u64; 20_000];
+    for now in 0..20_000_u64 {
+        if in_touch && now % 100 == 0 {
+            let taken: Vec<_> = entries.iter().map(SharedBucket::taken).collect();
+            for (at, entry) in entries.iter_mut().enumerate() {
+                let others = taken.iter().enumerate().filter(|(other, _)| *other != at);
+                others.for_each(|(other, taken)| entry.tell(other as u64, *taken));
+            }
+        }
+        // Nothing is offered at first, so that the bucket is full when the load comes.
+        let offered = offered_per_s.iter().map(|per_s| match now >= 5_000 {
+            true => now * per_s / 1_000 - (now - 1) * per_s / 1_000,
+            false => 0,
+        });
+        for (entry, calls) in entries.iter_mut().zip(offered) {
+            let taken = (0..calls).filter(|_| entry.take(TimeMs(now), peering).is_ok());
+            admitted[now as usize] += taken.count() as u64;
+        }
+    }
+    admitted.windows(5_000).map(|window| window.iter().sum()).max().unwrap_or(0)
+}
+
+// One workspace sends many times its rate to all entries at once. The caller within its limit is
+// served, and in no five seconds do all entries together admit much more than rate and burst.
+#[test]
+fn a_flood_over_all_entries_stays_within_a_tenth_of_the_limit() {
+    let most = most_in_window(100.0, 100.0, &[250, 250, 250, 250], true);
+    assert!((560..=680).contains(&most), "{most}");
+}
+
+#[test]
+fn a_flood_at_one_entry_gets_most_of_the_limit() {
+    let most = most_in_window(100.0, 100.0, &[800, 0, 0, 0], true);
+    assert!((300..=680).contains(&most), "{most}");
+}
+
+#[test]
+fn calls_below_the_rate_are_never_refused_after_the_start() {
+    let mut bucket = SharedBucket::open(TimeMs(0), 100.0, 50.0);
+    for now in (1_000..5_000).step_by(20) {
+        assert_eq!(bucket.take(TimeMs(now), TOGETHER), Ok(()));
+    }
+}
+
+// An entry that hears from nobody can't know what the others admit: were it to go by its own copy
+// alone, each side of a cut would admit the whole rate.
+#[test]
+fn entries_that_are_cut_off_keep_to_their_parts() {
+    let most = most_in_window(100.0, 100.0, &[400, 400, 400, 400], false);
+    assert!(most <= 660, "{most}");
+}
+
+#[test]
+fn a_refusal_says_when_to_return() {
+    let mut bucket = SharedBucket::open(TimeMs(0), 10.0, 10.0);
+    assert_eq!(bucket.take(TimeMs(0), Peering { entries: 1, in_touch: true }), Err(100));
+}
+
+#[test]
+fn no_rate_means_no_limit() {
+    let mut bucket = SharedBucket::open(TimeMs(0), 0.0, 0.0);
+    assert!((0..1_000).all(|_| bucket.take(TimeMs(0), TOGETHER).is_ok()));
+}
--- /dev/null
+++ b/src/replicas/directory.rs
@@ -0,0 +1,204 @@
+use std::collections::HashMap;
+
+use slotmap::{SlotMap, new_key_type};
+
+use super::{Announced, Change};
+use crate::prelude::*;
+
+/// How long an entry that lapsed around an outage of the list stays in use. Entries lapse while
+/// their owners can't reach the list; those alive are back about two seconds after its return, so
+/// that dropping them at once would leave no endpoint at all.
+const LAPSE_GRACE_MS: u64 = 2_200;
+
+/// An endpoint that failed this often in a row is left out for a while.
+const EJECT_AFTER_FAILURES: u32 = 3;
+
+/// How long an endpoint is left out after its failures; doubled by each further failure.
+const EJECT_MS: u64 = 500;
+
+/// The longest that an endpoint is left out.
+const EJECT_MOST_MS: u64 = 4_000;
+
+new_key_type! {
+    /// An endpoint's place in the directory.
+    pub struct ReplicaKey;
+}
+
+/// One endpoint.
+#[derive(Debug, Clone)]
+pub struct Replica {
+    /// Its identity; each start has a new one, mostly.
+    pub id: Arc<str>,
+    /// What it said last.
+    pub announced: Announced,
+    /// Requests that this process has running there.
+    pub in_flight: u32,
+    /// Requests that the other entries have running there, as they told last.
+    pub others_in_flight: u32,
+    removed_at: Option<TimeMs>,
+    failures: u32,
+    ejected_until: TimeMs,
+}
+
+impl Replica {
+    /// Requests of all entries running there.
+    pub fn load(&self) -> u32 {
+        self.in_flight + self.others_in_flight
+    }
+
+    /// Whether new requests may be sent to it.
+    pub fn usable(&self, now: TimeMs) -> bool {
+        !self.announced.leaving && self.ejected_until <= now
+    }
+}
+
+/// All endpoints known.
+#[derive(Debug, Default)]
+pub struct Directory {
+    replicas: SlotMap<ReplicaKey, Replica>,
+    by_id: HashMap<Arc<str>, ReplicaKey>,
+    by_service: HashMap<Arc<str>, Vec<ReplicaKey>>,
+    list_back_at: Option<TimeMs>,
+}
+
+impl Directory {
+    /// Takes a change in; `false` if it is older than what is known.
+    pub fn apply(&mut self, now: TimeMs, change: Change) -> bool {
+        match change {
+            Change::Announced(id, announced) => self.announce(id, announced),
+            Change::Removed(id) | Change::Unreadable(id) => self.lapse(now, &id),
+        }
+    }
+
+    /// The list can be read again after an outage.
+    pub fn list_is_back(&mut self, now: TimeMs) {
+        self.list_back_at = Some(now);
+    }
+
+    fn announce(&mut self, id: Arc<str>, announced: Announced) -> bool {
+        if let Some(key) = self.by_id.get(&id).copied() {
+            let known = &self.replicas[key].announced;
+            let at = (announced.born_ms, announced.sequence);
+            if at < (known.born_ms, known.sequence) {
+                return false;
+            }
+            let same_life = announced.born_ms == known.born_ms;
+            if same_life && announced.service == known.service && announced.address == known.address
+            {
+                let replica = &mut self.replicas[key];
+                replica.announced = announced;
+                replica.removed_at = None;
+                return true;
+            }
+            self.remove(key);
+        }
+        let service = announced.service.clone();
+        let key = self.replicas.insert(Replica {
+            id: id.clone(),
+            announced,
+            in_flight: 0,
+            others_in_flight: 0,
+            removed_at: None,
+            failures: 0,
+            ejected_until: TimeMs::default(),
+        });
+        self.by_id.insert(id, key);
+        self.by_service.entry(service).or_default().push(key);
+        true
+    }
+
+    fn lapse(&mut self, now: TimeMs, id: &str) -> bool {
+        let Some(key) = self.by_id.get(id).copied() else {
+            return false;
+        };
+        match self.list_back_at {
+            Some(back_at) if now.since(back_at) < LAPSE_GRACE_MS => {
+                self.replicas[key].removed_at = Some(now);
+            }
+            _ => self.remove(key),
+        }
+        true
+    }
+
+    /// Drops the entries whose grace is over.
+    pub fn tidy(&mut self, now: TimeMs) {
+        let over = |replica: &Replica| {
+            replica.removed_at.is_some_and(|at| now.since(at) >= LAPSE_GRACE_MS)
+        };
+        let gone: Vec<_> =
+            self.replicas.iter().filter(|(_, r)| over(r)).map(|(key, _)| key).collect();
+        gone.into_iter().for_each(|key| self.remove(key));
+    }
+
+    fn remove(&mut self, key: ReplicaKey) {
+        let Some(replica) = self.replicas.remove(key) else {
+            return;
+        };
+        self.by_id.remove(&replica.id);
+        if let Some(of_service) = self.by_service.get_mut(&replica.announced.service) {
+            of_service.retain(|other| *other != key);
+        }
+    }
+
+    /// The endpoint at `key`, unless it is gone.
+    pub fn get(&self, key: ReplicaKey) -> Option<&Replica> {
+        self.replicas.get(key)
+    }
+
+    /// The endpoint named `id`, unless it is gone.
+    pub fn find(&self, id: &str) -> Option<ReplicaKey> {
+        self.by_id.get(id).copied()
+    }
+
+    /// All endpoints of a service.
+    pub fn of_service(&self, service: &str) -> impl Iterator<Item = (ReplicaKey, &Replica)> {
+        let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        keys.iter().filter_map(|key| self.replicas.get(*key).map(|replica| (*key, replica)))
+    }
+
+    /// All endpoints.
+    pub fn all(&self) -> impl Iterator<Item = (ReplicaKey, &Replica)> {
+        self.replicas.iter()
+    }
+
+    /// A request was sent there.
+    pub fn sent(&mut self, key: ReplicaKey) {
+        if let Some(replica) = self.replicas.get_mut(key) {
+            replica.in_flight += 1;
+        }
+    }
+
+    /// A request that was sent there is over.
+    pub fn over(&mut self, key: ReplicaKey) {
+        if let Some(replica) = self.replicas.get_mut(key) {
+            replica.in_flight = replica.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// What the other entries have running there.
+    pub fn tell_others(&mut self, key: ReplicaKey, in_flight: u32) {
+        if let Some(replica) = self.replicas.get_mut(key) {
+            replica.others_in_flight = in_flight;
+        }
+    }
+
+    /// It answered a request as it should.
+    pub fn served(&mut self, key: ReplicaKey) {
+        if let Some(replica) = self.replicas.get_mut(key) {
+            replica.failures = 0;
+        }
+    }
+
+    /// It broke a request off, or can't be reached. An endpoint that fails again and again takes
+    /// requests down with it, so that it is left out, for a time that grows with its failures.
+    pub fn failed(&mut self, now: TimeMs, key: ReplicaKey) {
+        let Some(replica) = self.replicas.get_mut(key) else {
+            return;
+        };
+        replica.failures += 1;
+        if let Some(beyond) = replica.failures.checked_sub(EJECT_AFTER_FAILURES) {
+            let out_ms = EJECT_MS.saturating_mul(1 << beyond.min(8)).min(EJECT_MOST_MS);
+            replica.ejected_until = now.plus(out_ms);
+        }
+    }
+}
--- /dev/null
+++ b/src/replicas/mod.rs
@@ -0,0 +1,12 @@
+//! The endpoints of each service as the platform lists them, and the choice among them.
+
+mod announced;
+mod directory;
+mod placement;
+
+pub use announced::{Announced, Change};
+pub use directory::{Directory, Replica, ReplicaKey};
+pub use placement::{Placement, Want};
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/replicas/placement.rs
@@ -0,0 +1,104 @@
+//! Where a request goes: cache affinity against load.
+//!
+//! Pattern: programs whose turns share a growing prompt, over endpoints whose engines slow down as
+//! they fill. An idle endpoint that has to read the prompt again costs its prefill; one that holds
+//! it and is full costs a wait of about one running request.
+
+use std::collections::HashMap;
+
+use super::{Directory, ReplicaKey};
+use crate::prelude::*;
+
+/// What a request waits for at an endpoint without a free slot, for each request beyond its slots.
+/// Source: a mean turn takes some 80 ms over 8 slots.
+const WAIT_EACH_MS: f64 = 10.0;
+
+/// What a running neighbour costs, at all slots taken. Source: an engine's step grows by about a
+/// quarter from one running request to a full batch.
+const FULL_BATCH_MS: f64 = 20.0;
+
+/// The way to another failure domain and back.
+const OTHER_DOMAIN_MS: f64 = 1.0;
+
+/// Prompt tokens that an engine reads in a millisecond.
+const PREFILL_TOKENS_PER_MS: f64 = 168.0;
+
+/// How long a part of a prompt is taken to stay in an endpoint's cache after its last use.
+const CACHED_FOR_MS: u64 = 20_000;
+
+/// The most parts remembered; the oldest half goes when there are more.
+const PARTS_MOST: usize = 20_000;
+
+/// What is known of a request that has to be placed.
+#[value]
+pub struct Want {
+    /// The service.
+    pub service: Arc<str>,
+    /// Parts of its prompt in order, as hashes, with their tokens.
+    pub parts: Vec<(u64, u64)>,
+    /// Endpoints that have refused or failed it.
+    pub not: Vec<ReplicaKey>,
+}
+
+/// Chooses endpoints, and remembers which have read which parts of prompts.
+#[derive(Debug, Default)]
+pub struct Placement {
+    domain: Arc<str>,
+    cached: HashMap<(ReplicaKey, u64), TimeMs>,
+    turn: u64,
+}
+
+impl Placement {
+    /// Chooses for an entry in `domain`.
+    pub fn open(domain: Arc<str>) -> Placement {
+        Placement { domain, ..Placement::default() }
+    }
+
+    /// The best usable endpoint, if there is one.
+    pub fn choose(
+        &mut self,
+        now: TimeMs,
+        directory: &Directory,
+        want: &Want,
+    ) -> Option<ReplicaKey> {
+        self.turn = self.turn.wrapping_add(1);
+        let usable = directory
+            .of_service(&want.service)
+            .filter(|(key, replica)| replica.usable(now) && !want.not.contains(key));
+        let costs = usable.enumerate().map(|(at, (key, replica))| {
+            let slots = f64::from(replica.announced.slots.max(1));
+            let load = f64::from(replica.load());
+            let wait_ms = (load + 1.0 - slots).max(0.0) * WAIT_EACH_MS;
+            let batch_ms = (load / slots).min(1.0) * FULL_BATCH_MS;
+            let near = replica.announced.failure_domain == self.domain;
+            let way_ms = if near { 0.0 } else { OTHER_DOMAIN_MS };
+            let read_ms = self.unread_tokens(now, key, &want.parts) as f64 / PREFILL_TOKENS_PER_MS;
+            let cost_ms = wait_ms + batch_ms + way_ms + read_ms;
+            // Equal costs are taken in turn, so that idle endpoints share the requests.
+            let tie = (at as u64).wrapping_add(self.turn) % 64;
+            (key, cost_ms, tie)
+        });
+        let best = costs.min_by(|a, b| a.1.total_cmp(&b.1).then(a.2.cmp(&b.2)));
+        best.map(|(key, _, _)| key)
+    }
+
+    fn unread_tokens(&self, now: TimeMs, key: ReplicaKey, parts: &[(u64, u64)]) -> u64 {
+        let held = |part: &u64| {
+            self.cached.get(&(key, *part)).is_some_and(|at| now.since(*at) < CACHED_FOR_MS)
+        };
+        parts.iter().skip_while(|(part, _)| held(part)).map(|(_, tokens)| *tokens).sum()
+    }
+
+    /// An endpoint has read these parts.
+    pub fn read(&mut self, now: TimeMs, key: ReplicaKey, parts: &[(u64, u64)]) {
+        for (part, _) in parts {
+            self.cached.insert((key, *part), now);
+        }
+        if self.cached.len() > PARTS_MOST {
+            let mut ages: Vec<TimeMs> = self.cached.values().copied().collect();
+            ages.sort_unstable();
+            let middle = ages[ages.len() / 2];
+            self.cached.retain(|_, at| *at > middle);
+        }
+    }
+}
--- /dev/null
+++ b/src/replicas/tests.rs
@@ -0,0 +1,103 @@
+use super::*;
+use crate::prelude::*;
+
+fn announced(service: &str, port: u16, born_ms: u64, sequence: u64) -> Announced {
+    Announced {
+        service: service.into(),
+        address: ([127, 0, 0, 1], port).into(),
+        failure_domain: "d".into(),
+        slots: 2,
+        leaving: false,
+        born_ms,
+        sequence,
+    }
+}
+
+fn with(entries: &[(&str, Announced)]) -> Directory {
+    let mut directory = Directory::default();
+    for (id, entry) in entries {
+        directory.apply(TimeMs(0), Change::Announced((*id).into(), entry.clone()));
+    }
+    directory
+}
+
+fn want(parts: &[(u64, u64)]) -> Want {
+    Want { service: "s".into(), parts: parts.to_vec(), not: vec![] }
+}
+
+#[test]
+fn an_older_announcement_changes_nothing() {
+    let mut directory = with(&[("r", announced("s", 1, 5, 9))]);
+    let old = announced("s", 1, 5, 8);
+    assert!(!directory.apply(TimeMs(1), Change::Announced("r".into(), old)));
+    let earlier_life = announced("s", 1, 4, 100);
+    assert!(!directory.apply(TimeMs(1), Change::Announced("r".into(), earlier_life)));
+}
+
+#[test]
+fn a_later_life_under_the_same_name_starts_afresh() {
+    let mut directory = with(&[("r", announced("s", 1, 5, 9))]);
+    let before = directory.find("r").expect("known");
+    directory.sent(before);
+    assert!(directory.apply(TimeMs(1), Change::Announced("r".into(), announced("s", 1, 6, 0))));
+    let after = directory.find("r").expect("known");
+    assert_ne!(before, after);
+    assert_eq!(directory.get(after).expect("known").in_flight, 0);
+}
+
+#[test]
+fn a_removed_endpoint_is_left_at_once_while_the_list_is_sound() {
+    let mut directory = with(&[("r", announced("s", 1, 5, 9))]);
+    directory.apply(TimeMs(10), Change::Removed("r".into()));
+    assert!(directory.find("r").is_none());
+}
+
+// All endpoints vanish from the list when it returns after an outage, since they could not renew
+// their entries meanwhile. Callers would be refused for two seconds though every endpoint runs.
+#[test]
+fn entries_that_lapsed_in_an_outage_stay_until_they_had_time_to_return() {
+    let mut directory = with(&[("r", announced("s", 1, 5, 9)), ("q", announced("s", 2, 5, 9))]);
+    directory.list_is_back(TimeMs(1_000));
+    directory.apply(TimeMs(1_100), Change::Removed("r".into()));
+    directory.apply(TimeMs(1_100), Change::Removed("q".into()));
+    directory.apply(TimeMs(2_000), Change::Announced("r".into(), announced("s", 1, 5, 10)));
+    directory.tidy(TimeMs(3_200));
+    assert_eq!(directory.of_service("s").count(), 2);
+    directory.tidy(TimeMs(3_400));
+    assert!(directory.find("r").is_some());
+    assert!(directory.find("q").is_none());
+}
+
+#[test]
+fn idle_endpoints_share_requests() {
+    let directory = with(&[("r", announced("s", 1, 5, 9)), ("q", announced("s", 2, 5, 9))]);
+    let mut placement = Placement::open("d".into());
+    let mut chosen: Vec<_> =
+        (0..64).filter_map(|_| placement.choose(TimeMs(0), &directory, &want(&[]))).collect();
+    chosen.sort();
+    chosen.dedup();
+    assert_eq!(chosen.len(), 2);
+}
+
+#[test]
+fn a_prompt_returns_to_the_endpoint_that_read_it_unless_that_is_full() {
+    let mut directory = with(&[("r", announced("s", 1, 5, 9)), ("q", announced("s", 2, 5, 9))]);
+    let mut placement = Placement::open("d".into());
+    let holder = directory.find("q").expect("known");
+    placement.read(TimeMs(0), holder, &[(1, 2_000)]);
+    for _ in 0..4 {
+        assert_eq!(placement.choose(TimeMs(1), &directory, &want(&[(1, 2_000)])), Some(holder));
+    }
+    (0..6).for_each(|_| directory.sent(holder));
+    assert_ne!(placement.choose(TimeMs(1), &directory, &want(&[(1, 2_000)])), Some(holder));
+}
+
+#[test]
+fn an_endpoint_that_fails_in_a_row_is_left_out_and_tried_again() {
+    let mut directory = with(&[("r", announced("s", 1, 5, 9))]);
+    let mut placement = Placement::open("d".into());
+    let key = directory.find("r").expect("known");
+    (0..3).for_each(|_| directory.failed(TimeMs(0), key));
+    assert_eq!(placement.choose(TimeMs(100), &directory, &want(&[])), None);
+    assert_eq!(placement.choose(TimeMs(600), &directory, &want(&[])), Some(key));
+}
--- /dev/null
+++ b/src/turns/ledger.rs
@@ -0,0 +1,138 @@
+use std::collections::HashMap;
+use std::fmt;
+
+use super::record::{Entry, account_record, decode, turn_record};
+use super::{Account, AccountKey, Record, RecordFault, Turn, TurnKey};
+use crate::prelude::*;
+
+/// How much longer than promised a record is kept: clocks of VMs differ, and a successor judges by
+/// its own. Source: twice the difference that the platform allows for.
+const KEPT_LONGER_MS: u64 = 10_000;
+
+/// A program has spent its budget: the turn is not run.
+#[value]
+#[derive(Copy)]
+pub struct Spent {
+    /// Tokens handed out or promised to turns under way.
+    pub used: u64,
+    /// The program's budget.
+    pub budget: u64,
+}
+
+impl fmt::Display for Spent {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} of {} tokens are spent or promised", self.used, self.budget)
+    }
+}
+
+impl std::error::Error for Spent {}
+
+/// The turns and accounts of one shard.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    turns: HashMap<TurnKey, Turn>,
+    accounts: HashMap<AccountKey, Account>,
+}
+
+impl Ledger {
+    /// Takes in a record of the log. What an earlier owner had promised to turns under way counts
+    /// as spent, since they may have handed it out.
+    pub fn load(&mut self, key: &str, value: &[u8]) -> Result<(), RecordFault> {
+        match decode(key, value)? {
+            Entry::Turn(key, turn) => {
+                self.turns.insert(key, turn);
+            }
+            Entry::Account(key, mut account) => {
+                account.spent += std::mem::take(&mut account.reserved);
+                self.accounts.insert(key, account);
+            }
+        }
+        Ok(())
+    }
+
+    /// A turn that was answered whole.
+    pub fn turn(&self, key: TurnKey) -> Option<&Turn> {
+        self.turns.get(&key)
+    }
+
+    /// The turn and all before it, oldest first; nothing unless the chain is whole.
+    pub fn chain(&self, last: TurnKey) -> Option<Vec<(TurnKey, &Turn)>> {
+        let mut chain = Vec::new();
+        let mut next = Some(last);
+        while let Some(key) = next {
+            let turn = self.turns.get(&key)?;
+            chain.push((key, turn));
+            next = turn.parent;
+        }
+        chain.reverse();
+        Some(chain)
+    }
+
+    /// Reserves the most that a turn may generate.
+    ///
+    /// A turn starts while anything is left, so that a program may pass its budget by less than one
+    /// turn; what turns under way may still generate counts as spent until they are over.
+    pub fn reserve(
+        &mut self,
+        key: AccountKey,
+        budget: u64,
+        most: u64,
+        kept_until: UnixMs,
+    ) -> Result<Record, Spent> {
+        let account = self.accounts.entry(key).or_default();
+        let used = account.spent + account.reserved;
+        if used >= budget {
+            return Err(Spent { used, budget });
+        }
+        account.reserved += most;
+        account.kept_until = account.kept_until.max(kept_until);
+        Ok(account_record(key, Some(account)))
+    }
+
+    /// A turn is over: `used` of the `most` that it had reserved was handed out.
+    pub fn settle(&mut self, key: AccountKey, most: u64, used: u64) -> Record {
+        let account = self.accounts.entry(key).or_default();
+        account.reserved = account.reserved.saturating_sub(most);
+        account.spent += used;
+        account_record(key, Some(account))
+    }
+
+    /// A turn was answered whole. Its chain is kept as long as it is.
+    pub fn complete(&mut self, key: TurnKey, turn: Turn) -> Record {
+        let record = turn_record(key, Some(&turn));
+        let kept_until = turn.kept_until;
+        let mut next = turn.parent;
+        self.turns.insert(key, turn);
+        while let Some(parent) = next.and_then(|parent| self.turns.get_mut(&parent)) {
+            parent.kept_until = parent.kept_until.max(kept_until);
+            next = parent.parent;
+        }
+        record
+    }
+
+    /// Takes over turns that another shard holds, so that this one holds the whole chain.
+    pub fn adopt(&mut self, turns: Vec<(TurnKey, Turn)>) -> Vec<Record> {
+        let missing = turns.into_iter().filter(|(key, _)| !self.turns.contains_key(key));
+        let missing: Vec<_> = missing.collect();
+        missing.into_iter().map(|(key, turn)| self.complete(key, turn)).collect()
+    }
+
+    /// Forgets what is kept no longer, and yields the records that drop it from the log.
+    pub fn expire(&mut self, now: UnixMs) -> Vec<Record> {
+        let over = |kept_until: UnixMs| now.since(kept_until) > KEPT_LONGER_MS;
+        let turns: Vec<_> =
+            self.turns.iter().filter(|(_, t)| over(t.kept_until)).map(|(key, _)| *key).collect();
+        let accounts: Vec<_> = self
+            .accounts
+            .iter()
+            .filter(|(_, a)| over(a.kept_until) && a.reserved == 0)
+            .map(|(key, _)| *key)
+            .collect();
+        self.turns.retain(|_, turn| !over(turn.kept_until));
+        accounts.iter().for_each(|key| {
+            self.accounts.remove(key);
+        });
+        let turns = turns.into_iter().map(|key| turn_record(key, None));
+        turns.chain(accounts.into_iter().map(|key| account_record(key, None))).collect()
+    }
+}
--- /dev/null
+++ b/src/turns/tests.rs
@@ -0,0 +1,109 @@
+use super::*;
+use crate::prelude::*;
+
+fn turn(parent: Option<TurnKey>, input: &str, kept_until: u64) -> Turn {
+    Turn {
+        parent,
+        input: input.as_bytes().to_vec().into(),
+        output: b"out\n".to_vec().into(),
+        kept_until: UnixMs(kept_until),
+        ran_at: "r".into(),
+    }
+}
+
+fn key(id: &str) -> TurnKey {
+    TurnKey::of("w", id)
+}
+
+fn account(id: &str) -> AccountKey {
+    AccountKey::of("w", id)
+}
+
+fn reload(records: &[Record]) -> Ledger {
+    let mut ledger = Ledger::default();
+    for record in records {
+        if let Some(value) = &record.value {
+            ledger.load(&record.key, value).expect("written by ourselves");
+        }
+    }
+    ledger
+}
+
+#[test]
+fn a_chain_comes_oldest_first_and_survives_a_reload() {
+    let mut ledger = Ledger::default();
+    let first = ledger.complete(key("1"), turn(None, "a", 5));
+    let second = ledger.complete(key("2"), turn(Some(key("1")), "b", 5));
+    let reloaded = reload(&[second, first]);
+    let chain = reloaded.chain(key("2")).expect("whole");
+    let inputs: Vec<_> = chain.iter().map(|(_, turn)| turn.input.clone()).collect();
+    assert_eq!(inputs, ["a", "b"]);
+}
+
+#[test]
+fn another_workspace_cannot_name_a_turn() {
+    let mut ledger = Ledger::default();
+    ledger.complete(TurnKey::of("w", "1"), turn(None, "a", 5));
+    assert!(ledger.chain(TurnKey::of("v", "1")).is_none());
+}
+
+#[test]
+fn a_chain_with_a_gap_is_no_chain() {
+    let mut ledger = Ledger::default();
+    ledger.complete(key("2"), turn(Some(key("1")), "b", 5));
+    assert!(ledger.chain(key("2")).is_none());
+}
+
+#[test]
+fn a_turn_keeps_those_before_it() {
+    let mut ledger = Ledger::default();
+    ledger.complete(key("1"), turn(None, "a", 1_000));
+    ledger.complete(key("2"), turn(Some(key("1")), "b", 60_000));
+    assert!(ledger.expire(UnixMs(30_000)).is_empty());
+    assert_eq!(ledger.expire(UnixMs(90_000)).len(), 2);
+}
+
+#[test]
+fn a_budget_is_passed_by_less_than_one_turn() {
+    let mut ledger = Ledger::default();
+    ledger.reserve(account("p"), 100, 60, UnixMs(1)).expect("nothing used");
+    ledger.reserve(account("p"), 100, 60, UnixMs(1)).expect("60 promised");
+    let refused = ledger.reserve(account("p"), 100, 60, UnixMs(1));
+    assert_eq!(refused, Err(Spent { used: 120, budget: 100 }));
+    ledger.settle(account("p"), 60, 10);
+    ledger.settle(account("p"), 60, 20);
+    assert!(ledger.reserve(account("p"), 100, 60, UnixMs(1)).is_ok());
+}
+
+// A turn is streaming when its owner dies. The caller has seen some of its tokens, and the next
+// owner can't know how many: it counts the most that the turn could have generated.
+#[test]
+fn what_a_dead_owner_had_promised_counts_as_spent() {
+    let mut ledger = Ledger::default();
+    let record = ledger.reserve(account("p"), 100, 60, UnixMs(1)).expect("nothing used");
+    let mut successor = reload(&[record]);
+    successor.reserve(account("p"), 100, 60, UnixMs(1)).expect("60 used");
+    assert!(successor.reserve(account("p"), 100, 60, UnixMs(1)).is_err());
+}
+
+#[test]
+fn adopted_turns_are_written_once() {
+    let mut ledger = Ledger::default();
+    let chain = vec![(key("1"), turn(None, "a", 5)), (key("2"), turn(Some(key("1")), "b", 5))];
+    assert_eq!(ledger.adopt(chain.clone()).len(), 2);
+    assert_eq!(ledger.adopt(chain).len(), 0);
+    assert!(ledger.chain(key("2")).is_some());
+}
+
+#[test]
+fn events_are_counted_and_their_data_kept() {
+    let mut reader = EventReader::default();
+    for piece in [&b"id: 1\nda"[..], b"ta: one\n\n: note\n\nid: 2\r\ndata: t", b"wo\ndata:x\n\n"] {
+        reader.push(piece);
+    }
+    assert_eq!(reader.events(), 2);
+    assert!(reader.between_events());
+    reader.push(b"id: 3\n");
+    assert!(!reader.between_events());
+    assert_eq!(reader.into_output(), b"one\ntwo\nx\n");
+}
