The grace of lapsed endpoints ends with that of their outage

Ruled out: late reads (the removal was seen within 0.3 s).

Change: the grace counts from the outage's end.

--- a/src/replicas/directory.rs
+++ b/src/replicas/directory.rs
@@ -5,9 +5,10 @@
 use super::{Announced, Change};
 use crate::prelude::*;
 
-/// How long an entry that lapsed around an outage of the list stays in use. Entries lapse while
+/// How long after an outage of the list an entry that has lapsed stays in use. Entries lapse while
 /// their owners can't reach the list; those alive are back about two seconds after its return, so
-/// that dropping them at once would leave no endpoint at all.
+/// that dropping them at once would leave no endpoint at all. Counted from the outage's end: an
+/// endpoint that leaves soon after it must not be used for longer than others that leave.
 const LAPSE_GRACE_MS: u64 = 2_200;
 
 /// An endpoint that failed this often in a row is left out for a while.
@@ -35,7 +36,8 @@
     pub in_flight: u32,
     /// Requests that the other entries have running there, as they told last.
     pub others_in_flight: u32,
-    removed_at: Option<TimeMs>,
+    /// Its entry has lapsed: it stays in use until then.
+    lapses_at: Option<TimeMs>,
     failures: u32,
     ejected_until: TimeMs,
 }
@@ -87,7 +89,7 @@
             {
                 let replica = &mut self.replicas[key];
                 replica.announced = announced;
-                replica.removed_at = None;
+                replica.lapses_at = None;
                 return true;
             }
             self.remove(key);
@@ -98,7 +100,7 @@
             announced,
             in_flight: 0,
             others_in_flight: 0,
-            removed_at: None,
+            lapses_at: None,
             failures: 0,
             ejected_until: TimeMs::default(),
         });
@@ -111,9 +113,9 @@
         let Some(key) = self.by_id.get(id).copied() else {
             return false;
         };
-        match self.list_back_at {
-            Some(back_at) if now.since(back_at) < LAPSE_GRACE_MS => {
-                self.replicas[key].removed_at = Some(now);
+        match self.list_back_at.map(|back_at| back_at.plus(LAPSE_GRACE_MS)) {
+            Some(lapses_at) if now < lapses_at => {
+                self.replicas[key].lapses_at = Some(lapses_at);
             }
             _ => self.remove(key),
         }
@@ -122,9 +124,7 @@
 
     /// Drops the entries whose grace is over.
     pub fn tidy(&mut self, now: TimeMs) {
-        let over = |replica: &Replica| {
-            replica.removed_at.is_some_and(|at| now.since(at) >= LAPSE_GRACE_MS)
-        };
+        let over = |replica: &Replica| replica.lapses_at.is_some_and(|at| now > at);
         let gone: Vec<_> =
             self.replicas.iter().filter(|(_, r)| over(r)).map(|(key, _)| key).collect();
         gone.into_iter().for_each(|key| self.remove(key));
--- a/src/replicas/tests.rs
+++ b/src/replicas/tests.rs
@@ -101,3 +101,15 @@
     assert_eq!(placement.choose(TimeMs(100), &directory, &want(&[])), None);
     assert_eq!(placement.choose(TimeMs(600), &directory, &want(&[])), Some(key));
 }
+
+// One entry can read the list again after an outage; half a second later an endpoint leaves and is
+// removed. Requests kept reaching it for longer than it may be used, since its removal was taken
+// for a lapse and its grace counted from there instead of from the end of the outage.
+#[test]
+fn the_grace_of_a_lapse_ends_with_that_of_its_outage() {
+    let mut directory = with(&[("r", announced("s", 1, 5, 9))]);
+    directory.list_is_back(TimeMs(1_000));
+    directory.apply(TimeMs(1_900), Change::Removed("r".into()));
+    directory.tidy(TimeMs(3_300));
+    assert!(directory.find("r").is_none());
+}
