Lives of entries have numbers of their own; requests of programs under way wait for their rate

Cause: a process's life was numbered by the millisecond of its start. Eight entries start within 0.3 s, so that two often shared a number; each message of the one then looked like news of the other, and all copies of a bucket swung between empty and full (levels of 29 and 12 of 30 at the same moment; 256 admitted where 218 are allowed). Ruled out: waiting for the rate (the same with and without), refunds, the arithmetic (simulated over eight entries).

Change: the number is a digest of VM and start. Requests of programs under way wait up to 0.6 s for their rate; the time to return while the store is out is one second instead of half of one.

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -35,6 +35,13 @@
 /// the list only finds those that were announced at the same moment.
 const PEERS_EVERY_MS: u64 = 10_000;
 
+/// Distinguishes the life of a process from its earlier ones and from those of other VMs, some of
+/// which start within the same millisecond: entries that shared a number would have their counts
+/// mixed up, and rates would be exceeded. It orders nothing.
+pub(super) fn life_number(vm: &str, started: UnixMs) -> u64 {
+    Digest::of(&[vm.as_bytes(), &started.0.to_be_bytes()]).prefix()
+}
+
 /// Announces this entry and follows the list of the others.
 pub(super) async fn follow_peers(gateway: Rc<Gateway>) {
     let own = PeerRecord { name: gateway.settings.name.clone(), address: gateway.settings.peers };
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -39,3 +39,6 @@
 };
 pub use process::run;
 pub use settings::{Bounds, GatewaySettings};
+
+#[cfg(test)]
+mod tests;
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -8,7 +8,7 @@
 
 use super::config_feed::follow_configuration;
 use super::endpoint_feed::follow_endpoints;
-use super::gossip::{follow_peers, hear_peers, tell_peers};
+use super::gossip::{follow_peers, hear_peers, life_number, tell_peers};
 use super::server::{Door, accept, listen};
 use super::state::Gateway;
 use super::tenure::Tenure;
@@ -61,8 +61,7 @@
         spawn_local(accept(gateway.clone(), listener, door, metrics.clone(), closing.clone()));
     }
     let tenure = Tenure::open(gateway.clone());
-    // Distinguishes this life from earlier ones of the VM; it orders nothing.
-    let life = gateway.unix().0.max(1);
+    let life = life_number(&gateway.settings.name, gateway.unix());
     spawn_local(follow_configuration(gateway.clone()));
     spawn_local(follow_endpoints(gateway.clone()));
     spawn_local(follow_peers(gateway.clone()));
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -22,10 +22,15 @@
 /// When to return if this entry knows no configuration that is fresh enough.
 const NOT_READY_RETRY_MS: u64 = 300;
 
-/// A request waits for its workspace's rate for one part in so many of the time that its operator
-/// aims at. Source: a caller that is refused comes back after a new connection and a pause.
+/// A request waits for its workspace's rate for one part in so many of its time: one that begins a
+/// program, of the time that its operator aims at; one that goes on with it, of its longest time.
+/// Source: a caller that is refused comes back after a new connection and a pause.
 const RATE_WAIT_PART: u64 = 4;
 
+/// The longest wait for a workspace's rate. Source: about what a program may lose and still be of
+/// use; callers give a request up that nothing is heard of after a second or two.
+const RATE_WAIT_MOST_MS: u64 = 600;
+
 /// A workspace's name where the configuration has none.
 const NO_WORKSPACE: &str = "";
 
@@ -134,26 +139,29 @@
     }
     let key = call.key.ok_or(Refusal::UnknownKey)?;
     let workspace = catalog.holder(key).ok_or(Refusal::UnknownKey)?;
-    let wait_most_ms = route.target_ms / RATE_WAIT_PART;
-    if let Err(retry_after_ms) = take_rate(gateway, workspace, call, wait_most_ms).await {
+    if let Err(retry_after_ms) = take_rate(gateway, workspace, route, call).await {
         log::info!(request:% = call.request, workspace:% = workspace.name, retry_after_ms,
-            rate_per_s = workspace.rate_per_s, burst = workspace.burst, config = catalog.version(); "over the rate");
+            rate_per_s = workspace.rate_per_s, burst = workspace.burst,
+            config = catalog.version(); "over the rate");
         return Err(Refusal::OverRate { retry_after_ms });
     }
     Ok(Some(workspace.clone()))
 }
 
-/// Takes a request out of its workspace's rate. If there is room within a moment, it waits: coming
-/// back would take its caller longer.
+/// Takes a request out of its workspace's rate. If there is room soon, it waits: coming back would
+/// take its caller longer, and a program that is refused in its middle has wasted all before.
 async fn take_rate(
     gateway: &Gateway,
     workspace: &Workspace,
+    route: &Route,
     call: &Call,
-    wait_most_ms: u64,
 ) -> Result<(), u64> {
     let arrived = gateway.now();
     let begins = call.program.is_some() && call.most_tokens > 0 && call.previous.is_none();
-    let claim = if begins { Claim::Begins } else { Claim::GoesOn };
+    let (claim, wait_most_ms) = match begins {
+        true => (Claim::Begins, route.target_ms / RATE_WAIT_PART),
+        false => (Claim::GoesOn, RATE_WAIT_MOST_MS.min(route.timeout_ms / RATE_WAIT_PART)),
+    };
     loop {
         let now = gateway.now();
         let peering = gateway.peers.borrow().peering(now);
--- a/src/gateway/turn.rs
+++ b/src/gateway/turn.rs
@@ -22,9 +22,9 @@
 /// Bytes of a prompt that make a token, for estimates of what an endpoint has to read.
 const BYTES_PER_TOKEN: u64 = 2;
 
-/// When to return if the store takes no records. Source: half of a second is about a quarter of the
-/// time that callers wait, and long against an append.
-const STORE_OUT_RETRY_MS: u64 = 500;
+/// When to return if the store takes no records. Source: outages last seconds, and callers come back
+/// a few times only: a third of the time that they wait is the longest that they heed.
+const STORE_OUT_RETRY_MS: u64 = 1_000;
 
 /// A turn at the owner of its program's shard.
 pub(super) struct TurnCall {
--- a/src/quota/tests.rs
+++ b/src/quota/tests.rs
@@ -12,12 +12,12 @@
     let peering = Peering { entries: count, heard: if in_touch { count } else { 1 } };
     let mut admitted = vec![0_u64; 20_000];
     for now in 0..20_000_u64 {
-        if in_touch && now % 100 == 0 {
-            let taken: Vec<_> = entries.iter().map(SharedBucket::taken).collect();
-            for (at, entry) in entries.iter_mut().enumerate() {
-                let others = taken.iter().enumerate().filter(|(other, _)| *other != at);
-                others.for_each(|(other, taken)| entry.tell(TimeMs(now), other as u64, *taken));
-            }
+        // Each entry tells at a moment of its own.
+        let telling = (0..entries.len()).filter(|at| in_touch && now % 100 == *at as u64 * 12);
+        for teller in telling.collect::<Vec<_>>() {
+            let taken = entries[teller].taken();
+            let others = entries.iter_mut().enumerate().filter(|(at, _)| *at != teller);
+            others.for_each(|(_, entry)| entry.tell(TimeMs(now), teller as u64, taken));
         }
         // Nothing is offered at first, so that the bucket is full when the load comes.
         let offered = offered_per_s.iter().map(|per_s| match now >= 5_000 {
@@ -52,6 +52,14 @@
     assert_eq!((0..40).filter(|_| bucket.take(now, peering, Claim::GoesOn).is_ok()).count(), 34);
 }
 
+// A small workspace's flood over eight entries: each sees the same token in its copy of the bucket,
+// and between two messages all of them may take it.
+#[test]
+fn a_flood_of_a_small_workspace_stays_within_its_limit() {
+    let most = most_in_window(30.0, 30.0, &[40; 8], true);
+    assert!((165..=200).contains(&most), "{most}");
+}
+
 #[test]
 fn a_flood_at_one_entry_gets_the_whole_limit() {
     let most = most_in_window(100.0, 100.0, &[800, 0, 0, 0], true);
