Rates hold over the contract's window, counted by all entries

Cause: the operator's contract bounds what a workspace runs in any window of five seconds by rate and burst; a bucket of the same figures admits a sixth less when a workspace stays at its limit.

Change: SharedWindow counts slots of 100 ms in place of a bucket.

--- a/src/gateway/config_feed.rs
+++ b/src/gateway/config_feed.rs
@@ -88,7 +88,9 @@
             Ok(catalog) => {
                 log::info!(version; "a configuration is in force");
                 let mut rates = gateway.rates.borrow_mut();
-                catalog.workspaces().for_each(|w| rates.know(gateway.now(), w));
+                catalog.workspaces().for_each(|workspace| {
+                    rates.know(gateway.now(), workspace);
+                });
                 *gateway.in_force.catalog.borrow_mut() = Some(Rc::new(catalog));
             }
             Err(fault) => log::debug!(fault:display; "a configuration was passed over"),
--- a/src/gateway/rates.rs
+++ b/src/gateway/rates.rs
@@ -2,15 +2,21 @@
 
 use crate::catalog::Workspace;
 use crate::prelude::*;
-use crate::quota::{Claim, Peering, SharedBucket};
+use crate::quota::{Allowance, Claim, Peering, SharedWindow};
 
-/// This entry's copies of all workspaces' buckets.
-#[derive(Debug, Default)]
+/// This entry's counts of what all workspaces take.
+#[derive(Debug)]
 pub(super) struct Rates {
-    buckets: HashMap<u64, (SharedBucket, f64, f64)>,
+    window_ms: u64,
+    windows: HashMap<u64, SharedWindow>,
 }
 
 impl Rates {
+    /// Counts in windows of `window_ms`.
+    pub(super) fn open(window_ms: u64) -> Rates {
+        Rates { window_ms, windows: HashMap::new() }
+    }
+
     /// Takes one request out of the workspace's rate, or says when there may be room.
     pub(super) fn take(
         &mut self,
@@ -19,44 +25,44 @@
         peering: Peering,
         claim: Claim,
     ) -> Result<(), u64> {
-        let limits = (workspace.rate_per_s, workspace.burst);
-        let (bucket, rate, burst) = self
-            .buckets
-            .entry(workspace_hash(&workspace.name))
-            .or_insert_with(|| (SharedBucket::open(now, limits.0, limits.1), limits.0, limits.1));
-        if (*rate, *burst) != limits {
-            (*rate, *burst) = limits;
-            bucket.change(now, limits.0, limits.1);
-        }
-        bucket.take(now, peering, claim)
+        self.know(now, workspace).take(now, peering, claim)
     }
 
-    /// Makes sure that a workspace's bucket fills from the moment it is known.
-    pub(super) fn know(&mut self, now: TimeMs, workspace: &Workspace) {
-        let (rate, burst) = (workspace.rate_per_s, workspace.burst);
-        self.buckets
+    /// The workspace's window, which fills from the moment it is first known.
+    pub(super) fn know(&mut self, now: TimeMs, workspace: &Workspace) -> &mut SharedWindow {
+        let allowance = Allowance {
+            rate_per_s: workspace.rate_per_s,
+            burst: workspace.burst,
+            window_ms: self.window_ms,
+        };
+        let window = self
+            .windows
             .entry(workspace_hash(&workspace.name))
-            .or_insert_with(|| (SharedBucket::open(now, rate, burst), rate, burst));
+            .or_insert_with(|| SharedWindow::open(now, allowance));
+        if window.allowance() != allowance {
+            window.change(allowance);
+        }
+        window
     }
 
     /// A request that was taken out of the workspace's rate has not run.
     pub(super) fn give_back(&mut self, workspace: &str) {
-        if let Some((bucket, _, _)) = self.buckets.get_mut(&workspace_hash(workspace)) {
-            bucket.give_back();
+        if let Some(window) = self.windows.get_mut(&workspace_hash(workspace)) {
+            window.give_back();
         }
     }
 
     /// What this entry has taken, by workspace.
     pub(super) fn taken(&self) -> Vec<(u64, u64)> {
-        let used = self.buckets.iter().filter(|(_, (bucket, _, _))| bucket.taken() > 0);
-        used.map(|(workspace, (bucket, _, _))| (*workspace, bucket.taken())).collect()
+        let used = self.windows.iter().filter(|(_, window)| window.taken() > 0);
+        used.map(|(workspace, window)| (*workspace, window.taken())).collect()
     }
 
     /// Another entry has taken so many.
     pub(super) fn tell(&mut self, now: TimeMs, life: u64, taken: &[(u64, u64)]) {
         for (workspace, taken) in taken {
-            if let Some((bucket, _, _)) = self.buckets.get_mut(workspace) {
-                bucket.tell(now, life, *taken);
+            if let Some(window) = self.windows.get_mut(workspace) {
+                window.tell(now, life, *taken);
             }
         }
     }
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -10,6 +10,8 @@
     pub revoke_ms: u64,
     /// From SIGTERM to SIGKILL.
     pub grace_ms: u64,
+    /// Workspaces' rates hold over any window of this length.
+    pub rate_window_ms: u64,
     /// An endpoint that leaves must get nothing new after this.
     pub drain_ms: u64,
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -49,14 +49,13 @@
         let shards = ShardTable::open(store.shards());
         let placement = Placement::open(settings.failure_domain.clone());
         Rc::new(Gateway {
-            settings,
             store,
             protocol,
             in_force: InForce::default(),
             directory: RefCell::default(),
             placement: RefCell::new(placement),
             connections: Rc::default(),
-            rates: RefCell::default(),
+            rates: RefCell::new(Rates::open(settings.bounds.rate_window_ms)),
             suspects: RefCell::default(),
             shards,
             peers: RefCell::default(),
@@ -65,6 +64,7 @@
             draining: Cell::new(false),
             running: Cell::new(0),
             clock: Clock::start(),
+            settings,
         })
     }
 
--- a/src/quota/mod.rs
+++ b/src/quota/mod.rs
@@ -1,8 +1,8 @@
 //! Rate and burst of a workspace over all entries together, from what the entries tell each other.
 
-mod shared_bucket;
+mod shared_window;
 
-pub use shared_bucket::{Claim, Peering, SharedBucket};
+pub use shared_window::{Allowance, Claim, Peering, SharedWindow};
 
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/src/quota/shared_window.rs
@@ -0,0 +1,210 @@
+//! Pattern: most workspaces stay well below their rate, and one at a time sends many times its own.
+//! Callers come in clumps and to few entries. Below the limit no call may wait for a message, so
+//! that each entry admits from its own count of the window and tells the others how much it took.
+//! Between two messages it reckons with the others going on as they did. An entry that is cut off
+//! keeps to its part.
+
+use std::collections::{HashMap, VecDeque};
+
+use crate::prelude::*;
+
+/// The window is counted in slots of this length. Source: the time between two messages; finer
+/// slots would only order what arrives late anyway.
+const SLOT_MS: u64 = 100;
+
+/// The others' takings are averaged over about this time. Source: five messages.
+const AVERAGED_MS: f64 = 500.0;
+
+/// Time between two messages of an entry, for which the others are reckoned to go on.
+const TOLD_EVERY_MS: f64 = 100.0;
+
+/// Part of the burst that is kept for programs under way: one that is refused in its middle has
+/// wasted all before. Source: measured; a half refuses programs that could have been run, and with
+/// nothing kept more of them fail on the way.
+const KEPT_FOR_RUNNING: f64 = 0.2;
+
+/// What a request means to its program.
+#[key]
+pub enum Claim {
+    /// It begins a program: refused, it costs its caller nothing but the wait.
+    Begins,
+    /// It belongs to a program that has run already.
+    GoesOn,
+}
+
+/// What an entry knows of the others.
+#[key]
+pub struct Peering {
+    /// Entries that share the limit, this one included.
+    pub entries: u32,
+    /// Those of them that are heard from, this one included.
+    pub heard: u32,
+}
+
+impl Peering {
+    /// Whether enough of the others are heard from to go by what they tell.
+    fn in_touch(self) -> bool {
+        self.heard * 2 >= self.entries
+    }
+
+    /// The part of the limit that falls to the entries that are heard from. One that is cut off goes
+    /// on with its own part; if the others took the whole, both would exceed it together.
+    fn heard_part(self) -> f64 {
+        f64::from(self.heard) / f64::from(self.entries.max(1))
+    }
+}
+
+/// A workspace's limit: in any window, its rate times the window and its burst.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Allowance {
+    /// Requests a second; zero: no limit.
+    pub rate_per_s: f64,
+    /// Requests beyond the rate in a window.
+    pub burst: f64,
+    /// The window.
+    pub window_ms: u64,
+}
+
+impl Allowance {
+    fn in_window(&self) -> f64 {
+        self.rate_per_s * self.window_ms as f64 / 1_000.0 + self.burst
+    }
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Slot {
+    own: f64,
+    others: f64,
+}
+
+/// One entry's count of what a workspace has taken in the window.
+#[derive(Debug, Clone)]
+pub struct SharedWindow {
+    allowance: Allowance,
+    /// The newest slot comes last.
+    slots: VecDeque<Slot>,
+    newest_at: TimeMs,
+    counted: Slot,
+    taken: u64,
+    told: HashMap<u64, u64>,
+    /// What the others took of late, fading.
+    others: f64,
+    told_at: TimeMs,
+}
+
+impl SharedWindow {
+    /// A window that is full: whoever starts can't know what was taken before.
+    pub fn open(now: TimeMs, allowance: Allowance) -> SharedWindow {
+        let count = (allowance.window_ms / SLOT_MS).max(1) as usize;
+        let each = allowance.in_window() / count as f64;
+        SharedWindow {
+            allowance,
+            slots: VecDeque::from(vec![Slot { own: 0.0, others: each }; count]),
+            newest_at: now,
+            counted: Slot { own: 0.0, others: each * count as f64 },
+            taken: 0,
+            told: HashMap::new(),
+            others: 0.0,
+            told_at: now,
+        }
+    }
+
+    /// The limit in force.
+    pub fn allowance(&self) -> Allowance {
+        self.allowance
+    }
+
+    /// A new limit came into force.
+    pub fn change(&mut self, allowance: Allowance) {
+        self.allowance = allowance;
+    }
+
+    /// Takes one, or says in how many milliseconds there may be one.
+    pub fn take(&mut self, now: TimeMs, peering: Peering, claim: Claim) -> Result<(), u64> {
+        if self.allowance.rate_per_s <= 0.0 {
+            return Ok(());
+        }
+        self.advance(now);
+        let kept = match claim {
+            Claim::Begins => self.allowance.burst * KEPT_FOR_RUNNING,
+            Claim::GoesOn => 0.0,
+        };
+        let limit = self.allowance.in_window();
+        let lacking = match peering.in_touch() {
+            true => {
+                let used = self.counted.own + self.counted.others + self.taken_since_told();
+                used + 1.0 + kept - limit * peering.heard_part()
+            }
+            false => self.counted.own + 1.0 + kept - limit / f64::from(peering.entries),
+        };
+        if lacking > 0.0 {
+            return Err(self.freed_in_ms(now, lacking));
+        }
+        self.count(Slot { own: 1.0, others: 0.0 });
+        self.taken += 1;
+        Ok(())
+    }
+
+    /// Gives one back: its request has not run, and will not.
+    pub fn give_back(&mut self) {
+        self.count(Slot { own: -1.0, others: 0.0 });
+        self.taken = self.taken.saturating_sub(1);
+    }
+
+    /// How many this entry has taken in its life, less those given back.
+    pub fn taken(&self) -> u64 {
+        self.taken
+    }
+
+    /// Another entry, in the life `life`, has taken `taken` in all.
+    pub fn tell(&mut self, now: TimeMs, life: u64, taken: u64) {
+        self.advance(now);
+        let before = *self.told.entry(life).or_insert(taken);
+        self.others *= (-(now.since(self.told_at) as f64) / AVERAGED_MS).exp();
+        self.told_at = now;
+        let news = taken as f64 - before as f64;
+        self.told.insert(life, taken);
+        self.others = (self.others + news).max(0.0);
+        self.count(Slot { own: 0.0, others: news });
+    }
+
+    fn count(&mut self, more: Slot) {
+        for slot in self.slots.back_mut().into_iter().chain([&mut self.counted]) {
+            slot.own += more.own;
+            slot.others += more.others;
+        }
+    }
+
+    /// Drops the slots that have left the window.
+    fn advance(&mut self, now: TimeMs) {
+        let passed = now.since(self.newest_at) / SLOT_MS;
+        self.newest_at = self.newest_at.plus(passed * SLOT_MS);
+        for _ in 0..passed.min(self.slots.len() as u64) {
+            self.slots.pop_front();
+            self.slots.push_back(Slot::default());
+        }
+        if passed > 0 {
+            self.counted = self.slots.iter().fold(Slot::default(), |sum, slot| Slot {
+                own: sum.own + slot.own,
+                others: sum.others + slot.others,
+            });
+        }
+    }
+
+    /// What the others have probably taken since they told.
+    fn taken_since_told(&self) -> f64 {
+        self.others / AVERAGED_MS * TOLD_EVERY_MS
+    }
+
+    /// When so many will have left the window.
+    fn freed_in_ms(&self, now: TimeMs, lacking: f64) -> u64 {
+        let mut freed = 0.0;
+        let slots = self.slots.iter().take_while(|slot| {
+            let enough = freed >= lacking;
+            freed += slot.own + slot.others;
+            !enough
+        });
+        let slots = slots.count() as u64;
+        (slots * SLOT_MS).saturating_sub(now.since(self.newest_at)).max(1)
+    }
+}
