Endpoints are judged by the answers of all entries

Ruled out: its health check, which is good.

Change: entries tell each other the answers of endpoints that fail; one is left out from 2.5 failures that are an eighth of its answers on, for 0.5 s, doubled by each failed trial; never most of a service's. A first request at an entry counts at the others.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -41,7 +41,7 @@
 impl Lease {
     /// The answer was read whole: the connection serves the next request.
     pub(super) fn finish(mut self) {
-        self.gateway.directory.borrow_mut().served(self.endpoint);
+        self.gateway.directory.borrow_mut().served(self.gateway.now(), self.endpoint);
         if let Some(connection) = self.connection.take() {
             self.gateway.connections.keep(self.gateway.now(), connection);
         }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -1,3 +1,4 @@
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,6 +11,7 @@
 use super::shard_table::Owner;
 use super::state::Gateway;
 use crate::prelude::*;
+use crate::replicas::Answers;
 
 /// Pause between two messages to the others while requests are running. Source: what an entry takes
 /// out of a workspace's rate in this time must be small against its burst.
@@ -25,6 +27,10 @@
 /// told in turn.
 const ROWS_MOST: usize = 50;
 
+/// Failures of an endpoint are told while they count for more than this. Source: those of one
+/// failure fade below it within some six seconds.
+const FAILURES_TOLD: f64 = 0.2;
+
 /// Crashing requests are told for this long.
 const SUSPECTS_TOLD_MS: u64 = 5_000;
 
@@ -98,6 +104,14 @@
     let serving = own.iter().filter(|shard| shard.stage() == Stage::Serving);
     let directory = gateway.directory.borrow();
     let running = directory.all().filter(|(_, replica)| replica.in_flight > 0);
+    let now = gateway.now();
+    let failing = directory.all().filter_map(|(_, replica)| {
+        let answers = replica.answers(now);
+        let told =
+            (endpoint_hash(&replica.id), hundredths(answers.failures), hundredths(answers.served));
+        (answers.failures > FAILURES_TOLD).then_some(told)
+    });
+    let answers = failing.collect();
     let running = running.map(|(_, r)| (endpoint_hash(&r.id), r.in_flight)).collect();
     Gossip {
         life,
@@ -105,6 +119,7 @@
         leaving: gateway.draining.get(),
         shards: serving.map(|shard| (shard.number, shard.epoch)).collect(),
         running: in_turn(running, round),
+        answers: in_turn(answers, round),
         taken: in_turn(gateway.rates.borrow().taken(), round),
         suspects: gateway.suspects.borrow().recent(gateway.now(), SUSPECTS_TOLD_MS),
     }
@@ -152,23 +167,37 @@
 
 fn hear(gateway: &Gateway, from: SocketAddr, gossip: &Gossip) {
     let now = gateway.now();
-    if gateway.peers.borrow_mut().heard(now, from, gossip) {
+    let first = gateway.peers.borrow_mut().heard(now, from, gossip);
+    if first {
         log::info!(peer:% = gossip.name; "an entry was heard for the first time");
         gateway.news.notify_one();
     }
     for (shard, epoch) in &gossip.shards {
         gateway.shards.told(*shard, Owner { address: from, epoch: *epoch });
     }
-    gateway.rates.borrow_mut().tell(now, gossip.life, &gossip.taken);
+    gateway.rates.borrow_mut().tell(now, gossip.life, &gossip.taken, first);
     let mut suspects = gateway.suspects.borrow_mut();
     gossip.suspects.iter().for_each(|(request, crashes)| suspects.told(now, *request, *crashes));
     let mut directory = gateway.directory.borrow_mut();
     let peers = gateway.peers.borrow();
-    let loads: Vec<_> = directory
-        .all()
-        .map(|(key, replica)| (key, peers.running(endpoint_hash(&replica.id))))
-        .collect();
-    loads.into_iter().for_each(|(key, load)| directory.tell_others(key, load));
+    let told: HashMap<u64, Answers> = gossip.answers.iter().map(answers).collect();
+    let endpoints: Vec<_> =
+        directory.all().map(|(key, replica)| (key, endpoint_hash(&replica.id))).collect();
+    for (key, hash) in endpoints {
+        directory.tell_others(key, peers.running(hash));
+        if let Some(answers) = told.get(&hash) {
+            directory.tell_answers(now, key, gossip.life, *answers);
+        }
+    }
+}
+
+fn answers((endpoint, failures, served): &(u64, u32, u32)) -> (u64, Answers) {
+    let (failures, served) = (f64::from(*failures) / 100.0, f64::from(*served) / 100.0);
+    (*endpoint, Answers { failures, served })
+}
+
+fn hundredths(count: f64) -> u32 {
+    (count * 100.0) as u32
 }
 
 fn endpoint_hash(id: &str) -> u64 {
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -17,6 +17,8 @@
     pub(super) running: Vec<(u64, u32)>,
     /// Requests admitted in its life, by workspace.
     pub(super) taken: Vec<(u64, u64)>,
+    /// Answers of the endpoints that have failed of late: endpoint, failures, answers, in hundredths.
+    pub(super) answers: Vec<(u64, u32, u32)>,
     /// Requests that crash endpoints, with their crashes.
     pub(super) suspects: Vec<(u64, u32)>,
 }
--- a/src/gateway/rates.rs
+++ b/src/gateway/rates.rs
@@ -58,11 +58,13 @@
         used.map(|(workspace, window)| (*workspace, window.taken())).collect()
     }
 
-    /// Another entry has taken so many.
-    pub(super) fn tell(&mut self, now: TimeMs, life: u64, taken: &[(u64, u64)]) {
+    /// Another entry has taken so many in its life; `first` if it is heard for the first time.
+    pub(super) fn tell(&mut self, now: TimeMs, life: u64, taken: &[(u64, u64)], first: bool) {
         for (workspace, taken) in taken {
-            if let Some(window) = self.windows.get_mut(workspace) {
-                window.tell(now, life, *taken);
+            match self.windows.get_mut(workspace) {
+                Some(window) if first => window.meet(life, *taken),
+                Some(window) => window.tell(now, life, *taken),
+                None => {}
             }
         }
     }
--- a/src/quota/shared_window.rs
+++ b/src/quota/shared_window.rs
@@ -156,10 +156,16 @@
         self.taken
     }
 
+    /// Another entry is heard for the first time in the life `life`. What it has taken so far was
+    /// taken at times that are not known.
+    pub fn meet(&mut self, life: u64, taken: u64) {
+        self.told.insert(life, taken);
+    }
+
     /// Another entry, in the life `life`, has taken `taken` in all.
     pub fn tell(&mut self, now: TimeMs, life: u64, taken: u64) {
         self.advance(now);
-        let before = *self.told.entry(life).or_insert(taken);
+        let before = self.told.get(&life).copied().unwrap_or(0);
         self.others *= (-(now.since(self.told_at) as f64) / AVERAGED_MS).exp();
         self.told_at = now;
         let news = taken as f64 - before as f64;
--- a/src/quota/tests.rs
+++ b/src/quota/tests.rs
@@ -125,7 +125,7 @@
 fn what_has_not_run_is_given_back_everywhere() {
     let (mut here, mut there) = (window(10.0, 10.0), window(10.0, 10.0));
     let now = TimeMs(10_000);
-    there.tell(now, 1, here.taken());
+    there.meet(1, here.taken());
     assert_eq!(here.take(now, TOGETHER, Claim::GoesOn), Ok(()));
     there.tell(now, 1, here.taken());
     here.give_back();
@@ -136,6 +136,17 @@
     }
 }
 
+// Thirty entries each admit a workspace's first request within one message's time. None of those
+// first requests was counted by the others, as each stood for all that was taken before.
+#[test]
+fn the_first_request_at_an_entry_counts_at_the_others() {
+    let mut window = window(10.0, 10.0);
+    let now = TimeMs(10_000);
+    (0..30).for_each(|life| window.tell(now, life, 1));
+    let room = (0..100).filter(|_| window.take(now, TOGETHER, Claim::GoesOn).is_ok()).count();
+    assert!(room <= 30, "{room}");
+}
+
 // A workspace begins more programs than its rate can carry to their ends. Admitted alike, requests
 // would be refused in the middle of programs, and all of them would fail.
 #[test]
--- a/src/replicas/directory.rs
+++ b/src/replicas/directory.rs
@@ -2,7 +2,7 @@
 
 use slotmap::{SlotMap, new_key_type};
 
-use super::{Announced, Change};
+use super::{Announced, Answers, Change, Health};
 use crate::prelude::*;
 
 /// How long after an outage of the list an entry that has lapsed stays in use. Entries lapse while
@@ -11,15 +11,6 @@
 /// endpoint that leaves soon after it must not be used for longer than others that leave.
 const LAPSE_GRACE_MS: u64 = 2_200;
 
-/// An endpoint that failed this often in a row is left out for a while.
-const EJECT_AFTER_FAILURES: u32 = 3;
-
-/// How long an endpoint is left out after its failures; doubled by each further failure.
-const EJECT_MS: u64 = 500;
-
-/// The longest that an endpoint is left out.
-const EJECT_MOST_MS: u64 = 4_000;
-
 new_key_type! {
     /// An endpoint's place in the directory.
     pub struct ReplicaKey;
@@ -38,8 +29,7 @@
     pub others_in_flight: u32,
     /// Its entry has lapsed: it stays in use until then.
     lapses_at: Option<TimeMs>,
-    failures: u32,
-    ejected_until: TimeMs,
+    health: Health,
 }
 
 impl Replica {
@@ -48,9 +38,14 @@
         self.in_flight + self.others_in_flight
     }
 
+    /// The answers that this entry had from it of late.
+    pub fn answers(&self, now: TimeMs) -> Answers {
+        self.health.own(now)
+    }
+
     /// Whether new requests may be sent to it.
     pub fn usable(&self, now: TimeMs) -> bool {
-        !self.announced.leaving && self.ejected_until <= now
+        !self.announced.leaving && !self.health.is_ejected(now)
     }
 }
 
@@ -101,8 +96,7 @@
             in_flight: 0,
             others_in_flight: 0,
             lapses_at: None,
-            failures: 0,
-            ejected_until: TimeMs::default(),
+            health: Health::default(),
         });
         self.by_id.insert(id, key);
         self.by_service.entry(service).or_default().push(key);
@@ -183,22 +177,23 @@
     }
 
     /// It answered a request as it should.
-    pub fn served(&mut self, key: ReplicaKey) {
+    pub fn served(&mut self, now: TimeMs, key: ReplicaKey) {
         if let Some(replica) = self.replicas.get_mut(key) {
-            replica.failures = 0;
+            replica.health.served(now);
         }
     }
 
-    /// It broke a request off, or can't be reached. An endpoint that fails again and again takes
-    /// requests down with it, so that it is left out, for a time that grows with its failures.
+    /// It broke a request off, or can't be reached.
     pub fn failed(&mut self, now: TimeMs, key: ReplicaKey) {
-        let Some(replica) = self.replicas.get_mut(key) else {
-            return;
-        };
-        replica.failures += 1;
-        if let Some(beyond) = replica.failures.checked_sub(EJECT_AFTER_FAILURES) {
-            let out_ms = EJECT_MS.saturating_mul(1 << beyond.min(8)).min(EJECT_MOST_MS);
-            replica.ejected_until = now.plus(out_ms);
+        if let Some(replica) = self.replicas.get_mut(key) {
+            replica.health.failed(now);
+        }
+    }
+
+    /// Another entry, in the life `life`, had these answers from it.
+    pub fn tell_answers(&mut self, now: TimeMs, key: ReplicaKey, life: u64, answers: Answers) {
+        if let Some(replica) = self.replicas.get_mut(key) {
+            replica.health.told(now, life, answers);
         }
     }
 }
--- a/src/replicas/mod.rs
+++ b/src/replicas/mod.rs
@@ -2,10 +2,12 @@
 
 mod announced;
 mod directory;
+mod health;
 mod placement;
 
 pub use announced::{Announced, Change};
 pub use directory::{Directory, Replica, ReplicaKey};
+pub use health::{Answers, Health};
 pub use placement::{Placement, Want};
 
 #[cfg(test)]
--- a/src/replicas/placement.rs
+++ b/src/replicas/placement.rs
@@ -23,6 +23,9 @@
 /// Prompt tokens that an engine reads in a millisecond.
 const PREFILL_TOKENS_PER_MS: f64 = 168.0;
 
+/// From so many endpoints on, at most half of a service's are left out for their failures.
+const EJECT_FROM: usize = 4;
+
 /// How long a part of a prompt is taken to stay in an endpoint's cache after its last use.
 const CACHED_FOR_MS: u64 = 20_000;
 
@@ -62,9 +65,22 @@
         want: &Want,
     ) -> Option<ReplicaKey> {
         self.turn = self.turn.wrapping_add(1);
-        let usable = directory
-            .of_service(&want.service)
-            .filter(|(key, replica)| replica.usable(now) && !want.not.contains(key));
+        let untried = |key: &ReplicaKey| !want.not.contains(key);
+        let (mut all, mut usable) = (0, Vec::new());
+        let mut ejected = Vec::new();
+        for (key, replica) in directory.of_service(&want.service) {
+            all += usize::from(!replica.announced.leaving);
+            match replica.usable(now) {
+                true => usable.push((key, replica)),
+                false if !replica.announced.leaving => ejected.push((key, replica)),
+                false => {}
+            }
+        }
+        // Where most seem to fail, it is not the endpoints that do.
+        if all >= EJECT_FROM && usable.len() < all / 2 {
+            usable.append(&mut ejected);
+        }
+        let usable = usable.into_iter().filter(|(key, _)| untried(key));
         let costs = usable.enumerate().map(|(at, (key, replica))| {
             let slots = f64::from(replica.announced.slots.max(1));
             let load = f64::from(replica.load());
--- a/src/replicas/tests.rs
+++ b/src/replicas/tests.rs
@@ -92,6 +92,57 @@
     assert_ne!(placement.choose(TimeMs(1), &directory, &want(&[(1, 2_000)])), Some(holder));
 }
 
+// An endpoint resets four of ten requests while its health check is good. Thirty entries send to it,
+// each so seldom that none sees three failures in a row; its callers lost two of five calls for as
+// long as that lasted.
+#[test]
+fn an_endpoint_that_fails_in_part_is_left_out_by_what_all_entries_see() {
+    let mut health = Health::default();
+    (0..30).for_each(|life| {
+        let answers = Answers { failures: 0.4, served: 0.6 };
+        health.told(TimeMs(100 + life), life, answers);
+    });
+    assert!(health.is_ejected(TimeMs(200)));
+    assert!(!health.is_ejected(TimeMs(700)));
+}
+
+#[test]
+fn an_endpoint_that_loses_few_answers_stays_in_use() {
+    let mut health = Health::default();
+    for request in 0..1_000_u64 {
+        let now = TimeMs(request * 50);
+        match request % 20 {
+            7 => health.failed(now),
+            _ => health.served(now),
+        }
+        assert!(!health.is_ejected(now), "{request}");
+    }
+}
+
+#[test]
+fn a_failed_trial_leaves_an_endpoint_out_for_longer() {
+    let mut health = Health::default();
+    (0..3).for_each(|_| health.failed(TimeMs(0)));
+    assert!(!health.is_ejected(TimeMs(500)));
+    (0..3).for_each(|_| health.failed(TimeMs(500)));
+    assert!(health.is_ejected(TimeMs(1_499)));
+    assert!(!health.is_ejected(TimeMs(1_500)));
+}
+
+// The network loses the answers of all endpoints for a while. Leaving all of them out would turn a
+// part of the requests lost into all of them refused.
+#[test]
+fn most_endpoints_of_a_service_are_never_left_out() {
+    let entries = ["a", "b", "c", "d"].map(|id| (id, announced("s", 1, 5, 9)));
+    let mut directory = with(&entries);
+    let mut placement = Placement::open("d".into());
+    let keys: Vec<_> = directory.all().map(|(key, _)| key).collect();
+    for key in keys {
+        (0..3).for_each(|_| directory.failed(TimeMs(0), key));
+    }
+    assert!(placement.choose(TimeMs(100), &directory, &want(&[])).is_some());
+}
+
 #[test]
 fn an_endpoint_that_fails_in_a_row_is_left_out_and_tried_again() {
     let mut directory = with(&[("r", announced("s", 1, 5, 9))]);
