Accounts reserve one turn ahead: one append a turn instead of two

Cause: nine tenths of the calls to the store were appends, two a turn: one to reserve tokens before the first is handed out, one to record the end. Ruled out: waiting to batch them (eight turns a second and shard leave nothing to batch).

Change: each account's record reserves the next turn too, so that turns in a row need no record before their first token; what a record on its way may still undo is not counted on.

--- a/src/gateway/reservation.rs
+++ b/src/gateway/reservation.rs
@@ -3,7 +3,7 @@
 use super::Refusal;
 use super::owned_shard::OwnedShard;
 use crate::prelude::*;
-use crate::turns::{AccountKey, Record};
+use crate::turns::{AccountKey, Record, Version};
 
 /// Tokens reserved for a turn under way. Dropped without [`Reservation::settle`], it settles what
 /// was handed out so far, so that a turn that breaks off holds no budget.
@@ -18,13 +18,13 @@
 
 impl Reservation {
     /// Reserves the most that a turn may generate out of its program's budget; yields the record
-    /// that makes it durable.
+    /// that makes it durable, if one is needed.
     pub(super) fn open(
         shard: &Rc<OwnedShard>,
         program: AccountKey,
         (budget, most): (u64, u64),
         kept_until: UnixMs,
-    ) -> Result<(Reservation, Record), Refusal> {
+    ) -> Result<(Reservation, Option<(Record, Version)>), Refusal> {
         let reserved = shard.ledger.borrow_mut().reserve(program, budget, most, kept_until);
         let record = reserved.map_err(|spent| {
             log::info!(used = spent.used, budget; "a program's budget is spent");
@@ -34,8 +34,13 @@
         Ok((Reservation { shard, program, most, settled: false, used: 0 }, record))
     }
 
+    /// A record of the program's account is durable.
+    pub(super) fn recorded(&self, version: Version) {
+        self.shard.ledger.borrow_mut().recorded(self.program, version);
+    }
+
     /// The turn is over; yields the record that says so.
-    pub(super) fn settle(&mut self) -> Record {
+    pub(super) fn settle(&mut self) -> (Record, Version) {
         self.settled = true;
         self.shard.ledger.borrow_mut().settle(self.program, self.most, self.used)
     }
@@ -44,7 +49,7 @@
 impl Drop for Reservation {
     fn drop(&mut self) {
         if !self.settled {
-            let record = self.settle();
+            let (record, _) = self.settle();
             drop(self.shard.writer.append(vec![record]));
         }
     }
--- a/src/gateway/turn.rs
+++ b/src/gateway/turn.rs
@@ -124,8 +124,11 @@
             (self.call.budget, self.call.most_tokens),
             kept_until,
         )?;
-        records.push(reserved);
-        let recorded = shard.writer.append(records);
+        let version = reserved.map(|(record, version)| {
+            records.push(record);
+            version
+        });
+        let recorded = (!records.is_empty()).then(|| shard.writer.append(records));
         let mut dispatch = Dispatch::open(&gateway, &self.call.job);
         let ends_at = self.call.job.ends_at;
         let answer = within(&gateway, ends_at, dispatch.answer()).await??;
@@ -137,7 +140,10 @@
         let mut first = next_piece(&gateway, ends_at, &mut body).await;
         // Tokens may reach the caller only once they are accounted for, or a successor would hand
         // out the same budget again.
-        within(&gateway, ends_at, recorded).await?.map_err(|_| Refusal::OutcomeUnknown)?;
+        if let Some(recorded) = recorded {
+            within(&gateway, ends_at, recorded).await?.map_err(|_| Refusal::OutcomeUnknown)?;
+        }
+        version.into_iter().for_each(|version| reservation.recorded(version));
         if let Some(opening) = self.opening.take() {
             drop(opening.send(Ok(head)));
         }
@@ -174,10 +180,11 @@
         parts.push((self.call.turn.hash(), own_bytes / BYTES_PER_TOKEN));
         gateway.placement.borrow_mut().read(gateway.now(), endpoint, &parts);
         let turn = Turn { parent: self.call.previous, input, output, kept_until, ran_at };
-        let settled = reservation.settle();
+        let (settled, version) = reservation.settle();
         let completed = shard.ledger.borrow_mut().complete(self.call.turn, turn);
         let recorded = shard.writer.append(vec![completed, settled]);
         within(&gateway, ends_at, recorded).await?.map_err(|_| Refusal::OutcomeUnknown)?;
+        reservation.recorded(version);
         drop(self.pieces.send(None).await);
         Ok(())
     }
--- a/src/turns/ledger.rs
+++ b/src/turns/ledger.rs
@@ -1,4 +1,4 @@
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::fmt;
 
 use super::record::{Entry, account_record, decode, turn_record};
@@ -27,24 +27,60 @@
 
 impl std::error::Error for Spent {}
 
+/// Numbers the records of one account.
+#[key]
+pub struct Version(u64);
+
+/// A program's account while its shard is owned.
+#[derive(Debug, Default)]
+struct Running {
+    spent: u64,
+    /// The most that the turns under way may generate.
+    under_way: u64,
+    kept_until: UnixMs,
+    /// What the newest record known to be durable has reserved.
+    reserved: u64,
+    /// What the records that are not known to be durable yet reserve, oldest first.
+    pending: VecDeque<(Version, u64)>,
+    newest: u64,
+}
+
+impl Running {
+    /// What is reserved whichever of the records turns out to be the last that was written.
+    fn reserved_for_sure(&self) -> u64 {
+        let pending = self.pending.iter().map(|(_, reserved)| *reserved);
+        pending.fold(self.reserved, u64::min)
+    }
+
+    /// Writes the account, with `ahead` reserved for a turn to come.
+    fn write(&mut self, key: AccountKey, ahead: u64) -> (Record, Version) {
+        let reserved = self.under_way + ahead;
+        self.newest += 1;
+        let version = Version(self.newest);
+        self.pending.push_back((version, reserved));
+        let account = Account { spent: self.spent, reserved, kept_until: self.kept_until };
+        (account_record(key, Some(&account)), version)
+    }
+}
+
 /// The turns and accounts of one shard.
 #[derive(Debug, Default)]
 pub struct Ledger {
     turns: HashMap<TurnKey, Turn>,
-    accounts: HashMap<AccountKey, Account>,
+    accounts: HashMap<AccountKey, Running>,
 }
 
 impl Ledger {
-    /// Takes in a record of the log. What an earlier owner had promised to turns under way counts
-    /// as spent, since they may have handed it out.
+    /// Takes in a record of the log. What an earlier owner had reserved counts as spent, since it
+    /// may have handed it out.
     pub fn load(&mut self, key: &str, value: &[u8]) -> Result<(), RecordFault> {
         match decode(key, value)? {
             Entry::Turn(key, turn) => {
                 self.turns.insert(key, turn);
             }
-            Entry::Account(key, mut account) => {
-                account.spent += std::mem::take(&mut account.reserved);
-                self.accounts.insert(key, account);
+            Entry::Account(key, Account { spent, reserved, kept_until }) => {
+                let spent = spent + reserved;
+                self.accounts.insert(key, Running { spent, kept_until, ..Running::default() });
             }
         }
         Ok(())
@@ -68,33 +104,51 @@
         Some(chain)
     }
 
-    /// Reserves the most that a turn may generate.
+    /// Reserves the most that a turn may generate; yields the record that has to be durable before
+    /// its first token is handed out, unless an earlier one has reserved ahead.
     ///
     /// A turn starts while anything is left, so that a program may pass its budget by less than one
-    /// turn; what turns under way may still generate counts as spent until they are over.
+    /// turn; what turns under way may still generate counts as spent until they are over. Each
+    /// record reserves one turn ahead: a program whose turns follow each other needs one record a
+    /// turn instead of two, and loses at most one turn's tokens when its owner dies.
     pub fn reserve(
         &mut self,
         key: AccountKey,
         budget: u64,
         most: u64,
         kept_until: UnixMs,
-    ) -> Result<Record, Spent> {
+    ) -> Result<Option<(Record, Version)>, Spent> {
         let account = self.accounts.entry(key).or_default();
-        let used = account.spent + account.reserved;
+        let used = account.spent + account.under_way;
         if used >= budget {
             return Err(Spent { used, budget });
         }
-        account.reserved += most;
+        account.under_way += most;
         account.kept_until = account.kept_until.max(kept_until);
-        Ok(account_record(key, Some(account)))
+        let covered = account.under_way <= account.reserved_for_sure();
+        Ok((!covered).then(|| account.write(key, most)))
     }
 
     /// A turn is over: `used` of the `most` that it had reserved was handed out.
-    pub fn settle(&mut self, key: AccountKey, most: u64, used: u64) -> Record {
+    pub fn settle(&mut self, key: AccountKey, most: u64, used: u64) -> (Record, Version) {
         let account = self.accounts.entry(key).or_default();
-        account.reserved = account.reserved.saturating_sub(most);
+        account.under_way = account.under_way.saturating_sub(most);
         account.spent += used;
-        account_record(key, Some(account))
+        account.write(key, most)
+    }
+
+    /// A record of the account is durable, and so are those before it.
+    pub fn recorded(&mut self, key: AccountKey, version: Version) {
+        let Some(account) = self.accounts.get_mut(&key) else {
+            return;
+        };
+        while let Some((oldest, reserved)) = account.pending.front().copied() {
+            if oldest > version {
+                return;
+            }
+            account.pending.pop_front();
+            account.reserved = reserved;
+        }
     }
 
     /// A turn was answered whole. Its chain is kept as long as it is.
@@ -125,7 +179,7 @@
         let accounts: Vec<_> = self
             .accounts
             .iter()
-            .filter(|(_, a)| over(a.kept_until) && a.reserved == 0)
+            .filter(|(_, a)| over(a.kept_until) && a.under_way == 0)
             .map(|(key, _)| *key)
             .collect();
         self.turns.retain(|_, turn| !over(turn.kept_until));
--- a/src/turns/mod.rs
+++ b/src/turns/mod.rs
@@ -8,7 +8,7 @@
 mod record;
 
 pub use events::EventReader;
-pub use ledger::{Ledger, Spent};
+pub use ledger::{Ledger, Spent, Version};
 pub use record::{Account, AccountKey, Record, RecordFault, Turn, TurnKey};
 
 #[cfg(test)]
--- a/src/turns/record.rs
+++ b/src/turns/record.rs
@@ -95,7 +95,7 @@
 pub struct Account {
     /// Tokens handed out by turns that are over.
     pub spent: u64,
-    /// The most that the turns under way may generate.
+    /// What turns under way, or yet to come without a record of their own, may generate.
     pub reserved: u64,
     /// Kept at least until then.
     pub kept_until: UnixMs,
