Logs on standard output, bounded and never blocking; metrics for each workspace and class

Ruled out: fewer lines.

The stand-ins' fleet reads both outputs. Counters and histograms by workspace, class and outcome, gauges of state.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -85,6 +85,23 @@
 }
 
 impl Refusal {
+    /// Its name in logs and metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Refusal::BadCall => "bad_call",
+            Refusal::TooLarge => "too_large",
+            Refusal::NoRoute => "no_route",
+            Refusal::UnknownKey => "unknown_key",
+            Refusal::OverRate { .. } => "over_rate",
+            Refusal::BudgetSpent => "budget_spent",
+            Refusal::NoSuchTurn => "no_such_turn",
+            Refusal::Unavailable { .. } => "unavailable",
+            Refusal::CrashesEndpoints => "crashes_endpoints",
+            Refusal::OutcomeUnknown => "outcome_unknown",
+            Refusal::TimedOut => "timed_out",
+        }
+    }
+
     /// Whether it promises that the request has not run and never will.
     pub fn promises(&self) -> bool {
         !matches!(self, Refusal::OutcomeUnknown | Refusal::TimedOut)
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod forward;
 mod gossip;
 mod message;
+mod observe;
 mod owned_shard;
 mod peers;
 mod plain;
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -14,7 +14,7 @@
 use super::tenure::Tenure;
 use super::{GatewayError, GatewaySettings, Protocol, Store};
 use crate::daemon::Shutdown;
-use crate::telemetry::Metrics;
+use crate::telemetry::{Metrics, flush_logs};
 
 /// Part of the time between SIGTERM and SIGKILL for which requests are still taken. The balancer
 /// needs two seconds to notice; the rest is left for answers under way.
@@ -26,8 +26,12 @@
 /// Pause between two looks at what is still running.
 const LOOK_AGAIN_MS: u64 = 20;
 
-/// Pause between two upkeeps of the metrics.
-const METRICS_UPKEEP_MS: u64 = 5_000;
+/// Pause between two writings of the log. Source: what a killed process may leave unsaid, against a
+/// call of the system for each line.
+const FLUSH_LOGS_MS: u64 = 200;
+
+/// Writings of the log between two upkeeps of the metrics.
+const METRICS_UPKEEP_ROUNDS: u64 = 25;
 
 /// Runs a gateway until SIGTERM. Needs a [`tokio::task::LocalSet`].
 ///
@@ -68,12 +72,7 @@
     spawn_local(tell_peers(gateway.clone(), datagrams.clone(), life));
     spawn_local(hear_peers(gateway.clone(), datagrams));
     spawn_local(tenure.clone().keep());
-    spawn_local(async move {
-        loop {
-            tokio::time::sleep(Duration::from_millis(METRICS_UPKEEP_MS)).await;
-            metrics.upkeep();
-        }
-    });
+    spawn_local(keep_up(metrics));
     log::info!(vm:% = gateway.settings.name, callers:% = gateway.settings.callers; "started");
     loop {
         tokio::select! {
@@ -86,6 +85,19 @@
     Ok(())
 }
 
+/// Writes the log lines that wait, and keeps the metrics' buffers small.
+async fn keep_up(metrics: Metrics) {
+    let mut rounds = 0;
+    loop {
+        tokio::time::sleep(Duration::from_millis(FLUSH_LOGS_MS)).await;
+        flush_logs();
+        rounds += 1;
+        if rounds % METRICS_UPKEEP_ROUNDS == 0 {
+            metrics.upkeep();
+        }
+    }
+}
+
 /// Ends without losing a request: shards go to other entries, callers are told to go elsewhere,
 /// and answers under way are finished.
 async fn drain(gateway: &Rc<Gateway>, tenure: &Tenure, close: &watch::Sender<bool>) {
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -9,6 +9,7 @@
 
 use super::attempt::Job;
 use super::forward::{Forwarded, NOT_RUN_HEADER, ORDER_HEADER, Served, find_owner, moved};
+use super::observe::{self, Seen};
 use super::owned_shard::{OwnedShard, Stage};
 use super::plain::{end_to_end, serve_plain};
 use super::state::Gateway;
@@ -48,20 +49,24 @@
     let Some(call) = gateway.protocol.read(&head) else {
         return refuse(&gateway, None, Refusal::BadCall);
     };
-    let outcome = admit_and_serve(&gateway, arrived, head, &call, body).await;
+    let mut seen = Seen::default();
+    let outcome = admit_and_serve(&gateway, arrived, head, &call, body, &mut seen).await;
     let took_ms = gateway.now().since(arrived);
     match outcome {
         Ok(response) => {
             let status = response.status().as_u16();
-            let program = text(&call.program);
-            log::info!(request:% = call.request, status, took_ms, program; "answered");
+            let (program, workspace) = (text(&call.program), text(&seen.workspace));
+            log::info!(request:% = call.request, status, took_ms, program, workspace; "answered");
+            observe::answered(&seen, status, took_ms);
             response.map(|body| body.counted(running))
         }
         Err(refusal) => {
             let config_age_ms = gateway.in_force.age_ms().unwrap_or(u64::MAX);
             let (program, previous) = (text(&call.program), text(&call.previous));
-            log::info!(request:% = call.request, refusal:?, took_ms, config_age_ms, program,
-                previous; "refused");
+            let (workspace, refusal_name) = (text(&seen.workspace), refusal.name());
+            log::info!(request:% = call.request, refusal = refusal_name, took_ms, config_age_ms,
+                program, previous, workspace; "refused");
+            observe::refused(&seen, refusal);
             refuse(&gateway, Some(&call.request), refusal)
         }
     }
@@ -81,6 +86,7 @@
     head: request::Parts,
     call: &Call,
     body: Incoming,
+    seen: &mut Seen,
 ) -> Result<Response<AnswerBody>, Refusal> {
     let not_ready = Refusal::Unavailable { retry_after_ms: NOT_READY_RETRY_MS };
     let catalog = gateway.in_force.catalog().ok_or(not_ready)?;
@@ -98,6 +104,7 @@
     let route = catalog.route(&call.host, head.uri.path());
     // What an old configuration denies, a newer one may allow.
     let route = route.cloned().ok_or(if fresh { Refusal::NoRoute } else { not_ready })?;
+    seen.class = Some(observe::class(&route));
     let workspace = match admit(gateway, &catalog, &route, call).await {
         Err(Refusal::UnknownKey) if !fresh => return Err(not_ready),
         admitted => admitted?,
@@ -105,6 +112,7 @@
     if !route.public && catalog.asks_for_keys() && !fresh {
         return Err(not_ready);
     }
+    seen.workspace = workspace.as_ref().map(|workspace| workspace.name.clone());
     let order = order(&catalog, &route, workspace.as_deref(), call)?;
     if gateway.is_guilty(suspect(&order.workspace, &head, &body)) {
         return Err(Refusal::CrashesEndpoints);
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -127,7 +127,10 @@
             true => StatusCode::OK,
             false => StatusCode::SERVICE_UNAVAILABLE,
         }),
-        Door::Metrics => Response::new(AnswerBody::whole(metrics.render().into())),
+        Door::Metrics => {
+            super::observe::state(&gateway);
+            Response::new(AnswerBody::whole(metrics.render().into()))
+        }
         Door::Peers if request.uri().path() == FIND_PATH => find(&gateway, request).await,
         Door::Peers => serve_forwarded(&gateway, request).await,
     }
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -1,7 +1,7 @@
-//! Logs as JSON lines on standard error, and metrics for scraping.
+//! Logs as JSON lines on standard output, and metrics for scraping.
 
 mod logs;
 mod numbers;
 
-pub use logs::{LogsError, start_logs};
+pub use logs::{LogsError, Writing, flush_logs, start_logs};
 pub use numbers::{Metrics, start_metrics};
--- a/standins/src/bin/trefoil-standin.rs
+++ b/standins/src/bin/trefoil-standin.rs
@@ -22,7 +22,7 @@
     match started {
         Ok(running) => {
             let addresses = serde_json::json!({ "api": running.address.to_string() }).to_string();
-            let line = serde_json::json!({ "attributes": { "listening": addresses } });
+            let line = serde_json::json!({ "listening": addresses });
             eprintln!("{line}");
             running.wait().await;
             ExitCode::SUCCESS
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -1,7 +1,7 @@
 //! Starts processes and tells them of each other through the list of VMs.
 
 use std::collections::HashMap;
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -32,17 +32,12 @@
         let mut child = Command::new(program)
             .args(args)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(Stdio::piped())
             .stderr(Stdio::piped())
             .spawn()?;
         let output = Arc::new(Mutex::new(Vec::new()));
-        let lines = child.stderr.take().map(BufReader::new);
-        let kept = output.clone();
-        std::thread::spawn(move || {
-            for line in lines.into_iter().flat_map(BufRead::lines).map_while(Result::ok) {
-                kept.lock().expect("not poisoned").push(line);
-            }
-        });
+        keep_lines(child.stdout.take(), output.clone());
+        keep_lines(child.stderr.take(), output.clone());
         let mut process =
             Process { name: name.to_string(), child, addresses: HashMap::new(), output };
         process.addresses = process.wait_listening()?;
@@ -70,7 +65,7 @@
         self.addresses[name]
     }
 
-    /// What it has written to standard error.
+    /// What it has written to standard output and standard error.
     pub fn output(&self) -> Vec<String> {
         self.output.lock().expect("not poisoned").clone()
     }
@@ -111,9 +106,19 @@
 }
 
 /// The addresses in a log line that says where a process listens.
+/// Keeps what a process writes, for as long as it writes.
+fn keep_lines(from: Option<impl Read + Send + 'static>, kept: Arc<Mutex<Vec<String>>>) {
+    let lines = from.map(BufReader::new);
+    std::thread::spawn(move || {
+        for line in lines.into_iter().flat_map(BufRead::lines).map_while(Result::ok) {
+            kept.lock().expect("not poisoned").push(line);
+        }
+    });
+}
+
 fn listening(line: &str) -> Option<HashMap<String, SocketAddr>> {
     let line: Value = serde_json::from_str(line).ok()?;
-    let addresses = line["attributes"]["listening"].as_str()?;
+    let addresses = line["listening"].as_str()?;
     let addresses: HashMap<String, String> = serde_json::from_str(addresses).ok()?;
     let parsed = addresses.into_iter().filter_map(|(name, at)| Some((name, at.parse().ok()?)));
     Some(parsed.collect())
