Lines for what is not run; a fresh configuration at once after an outage

Change: a line with shard and epoch, one with the endpoints known and tried; the first read after a failure does not wait. The operators' page is OPERATIONS.md.

--- a/src/gateway/config_feed.rs
+++ b/src/gateway/config_feed.rs
@@ -56,7 +56,7 @@
     let mut from = None;
     let mut failing = false;
     loop {
-        match read_once(&gateway, from).await {
+        match read_once(&gateway, from, failing).await {
             Ok(next) => {
                 if std::mem::take(&mut failing) {
                     log::info!("the configuration can be read again");
@@ -76,9 +76,17 @@
     }
 }
 
-async fn read_once(gateway: &Rc<Gateway>, from: Option<Position>) -> Result<Position, StoreError> {
+async fn read_once(
+    gateway: &Rc<Gateway>,
+    from: Option<Position>,
+    failing: bool,
+) -> Result<Position, StoreError> {
     let started_ms = boot_ms();
-    let wait_ms = WAIT_MOST_MS.min(gateway.settings.bounds.revoke_ms / WAIT_PART);
+    // After an outage, callers wait for the first answer: it must not wait for news.
+    let wait_ms = match failing {
+        true => 0,
+        false => WAIT_MOST_MS.min(gateway.settings.bounds.revoke_ms / WAIT_PART),
+    };
     let read = gateway.store.configurations(from, wait_ms);
     let limit = Duration::from_millis(wait_ms + READ_SLACK_MS);
     let feed = tokio::time::timeout(limit, read)
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -64,6 +64,10 @@
                 }
             }
         }
+        let directory = self.gateway.directory.borrow();
+        let endpoints = directory.of_service(&self.job.order.service).count();
+        log::info!(request:% = self.job.request, service:% = self.job.order.service, endpoints,
+            not_run = self.not_run, may_have_run = self.may_have_run; "no endpoint served it");
         Err(match self.may_have_run {
             0 => Refusal::Unavailable { retry_after_ms: NO_ENDPOINT_RETRY_MS },
             _ => Refusal::OutcomeUnknown,
--- a/src/gateway/turn.rs
+++ b/src/gateway/turn.rs
@@ -48,6 +48,8 @@
     call: TurnCall,
 ) -> Result<Response<AnswerBody>, Refusal> {
     if shard.writer.is_stuck(gateway.now()) {
+        log::info!(request:% = call.job.request, shard = shard.number, epoch = shard.epoch;
+            "not run: the shard's records are not taken");
         return Err(Refusal::Unavailable { retry_after_ms: STORE_OUT_RETRY_MS });
     }
     let (opening, opened) = oneshot::channel();
@@ -88,7 +90,8 @@
             }
         };
         if let Err(refusal) = outcome {
-            log::info!(request:%, refusal:?; "a turn did not end");
+            log::info!(request:%, refusal = refusal.name(), shard = self.shard.number,
+                epoch = self.shard.epoch; "a turn did not end");
             if let Some(opening) = self.opening.take() {
                 drop(opening.send(Err(refusal)));
             }
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -45,12 +45,12 @@
     assert_eq!(faults, [("kind", SettingFault::NotOneOf(&["engine", "service"]))]);
 }
 
-const OPERATING: &str = include_str!("../../docs/OPERATING.md");
+const OPERATIONS: &str = include_str!("../../docs/OPERATIONS.md");
 
 /// The flags of the example that starts a role, as the operators' page gives it.
 fn example_of(role: &str) -> Vec<String> {
     let start = format!("    trefoilproxyd {role} ");
-    let example = OPERATING.split(&start).nth(1).unwrap();
+    let example = OPERATIONS.split(&start).nth(1).unwrap();
     let lines = example.lines().take_while(|line| !line.trim().is_empty());
     lines.flat_map(|line| args(line.trim_end_matches('\\'))).collect()
 }
@@ -61,7 +61,7 @@
     assert_eq!(entry.process.vm.as_str(), "entry-a");
     let endpoint = EndpointSettings::read(&example_of("endpoint"), |_| None).unwrap();
     assert_eq!(endpoint.serves.as_str(), "small");
-    let contract = OPERATING.split("    workspace = ").nth(1).unwrap();
+    let contract = OPERATIONS.split("    workspace = ").nth(1).unwrap();
     let contract = contract.split("\n\n|").next().unwrap().replace("\n    ", "\n");
     let declared = crate::contracts::parse_declaration(&format!("workspace = {contract}"));
     assert_eq!(declared.unwrap().workspace.as_str(), "ice-watch");
