A turn of another program is found while its shard changes owners

Cause: a search for a turn asked each known owner once. A shard between two owners, or whose owner was not known yet, left the search incomplete, and the caller got 503 at once for a turn that exists. Ruled out: the turn's record (it is there, later asks find it); the epochs (no 404 was said). Change: an incomplete search is repeated for up to 700 ms, each time a shard is told of or after 60 ms.

--- a/soak/tests/gateways.rs
+++ b/soak/tests/gateways.rs
@@ -84,6 +84,23 @@
     assert_eq!(foreign.status, Some(404));
 }
 
+// A caller goes on from a turn of another program while the shards change their owners. The turn is
+// kept, but the store is slow, and the search for it meets shards that nobody serves for a moment.
+// Refused for that, the caller would lose a turn that is found a little later.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_turn_of_another_program_is_found_while_shards_are_dealt_anew() {
+    let world = world(3).await;
+    assert!(world.caller.turn(world.entry(0), &turn("t0", "p", None)).await.is_served());
+    world.store.set_fault(StoreFault::Slow(60));
+    for number in 0..8 {
+        world.store.deal_anew();
+        tokio::time::sleep(Duration::from_millis(number as u64 * 60)).await;
+        let asked = turn(&format!("n{number}"), &format!("another-{number}"), Some("t0"));
+        let answer = world.caller.turn(world.entry(number), &asked).await;
+        assert!(answer.is_served(), "{number}: {answer:?}");
+    }
+}
+
 // A caller sees the end of a turn, and all processes are killed at that moment. They start again and
 // the caller goes on: the turn must be known, since its end was passed on only once it was recorded.
 #[tokio::test(flavor = "multi_thread")]
--- a/src/gateway/find.rs
+++ b/src/gateway/find.rs
@@ -29,14 +29,22 @@
 /// When to return if a search was not complete: a shard is between two owners.
 const INCOMPLETE_RETRY_MS: u64 = 300;
 
+/// How long a search is repeated while it is not complete. Source: a shard that is dealt anew is
+/// read by its next owner within some hundred milliseconds; a dead owner's lapses after longer, and
+/// then its caller is better served by an answer.
+const SEARCH_MOST_MS: u64 = 700;
+
+/// Pause between two searches.
+const SEARCH_AGAIN_MS: u64 = 60;
+
 type Chain = Vec<(TurnKey, Turn)>;
 
 /// The turn and all before it. Those of another shard are taken over: `records` then holds what
 /// makes them durable here.
 ///
-/// That there is no such turn is said only after all shards were searched, each by an owner that
-/// the store has just confirmed: a process that was paused past its tenure holds an old state and
-/// would deny turns that its successor has answered.
+/// A search misses a shard that is between two owners, or whose owner is not yet known here. It is
+/// repeated for a while: refused at once, the caller would lose a turn that exists and is found some
+/// milliseconds later.
 pub(super) async fn find_chain(
     gateway: &Rc<Gateway>,
     shard: &OwnedShard,
@@ -46,24 +54,56 @@
     if let Some(chain) = held(shard, turn) {
         return Ok(chain);
     }
+    let started = gateway.now();
+    loop {
+        match search_all(gateway, turn).await {
+            Searched::Found(chain) => {
+                records.extend(shard.ledger.borrow_mut().adopt(chain.clone()));
+                return Ok(chain);
+            }
+            Searched::Nowhere => return Err(Refusal::NoSuchTurn),
+            Searched::InPart(shards) if gateway.now().since(started) >= SEARCH_MOST_MS => {
+                log::info!(searched = shards, shards = gateway.shards.count();
+                    "a search for a turn was not complete");
+                return Err(Refusal::Unavailable { retry_after_ms: INCOMPLETE_RETRY_MS });
+            }
+            Searched::InPart(_) => tokio::select! {
+                () = gateway.shards.changed.notified() => {}
+                () = tokio::time::sleep(Duration::from_millis(SEARCH_AGAIN_MS)) => {}
+            },
+        }
+    }
+}
+
+/// What a search of all shards has found.
+enum Searched {
+    Found(Chain),
+    /// No shard holds the turn.
+    Nowhere,
+    /// So many shards do not hold it; the others could not be searched.
+    InPart(usize),
+}
+
+/// That there is no such turn is said only after all shards were searched, each by an owner that
+/// the store has just confirmed: a process that was paused past its tenure holds an old state and
+/// would deny turns that its successor has answered.
+async fn search_all(gateway: &Rc<Gateway>, turn: TurnKey) -> Searched {
     let own = search_own(gateway, turn).await;
+    if let Some(chain) = own.chain {
+        return Searched::Found(chain);
+    }
     let mut searched: HashSet<u32> = own.searched.into_iter().collect();
-    let mut chain = own.chain;
-    if chain.is_none() {
-        let asked = gateway.shards.other_owners();
-        let answers = asked.into_iter().map(|address| ask(gateway, address, turn));
-        for found in futures_util::future::join_all(answers).await.into_iter().flatten() {
-            searched.extend(found.searched);
-            chain = chain.or(found.chain);
+    let asked = gateway.shards.other_owners();
+    let answers = asked.into_iter().map(|address| ask(gateway, address, turn));
+    for found in futures_util::future::join_all(answers).await.into_iter().flatten() {
+        if let Some(chain) = found.chain {
+            return Searched::Found(chain);
         }
+        searched.extend(found.searched);
     }
-    match chain {
-        Some(chain) => {
-            records.extend(shard.ledger.borrow_mut().adopt(chain.clone()));
-            Ok(chain)
-        }
-        None if searched.len() as u32 >= gateway.shards.count() => Err(Refusal::NoSuchTurn),
-        None => Err(Refusal::Unavailable { retry_after_ms: INCOMPLETE_RETRY_MS }),
+    match searched.len() {
+        shards if shards as u32 >= gateway.shards.count() => Searched::Nowhere,
+        shards => Searched::InPart(shards),
     }
 }
 
