A trial of a failed endpoint costs one request; a started entry learns the windows of the rates

Each of 39 entries took an endpoint for idle whenever its time out was over, and sent until it had seen failures of its own. And 300 of 406 refusals for the rate came from entries that had just been restarted: they took all windows for full; with more than 50 workspaces, what an entry had taken in its whole life counted as news. Ruled out: lost answers (20 over 10 endpoints), the workspaces' own use (used stayed below the limit). Change: one failure on trial sends all entries away, for different times; one request at a time on trial; failures are told at once. Entries tell what they know of the windows; a new one takes the most that it hears over 400 ms. Loads of endpoints are summed as they change, not anew each message.

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -1,4 +1,3 @@
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -32,9 +31,9 @@
 /// told in turn.
 const ROWS_MOST: usize = 50;
 
-/// Failures of an endpoint are told while they count for more than this. Source: those of one
-/// failure fade below it within some six seconds.
-const FAILURES_TOLD: f64 = 0.2;
+/// Shortest pause between two messages, whatever happens. Source: what happens within it is told
+/// in one; ten times the way between two entries.
+const TELL_LEAST_MS: u64 = 20;
 
 /// Crashing requests are told for this long.
 const SUSPECTS_TOLD_MS: u64 = 5_000;
@@ -84,12 +83,12 @@
     let mut told_at = TimeMs::default();
     let mut round = 0;
     loop {
-        let gossip = compose(&gateway, life, round);
         let now = gateway.now();
         let pause_ms = pause_ms(gateway.peers.borrow().addresses().len() as u64);
-        let unchanged = told.as_ref() == Some(&gossip);
-        if !unchanged || now.since(told_at) >= TELL_MOST_MS {
-            tell(&gateway, &socket, &gossip).await;
+        if let Some((gossip, bytes)) = encode(&gateway, life, round)
+            && (told.as_ref() != Some(&gossip) || now.since(told_at) >= TELL_MOST_MS)
+        {
+            tell(&gateway, &socket, &bytes).await;
             told = Some(gossip);
             told_at = now;
             round += 1;
@@ -98,8 +97,9 @@
             log::info!(address:display; "an entry has fallen silent");
             gateway.shards.forget(address, None);
         }
+        tokio::time::sleep(Duration::from_millis(TELL_LEAST_MS)).await;
         tokio::select! {
-            () = tokio::time::sleep(Duration::from_millis(pause_ms)) => {}
+            () = tokio::time::sleep(Duration::from_millis(pause_ms - TELL_LEAST_MS)) => {}
             () = gateway.news.notified() => {}
         }
     }
@@ -110,50 +110,61 @@
     (others * 1_000 / MESSAGES_PER_S).clamp(TELL_EVERY_MS, TELL_MOST_MS)
 }
 
-fn compose(gateway: &Gateway, life: u64, round: usize) -> Gossip {
+fn compose(gateway: &Gateway, life: u64, round: usize, rows: usize) -> Gossip {
     let own = gateway.shards.all_own();
     let serving = own.iter().filter(|shard| shard.stage() == Stage::Serving);
+    let now = gateway.now();
     let directory = gateway.directory.borrow();
     let running = directory.all().filter(|(_, replica)| replica.in_flight > 0);
-    let now = gateway.now();
-    let failing = directory.all().filter_map(|(_, replica)| {
-        let answers = replica.answers(now);
-        let told =
-            (endpoint_hash(&replica.id), hundredths(answers.failures), hundredths(answers.served));
-        (answers.failures > FAILURES_TOLD).then_some(told)
+    let answers = directory.all().filter_map(|(_, replica)| {
+        let answers = replica.answers_to_tell(now)?;
+        Some((replica.hash, answers.failures, answers.served))
     });
-    let answers = failing.collect();
-    let running = running.map(|(_, r)| (endpoint_hash(&r.id), r.in_flight)).collect();
     Gossip {
         life,
         name: gateway.settings.name.clone(),
         leaving: gateway.draining.get(),
+        young: now.0 < gateway.settings.bounds.rate_window_ms,
         shards: serving.map(|shard| (shard.number, shard.epoch)).collect(),
-        running: in_turn(running, round),
-        answers: in_turn(answers, round),
-        taken: in_turn(gateway.rates.borrow().taken(), round),
-        suspects: gateway.suspects.borrow().recent(gateway.now(), SUSPECTS_TOLD_MS),
+        running: in_turn(running.map(|(_, r)| (r.hash, r.in_flight)).collect(), round, rows),
+        answers: in_turn(answers.collect(), round, rows),
+        taken: in_turn(gateway.rates.borrow_mut().tell_others(now), round, rows),
+        suspects: in_turn(gateway.suspects.borrow().recent(now, SUSPECTS_TOLD_MS), round, rows),
     }
 }
 
-fn in_turn<T>(mut rows: Vec<T>, round: usize) -> Vec<T> {
-    if rows.len() > ROWS_MOST {
-        let start = (round * ROWS_MOST) % rows.len();
+/// At most so many rows, others in each round.
+fn in_turn<T>(mut rows: Vec<T>, round: usize, most: usize) -> Vec<T> {
+    if rows.len() > most {
+        let start = (round * most) % rows.len();
         rows.rotate_left(start);
-        rows.truncate(ROWS_MOST);
+        rows.truncate(most);
     }
     rows
 }
 
-async fn tell(gateway: &Gateway, socket: &UdpSocket, gossip: &Gossip) {
-    let bytes = match postcard::to_allocvec(gossip) {
-        Ok(bytes) if bytes.len() <= DATAGRAM_MOST_BYTES => bytes,
-        Ok(bytes) => return log::error!(bytes = bytes.len(); "a message to the peers is too long"),
-        Err(fault) => return log::error!(fault:display; "a message to the peers can't be encoded"),
-    };
+/// The largest message that fits a datagram.
+fn encode(gateway: &Gateway, life: u64, round: usize) -> Option<(Gossip, Vec<u8>)> {
+    let mut rows = ROWS_MOST;
+    while rows > 0 {
+        let gossip = compose(gateway, life, round, rows);
+        match postcard::to_allocvec(&gossip) {
+            Ok(bytes) if bytes.len() <= DATAGRAM_MOST_BYTES => return Some((gossip, bytes)),
+            Ok(_) => rows /= 2,
+            Err(fault) => {
+                log::error!(fault:display; "a message to the peers can't be encoded");
+                return None;
+            }
+        }
+    }
+    log::error!("a message to the peers is too long without any rows");
+    None
+}
+
+async fn tell(gateway: &Gateway, socket: &UdpSocket, bytes: &[u8]) {
     let addresses = gateway.peers.borrow().addresses();
     for address in addresses {
-        if let Err(fault) = socket.send_to(&bytes, address).await {
+        if let Err(fault) = socket.send_to(bytes, address).await {
             log::debug!(address:display, fault:display; "a message to a peer was not sent");
         }
     }
@@ -178,39 +189,28 @@
 
 fn hear(gateway: &Gateway, from: SocketAddr, gossip: &Gossip) {
     let now = gateway.now();
-    let first = gateway.peers.borrow_mut().heard(now, from, gossip);
-    if first {
+    let heard = gateway.peers.borrow_mut().heard(now, from, gossip);
+    if heard.first {
         log::info!(peer:% = gossip.name; "an entry was heard for the first time");
         gateway.news.notify_one();
     }
     for (shard, epoch) in &gossip.shards {
         gateway.shards.told(*shard, Owner { address: from, epoch: *epoch });
     }
-    gateway.rates.borrow_mut().tell(now, gossip.life, &gossip.taken, first);
+    gateway.rates.borrow_mut().tell(now, gossip.life, &gossip.taken, heard.all_seen);
     let mut suspects = gateway.suspects.borrow_mut();
     gossip.suspects.iter().for_each(|(request, crashes)| suspects.told(now, *request, *crashes));
     let mut directory = gateway.directory.borrow_mut();
     let peers = gateway.peers.borrow();
-    let told: HashMap<u64, Answers> = gossip.answers.iter().map(answers).collect();
-    let endpoints: Vec<_> =
-        directory.all().map(|(key, replica)| (key, endpoint_hash(&replica.id))).collect();
-    for (key, hash) in endpoints {
-        directory.tell_others(key, peers.running(hash));
-        if let Some(answers) = told.get(&hash) {
-            directory.tell_answers(now, key, gossip.life, *answers);
+    for endpoint in heard.changed {
+        if let Some(key) = directory.find_hash(endpoint) {
+            directory.tell_others(key, peers.running(endpoint));
+        }
+    }
+    for (endpoint, failures, served) in &gossip.answers {
+        if let Some(key) = directory.find_hash(*endpoint) {
+            let answers = Answers { failures: *failures, served: *served };
+            directory.tell_answers(now, key, gossip.life, answers, heard.first);
         }
     }
-}
-
-fn answers((endpoint, failures, served): &(u64, u32, u32)) -> (u64, Answers) {
-    let (failures, served) = (f64::from(*failures) / 100.0, f64::from(*served) / 100.0);
-    (*endpoint, Answers { failures, served })
-}
-
-fn hundredths(count: f64) -> u32 {
-    (count * 100.0) as u32
-}
-
-fn endpoint_hash(id: &str) -> u64 {
-    Digest::of(&[id.as_bytes()]).prefix()
 }
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -11,18 +11,31 @@
     pub(super) name: Arc<str>,
     /// Whether it is shutting down.
     pub(super) leaving: bool,
+    /// Whether it has lived for less than a window of the rates: all that it took is in the window.
+    pub(super) young: bool,
     /// The shards that it owns, with their epochs.
     pub(super) shards: Vec<(u32, u64)>,
     /// Requests that it has running, by endpoint.
     pub(super) running: Vec<(u64, u32)>,
-    /// Requests admitted in its life, by workspace.
-    pub(super) taken: Vec<(u64, u64)>,
-    /// Answers of the endpoints that have failed of late: endpoint, failures, answers, in hundredths.
+    /// Requests admitted, by workspace.
+    pub(super) taken: Vec<Taken>,
+    /// Answers of the endpoints that have failed of late: endpoint, failures, answers.
     pub(super) answers: Vec<(u64, u32, u32)>,
     /// Requests that crash endpoints, with their crashes.
     pub(super) suspects: Vec<(u64, u32)>,
 }
 
+/// What an entry has admitted for a workspace.
+#[wire]
+pub(super) struct Taken {
+    /// Stands for the workspace.
+    pub(super) workspace: u64,
+    /// Requests admitted in the entry's life.
+    pub(super) taken: u64,
+    /// Requests that all entries have admitted in the window, if the entry knows.
+    pub(super) in_window: Option<u64>,
+}
+
 /// Asks for a turn that the asker's own shards do not hold.
 #[wire]
 pub(super) struct FindTurn {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -13,6 +13,10 @@
 /// Source: one that is cut off for longer has no fresh configuration and admits nothing.
 const FORGOTTEN_AFTER_MS: u64 = 20_000;
 
+/// After this time, an entry has told all its rows, also where they take several messages: what it
+/// tells of for the first time then is new.
+const ALL_TOLD_AFTER_MS: u64 = 1_500;
+
 /// An entry that was heard within this time is in touch. Source: three messages lost in a row.
 const IN_TOUCH_MS: u64 = 500;
 
@@ -21,16 +25,31 @@
     name: Arc<str>,
     life: u64,
     heard_at: Option<TimeMs>,
+    /// When it was first heard in this life.
+    met_at: TimeMs,
     known_at: TimeMs,
     leaving: bool,
     running: HashMap<u64, u32>,
     signed_off: Option<u64>,
 }
 
+/// What a message has changed.
+#[derive(Debug, Default)]
+pub(super) struct Heard {
+    /// The sender was not known, or is in a new life.
+    pub(super) first: bool,
+    /// Whatever the sender took before would have been heard of by now.
+    pub(super) all_seen: bool,
+    /// Endpoints at which it runs more or fewer requests than before.
+    pub(super) changed: Vec<u64>,
+}
+
 /// The other entries.
 #[derive(Debug, Default)]
 pub(super) struct Peers {
     peers: HashMap<SocketAddr, Peer>,
+    /// Requests that all of them have running, by endpoint.
+    running: HashMap<u64, u32>,
 }
 
 impl Peers {
@@ -40,6 +59,7 @@
             name,
             life: 0,
             heard_at: None,
+            met_at: now,
             known_at: now,
             leaving: false,
             running: HashMap::new(),
@@ -47,18 +67,24 @@
         });
     }
 
-    /// An entry was heard. `true` if it was not known, or is in a new life.
-    pub(super) fn heard(&mut self, now: TimeMs, address: SocketAddr, gossip: &Gossip) -> bool {
+    /// An entry was heard.
+    pub(super) fn heard(&mut self, now: TimeMs, address: SocketAddr, gossip: &Gossip) -> Heard {
         self.know(now, address, gossip.name.clone());
         let Some(peer) = self.peers.get_mut(&address) else {
-            return false;
+            return Heard::default();
         };
-        let new = peer.life != gossip.life;
+        let first = peer.life != gossip.life;
+        if first {
+            peer.met_at = now;
+        }
         peer.life = gossip.life;
         peer.heard_at = Some(now);
         peer.leaving = gossip.leaving;
-        peer.running = gossip.running.iter().copied().collect();
-        new
+        let all_seen = gossip.young || now.since(peer.met_at) >= ALL_TOLD_AFTER_MS;
+        let now_running = gossip.running.iter().copied().collect();
+        let before = std::mem::replace(&mut peer.running, now_running);
+        let changed = count_running(&mut self.running, &before, &peer.running);
+        Heard { first, all_seen, changed }
     }
 
     /// Where to send messages.
@@ -73,7 +99,8 @@
             self.peers.iter().filter(|(_, p)| silent(p)).map(|(address, _)| *address).collect();
         for address in &silent {
             if let Some(peer) = self.peers.get_mut(address) {
-                peer.running.clear();
+                let before = std::mem::take(&mut peer.running);
+                count_running(&mut self.running, &before, &peer.running);
                 peer.known_at = peer.heard_at.take().unwrap_or(now);
             }
         }
@@ -84,7 +111,7 @@
 
     /// Requests that the others have running at an endpoint.
     pub(super) fn running(&self, endpoint: u64) -> u32 {
-        self.peers.values().filter_map(|peer| peer.running.get(&endpoint)).sum()
+        self.running.get(&endpoint).copied().unwrap_or(0)
     }
 
     /// The entry's name, once in each of its lives.
@@ -107,3 +134,27 @@
         Peering { entries: others + 1, heard: heard + 1 }
     }
 }
+
+/// Takes what one entry has running into the sum of all; yields the endpoints where that changed.
+fn count_running(
+    all: &mut HashMap<u64, u32>,
+    before: &HashMap<u64, u32>,
+    after: &HashMap<u64, u32>,
+) -> Vec<u64> {
+    let endpoints = before.keys().chain(after.keys().filter(|key| !before.contains_key(*key)));
+    let mut changed = Vec::new();
+    for endpoint in endpoints {
+        let was = before.get(endpoint).copied().unwrap_or(0);
+        let is = after.get(endpoint).copied().unwrap_or(0);
+        if was == is {
+            continue;
+        }
+        changed.push(*endpoint);
+        let sum = all.entry(*endpoint).or_default();
+        *sum = (*sum + is).saturating_sub(was);
+        if *sum == 0 {
+            all.remove(endpoint);
+        }
+    }
+    changed
+}
--- a/src/gateway/rates.rs
+++ b/src/gateway/rates.rs
@@ -1,5 +1,6 @@
 use std::collections::HashMap;
 
+use super::message::Taken;
 use crate::catalog::Workspace;
 use crate::prelude::*;
 use crate::quota::{Allowance, Claim, Peering, SharedWindow};
@@ -52,19 +53,34 @@
         }
     }
 
-    /// What this entry has taken, by workspace.
-    pub(super) fn taken(&self) -> Vec<(u64, u64)> {
-        let used = self.windows.iter().filter(|(_, window)| window.taken() > 0);
-        used.map(|(workspace, window)| (*workspace, window.taken())).collect()
+    /// What is in the workspace's window, and its limit.
+    pub(super) fn used(&self, workspace: &str) -> (f64, f64) {
+        self.windows.get(&workspace_hash(workspace)).map_or((0.0, 0.0), SharedWindow::used)
     }
 
-    /// Another entry has taken so many in its life; `first` if it is heard for the first time.
-    pub(super) fn tell(&mut self, now: TimeMs, life: u64, taken: &[(u64, u64)], first: bool) {
-        for (workspace, taken) in taken {
-            match self.windows.get_mut(workspace) {
-                Some(window) if first => window.meet(life, *taken),
-                Some(window) => window.tell(now, life, *taken),
-                None => {}
+    /// What this entry has taken and what it knows of the windows, to tell the others.
+    pub(super) fn tell_others(&mut self, now: TimeMs) -> Vec<Taken> {
+        let told = self.windows.iter_mut().map(|(workspace, window)| Taken {
+            workspace: *workspace,
+            taken: window.taken(),
+            in_window: window.in_window(now).map(|used| used.ceil() as u64),
+        });
+        told.filter(|row| row.taken > 0 || row.in_window.is_none_or(|used| used > 0)).collect()
+    }
+
+    /// Another entry has taken so many in its life. `all_seen` if this entry would have heard of any
+    /// that it took before: those that are told of now are new.
+    pub(super) fn tell(&mut self, now: TimeMs, life: u64, taken: &[Taken], all_seen: bool) {
+        for row in taken {
+            let Some(window) = self.windows.get_mut(&row.workspace) else {
+                continue;
+            };
+            match all_seen {
+                true => window.tell(now, life, row.taken),
+                false => window.meet(now, life, row.taken),
+            }
+            if let Some(in_window) = row.in_window {
+                window.learn(now, in_window as f64);
             }
         }
     }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -148,8 +148,10 @@
     let key = call.key.ok_or(Refusal::UnknownKey)?;
     let workspace = catalog.holder(key).ok_or(Refusal::UnknownKey)?;
     if let Err(retry_after_ms) = take_rate(gateway, workspace, route, call).await {
-        log::info!(request:% = call.request, workspace:% = workspace.name, retry_after_ms,
-            rate_per_s = workspace.rate_per_s, burst = workspace.burst,
+        let (used, limit) = gateway.rates.borrow().used(&workspace.name);
+        let peering = gateway.peers.borrow().peering(gateway.now());
+        log::info!(request:% = call.request, workspace:% = workspace.name, retry_after_ms, used,
+            limit, entries = peering.entries, heard = peering.heard,
             config = catalog.version(); "over the rate");
         return Err(Refusal::OverRate { retry_after_ms });
     }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -47,12 +47,13 @@
         protocol: Rc<dyn Protocol>,
     ) -> Rc<Gateway> {
         let shards = ShardTable::open(store.shards());
+        let seed = Digest::of(&[settings.name.as_bytes()]).prefix();
         let placement = Placement::open(settings.failure_domain.clone());
         Rc::new(Gateway {
             store,
             protocol,
             in_force: InForce::default(),
-            directory: RefCell::default(),
+            directory: RefCell::new(Directory::open(seed)),
             placement: RefCell::new(placement),
             connections: Rc::default(),
             rates: RefCell::new(Rates::open(settings.bounds.rate_window_ms)),
@@ -92,6 +93,7 @@
     /// An endpoint broke off or can't be reached.
     pub(super) fn endpoint_failed(&self, key: ReplicaKey) {
         self.directory.borrow_mut().failed(self.now(), key);
+        self.news.notify_one();
     }
 
     /// A request broke off at an endpoint: if the endpoint is down, the request may have done it.
--- a/src/quota/shared_window.rs
+++ b/src/quota/shared_window.rs
@@ -3,6 +3,9 @@
 //! that each entry admits from its own count of the window and tells the others how much it took.
 //! Between two messages it reckons with the others going on as they did. An entry that is cut off
 //! keeps to its part.
+//!
+//! An entry that has just started does not know what was taken before. It takes the window for full,
+//! which refuses callers for some seconds after each restart, until others that know have told it.
 
 use std::collections::{HashMap, VecDeque};
 
@@ -18,6 +21,10 @@
 /// Time between two messages of an entry, for which the others are reckoned to go on.
 const TOLD_EVERY_MS: f64 = 100.0;
 
+/// A window that is not known takes over what others say of it after this long, and then the most
+/// that was said. Source: two messages of each of them; one that is out of touch with some knows less.
+const ASKED_FOR_MS: u64 = 400;
+
 /// Part of the burst that is kept for programs under way: one that is refused in its middle has
 /// wasted all before. Source: measured; a half refuses programs that could have been run, and with
 /// nothing kept more of them fail on the way.
@@ -75,6 +82,14 @@
 struct Slot {
     own: f64,
     others: f64,
+    /// Taken before this entry started, as far as it must assume.
+    assumed: f64,
+}
+
+impl Slot {
+    fn all(&self) -> f64 {
+        self.own + self.others + self.assumed
+    }
 }
 
 /// One entry's count of what a workspace has taken in the window.
@@ -85,6 +100,12 @@
     slots: VecDeque<Slot>,
     newest_at: TimeMs,
     counted: Slot,
+    /// From then on this entry has seen the whole window by itself.
+    whole_at: TimeMs,
+    /// Whether others have told what it has not seen.
+    learnt: bool,
+    /// When others began to say what is in the window, and the most that was said.
+    said: Option<(TimeMs, f64)>,
     taken: u64,
     told: HashMap<u64, u64>,
     /// What the others took of late, fading.
@@ -99,9 +120,12 @@
         let each = allowance.in_window() / count as f64;
         SharedWindow {
             allowance,
-            slots: VecDeque::from(vec![Slot { own: 0.0, others: each }; count]),
+            slots: VecDeque::from(vec![Slot { assumed: each, ..Slot::default() }; count]),
             newest_at: now,
-            counted: Slot { own: 0.0, others: each * count as f64 },
+            counted: Slot { assumed: each * count as f64, ..Slot::default() },
+            whole_at: now.plus(allowance.window_ms),
+            learnt: false,
+            said: None,
             taken: 0,
             told: HashMap::new(),
             others: 0.0,
@@ -132,7 +156,7 @@
         let limit = self.allowance.in_window();
         let lacking = match peering.in_touch() {
             true => {
-                let used = self.counted.own + self.counted.others + self.taken_since_told();
+                let used = self.counted.all() + self.taken_since_told();
                 used + 1.0 + kept - limit * peering.heard_part()
             }
             false => self.counted.own + 1.0 + kept - limit / f64::from(peering.entries),
@@ -140,14 +164,14 @@
         if lacking > 0.0 {
             return Err(self.freed_in_ms(now, lacking));
         }
-        self.count(Slot { own: 1.0, others: 0.0 });
+        self.count(Slot { own: 1.0, ..Slot::default() });
         self.taken += 1;
         Ok(())
     }
 
     /// Gives one back: its request has not run, and will not.
     pub fn give_back(&mut self) {
-        self.count(Slot { own: -1.0, others: 0.0 });
+        self.count(Slot { own: -1.0, ..Slot::default() });
         self.taken = self.taken.saturating_sub(1);
     }
 
@@ -156,10 +180,48 @@
         self.taken
     }
 
-    /// Another entry is heard for the first time in the life `life`. What it has taken so far was
-    /// taken at times that are not known.
-    pub fn meet(&mut self, life: u64, taken: u64) {
-        self.told.insert(life, taken);
+    /// How many all entries have taken in the window, if this one knows.
+    pub fn in_window(&mut self, now: TimeMs) -> Option<f64> {
+        self.advance(now);
+        self.is_known(now).then(|| self.counted.all())
+    }
+
+    fn is_known(&self, now: TimeMs) -> bool {
+        self.learnt || now >= self.whole_at
+    }
+
+    /// How many all entries have taken in the window, and how many they may.
+    pub fn used(&self) -> (f64, f64) {
+        (self.counted.all(), self.allowance.in_window())
+    }
+
+    /// Another entry that knows says how many all have taken in the window.
+    pub fn learn(&mut self, now: TimeMs, in_window: f64) {
+        self.advance(now);
+        if self.is_known(now) {
+            return;
+        }
+        let (since, most) = self.said.unwrap_or((now, 0.0));
+        let most = in_window.max(most);
+        self.said = Some((since, most));
+        if now.since(since) < ASKED_FOR_MS {
+            return;
+        }
+        self.learnt = true;
+        let unseen = (most - self.counted.own - self.counted.others).max(0.0);
+        let kept = (unseen / self.counted.assumed.max(1.0)).min(1.0);
+        for slot in self.slots.iter_mut().chain([&mut self.counted]) {
+            slot.assumed *= kept;
+        }
+    }
+
+    /// An entry that has lived for a while is not known for long, in the life `life`. What it has
+    /// taken before it was first heard was taken at times that are not known.
+    pub fn meet(&mut self, now: TimeMs, life: u64, taken: u64) {
+        match self.told.contains_key(&life) {
+            true => self.tell(now, life, taken),
+            false => drop(self.told.insert(life, taken)),
+        }
     }
 
     /// Another entry, in the life `life`, has taken `taken` in all.
@@ -171,13 +233,14 @@
         let news = taken as f64 - before as f64;
         self.told.insert(life, taken);
         self.others = (self.others + news).max(0.0);
-        self.count(Slot { own: 0.0, others: news });
+        self.count(Slot { others: news, ..Slot::default() });
     }
 
     fn count(&mut self, more: Slot) {
         for slot in self.slots.back_mut().into_iter().chain([&mut self.counted]) {
             slot.own += more.own;
             slot.others += more.others;
+            slot.assumed += more.assumed;
         }
     }
 
@@ -193,6 +256,7 @@
             self.counted = self.slots.iter().fold(Slot::default(), |sum, slot| Slot {
                 own: sum.own + slot.own,
                 others: sum.others + slot.others,
+                assumed: sum.assumed + slot.assumed,
             });
         }
     }
@@ -207,7 +271,7 @@
         let mut freed = 0.0;
         let slots = self.slots.iter().take_while(|slot| {
             let enough = freed >= lacking;
-            freed += slot.own + slot.others;
+            freed += slot.all();
             !enough
         });
         let slots = slots.count() as u64;
--- a/src/quota/tests.rs
+++ b/src/quota/tests.rs
@@ -125,7 +125,7 @@
 fn what_has_not_run_is_given_back_everywhere() {
     let (mut here, mut there) = (window(10.0, 10.0), window(10.0, 10.0));
     let now = TimeMs(10_000);
-    there.meet(1, here.taken());
+    there.meet(now, 1, here.taken());
     assert_eq!(here.take(now, TOGETHER, Claim::GoesOn), Ok(()));
     there.tell(now, 1, here.taken());
     here.give_back();
@@ -157,3 +157,40 @@
     let gone_on = (0..300).filter(|_| bucket.take(now, TOGETHER, Claim::GoesOn).is_ok()).count();
     assert_eq!((begun, gone_on), (174, 6));
 }
+
+// An entry is restarted while its workspaces send half of what they may. It took their windows for
+// full and refused callers for seconds, though the others could tell that there was room.
+#[test]
+fn an_entry_that_starts_learns_what_is_in_the_window() {
+    let mut started = window(10.0, 10.0);
+    (0..6).for_each(|told| started.learn(TimeMs(told * 100), 30.0 - told as f64));
+    let now = TimeMs(500);
+    let room = (0..100).filter(|_| started.take(now, TOGETHER, Claim::GoesOn).is_ok()).count();
+    assert!((29..=33).contains(&room), "{room}");
+}
+
+// All entries are restarted at once: none knows what was taken before, and each believes the others
+// as little as itself.
+#[test]
+fn entries_that_all_start_at_once_take_the_window_for_full() {
+    let (mut here, mut there) = (window(10.0, 10.0), window(10.0, 10.0));
+    assert!(there.take(TimeMs(0), TOGETHER, Claim::GoesOn).is_err());
+    for now in (0..5).map(|told| TimeMs(told * 100)) {
+        assert_eq!(here.in_window(now), None);
+        assert_eq!(there.in_window(now), None);
+    }
+    assert!(here.in_window(TimeMs(5_000)).is_some());
+}
+
+// One of two entries that tell a new one was cut off from the third and knows of half only.
+#[test]
+fn the_most_that_is_said_counts() {
+    let mut started = window(10.0, 10.0);
+    for told in 0..6 {
+        started.learn(TimeMs(told * 100), 10.0);
+        started.learn(TimeMs(told * 100), 50.0);
+    }
+    let now = TimeMs(500);
+    let room = (0..100).filter(|_| started.take(now, TOGETHER, Claim::GoesOn).is_ok()).count();
+    assert!(room <= 15, "{room}");
+}
--- a/src/replicas/directory.rs
+++ b/src/replicas/directory.rs
@@ -21,6 +21,8 @@
 pub struct Replica {
     /// Its identity; each start has a new one, mostly.
     pub id: Arc<str>,
+    /// Stands for the identity in messages between entries.
+    pub hash: u64,
     /// What it said last.
     pub announced: Announced,
     /// Requests that this process has running there.
@@ -38,27 +40,37 @@
         self.in_flight + self.others_in_flight
     }
 
-    /// The answers that this entry had from it of late.
-    pub fn answers(&self, now: TimeMs) -> Answers {
-        self.health.own(now)
+    /// What the other entries should hear of its answers.
+    pub fn answers_to_tell(&self, now: TimeMs) -> Option<Answers> {
+        self.health.to_tell(now)
     }
 
     /// Whether new requests may be sent to it.
     pub fn usable(&self, now: TimeMs) -> bool {
-        !self.announced.leaving && !self.health.is_ejected(now)
+        let on_trial = self.health.is_on_trial() && self.in_flight > 0;
+        !self.announced.leaving && !self.health.is_ejected(now) && !on_trial
     }
 }
 
 /// All endpoints known.
 #[derive(Debug, Default)]
 pub struct Directory {
+    /// Tells this process's choices apart from those of the others.
+    seed: u64,
     replicas: SlotMap<ReplicaKey, Replica>,
     by_id: HashMap<Arc<str>, ReplicaKey>,
+    by_hash: HashMap<u64, ReplicaKey>,
     by_service: HashMap<Arc<str>, Vec<ReplicaKey>>,
     list_back_at: Option<TimeMs>,
 }
 
 impl Directory {
+    /// An empty directory. Processes with different seeds try an endpoint that has failed again at
+    /// different moments.
+    pub fn open(seed: u64) -> Directory {
+        Directory { seed, ..Directory::default() }
+    }
+
     /// Takes a change in; `false` if it is older than what is known.
     pub fn apply(&mut self, now: TimeMs, change: Change) -> bool {
         match change {
@@ -90,15 +102,18 @@
             self.remove(key);
         }
         let service = announced.service.clone();
+        let hash = Digest::of(&[id.as_bytes()]).prefix();
         let key = self.replicas.insert(Replica {
             id: id.clone(),
+            hash,
             announced,
             in_flight: 0,
             others_in_flight: 0,
             lapses_at: None,
-            health: Health::default(),
+            health: Health::open(self.seed ^ hash),
         });
         self.by_id.insert(id, key);
+        self.by_hash.insert(hash, key);
         self.by_service.entry(service).or_default().push(key);
         true
     }
@@ -129,6 +144,7 @@
             return;
         };
         self.by_id.remove(&replica.id);
+        self.by_hash.remove(&replica.hash);
         if let Some(of_service) = self.by_service.get_mut(&replica.announced.service) {
             of_service.retain(|other| *other != key);
         }
@@ -144,6 +160,11 @@
         self.by_id.get(id).copied()
     }
 
+    /// The endpoint that `hash` stands for, unless it is not known.
+    pub fn find_hash(&self, hash: u64) -> Option<ReplicaKey> {
+        self.by_hash.get(&hash).copied()
+    }
+
     /// All endpoints of a service.
     pub fn of_service(&self, service: &str) -> impl Iterator<Item = (ReplicaKey, &Replica)> {
         let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
@@ -183,17 +204,27 @@
         }
     }
 
-    /// It broke a request off, or can't be reached.
+    /// It broke a request off, failed it, or can't be reached.
     pub fn failed(&mut self, now: TimeMs, key: ReplicaKey) {
         if let Some(replica) = self.replicas.get_mut(key) {
             replica.health.failed(now);
         }
     }
 
-    /// Another entry, in the life `life`, had these answers from it.
-    pub fn tell_answers(&mut self, now: TimeMs, key: ReplicaKey, life: u64, answers: Answers) {
-        if let Some(replica) = self.replicas.get_mut(key) {
-            replica.health.told(now, life, answers);
+    /// Another entry, in the life `life`, had these answers from it; `first` if that entry is heard
+    /// for the first time.
+    pub fn tell_answers(
+        &mut self,
+        now: TimeMs,
+        key: ReplicaKey,
+        life: u64,
+        answers: Answers,
+        first: bool,
+    ) {
+        match self.replicas.get_mut(key) {
+            Some(replica) if first => replica.health.meet(now, life, answers),
+            Some(replica) => replica.health.told(now, life, answers),
+            None => {}
         }
     }
 }
--- a/src/replicas/health.rs
+++ b/src/replicas/health.rs
@@ -1,83 +1,157 @@
-//! Pattern: an endpoint breaks part of its requests off while its health check is good, and each of
-//! many entries sees only a few of its requests. Judged by the answers of all entries together, it
-//! is left out within a second, and let back on trial.
+//! Pattern: an endpoint breaks part or all of its requests off while its health check is good, and
+//! each of many entries sees only a few of its requests. Judged by the answers of all entries
+//! together, it is left out within some hundred milliseconds. When it is tried again, one request
+//! is at stake and not one of every entry: entries return at different moments, with one request at
+//! a time, and the first failure that any of them sees sends all of them away for longer.
 
 use std::collections::HashMap;
 
 use crate::prelude::*;
 
-/// Answers are forgotten over about this time.
-const FORGOTTEN_OVER_MS: f64 = 4_000.0;
+/// Answers are forgotten over about this time. Source: an endpoint of a busy service answers some
+/// ten requests a second; twenty answers tell one that fails in part from one that lost a few.
+const FORGOTTEN_OVER_MS: f64 = 2_000.0;
 
 /// An endpoint is left out from so many failures on. Source: one or two lost answers happen to any.
 const EJECT_FAILURES: f64 = 2.5;
 
 /// And only if they are at least this part of its answers. Source: twice the part that a sound
 /// network loses in its worst seconds.
-const EJECT_PART: f64 = 0.12;
+const EJECT_PART: f64 = 0.15;
 
-/// How long an endpoint is left out; doubled each time that its trial fails.
+/// Fewer failures are enough where most answers are failures.
+const EJECT_MOSTLY_FAILURES: f64 = 1.8;
+
+/// What "most" means.
+const EJECT_MOSTLY_PART: f64 = 0.5;
+
+/// How long an endpoint is left out at least, and at most twice that: entries differ, so that they do
+/// not all return to it at once. Doubled each time that its trial fails.
 const EJECT_MS: u64 = 500;
 
-/// The longest that an endpoint is left out.
-const EJECT_MOST_MS: u64 = 8_000;
+/// The longest that an endpoint is left out, before the spread. Source: a trial costs one or two
+/// requests of all entries together, and an endpoint that is sound again is missed until then.
+const EJECT_MOST_MS: u64 = 2_000;
+
+/// A trial is passed after so many answers in a row.
+const TRIAL_ANSWERS: u32 = 3;
 
 /// An endpoint that was sound for this long starts afresh.
 const SOUND_AFTER_MS: u64 = 15_000;
 
-/// Answers of one endpoint to one entry, fading.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
+/// Failures that are told this long after an endpoint was left out belong to requests that were sent
+/// before. Source: a running request ends within that, mostly.
+const LATE_NEWS_MS: u64 = 250;
+
+/// The answers of an endpoint are told to the others for this long after its last failure.
+const TOLD_FOR_MS: u64 = 4_000;
+
+/// After this long without a failure anywhere, they are counted anew.
+const COUNTED_ANEW_MS: u64 = 6_000;
+
+/// What an entry told longer ago than this belongs to an earlier count. Source: less than the time
+/// for which nothing is told between two counts, and many messages.
+const EARLIER_COUNT_MS: u64 = 1_500;
+
+/// Answers of one endpoint to one entry, since it began to fail.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Answers {
-    /// Requests broken off, and connections refused.
-    pub failures: f64,
+    /// Requests broken off or failed, and connections refused.
+    pub failures: u32,
     /// Requests answered.
-    pub served: f64,
+    pub served: u32,
 }
 
+/// Answers to all entries, fading.
 #[derive(Debug, Clone, Copy, Default)]
-struct Fading {
-    answers: Answers,
+struct Recent {
+    failures: f64,
+    served: f64,
     at: TimeMs,
 }
 
-impl Fading {
-    fn at(self, now: TimeMs) -> Answers {
+impl Recent {
+    fn add(&mut self, now: TimeMs, more: Answers) {
+        *self = self.faded(now);
+        self.failures += f64::from(more.failures);
+        self.served += f64::from(more.served);
+    }
+
+    fn faded(&self, now: TimeMs) -> Recent {
         let left = (-(now.since(self.at) as f64) / FORGOTTEN_OVER_MS).exp();
-        let Answers { failures, served } = self.answers;
-        Answers { failures: failures * left, served: served * left }
+        Recent { failures: self.failures * left, served: self.served * left, at: now }
+    }
+
+    fn condemns(&self) -> bool {
+        let part = self.failures / (self.failures + self.served).max(1.0);
+        (self.failures >= EJECT_FAILURES && part >= EJECT_PART)
+            || (self.failures >= EJECT_MOSTLY_FAILURES && part >= EJECT_MOSTLY_PART)
     }
 }
 
 /// What is known of an endpoint from its answers.
 #[derive(Debug, Clone, Default)]
 pub struct Health {
-    own: Fading,
-    others: HashMap<u64, Fading>,
+    /// Tells this entry's pauses apart from those of the others.
+    seed: u64,
+    own: Answers,
+    own_recent: Recent,
+    told: HashMap<u64, (Answers, TimeMs)>,
+    recent: Recent,
+    failed_at: Option<TimeMs>,
+    ejected_at: TimeMs,
     ejected_until: TimeMs,
     ejections: u32,
+    /// Answers still missing until it counts as sound again.
+    trial_left: u32,
 }
 
 impl Health {
+    /// Entries with different seeds return to an endpoint at different moments.
+    pub fn open(seed: u64) -> Health {
+        Health { seed, ..Health::default() }
+    }
+
     /// A request was answered.
     pub fn served(&mut self, now: TimeMs) {
-        self.count(now, Answers { failures: 0.0, served: 1.0 });
+        let one = Answers { failures: 0, served: 1 };
+        self.own.served += 1;
+        self.own_recent.add(now, one);
+        self.recent.add(now, one);
+        self.trial_left = self.trial_left.saturating_sub(1);
     }
 
-    /// A request was broken off, or the endpoint could not be reached.
+    /// A request was broken off or failed, or the endpoint could not be reached.
     pub fn failed(&mut self, now: TimeMs) {
-        self.count(now, Answers { failures: 1.0, served: 0.0 });
-        self.judge(now);
+        self.count_failures(now, Answers { failures: 1, served: 0 });
+        self.own.failures += 1;
     }
 
-    /// Another entry, in the life `life`, had these answers.
+    /// Another entry, in the life `life`, had these answers from it.
     pub fn told(&mut self, now: TimeMs, life: u64, answers: Answers) {
-        self.others.insert(life, Fading { answers, at: now });
-        self.judge(now);
+        let before = match self.told.insert(life, (answers, now)) {
+            Some((before, at)) if now.since(at) < EARLIER_COUNT_MS => before,
+            _ => Answers::default(),
+        };
+        let more = Answers {
+            failures: answers.failures.saturating_sub(before.failures),
+            served: answers.served.saturating_sub(before.served),
+        };
+        match more.failures {
+            0 => self.recent.add(now, more),
+            _ => self.count_failures(now, more),
+        }
+    }
+
+    /// Another entry is heard for the first time: when it had its answers is not known.
+    pub fn meet(&mut self, now: TimeMs, life: u64, answers: Answers) {
+        self.told.insert(life, (answers, now));
     }
 
-    /// The answers that this entry had.
-    pub fn own(&self, now: TimeMs) -> Answers {
-        self.own.at(now)
+    /// What the other entries should hear: this entry's answers, while anybody's have failed of late.
+    pub fn to_tell(&self, now: TimeMs) -> Option<Answers> {
+        let recent = self.failed_at.is_some_and(|at| now.since(at) < TOLD_FOR_MS);
+        (recent && self.own != Answers::default()).then_some(self.own)
     }
 
     /// Whether it is left out.
@@ -85,33 +159,43 @@
         now < self.ejected_until
     }
 
-    fn count(&mut self, now: TimeMs, more: Answers) {
-        let Answers { failures, served } = self.own.at(now);
-        let answers = Answers { failures: failures + more.failures, served: served + more.served };
-        self.own = Fading { answers, at: now };
+    /// Whether it is back on trial: one request at a time.
+    pub fn is_on_trial(&self) -> bool {
+        self.trial_left > 0
     }
 
-    fn judge(&mut self, now: TimeMs) {
-        if self.is_ejected(now) {
-            return;
+    fn count_failures(&mut self, now: TimeMs, more: Answers) {
+        if self.failed_at.is_none_or(|at| now.since(at) >= COUNTED_ANEW_MS) {
+            let served = self.own_recent.faded(now).served.round() as u32;
+            self.own = Answers { failures: 0, served };
         }
-        let others = self.others.values().map(|fading| fading.at(now));
-        let all = others.fold(self.own.at(now), |sum, answers| Answers {
-            failures: sum.failures + answers.failures,
-            served: sum.served + answers.served,
-        });
-        let part = all.failures / (all.failures + all.served).max(1.0);
-        if all.failures < EJECT_FAILURES || part < EJECT_PART {
-            return;
+        self.failed_at = Some(now);
+        self.recent.add(now, more);
+        let late_news = now.since(self.ejected_at) < LATE_NEWS_MS;
+        let condemned = match self.is_on_trial() {
+            true => !late_news,
+            false => self.recent.condemns(),
+        };
+        if condemned {
+            self.eject(now);
         }
+    }
+
+    fn eject(&mut self, now: TimeMs) {
         if now.since(self.ejected_until) > SOUND_AFTER_MS {
             self.ejections = 0;
         }
         let out_ms = EJECT_MS.saturating_mul(1 << self.ejections.min(8)).min(EJECT_MOST_MS);
         self.ejections += 1;
-        self.ejected_until = now.plus(out_ms);
-        // The trial that follows is judged by its own answers.
-        self.own = Fading::default();
-        self.others.clear();
+        self.ejected_at = now;
+        self.ejected_until = now.plus(out_ms + self.spread(out_ms));
+        self.trial_left = TRIAL_ANSWERS;
+        self.recent = Recent { at: now, ..Recent::default() };
+    }
+
+    /// Between zero and `most_ms`, different for each entry and each time.
+    fn spread(&self, most_ms: u64) -> u64 {
+        let mixed = (self.seed ^ u64::from(self.ejections)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        ((mixed >> 32) * most_ms) >> 32
     }
 }
