--- a/src/gateway/config_feed.rs
+++ b/src/gateway/config_feed.rs
@@ -100,7 +100,7 @@
                 log::info!(version; "a configuration is in force");
                 let mut rates = gateway.rates.borrow_mut();
                 catalog.workspaces().for_each(|workspace| {
-                    rates.know(gateway.now(), workspace);
+                    rates.declared(gateway.now(), workspace);
                 });
                 *gateway.in_force.catalog.borrow_mut() = Some(Rc::new(catalog));
             }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -5,8 +5,9 @@
 use tokio::net::UdpSocket;
 
 use super::PeerRecord;
-use super::message::Gossip;
+use super::message::{Gossip, in_turn};
 use super::owned_shard::Stage;
+use super::rates::Telling;
 use super::shard_table::Owner;
 use super::state::Gateway;
 use crate::prelude::*;
@@ -114,6 +115,8 @@
     let own = gateway.shards.all_own();
     let serving = own.iter().filter(|shard| shard.stage() == Stage::Serving);
     let now = gateway.now();
+    let newcomers = gateway.peers.borrow().has_newcomer(now);
+    let telling = Telling { round, newcomers };
     let directory = gateway.directory.borrow();
     let running = directory.all().filter(|(_, replica)| replica.in_flight > 0);
     let answers = directory.all().filter_map(|(_, replica)| {
@@ -128,21 +131,11 @@
         shards: serving.map(|shard| (shard.number, shard.epoch)).collect(),
         running: in_turn(running.map(|(_, r)| (r.hash, r.in_flight)).collect(), round, rows),
         answers: in_turn(answers.collect(), round, rows),
-        taken: in_turn(gateway.rates.borrow_mut().tell_others(now), round, rows),
+        taken: in_turn(gateway.rates.borrow_mut().tell_others(now, telling), round, rows),
         suspects: in_turn(gateway.suspects.borrow().recent(now, SUSPECTS_TOLD_MS), round, rows),
     }
 }
 
-/// At most so many rows, others in each round.
-fn in_turn<T>(mut rows: Vec<T>, round: usize, most: usize) -> Vec<T> {
-    if rows.len() > most {
-        let start = (round * most) % rows.len();
-        rows.rotate_left(start);
-        rows.truncate(most);
-    }
-    rows
-}
-
 /// The largest message that fits a datagram.
 fn encode(gateway: &Gateway, life: u64, round: usize) -> Option<(Gossip, Vec<u8>)> {
     let mut rows = ROWS_MOST;
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -25,6 +25,16 @@
     pub(super) suspects: Vec<(u64, u32)>,
 }
 
+/// At most so many rows, others in each round.
+pub(super) fn in_turn<T>(mut rows: Vec<T>, round: usize, most: usize) -> Vec<T> {
+    if rows.len() > most {
+        let start = (round * most) % rows.len();
+        rows.rotate_left(start);
+        rows.truncate(most);
+    }
+    rows
+}
+
 /// What an entry has admitted for a workspace.
 #[wire]
 pub(super) struct Taken {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -29,6 +29,7 @@
     met_at: TimeMs,
     known_at: TimeMs,
     leaving: bool,
+    young: bool,
     running: HashMap<u64, u32>,
     signed_off: Option<u64>,
 }
@@ -62,6 +63,7 @@
             met_at: now,
             known_at: now,
             leaving: false,
+            young: false,
             running: HashMap::new(),
             signed_off: None,
         });
@@ -80,6 +82,7 @@
         peer.life = gossip.life;
         peer.heard_at = Some(now);
         peer.leaving = gossip.leaving;
+        peer.young = gossip.young;
         let all_seen = gossip.young || now.since(peer.met_at) >= ALL_TOLD_AFTER_MS;
         let now_running = gossip.running.iter().copied().collect();
         let before = std::mem::replace(&mut peer.running, now_running);
@@ -109,6 +112,12 @@
         silent
     }
 
+    /// Whether an entry has started of late and needs to hear what the others know.
+    pub(super) fn has_newcomer(&self, now: TimeMs) -> bool {
+        let heard = |peer: &Peer| peer.heard_at.is_some_and(|at| now.since(at) < IN_TOUCH_MS);
+        self.peers.values().any(|peer| peer.young && heard(peer))
+    }
+
     /// Requests that the others have running at an endpoint.
     pub(super) fn running(&self, endpoint: u64) -> u32 {
         self.running.get(&endpoint).copied().unwrap_or(0)
--- a/src/gateway/rates.rs
+++ b/src/gateway/rates.rs
@@ -1,15 +1,39 @@
 use std::collections::HashMap;
 
-use super::message::Taken;
+use super::message::{Taken, in_turn};
 use crate::catalog::Workspace;
 use crate::prelude::*;
 use crate::quota::{Allowance, Claim, Peering, SharedWindow};
 
+/// What this entry has taken is told for this long after each change. Source: three messages, so that
+/// two may be lost.
+const TOLD_FOR_MS: u64 = 700;
+
+/// What has not changed is told once in so many messages, for entries that missed it. Source: within
+/// a second and a bit; an entry that was just met counts what it hears of for the first time after
+/// one and a half as new.
+const TOLD_ONCE_IN: usize = 6;
+
+/// Which rows a message to the others should have.
+#[key]
+pub(super) struct Telling {
+    /// Numbers the messages.
+    pub(super) round: usize,
+    /// Whether an entry has just started and needs to know the windows.
+    pub(super) newcomers: bool,
+}
+
+#[derive(Debug)]
+struct Counted {
+    window: SharedWindow,
+    changed_at: TimeMs,
+}
+
 /// This entry's counts of what all workspaces take.
 #[derive(Debug)]
 pub(super) struct Rates {
     window_ms: u64,
-    windows: HashMap<u64, SharedWindow>,
+    windows: HashMap<u64, Counted>,
 }
 
 impl Rates {
@@ -26,53 +50,75 @@
         peering: Peering,
         claim: Claim,
     ) -> Result<(), u64> {
-        self.know(now, workspace).take(now, peering, claim)
+        let counted = self.know(now, workspace);
+        counted.window.take(now, peering, claim)?;
+        counted.changed_at = now;
+        Ok(())
     }
 
-    /// The workspace's window, which fills from the moment it is first known.
-    pub(super) fn know(&mut self, now: TimeMs, workspace: &Workspace) -> &mut SharedWindow {
+    /// A workspace is declared: its window fills from the moment it is first known.
+    pub(super) fn declared(&mut self, now: TimeMs, workspace: &Workspace) {
+        self.know(now, workspace);
+    }
+
+    fn know(&mut self, now: TimeMs, workspace: &Workspace) -> &mut Counted {
         let allowance = Allowance {
             rate_per_s: workspace.rate_per_s,
             burst: workspace.burst,
             window_ms: self.window_ms,
         };
-        let window = self
-            .windows
-            .entry(workspace_hash(&workspace.name))
-            .or_insert_with(|| SharedWindow::open(now, allowance));
-        if window.allowance() != allowance {
-            window.change(allowance);
+        let counted = self.windows.entry(workspace_hash(&workspace.name)).or_insert_with(|| {
+            Counted { window: SharedWindow::open(now, allowance), changed_at: now }
+        });
+        if counted.window.allowance() != allowance {
+            counted.window.change(allowance);
         }
-        window
+        counted
     }
 
     /// A request that was taken out of the workspace's rate has not run.
-    pub(super) fn give_back(&mut self, workspace: &str) {
-        if let Some(window) = self.windows.get_mut(&workspace_hash(workspace)) {
-            window.give_back();
+    pub(super) fn give_back(&mut self, now: TimeMs, workspace: &str) {
+        if let Some(counted) = self.windows.get_mut(&workspace_hash(workspace)) {
+            counted.window.give_back();
+            counted.changed_at = now;
         }
     }
 
     /// What is in the workspace's window, and its limit.
     pub(super) fn used(&self, workspace: &str) -> (f64, f64) {
-        self.windows.get(&workspace_hash(workspace)).map_or((0.0, 0.0), SharedWindow::used)
+        self.windows
+            .get(&workspace_hash(workspace))
+            .map_or((0.0, 0.0), |counted| counted.window.used())
     }
 
-    /// What this entry has taken and what it knows of the windows, to tell the others.
-    pub(super) fn tell_others(&mut self, now: TimeMs) -> Vec<Taken> {
-        let told = self.windows.iter_mut().map(|(workspace, window)| Taken {
-            workspace: *workspace,
-            taken: window.taken(),
-            in_window: window.in_window(now).map(|used| used.ceil() as u64),
-        });
-        told.filter(|row| row.taken > 0 || row.in_window.is_none_or(|used| used > 0)).collect()
+    /// What this entry has taken, to tell the others: what has changed of late, and a part of the rest
+    /// in turn. Newcomers need to hear of all windows, and what all entries took in each.
+    pub(super) fn tell_others(&mut self, now: TimeMs, telling: Telling) -> Vec<Taken> {
+        let (mut news, mut rest) = (Vec::new(), Vec::new());
+        for (workspace, counted) in &mut self.windows {
+            let taken = counted.window.taken();
+            let in_window = match telling.newcomers {
+                true => counted.window.in_window(now).map(|used| used.ceil() as u64),
+                false => None,
+            };
+            let row = Taken { workspace: *workspace, taken, in_window };
+            let new = telling.newcomers || now.since(counted.changed_at) < TOLD_FOR_MS;
+            match new {
+                _ if taken == 0 && in_window.unwrap_or(0) == 0 => {}
+                true => news.push(row),
+                false => rest.push(row),
+            }
+        }
+        let part = rest.len().div_ceil(TOLD_ONCE_IN);
+        news.extend(in_turn(rest, telling.round, part));
+        news
     }
 
     /// Another entry has taken so many in its life. `all_seen` if this entry would have heard of any
     /// that it took before: those that are told of now are new.
     pub(super) fn tell(&mut self, now: TimeMs, life: u64, taken: &[Taken], all_seen: bool) {
         for row in taken {
-            let Some(window) = self.windows.get_mut(&row.workspace) else {
+            let Some(Counted { window, .. }) = self.windows.get_mut(&row.workspace) else {
                 continue;
             };
             match all_seen {
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -131,7 +131,7 @@
         Err(refusal) => refusal.promises(),
     };
     if not_run {
-        gateway.rates.borrow_mut().give_back(&charged);
+        gateway.rates.borrow_mut().give_back(gateway.now(), &charged);
     }
     served
 }
