What an entry heard before it knew the workspaces is no news

Cause: entries that started while the store was away heard the others before they knew any workspace. When they knew them, the first count of each other entry was its whole life's: windows stood at two and three times their limit (log: used 1921 of 888), and all callers were refused for five seconds.

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -7,7 +7,7 @@
 use super::PeerRecord;
 use super::message::{Gossip, in_turn};
 use super::owned_shard::Stage;
-use super::rates::Telling;
+use super::rates::{Known, Telling};
 use super::shard_table::Owner;
 use super::state::Gateway;
 use crate::prelude::*;
@@ -190,7 +190,8 @@
     for (shard, epoch) in &gossip.shards {
         gateway.shards.told(*shard, Owner { address: from, epoch: *epoch });
     }
-    gateway.rates.borrow_mut().tell(now, gossip.life, &gossip.taken, heard.all_seen);
+    let known = Known { since: heard.since, young: gossip.young };
+    gateway.rates.borrow_mut().tell(now, gossip.life, &gossip.taken, known);
     let mut suspects = gateway.suspects.borrow_mut();
     gossip.suspects.iter().for_each(|(request, crashes)| suspects.told(now, *request, *crashes));
     let mut directory = gateway.directory.borrow_mut();
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -13,10 +13,6 @@
 /// Source: one that is cut off for longer has no fresh configuration and admits nothing.
 const FORGOTTEN_AFTER_MS: u64 = 20_000;
 
-/// After this time, an entry has told all its rows, also where they take several messages: what it
-/// tells of for the first time then is new.
-const ALL_TOLD_AFTER_MS: u64 = 1_500;
-
 /// An entry that was heard within this time is in touch. Source: three messages lost in a row.
 const IN_TOUCH_MS: u64 = 500;
 
@@ -39,8 +35,8 @@
 pub(super) struct Heard {
     /// The sender was not known, or is in a new life.
     pub(super) first: bool,
-    /// Whatever the sender took before would have been heard of by now.
-    pub(super) all_seen: bool,
+    /// When the sender was first heard in this life.
+    pub(super) since: TimeMs,
     /// Endpoints at which it runs more or fewer requests than before.
     pub(super) changed: Vec<u64>,
 }
@@ -83,11 +79,11 @@
         peer.heard_at = Some(now);
         peer.leaving = gossip.leaving;
         peer.young = gossip.young;
-        let all_seen = gossip.young || now.since(peer.met_at) >= ALL_TOLD_AFTER_MS;
+        let since = peer.met_at;
         let now_running = gossip.running.iter().copied().collect();
         let before = std::mem::replace(&mut peer.running, now_running);
         let changed = count_running(&mut self.running, &before, &peer.running);
-        Heard { first, all_seen, changed }
+        Heard { first, since, changed }
     }
 
     /// Where to send messages.
--- a/src/gateway/rates.rs
+++ b/src/gateway/rates.rs
@@ -14,6 +14,19 @@
 /// one and a half as new.
 const TOLD_ONCE_IN: usize = 6;
 
+/// After this time, an entry has told all its rows, also where they take several messages: what it
+/// tells of for the first time then is new.
+const ALL_TOLD_AFTER_MS: u64 = 1_500;
+
+/// How well the sender of a message is known.
+#[key]
+pub(super) struct Known {
+    /// When it was first heard in its present life.
+    pub(super) since: TimeMs,
+    /// Whether it has lived for less than a window: all that it took is in the window.
+    pub(super) young: bool,
+}
+
 /// Which rows a message to the others should have.
 #[key]
 pub(super) struct Telling {
@@ -26,6 +39,7 @@
 #[derive(Debug)]
 struct Counted {
     window: SharedWindow,
+    opened_at: TimeMs,
     changed_at: TimeMs,
 }
 
@@ -68,7 +82,7 @@
             window_ms: self.window_ms,
         };
         let counted = self.windows.entry(workspace_hash(&workspace.name)).or_insert_with(|| {
-            Counted { window: SharedWindow::open(now, allowance), changed_at: now }
+            Counted { window: SharedWindow::open(now, allowance), opened_at: now, changed_at: now }
         });
         if counted.window.allowance() != allowance {
             counted.window.change(allowance);
@@ -114,14 +128,18 @@
         news
     }
 
-    /// Another entry has taken so many in its life. `all_seen` if this entry would have heard of any
-    /// that it took before: those that are told of now are new.
-    pub(super) fn tell(&mut self, now: TimeMs, life: u64, taken: &[Taken], all_seen: bool) {
+    /// Another entry has taken so many in its life. What is heard of for the first time counts as
+    /// taken now only if it was: the other is young, or it would have been heard of before. An entry
+    /// that knew it before it knew the workspaces, since the store was away as it started, would
+    /// otherwise count all that the other ever took.
+    pub(super) fn tell(&mut self, now: TimeMs, life: u64, taken: &[Taken], known: Known) {
         for row in taken {
-            let Some(Counted { window, .. }) = self.windows.get_mut(&row.workspace) else {
+            let Some(Counted { window, opened_at, .. }) = self.windows.get_mut(&row.workspace)
+            else {
                 continue;
             };
-            match all_seen {
+            let listened_ms = now.since(known.since).min(now.since(*opened_at));
+            match known.young || listened_ms >= ALL_TOLD_AFTER_MS {
                 true => window.tell(now, life, row.taken),
                 false => window.meet(now, life, row.taken),
             }
