An owner cut off from the store is relieved, and what it ran is recorded by the next owner

Cause: an entry that alone does not reach the store kept its shards until its membership lapsed (1.5 s, or never, where only answers are lost), ran turns it could not record, and ended them with 504. Ruled out: the wait for the new owner (shards are read within 100 ms of the deal). Change: entries tell whether they reach the store; two that do sign off one that does not; a shard told under a later epoch is given up; a turn that ended after its shard was lost is recorded by the next owner, if its parent is held there and its tokens are reserved or fit the budget.

--- a/soak/tests/gateways.rs
+++ b/soak/tests/gateways.rs
@@ -146,6 +146,25 @@
     assert_eq!(prompt_of(&world, &last).matches("say t").count(), 5);
 }
 
+// An owner is cut off from the store alone while turns of its programs come. It runs them and can't
+// record them; waiting for its membership to lapse cost callers their turns. The others see that the
+// store is sound, take its shards over, and record what it has run: no caller has to ask again.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_owner_cut_off_from_the_store_costs_no_turn() {
+    let world = world(3).await;
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    for victim in 0..3 {
+        world.links[victim].set(LinkFault::Silent);
+        for number in 0..12 {
+            let id = format!("cut-{victim}-{number}");
+            let answer = world.caller.turn(world.entry(victim + 1), &turn(&id, &id, None)).await;
+            assert!(answer.is_served(), "{id}: {answer:?}");
+        }
+        world.links[victim].set(LinkFault::None);
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn shards_dealt_anew_lose_no_turn() {
     let world = world(3).await;
--- /dev/null
+++ b/src/gateway/bequest.rs
@@ -0,0 +1,144 @@
+//! Turns that ended after their shard had gone to another owner.
+//!
+//! An owner that is cut off from the store, or whose shard is dealt anew, may have run turns that it
+//! can no longer record. The tokens are generated and the caller waits: the next owner records such
+//! a turn, and only then does its end reach the caller.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Bytes, Incoming};
+use serde::{Deserialize, Serialize};
+use tokio::time::timeout;
+
+use super::AnswerBody;
+use super::owned_shard::{OwnedShard, Stage};
+use super::server::status;
+use super::state::Gateway;
+use crate::prelude::*;
+use crate::turns::{AccountKey, Turn, TurnKey};
+
+/// Where an entry takes other entries' turns over.
+pub(super) const BEQUEST_PATH: &str = "/record-turn";
+
+/// The longest wait for one answer. Source: the other entry appends the turn, which takes some ten
+/// milliseconds, and a quarter of a second when the store is slow.
+const ANSWER_MOST_MS: u64 = 600;
+
+/// Pause between two looks for the next owner.
+const LOOK_AGAIN_MS: u64 = 20;
+
+/// The most bytes of a turn. Source: what a caller may send, and an answer.
+const BEQUEST_MOST_BYTES: usize = 8 << 20;
+
+/// A turn that its owner could not record.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(super) struct Bequest {
+    /// Its key.
+    pub(super) key: TurnKey,
+    /// What was asked and answered.
+    pub(super) turn: Turn,
+    /// Its program.
+    pub(super) program: AccountKey,
+    /// Tokens that the program may generate in all.
+    pub(super) budget: u64,
+    /// Tokens of the turn that no durable record has reserved.
+    pub(super) unreserved: u64,
+}
+
+/// Has the shard's next owner record the turn; `false` if the time was over before, or the next owner
+/// must not.
+pub(super) async fn bequeath(gateway: &Rc<Gateway>, bequest: &Bequest, ends_at: TimeMs) -> bool {
+    let shard = bequest.program.shard(gateway.shards.count());
+    let Ok(body) = postcard::to_allocvec(bequest).map(Bytes::from) else {
+        log::error!("a turn can't be encoded for its shard's next owner");
+        return false;
+    };
+    while gateway.now() < ends_at {
+        if let Some(own) = gateway.shards.own(shard).filter(|own| own.stage() == Stage::Serving) {
+            return record(&own, bequest).await;
+        }
+        if let Some(owner) = gateway.shards.other(shard) {
+            let answer = send(gateway, owner.address, body.clone());
+            match timeout(Duration::from_millis(ANSWER_MOST_MS), answer).await {
+                Ok(Some(StatusCode::OK)) => return true,
+                Ok(Some(StatusCode::CONFLICT)) => return false,
+                Ok(Some(_)) => gateway.shards.forget(owner.address, Some(shard)),
+                Ok(None) | Err(_) => {}
+            }
+        }
+        tokio::select! {
+            () = gateway.shards.changed.notified() => {}
+            () = tokio::time::sleep(Duration::from_millis(LOOK_AGAIN_MS)) => {}
+        }
+    }
+    false
+}
+
+async fn send(
+    gateway: &Rc<Gateway>,
+    address: std::net::SocketAddr,
+    body: Bytes,
+) -> Option<StatusCode> {
+    let request = Request::post(BEQUEST_PATH).body(Full::new(body)).ok()?;
+    let mut connection = gateway.connections.take(gateway.now(), address).await.ok()?;
+    let answer = connection.sender.send_request(request).await.ok()?;
+    let (head, body) = answer.into_parts();
+    body.collect().await.ok()?;
+    gateway.connections.keep(gateway.now(), connection);
+    Some(head.status)
+}
+
+/// Records a turn of the shard's last owner.
+///
+/// A turn whose parent is not held here is refused: its chain would have a gap. So is one whose tokens
+/// were never reserved and no longer fit the budget, since turns of the same program may have begun
+/// here since.
+async fn record(shard: &OwnedShard, bequest: &Bequest) -> bool {
+    let records = {
+        let mut ledger = shard.ledger.borrow_mut();
+        let orphan = bequest.turn.parent.is_some_and(|parent| ledger.turn(parent).is_none());
+        if orphan {
+            return false;
+        }
+        // The last owner's append may have been done although it was not answered.
+        if ledger.turn(bequest.key).is_some() {
+            Vec::new()
+        } else {
+            let kept_until = bequest.turn.kept_until;
+            let charged =
+                ledger.charge(bequest.program, bequest.budget, bequest.unreserved, kept_until);
+            let Ok(charged) = charged else {
+                return false;
+            };
+            let completed = ledger.complete(bequest.key, bequest.turn.clone());
+            charged.into_iter().chain([completed]).collect()
+        }
+    };
+    shard.writer.append(records).await.is_ok()
+}
+
+/// Answers another entry that has a turn to be recorded here.
+pub(super) async fn take_bequest(
+    gateway: &Gateway,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let body = Limited::new(request.into_body(), BEQUEST_MOST_BYTES).collect().await;
+    let bequest = body.ok().and_then(|body| postcard::from_bytes::<Bequest>(&body.to_bytes()).ok());
+    let Some(bequest) = bequest else {
+        return status(StatusCode::BAD_REQUEST);
+    };
+    let shard = gateway.shards.own(bequest.program.shard(gateway.shards.count()));
+    let Some(shard) = shard.filter(|shard| shard.stage() == Stage::Serving) else {
+        return status(StatusCode::MISDIRECTED_REQUEST);
+    };
+    let recorded = record(&shard, &bequest).await;
+    log::info!(shard = shard.number, epoch = shard.epoch, recorded; "a turn of the last owner");
+    match recorded {
+        true => status(StatusCode::OK),
+        false if shard.stage() == Stage::Lost => status(StatusCode::MISDIRECTED_REQUEST),
+        false => status(StatusCode::CONFLICT),
+    }
+}
--- a/src/gateway/config_feed.rs
+++ b/src/gateway/config_feed.rs
@@ -58,12 +58,14 @@
     loop {
         match read_once(&gateway, from, failing).await {
             Ok(next) => {
+                gateway.reach.found(gateway.now());
                 if std::mem::take(&mut failing) {
                     log::info!("the configuration can be read again");
                 }
                 from = Some(next);
             }
             Err(fault) => {
+                gateway.reach.lost(gateway.now(), &fault);
                 if !std::mem::replace(&mut failing, true) {
                     log::warn!(fault:display; "the configuration can't be read");
                 }
--- a/src/gateway/endpoint_feed.rs
+++ b/src/gateway/endpoint_feed.rs
@@ -21,6 +21,7 @@
     loop {
         match read_once(&gateway, from).await {
             Ok(feed) => {
+                gateway.reach.found(gateway.now());
                 if std::mem::take(&mut failing) {
                     log::info!("the endpoints' list can be read again");
                     gateway.directory.borrow_mut().list_is_back(gateway.now());
@@ -29,6 +30,7 @@
                 apply(&gateway, feed);
             }
             Err(fault) => {
+                gateway.reach.lost(gateway.now(), &fault);
                 if !std::mem::replace(&mut failing, true) {
                     log::warn!(fault:display; "the endpoints' list can't be read");
                 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -84,7 +84,7 @@
                 Sent::Unreached(fault) => {
                     gateway.shards.forget(owner.address, None);
                     if fault == ConnectFault::Refused {
-                        sign_off(gateway, owner.address).await;
+                        sign_off_gone(gateway, owner.address).await;
                     }
                 }
             }
@@ -102,11 +102,18 @@
 
 /// Signs off an entry whose process is gone while its VM lives, so that its shards are dealt anew at
 /// once instead of after its membership lapses. If it lives after all, the epochs keep it harmless.
-async fn sign_off(gateway: &Gateway, address: std::net::SocketAddr) {
-    let Some(name) = gateway.peers.borrow_mut().take_name_once(address) else {
+async fn sign_off_gone(gateway: &Gateway, address: std::net::SocketAddr) {
+    if gateway.peers.borrow_mut().sign_off(address).is_some() {
+        sign_off(gateway, address).await;
+    }
+}
+
+/// Takes another entry out of the group of owners.
+pub(super) async fn sign_off(gateway: &Gateway, address: std::net::SocketAddr) {
+    let Some(name) = gateway.peers.borrow().name(address) else {
         return;
     };
-    log::info!(peer:% = name; "an entry is gone; its shards are dealt anew");
+    log::info!(peer:% = name; "an entry is signed off; its shards are dealt anew");
     if let Err(fault) = gateway.store.leave(&name).await {
         log::warn!(peer:% = name, fault:display; "an entry could not be signed off");
     }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -5,11 +5,13 @@
 use tokio::net::UdpSocket;
 
 use super::PeerRecord;
+use super::forward::sign_off;
 use super::message::{Gossip, in_turn};
 use super::owned_shard::Stage;
 use super::rates::{Known, Telling};
 use super::shard_table::Owner;
 use super::state::Gateway;
+use super::writer::lose;
 use crate::prelude::*;
 use crate::replicas::Answers;
 
@@ -127,6 +129,7 @@
         life,
         name: gateway.settings.name.clone(),
         leaving: gateway.draining.get(),
+        store_away: gateway.reach.is_away(now),
         young: now.0 < gateway.settings.bounds.rate_window_ms,
         shards: serving.map(|shard| (shard.number, shard.epoch)).collect(),
         running: in_turn(running.map(|(_, r)| (r.hash, r.in_flight)).collect(), round, rows),
@@ -180,7 +183,7 @@
     }
 }
 
-fn hear(gateway: &Gateway, from: SocketAddr, gossip: &Gossip) {
+fn hear(gateway: &Rc<Gateway>, from: SocketAddr, gossip: &Gossip) {
     let now = gateway.now();
     let heard = gateway.peers.borrow_mut().heard(now, from, gossip);
     if heard.first {
@@ -189,6 +192,10 @@
     }
     for (shard, epoch) in &gossip.shards {
         gateway.shards.told(*shard, Owner { address: from, epoch: *epoch });
+        give_up_to(gateway, *shard, *epoch);
+    }
+    if gossip.store_away && !gossip.shards.is_empty() && gateway.reach.is_sound(now) {
+        relieve(gateway, from);
     }
     let known = Known { since: heard.since, young: gossip.young };
     gateway.rates.borrow_mut().tell(now, gossip.life, &gossip.taken, known);
@@ -208,3 +215,22 @@
         }
     }
 }
+
+/// Another entry serves a shard under a later epoch: the store has fenced this one off. One that is
+/// cut off from the store learns it from nobody else, and would run turns that it can't record.
+fn give_up_to(gateway: &Gateway, shard: u32, epoch: u64) {
+    if let Some(own) = gateway.shards.own(shard).filter(|own| own.epoch < epoch) {
+        log::info!(shard, epoch = own.epoch, later = epoch; "a shard has a later owner");
+        lose(gateway, &own);
+    }
+}
+
+/// An entry that owns shards does not reach the store, which is sound here: its shards are dealt anew
+/// at once instead of after its membership has lapsed.
+fn relieve(gateway: &Rc<Gateway>, address: SocketAddr) {
+    let now = gateway.now();
+    if gateway.peers.borrow_mut().takes_relief(now, address, gateway.settings.peers) {
+        let gateway = gateway.clone();
+        tokio::task::spawn_local(async move { sign_off(&gateway, address).await });
+    }
+}
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -11,6 +11,8 @@
     pub(super) name: Arc<str>,
     /// Whether it is shutting down.
     pub(super) leaving: bool,
+    /// Whether it does not reach the store.
+    pub(super) store_away: bool,
     /// Whether it has lived for less than a window of the rates: all that it took is in the window.
     pub(super) young: bool,
     /// The shards that it owns, with their epochs.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 
 mod answer;
 mod attempt;
+mod bequest;
 mod call;
 mod config_feed;
 mod endpoint_feed;
@@ -21,6 +22,7 @@
 mod ports;
 mod process;
 mod rates;
+mod reach;
 mod reservation;
 mod serve;
 mod server;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -13,6 +13,13 @@
 /// Source: one that is cut off for longer has no fresh configuration and admits nothing.
 const FORGOTTEN_AFTER_MS: u64 = 20_000;
 
+/// An entry is relieved of its shards at most once in this time. Source: longer than new owners take
+/// to read them.
+const RELIEF_PAUSE_MS: u64 = 3_000;
+
+/// So many entries relieve one that is cut off from the store: one may be cut off as well.
+const RELIEVERS: usize = 2;
+
 /// An entry that was heard within this time is in touch. Source: three messages lost in a row.
 const IN_TOUCH_MS: u64 = 500;
 
@@ -28,6 +35,7 @@
     young: bool,
     running: HashMap<u64, u32>,
     signed_off: Option<u64>,
+    relieved_at: Option<TimeMs>,
 }
 
 /// What a message has changed.
@@ -62,6 +70,7 @@
             young: false,
             running: HashMap::new(),
             signed_off: None,
+            relieved_at: None,
         });
     }
 
@@ -119,13 +128,42 @@
         self.running.get(&endpoint).copied().unwrap_or(0)
     }
 
-    /// The entry's name, once in each of its lives.
-    pub(super) fn take_name_once(&mut self, address: SocketAddr) -> Option<Arc<str>> {
+    /// The entry's name, if it is not signed off yet in its present life.
+    pub(super) fn sign_off(&mut self, address: SocketAddr) -> Option<Arc<str>> {
         let peer = self.peers.get_mut(&address)?;
         let first = peer.signed_off.replace(peer.life) != Some(peer.life);
         first.then(|| peer.name.clone())
     }
 
+    /// The entry's name.
+    pub(super) fn name(&self, address: SocketAddr) -> Option<Arc<str>> {
+        self.peers.get(&address).map(|peer| peer.name.clone())
+    }
+
+    /// Whether the entry at `own` is to relieve the one at `address` of its shards now. Only a few do,
+    /// others for each: all at once would be a burst of calls for nothing.
+    pub(super) fn takes_relief(
+        &mut self,
+        now: TimeMs,
+        address: SocketAddr,
+        own: SocketAddr,
+    ) -> bool {
+        let rank = |reliever: &SocketAddr| {
+            Digest::of(&[reliever.to_string().as_bytes(), address.to_string().as_bytes()]).prefix()
+        };
+        let heard = |peer: &Peer| peer.heard_at.is_some_and(|at| now.since(at) < IN_TOUCH_MS);
+        let others = self.peers.iter().filter(|(at, peer)| **at != address && heard(peer));
+        let before = others.filter(|(at, _)| rank(at) < rank(&own)).count();
+        let Some(peer) = self.peers.get_mut(&address).filter(|_| before < RELIEVERS) else {
+            return false;
+        };
+        let due = peer.relieved_at.is_none_or(|at| now.since(at) >= RELIEF_PAUSE_MS);
+        if due {
+            peer.relieved_at = Some(now);
+        }
+        due
+    }
+
     /// How the workspaces' rates are shared now. An entry that was signed off takes no part.
     pub(super) fn peering(&self, now: TimeMs) -> Peering {
         let shares =
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -291,6 +291,7 @@
         budget: call.budget.unwrap_or(u64::MAX),
         most_tokens: call.most_tokens,
         history_ms: admitted.order.history_ms.unwrap_or(0),
+        input: admitted.body.clone(),
         job: admitted.into_job(gateway, Repeat::Stream),
     };
     serve_turn(gateway, shard, turn).await
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -12,6 +12,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+use super::bequest::{BEQUEST_PATH, take_bequest};
 use super::find::{FIND_PATH, search_own};
 use super::message::FindTurn;
 use super::serve::{serve_caller, serve_forwarded};
@@ -136,11 +137,14 @@
             Response::new(AnswerBody::whole(metrics.render().into()))
         }
         Door::Peers if request.uri().path() == FIND_PATH => find(&gateway, request).await,
+        Door::Peers if request.uri().path() == BEQUEST_PATH => {
+            take_bequest(&gateway, request).await
+        }
         Door::Peers => serve_forwarded(&gateway, request).await,
     }
 }
 
-fn status(status: StatusCode) -> Response<AnswerBody> {
+pub(super) fn status(status: StatusCode) -> Response<AnswerBody> {
     let mut response = Response::new(AnswerBody::whole(Bytes::new()));
     *response.status_mut() = status;
     response
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -8,6 +8,7 @@
 use super::config_feed::InForce;
 use super::peers::Peers;
 use super::rates::Rates;
+use super::reach::Reach;
 use super::shard_table::ShardTable;
 use super::suspects::Suspects;
 use super::{GatewaySettings, Protocol, Store};
@@ -22,6 +23,7 @@
     pub(super) store: Rc<dyn Store>,
     pub(super) protocol: Rc<dyn Protocol>,
     pub(super) in_force: InForce,
+    pub(super) reach: Reach,
     pub(super) directory: RefCell<Directory>,
     pub(super) placement: RefCell<Placement>,
     pub(super) connections: Rc<Connections>,
@@ -53,6 +55,7 @@
             store,
             protocol,
             in_force: InForce::default(),
+            reach: Reach::default(),
             directory: RefCell::new(Directory::open(seed)),
             placement: RefCell::new(placement),
             connections: Rc::default(),
--- a/src/gateway/tenure.rs
+++ b/src/gateway/tenure.rs
@@ -46,29 +46,34 @@
 
     /// Keeps the membership for as long as the process lives.
     ///
+    /// While the store is away, no call to join is made: answers may be lost on the way back only, and
+    /// a member that keeps joining without hearing of it would hold shards that nobody serves. The
+    /// feeds tell when the store is back.
+    ///
     /// The member's name is that of the VM: what an earlier life of this process still holds in the
     /// group is freed at once by its leaving, instead of staying unserved until it lapses.
     pub(super) async fn keep(self: Rc<Self>) {
         if let Err(fault) = limited(self.gateway.store.leave(&self.member)).await {
             log::warn!(fault:display; "an earlier life could not be signed off");
         }
-        let mut failing = false;
         while !self.gateway.draining.get() {
-            match self.join().await {
+            if self.gateway.reach.is_away(self.gateway.now()) {
+                tokio::time::sleep(Duration::from_millis(RETRY_MS)).await;
+                continue;
+            }
+            let pause_ms = match self.join().await {
                 Ok(deal) => {
-                    if std::mem::take(&mut failing) {
-                        log::info!("the membership was renewed again");
-                    }
+                    self.gateway.reach.found(self.gateway.now());
                     if self.follow(deal).await {
                         continue;
                     }
+                    RENEW_MS
                 }
-                Err(fault) if !std::mem::replace(&mut failing, true) => {
-                    log::warn!(fault:display; "the membership can't be renewed");
+                Err(fault) => {
+                    self.gateway.reach.lost(self.gateway.now(), &fault);
+                    RETRY_MS
                 }
-                Err(_) => {}
-            }
-            let pause_ms = if failing { RETRY_MS } else { RENEW_MS };
+            };
             tokio::select! {
                 () = tokio::time::sleep(Duration::from_millis(pause_ms)) => {}
                 () = self.gateway.renew.notified() => {}
--- a/src/gateway/turn.rs
+++ b/src/gateway/turn.rs
@@ -7,6 +7,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::attempt::{Answer, Job};
+use super::bequest::{Bequest, bequeath};
 use super::find::find_chain;
 use super::owned_shard::OwnedShard;
 use super::plain::{Dispatch, end_to_end};
@@ -14,6 +15,7 @@
 use super::state::Gateway;
 use super::{AnswerBody, Refusal};
 use crate::prelude::*;
+use crate::replicas::ReplicaKey;
 use crate::turns::{AccountKey, EventReader, Turn, TurnKey};
 
 /// Pieces of a stream that wait for a slow reader. Source: about one answer.
@@ -25,6 +27,8 @@
 /// A turn at the owner of its program's shard.
 pub(super) struct TurnCall {
     pub(super) job: Job,
+    /// What the caller sent, without the history.
+    pub(super) input: Bytes,
     pub(super) turn: TurnKey,
     pub(super) previous: Option<TurnKey>,
     pub(super) program: AccountKey,
@@ -33,6 +37,31 @@
     pub(super) history_ms: u64,
 }
 
+impl TurnCall {
+    /// Puts the history before the turn's own input.
+    fn continue_from(&mut self, chain: &[(TurnKey, Turn)]) {
+        let mut prompt = Vec::new();
+        let mut parts = Vec::new();
+        for (key, turn) in chain {
+            prompt.extend_from_slice(&turn.input);
+            prompt.extend_from_slice(&turn.output);
+            let bytes = (turn.input.len() + turn.output.len()) as u64;
+            parts.push((key.hash(), bytes / BYTES_PER_TOKEN));
+        }
+        prompt.extend_from_slice(&self.input);
+        self.job.body = prompt.into();
+        self.job.parts = parts;
+    }
+
+    /// The endpoint holds the prompt, and the turn itself as its last part.
+    fn remember_prompt(&mut self, gateway: &Gateway, endpoint: ReplicaKey, output_bytes: usize) {
+        let own_bytes = (self.input.len() + output_bytes) as u64;
+        let mut parts = std::mem::take(&mut self.job.parts);
+        parts.push((self.turn.hash(), own_bytes / BYTES_PER_TOKEN));
+        gateway.placement.borrow_mut().read(gateway.now(), endpoint, &parts);
+    }
+}
+
 /// The first that is known of an answer.
 type Opening = Result<response::Parts, Refusal>;
 
@@ -92,24 +121,9 @@
     async fn run(&mut self) -> Result<(), Refusal> {
         let (gateway, shard) = (self.gateway.clone(), self.shard.clone());
         let mut records = Vec::new();
-        let mut prompt = Vec::new();
-        let mut parts = Vec::new();
         if let Some(previous) = self.call.previous {
             let chain = find_chain(&gateway, &shard, previous, &mut records).await?;
-            for (key, turn) in &chain {
-                prompt.extend_from_slice(&turn.input);
-                prompt.extend_from_slice(&turn.output);
-                let bytes = (turn.input.len() + turn.output.len()) as u64;
-                parts.push((key.hash(), bytes / BYTES_PER_TOKEN));
-            }
-        }
-        let input = self.call.job.body.clone();
-        if !prompt.is_empty() {
-            prompt.extend_from_slice(&input);
-            self.call.job.body = prompt.into();
-        }
-        if !parts.is_empty() {
-            self.call.job.parts = parts;
+            self.call.continue_from(&chain);
         }
         let kept_until = UnixMs(gateway.unix().0 + self.call.history_ms);
         let (mut reservation, reserved) = Reservation::open(
@@ -130,19 +144,23 @@
             return self.pass_failure(answer).await;
         }
         let Answer { head, mut body, lease } = answer;
+        let mut head = Some(head);
         let mut reader = EventReader::default();
-        let mut first = next_piece(&gateway, ends_at, &mut body).await;
+        let mut next = next_piece(&gateway, ends_at, &mut body).await;
         // Tokens may reach the caller only once they are accounted for, or a successor would hand
-        // out the same budget again.
-        if let Some(recorded) = recorded {
-            within(&gateway, ends_at, recorded).await?.map_err(|_| Refusal::OutcomeUnknown)?;
-        }
-        version.into_iter().for_each(|version| reservation.recorded(version));
-        if let Some(opening) = self.opening.take() {
-            drop(opening.send(Ok(head)));
+        // out the same budget again. If this owner can't record that any more, they are withheld
+        // until its successor has.
+        let reserved = match recorded {
+            Some(recorded) => within(&gateway, ends_at, recorded).await?.is_ok(),
+            None => true,
+        };
+        let mut withheld = Vec::new();
+        if reserved {
+            version.into_iter().for_each(|version| reservation.recorded(version));
+            open(&mut self.opening, head.take());
         }
         loop {
-            let piece = match first {
+            let piece = match next {
                 Ok(Some(piece)) => piece,
                 Ok(None) => break,
                 Err(refusal) => {
@@ -154,12 +172,13 @@
             };
             reader.push(&piece);
             let begun = u64::from(!reader.between_events());
-            let per_event = self.call.job.order.tokens_per_event;
-            reservation.used = (reader.events() + begun) * per_event;
-            if self.pieces.send(Some(piece)).await.is_err() {
+            reservation.used = (reader.events() + begun) * self.call.job.order.tokens_per_event;
+            if !reserved {
+                withheld.push(piece);
+            } else if self.pieces.send(Some(piece)).await.is_err() {
                 return Ok(());
             }
-            first = next_piece(&gateway, ends_at, &mut body).await;
+            next = next_piece(&gateway, ends_at, &mut body).await;
         }
         if !reader.between_events() || reader.events() == 0 {
             return Err(Refusal::OutcomeUnknown);
@@ -169,20 +188,50 @@
         lease.finish();
         gateway.cleared(self.call.job.suspect);
         let output: Bytes = reader.into_output().into();
-        let own_bytes = (input.len() + output.len()) as u64;
-        let mut parts = std::mem::take(&mut self.call.job.parts);
-        parts.push((self.call.turn.hash(), own_bytes / BYTES_PER_TOKEN));
-        gateway.placement.borrow_mut().read(gateway.now(), endpoint, &parts);
+        self.call.remember_prompt(&gateway, endpoint, output.len());
+        let input = self.call.input.clone();
         let turn = Turn { parent: self.call.previous, input, output, kept_until, ran_at };
-        let (settled, version) = reservation.settle();
-        let completed = shard.ledger.borrow_mut().complete(self.call.turn, turn);
-        let recorded = shard.writer.append(vec![completed, settled]);
-        within(&gateway, ends_at, recorded).await?.map_err(|_| Refusal::OutcomeUnknown)?;
-        reservation.recorded(version);
+        self.record(&mut reservation, turn, reserved).await?;
+        open(&mut self.opening, head);
+        for piece in withheld {
+            drop(self.pieces.send(Some(piece)).await);
+        }
         drop(self.pieces.send(None).await);
         Ok(())
     }
 
+    /// Makes a turn durable that was answered whole: here, or by the shard's next owner.
+    async fn record(
+        &self,
+        reservation: &mut Reservation,
+        turn: Turn,
+        reserved: bool,
+    ) -> Result<(), Refusal> {
+        let (gateway, shard, ends_at) = (&self.gateway, &self.shard, self.call.job.ends_at);
+        let unreserved = if reserved { 0 } else { reservation.used };
+        let bequest = Bequest {
+            key: self.call.turn,
+            turn: turn.clone(),
+            program: self.call.program,
+            budget: self.call.budget,
+            unreserved,
+        };
+        let (settled, version) = reservation.settle();
+        if reserved {
+            let completed = shard.ledger.borrow_mut().complete(self.call.turn, turn);
+            let recorded = shard.writer.append(vec![completed, settled]);
+            if within(gateway, ends_at, recorded).await?.is_ok() {
+                reservation.recorded(version);
+                return Ok(());
+            }
+        }
+        let request = &self.call.job.request;
+        let recorded = bequeath(gateway, &bequest, ends_at).await;
+        log::info!(request:%, shard = shard.number, epoch = shard.epoch, recorded;
+            "a turn ended after its shard was lost");
+        recorded.then_some(()).ok_or(Refusal::OutcomeUnknown)
+    }
+
     /// Passes on an endpoint's own failure.
     async fn pass_failure(&mut self, answer: Answer) -> Result<(), Refusal> {
         let ends_at = self.call.job.ends_at;
@@ -198,6 +247,13 @@
     }
 }
 
+/// The answer begins to reach the caller, unless it has before.
+fn open(opening: &mut Option<oneshot::Sender<Opening>>, head: Option<response::Parts>) {
+    if let (Some(head), Some(opening)) = (head, opening.take()) {
+        drop(opening.send(Ok(head)));
+    }
+}
+
 /// Waits for something until the request's time is over.
 pub(super) async fn within<T>(
     gateway: &Gateway,
--- a/src/gateway/writer.rs
+++ b/src/gateway/writer.rs
@@ -7,7 +7,6 @@
 use super::owned_shard::{OwnedShard, Stage};
 use super::state::Gateway;
 use super::{Append, StoreError};
-use crate::prelude::*;
 use crate::turns::Record;
 
 /// The most bytes of one batch. Source: half of what the store takes in a call.
@@ -20,9 +19,6 @@
 /// Pause before a failed append is sent again.
 const RETRY_MS: u64 = 40;
 
-/// An append that takes longer than this means that the store is in trouble.
-const TROUBLE_AFTER_MS: u64 = 300;
-
 /// Told once the records are durable; dropped if they never will be under this epoch.
 pub(super) type Recorded = oneshot::Receiver<()>;
 
@@ -31,25 +27,22 @@
 pub(super) struct Writer {
     waiting: RefCell<Vec<(Vec<Record>, oneshot::Sender<()>)>>,
     wake: Notify,
-    sent_at: Cell<Option<TimeMs>>,
     failing: Cell<bool>,
+    closed: Cell<bool>,
 }
 
 impl Writer {
     /// Appends records, whole or not at all. None only confirms the epoch.
     pub(super) fn append(&self, records: Vec<Record>) -> Recorded {
         let (done, recorded) = oneshot::channel();
+        if self.closed.get() {
+            return recorded;
+        }
         self.waiting.borrow_mut().push((records, done));
         self.wake.notify_one();
         recorded
     }
 
-    /// Whether records are stuck: what starts now could not be recorded soon.
-    pub(super) fn is_stuck(&self, now: TimeMs) -> bool {
-        let slow = self.sent_at.get().is_some_and(|at| now.since(at) > TROUBLE_AFTER_MS);
-        slow || self.failing.get()
-    }
-
     fn take(&self) -> (Vec<Record>, Vec<oneshot::Sender<()>>) {
         let mut waiting = self.waiting.borrow_mut();
         let mut bytes = 0;
@@ -93,13 +86,12 @@
 /// its number: the store does it once.
 async fn write(gateway: &Gateway, shard: &OwnedShard, append: &Append) -> bool {
     loop {
-        shard.writer.sent_at.set(Some(gateway.now()));
         let limit = Duration::from_millis(APPEND_TIMEOUT_MS);
         let answer = tokio::time::timeout(limit, gateway.store.append(append)).await;
         let answer = answer.unwrap_or_else(|_| Err(StoreError::NoAnswer("timeout".to_string())));
-        shard.writer.sent_at.set(None);
         match answer {
             Ok(()) => {
+                gateway.reach.found(gateway.now());
                 shard.writer.failing.set(false);
                 return true;
             }
@@ -109,6 +101,7 @@
                 return false;
             }
             Err(fault) => {
+                gateway.reach.lost(gateway.now(), &fault);
                 if !shard.writer.failing.replace(true) {
                     log::warn!(shard = shard.number, fault:display; "records can't be written");
                 }
@@ -124,6 +117,7 @@
 /// The shard's epoch is over: whoever waits for a record is told so by its dropped sender.
 pub(super) fn lose(gateway: &Gateway, shard: &OwnedShard) {
     shard.enter(Stage::Lost);
+    shard.writer.closed.set(true);
     shard.writer.waiting.borrow_mut().clear();
     shard.writer.wake.notify_one();
     let current = gateway.shards.own(shard.number);
--- a/src/turns/ledger.rs
+++ b/src/turns/ledger.rs
@@ -137,6 +137,29 @@
         account.write(key, most)
     }
 
+    /// Charges tokens that another process has generated without a record of this account; yields the
+    /// record, if there is anything to charge. Unlike a turn that starts here, they must fit what is
+    /// left whole: the one turn by which a program may pass its budget may be under way here already.
+    pub fn charge(
+        &mut self,
+        key: AccountKey,
+        budget: u64,
+        tokens: u64,
+        kept_until: UnixMs,
+    ) -> Result<Option<Record>, Spent> {
+        if tokens == 0 {
+            return Ok(None);
+        }
+        let account = self.accounts.entry(key).or_default();
+        let used = account.spent + account.under_way;
+        if used + tokens > budget {
+            return Err(Spent { used, budget });
+        }
+        account.spent += tokens;
+        account.kept_until = account.kept_until.max(kept_until);
+        Ok(Some(account.write(key, 0).0))
+    }
+
     /// A record of the account is durable, and so are those before it.
     pub fn recorded(&mut self, key: AccountKey, version: Version) {
         let Some(account) = self.accounts.get_mut(&key) else {
--- a/src/turns/tests.rs
+++ b/src/turns/tests.rs
@@ -142,3 +142,17 @@
     assert!(!reader.between_events());
     assert_eq!(reader.into_output(), b"one\ntwo\nx\n");
 }
+
+// A turn ran at an owner that lost its shard before it could reserve the turn's tokens. The next owner
+// has begun another turn of the program meanwhile. Each alone may pass the budget by less than a
+// turn; both together would hand out two turns too much.
+#[test]
+fn tokens_of_another_owner_must_fit_what_is_left() {
+    let mut ledger = Ledger::default();
+    let program = account("p");
+    ledger.reserve(program, 100, 80, UnixMs(1)).expect("room").expect("a record");
+    assert!(ledger.charge(program, 100, 30, UnixMs(1)).is_err());
+    let record = ledger.charge(program, 100, 20, UnixMs(1)).expect("room").expect("a record");
+    let mut next = reload(&[record]);
+    assert!(next.reserve(program, 100, 1, UnixMs(1)).is_err());
+}
