Turns go to an owner once it asks for them; silent and faulty endpoints are left out

(2) An endpoint that says nothing breaks no connection: nothing counted against it, also not its own status 500. Changes: a forwarded turn is sent head first (Expect: 100-continue); an owner that does not ask for the body within 250 ms never gets it, and is signed off if it is out of touch. An endpoint that is silent for three times its route's target, while it has free slots, counts as failing, as does a status 500; what may be repeated goes to another endpoint. Two failures in a row are enough to leave one out.

--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -23,6 +23,9 @@
 /// Pause between two entries in the endpoints' list.
 const BEAT: Duration = Duration::from_millis(300);
 
+/// A silent endpoint says nothing for this long: longer than any caller waits.
+const SILENCE: Duration = Duration::from_secs(10);
+
 /// What an endpoint serves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EndpointKind {
@@ -32,6 +35,19 @@
     Tool,
 }
 
+/// What is wrong with an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndpointFault {
+    /// Nothing.
+    None,
+    /// It breaks one in so many answers off after the run.
+    BreaksOneIn(u64),
+    /// It answers one in so many requests with a fault of its own, after the run.
+    FailsOneIn(u64),
+    /// It runs requests and says nothing.
+    Silent,
+}
+
 /// An endpoint on the platform. It stops when the handle is dropped.
 pub struct PlatformEndpoint {
     /// Its id.
@@ -45,8 +61,7 @@
     id: String,
     kind: EndpointKind,
     journal: Arc<Journal>,
-    /// One in so many answers is broken off after the run; zero: none.
-    breaks_one_in: AtomicU64,
+    fault: Mutex<EndpointFault>,
     answers: AtomicU64,
 }
 
@@ -63,7 +78,7 @@
             id: id.to_string(),
             kind,
             journal,
-            breaks_one_in: AtomicU64::new(0),
+            fault: Mutex::new(EndpointFault::None),
             answers: AtomicU64::new(0),
         });
         let serving = state.clone();
@@ -85,9 +100,9 @@
         Ok(PlatformEndpoint { id: id.to_string(), state, _running: running, beating })
     }
 
-    /// From now on, one in so many answers is broken off after the run; zero: none.
-    pub fn break_one_in(&self, answers: u64) {
-        self.state.breaks_one_in.store(answers, Ordering::SeqCst);
+    /// From now on, this is wrong with it.
+    pub fn set_fault(&self, fault: EndpointFault) {
+        *self.state.fault.lock().expect("not poisoned") = fault;
     }
 }
 
@@ -123,9 +138,19 @@
         let id = request.parse().expect("came as a header");
         headers.insert("trefoilproxy-request-id", id);
         headers.insert("trefoilproxy-server-stamp", "stamp".parse().expect("ASCII"));
-        let one_in = self.breaks_one_in.load(Ordering::SeqCst);
         let count = self.answers.fetch_add(1, Ordering::SeqCst) + 1;
-        let breaks = one_in > 0 && count.is_multiple_of(one_in);
+        let fault = *self.fault.lock().expect("not poisoned");
+        let breaks = match fault {
+            EndpointFault::BreaksOneIn(one_in) => count.is_multiple_of(one_in),
+            EndpointFault::FailsOneIn(one_in) if count.is_multiple_of(one_in) => {
+                return answer(StatusCode::INTERNAL_SERVER_ERROR, &headers, whole("fault"));
+            }
+            EndpointFault::Silent => {
+                tokio::time::sleep(SILENCE).await;
+                true
+            }
+            EndpointFault::None | EndpointFault::FailsOneIn(_) => false,
+        };
         match self.kind {
             EndpointKind::Engine => answer(StatusCode::OK, &headers, events(request, breaks)),
             EndpointKind::Tool if breaks => answer(StatusCode::OK, &headers, broken()),
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -3,6 +3,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
+use crate::EndpointFault;
 use crate::platform_store::StoreFault;
 use crate::proxy::LinkFault;
 use crate::world::World;
@@ -101,7 +102,7 @@
             }
             8 => {
                 let endpoint = self.random.random_range(0..world.endpoints.len());
-                world.endpoints[endpoint].break_one_in(4);
+                world.endpoints[endpoint].set_fault(EndpointFault::BreaksOneIn(4));
                 Ends::Endpoint(endpoint)
             }
             _ => {
@@ -129,7 +130,7 @@
                 }
                 Ends::Link(at) => world.links[at].set(LinkFault::None),
                 Ends::Store => world.store.set_fault(StoreFault::None),
-                Ends::Endpoint(at) => world.endpoints[at].break_one_in(0),
+                Ends::Endpoint(at) => world.endpoints[at].set_fault(EndpointFault::None),
             }
         }
         Ok(())
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -15,7 +15,7 @@
 
 pub use caller::{Answer, Caller, Turn};
 pub use checks::{Broken, Checks};
-pub use endpoint::{EndpointKind, PlatformEndpoint};
+pub use endpoint::{EndpointFault, EndpointKind, PlatformEndpoint};
 pub use faults::Faults;
 pub use gateways::{Gateway, free_port};
 pub use journal::{Journal, Run};
--- a/soak/tests/gateways.rs
+++ b/soak/tests/gateways.rs
@@ -3,7 +3,9 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use trefoil_soak::{Answer, Caller, LinkFault, StoreFault, Turn, World, WorldSettings};
+use trefoil_soak::{
+    Answer, Caller, EndpointFault, LinkFault, StoreFault, Turn, World, WorldSettings,
+};
 
 const REVOKE_MS: u64 = 2_000;
 
@@ -183,7 +185,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_lost_answer_repeats_lookups_and_never_actions() {
     let world = world(1).await;
-    world.endpoints.iter().for_each(|endpoint| endpoint.break_one_in(2));
+    world.endpoints.iter().for_each(|e| e.set_fault(EndpointFault::BreaksOneIn(2)));
     let mut unknown = 0;
     for number in 0..20 {
         let answer = world.caller.act(world.entry(0), &format!("act-{number}")).await;
@@ -294,3 +296,68 @@
     let cut: Vec<_> = unanswered.iter().filter(|id| counts.contains_key(*id)).collect();
     assert!(cut.is_empty(), "ran and not answered: {cut:?}");
 }
+
+// An owner stands still while turns of its programs come through other entries. The connections to it
+// stand and take bytes, so that a turn sent to it may run whenever it wakes, and could go nowhere
+// else. It gets the head only; the turn goes to its shard's next owner, and runs once.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_owner_costs_no_turn() {
+    let world = world(3).await;
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    for victim in 0..3 {
+        world.gateways[victim].signal("STOP").expect("sent");
+        for number in 0..12 {
+            let id = format!("frozen-{victim}-{number}");
+            let answer = world.caller.turn(world.entry(victim + 1), &turn(&id, &id, None)).await;
+            assert!(answer.is_served(), "{id}: {answer:?}");
+        }
+        world.gateways[victim].signal("CONT").expect("sent");
+        tokio::time::sleep(Duration::from_millis(2_000)).await;
+    }
+    let counts = world.journal.counts();
+    let twice: Vec<_> = counts.iter().filter(|(_, runs)| **runs > 1).collect();
+    assert!(twice.is_empty(), "{twice:?}");
+}
+
+// One of the endpoints of each service says nothing, and its entry in the list is sound. Callers of
+// lookups are served by another endpoint; callers of turns lose those that reach it until it is left
+// out, and no more, though no connection ever breaks.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_endpoint_is_left_out() {
+    let world = world(1).await;
+    let silent: Vec<_> = ["llm", "desk"]
+        .iter()
+        .filter_map(|service| world.endpoints.iter().find(|e| e.id.starts_with(service)))
+        .collect();
+    assert_eq!(silent.len(), 2);
+    silent.iter().for_each(|endpoint| endpoint.set_fault(EndpointFault::Silent));
+    let mut lost = 0;
+    for number in 0..30 {
+        let looked_up = world.caller.look_up(world.entry(0), &format!("look-{number}")).await;
+        assert!(looked_up.is_served(), "{number}: {looked_up:?}");
+        let id = format!("t{number}");
+        lost +=
+            u32::from(!world.caller.turn(world.entry(0), &turn(&id, &id, None)).await.is_served());
+    }
+    assert!(lost <= 6, "{lost}");
+}
+
+// An endpoint answers every request with a fault of its own. Lookups are served by another, and turns
+// no longer reach it after a few.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_endpoint_that_answers_with_faults_is_left_out() {
+    let world = world(1).await;
+    for service in ["llm", "desk"] {
+        let faulty = world.endpoints.iter().find(|e| e.id.starts_with(service));
+        faulty.expect("one of each").set_fault(EndpointFault::FailsOneIn(1));
+    }
+    let mut failed = 0;
+    for number in 0..40 {
+        let looked_up = world.caller.look_up(world.entry(0), &format!("look-{number}")).await;
+        assert!(looked_up.is_served(), "{number}: {looked_up:?}");
+        let id = format!("t{number}");
+        failed +=
+            u32::from(!world.caller.turn(world.entry(0), &turn(&id, &id, None)).await.is_served());
+    }
+    assert!(failed <= 8, "{failed}");
+}
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -1,14 +1,15 @@
+use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 
-use http::{HeaderMap, Method, Request, Uri, response};
-use http_body_util::Full;
+use http::{HeaderMap, Method, Request, StatusCode, Uri, response};
 use hyper::body::{Bytes, Incoming};
 
 use super::ports::Addressed;
 use super::state::Gateway;
 use super::{Order, Reply};
 use crate::catalog::Repeat;
-use crate::http::{ConnectFault, Connection};
+use crate::http::{ConnectFault, Connection, Outgoing};
 use crate::prelude::*;
 use crate::replicas::ReplicaKey;
 
@@ -30,26 +31,89 @@
     pub(super) ends_at: TimeMs,
 }
 
+/// An endpoint that says nothing for this many times its route's target is silent. Source: a loaded
+/// engine takes up to about twice the target.
+const SILENT_TARGETS: u64 = 3;
+
+/// The shortest silence that counts. Source: what a lost packet costs, twice.
+const SILENT_LEAST_MS: u64 = 500;
+
+/// An answer may have come while this process stood still; it is looked for once more after this time.
+/// Source: what a busy process takes to read all that waits.
+const OWN_DELAY_MS: u64 = 30;
+
 /// Marks a request as running at an endpoint, and holds its connection.
 pub(super) struct Lease {
     gateway: Rc<Gateway>,
     pub(super) endpoint: ReplicaKey,
     pub(super) endpoint_id: Arc<str>,
     connection: Option<Connection>,
+    heard_at: Cell<TimeMs>,
+    silent_after_ms: u64,
+    judged: Cell<bool>,
 }
 
 impl Lease {
-    /// The answer was read whole: the connection serves the next request.
-    pub(super) fn finish(mut self) {
-        self.gateway.directory.borrow_mut().served(self.gateway.now(), self.endpoint);
+    fn open(gateway: &Rc<Gateway>, job: &Job, endpoint: ReplicaKey, id: Arc<str>) -> Lease {
+        gateway.directory.borrow_mut().sent(endpoint);
+        Lease {
+            gateway: gateway.clone(),
+            endpoint,
+            endpoint_id: id,
+            connection: None,
+            heard_at: Cell::new(gateway.now()),
+            silent_after_ms: (SILENT_TARGETS * job.order.target_ms).max(SILENT_LEAST_MS),
+            judged: Cell::new(false),
+        }
+    }
+
+    /// Something of the answer came.
+    pub(super) fn heard(&self) {
+        self.heard_at.set(self.gateway.now());
+    }
+
+    /// The answer was read whole: the connection serves the next request. An endpoint that answers
+    /// with a fault of its own has not served it.
+    pub(super) fn finish(mut self, status: StatusCode) {
+        let now = self.gateway.now();
+        let failed = status == StatusCode::INTERNAL_SERVER_ERROR;
+        match (failed, self.judged.replace(true)) {
+            (true, false) => self.gateway.endpoint_failed(self.endpoint),
+            (true, true) => {}
+            (false, _) => self.gateway.directory.borrow_mut().served(now, self.endpoint),
+        }
         if let Some(connection) = self.connection.take() {
-            self.gateway.connections.keep(self.gateway.now(), connection);
+            self.gateway.connections.keep(now, connection);
+        }
+    }
+
+    /// The endpoint broke off; whoever says so counts it.
+    pub(super) fn broken(self) {
+        self.judged.set(true);
+    }
+
+    /// Counts a silent endpoint as failing, once for a request: it may hold its requests until their
+    /// callers leave, which no error ever tells. One that has more to run than slots is only busy.
+    fn judge_silence(&self) {
+        let silent_ms = self.gateway.now().since(self.heard_at.get());
+        if silent_ms < self.silent_after_ms || self.judged.get() {
+            return;
+        }
+        let directory = self.gateway.directory.borrow();
+        let replica = directory.get(self.endpoint);
+        let busy = replica.is_none_or(|r| r.load() > r.announced.slots);
+        drop(directory);
+        self.judged.set(true);
+        if !busy {
+            log::info!(endpoint:% = self.endpoint_id, silent_ms; "an endpoint is silent");
+            self.gateway.endpoint_failed(self.endpoint);
         }
     }
 }
 
 impl Drop for Lease {
     fn drop(&mut self) {
+        self.judge_silence();
         self.gateway.directory.borrow_mut().over(self.endpoint);
     }
 }
@@ -72,6 +136,8 @@
         /// The endpoint may still be sound: only the kept connection was not.
         stale_connection: bool,
     },
+    /// It was sent, and the endpoint has said nothing for too long. It may have run.
+    Silent,
     /// It was sent and may have run.
     Unknown,
 }
@@ -90,10 +156,15 @@
     let Some(request) = compose(gateway, job, &id) else {
         return Attempted::NeverSent { stale_connection: false };
     };
-    gateway.directory.borrow_mut().sent(endpoint);
-    let mut lease = Lease { gateway: gateway.clone(), endpoint, endpoint_id: id, connection: None };
-    match connection.sender.try_send_request(request).await {
+    let mut lease = Lease::open(gateway, job, endpoint, id);
+    let answer = connection.sender.try_send_request(request);
+    let answer = match heard_within(&lease, answer, job.repeat == Repeat::Idempotent).await {
+        Some(answer) => answer,
+        None => return Attempted::Silent,
+    };
+    match answer {
         Ok(answer) => {
+            lease.heard();
             let (head, body) = answer.into_parts();
             match gateway.protocol.judge(&head, &job.request) {
                 Reply::NotRun => Attempted::NotRun,
@@ -107,15 +178,40 @@
                 }
             }
         }
-        Err(mut fault) => match fault.take_message() {
-            Some(_) => Attempted::NeverSent { stale_connection: connection.reused },
-            None => Attempted::Unknown,
-        },
+        Err(mut fault) => {
+            lease.broken();
+            match fault.take_message() {
+                Some(_) => Attempted::NeverSent { stale_connection: connection.reused },
+                None => Attempted::Unknown,
+            }
+        }
+    }
+}
+
+/// Waits for an answer. A silent endpoint is counted as failing while the request still waits; what
+/// may run again is not left to it.
+async fn heard_within<T>(
+    lease: &Lease,
+    answer: impl Future<Output = T>,
+    may_repeat: bool,
+) -> Option<T> {
+    let mut answer = std::pin::pin!(answer);
+    for wait_ms in [lease.silent_after_ms, OWN_DELAY_MS] {
+        tokio::select! {
+            biased;
+            answer = answer.as_mut() => return Some(answer),
+            () = tokio::time::sleep(Duration::from_millis(wait_ms)) => {}
+        }
+    }
+    lease.judge_silence();
+    match may_repeat {
+        true => None,
+        false => Some(answer.await),
     }
 }
 
-fn compose(gateway: &Gateway, job: &Job, id: &str) -> Option<Request<Full<Bytes>>> {
-    let mut request = Request::new(Full::new(job.body.clone()));
+fn compose(gateway: &Gateway, job: &Job, id: &str) -> Option<Request<Outgoing>> {
+    let mut request = Request::new(Outgoing::whole(job.body.clone()));
     *request.method_mut() = job.method.clone();
     *request.uri_mut() = job.uri.clone();
     *request.headers_mut() = job.headers.clone();
--- a/src/gateway/bequest.rs
+++ b/src/gateway/bequest.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::{Bytes, Incoming};
 use serde::{Deserialize, Serialize};
 use tokio::time::timeout;
@@ -17,6 +17,7 @@
 use super::owned_shard::{OwnedShard, Stage};
 use super::server::status;
 use super::state::Gateway;
+use crate::http::Outgoing;
 use crate::prelude::*;
 use crate::turns::{AccountKey, Turn, TurnKey};
 
@@ -82,7 +83,7 @@
     address: std::net::SocketAddr,
     body: Bytes,
 ) -> Option<StatusCode> {
-    let request = Request::post(BEQUEST_PATH).body(Full::new(body)).ok()?;
+    let request = Request::post(BEQUEST_PATH).body(Outgoing::whole(body)).ok()?;
     let mut connection = gateway.connections.take(gateway.now(), address).await.ok()?;
     let answer = connection.sender.send_request(request).await.ok()?;
     let (head, body) = answer.into_parts();
--- a/src/gateway/find.rs
+++ b/src/gateway/find.rs
@@ -6,14 +6,14 @@
 use std::time::Duration;
 
 use http::Request;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Bytes;
+use http_body_util::{BodyExt, Limited};
 use tokio::time::timeout;
 
 use super::Refusal;
 use super::message::{FindTurn, FoundTurn};
 use super::owned_shard::{OwnedShard, Stage};
 use super::state::Gateway;
+use crate::http::Outgoing;
 use crate::turns::{Record, Turn, TurnKey};
 
 /// Where an entry is asked for a turn.
@@ -144,7 +144,7 @@
 
 async fn call(gateway: &Rc<Gateway>, address: SocketAddr, turn: TurnKey) -> Option<FoundTurn> {
     let question = postcard::to_allocvec(&FindTurn { turn }).ok()?;
-    let request = Request::post(FIND_PATH).body(Full::new(Bytes::from(question))).ok()?;
+    let request = Request::post(FIND_PATH).body(Outgoing::whole(question)).ok()?;
     let mut connection = gateway.connections.take(gateway.now(), address).await.ok()?;
     let answer = connection.sender.send_request(request).await.ok()?;
     let whole = Limited::new(answer.into_body(), CHAIN_MOST_BYTES).collect().await.ok()?;
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -1,19 +1,19 @@
 //! Turns on their way from the entry that took them to the owner of their program's shard.
 
 use std::rc::Rc;
+use std::sync::Mutex;
 use std::time::Duration;
 
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
-use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 
 use super::owned_shard::{OwnedShard, Stage};
 use super::plain::end_to_end;
 use super::state::Gateway;
 use super::turn::{next_piece, within};
 use super::{AnswerBody, Order, Refusal};
-use crate::http::ConnectFault;
+use crate::http::{ConnectFault, Gate, Outgoing};
 use crate::prelude::*;
 
 /// Carries the [`Order`] of a forwarded turn.
@@ -33,6 +33,10 @@
 /// not end in time.
 const OWNER_WAIT_PART: f64 = 0.6;
 
+/// An owner takes a turn within this time or does not get it. Source: a machine whose processor is
+/// held back stands still for up to a tenth of a second.
+const TAKEN_WITHIN_MS: u64 = 250;
+
 /// Pause between two looks for an owner.
 const LOOK_AGAIN_MS: u64 = 20;
 
@@ -81,6 +85,16 @@
             match send(gateway, owner.address, turn).await? {
                 Sent::Answered(response) => return Ok(Served::There(response)),
                 Sent::Moved => gateway.shards.forget(owner.address, Some(shard)),
+                Sent::Silent => {
+                    gateway.shards.forget(owner.address, Some(shard));
+                    let out_of_touch =
+                        !gateway.peers.borrow().in_touch(gateway.now(), owner.address);
+                    log::info!(request:% = turn.request, shard, owner:% = owner.address, out_of_touch;
+                        "the owner of a shard does not take a turn");
+                    if out_of_touch {
+                        sign_off_gone(gateway, owner.address).await;
+                    }
+                }
                 Sent::Unreached(fault) => {
                     gateway.shards.forget(owner.address, None);
                     if fault == ConnectFault::Refused {
@@ -123,9 +137,16 @@
 enum Sent {
     Answered(Response<AnswerBody>),
     Moved,
+    /// It has not taken the turn and never will, though the connection stands.
+    Silent,
     Unreached(ConnectFault),
 }
 
+/// Sends a turn to its owner: the head first, and the body only once the owner asks for it.
+///
+/// A frozen owner, one without power or one behind a cut takes the bytes of a kept connection and
+/// says nothing. Sent whole, the turn might run whenever that owner wakes, so that it could go
+/// nowhere else and its caller lost it. Without its body it can't run.
 async fn send(
     gateway: &Rc<Gateway>,
     address: std::net::SocketAddr,
@@ -135,21 +156,43 @@
         Ok(connection) => connection,
         Err(fault) => return Ok(Sent::Unreached(fault)),
     };
-    let Some(request) = compose(gateway, turn) else {
+    let gate = Arc::new(Gate::default());
+    if turn.body.is_empty() {
+        gate.open();
+    }
+    let (taken, mut is_taken) = oneshot::channel();
+    let Some(request) = compose(gateway, turn, gate.clone(), taken) else {
         return Err(Refusal::TimedOut);
     };
     let answer = connection.sender.try_send_request(request);
-    let response = match within(gateway, turn.ends_at, answer).await? {
+    let mut answer = std::pin::pin!(within(gateway, turn.ends_at, answer));
+    let early = tokio::select! {
+        biased;
+        answer = answer.as_mut() => Some(answer),
+        _ = &mut is_taken => None,
+        () = tokio::time::sleep(Duration::from_millis(TAKEN_WITHIN_MS)) => {
+            if gate.shut() {
+                return Ok(Sent::Silent);
+            }
+            None
+        }
+    };
+    let answer = match early {
+        Some(answer) => answer,
+        None => answer.await,
+    };
+    let response = match answer? {
         Ok(response) => response,
         Err(mut fault) => {
-            return match fault.take_message() {
-                Some(_) => Ok(Sent::Moved),
-                None => Err(Refusal::OutcomeUnknown),
+            return match fault.take_message().is_some() || gate.shut() {
+                true => Ok(Sent::Moved),
+                false => Err(Refusal::OutcomeUnknown),
             };
         }
     };
     let (head, body) = response.into_parts();
     if head.headers.contains_key(MOVED_HEADER) {
+        gate.shut();
         return Ok(Sent::Moved);
     }
     let (pieces, passing) = mpsc::channel(PIECES_WAITING_MOST);
@@ -192,17 +235,31 @@
     }
 }
 
-fn compose(gateway: &Gateway, turn: &Forwarded) -> Option<Request<Full<Bytes>>> {
+fn compose(
+    gateway: &Gateway,
+    turn: &Forwarded,
+    gate: Arc<Gate>,
+    taken: oneshot::Sender<()>,
+) -> Option<Request<Outgoing>> {
     let left_ms = turn.ends_at.since(gateway.now());
     let order = Order { left_ms, ..turn.order.clone() };
     let order = hex::encode(postcard::to_allocvec(&order).ok()?);
-    let mut request = Request::new(Full::new(turn.body.clone()));
+    let mut request = Request::new(Outgoing::held(turn.body.clone(), gate.clone()));
     *request.method_mut() = turn.method.clone();
     *request.uri_mut() = turn.uri.clone();
     let mut headers = turn.headers.clone();
     headers.remove(http::header::AUTHORIZATION);
     headers.insert(ORDER_HEADER, HeaderValue::from_str(&order).ok()?);
     *request.headers_mut() = end_to_end(headers);
+    let asks_first = HeaderValue::from_static("100-continue");
+    request.headers_mut().insert(http::header::EXPECT, asks_first);
+    let taken = Mutex::new(Some(taken));
+    hyper::ext::on_informational(&mut request, move |_| {
+        gate.open();
+        if let Some(taken) = taken.lock().ok().and_then(|mut taken| taken.take()) {
+            taken.send(()).unwrap_or_default();
+        }
+    });
     (left_ms > 0).then_some(request)
 }
 
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -117,6 +117,12 @@
         silent
     }
 
+    /// Whether the entry was heard of late.
+    pub(super) fn in_touch(&self, now: TimeMs, address: SocketAddr) -> bool {
+        let heard_at = self.peers.get(&address).and_then(|peer| peer.heard_at);
+        heard_at.is_some_and(|at| now.since(at) < IN_TOUCH_MS)
+    }
+
     /// Whether an entry has started of late and needs to hear what the others know.
     pub(super) fn has_newcomer(&self, now: TimeMs) -> bool {
         let heard = |peer: &Peer| peer.heard_at.is_some_and(|at| now.since(at) < IN_TOUCH_MS);
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -1,6 +1,6 @@
 use std::rc::Rc;
 
-use http::{Response, response};
+use http::{Response, StatusCode, response};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Bytes;
 
@@ -54,6 +54,10 @@
                     self.not.push(endpoint);
                     self.gateway.endpoint_failed(endpoint);
                 }
+                Attempted::Silent => {
+                    self.may_have_run += 1;
+                    self.not.push(endpoint);
+                }
                 Attempted::Unknown => {
                     self.may_have_run += 1;
                     self.not.push(endpoint);
@@ -74,6 +78,11 @@
         })
     }
 
+    /// Whether another endpoint may be tried after one that has run the request.
+    pub(super) fn may_go_on(&self) -> bool {
+        self.job.repeat == Repeat::Idempotent && self.next().is_some()
+    }
+
     /// An endpoint broke the request off after it was sent.
     pub(super) async fn broke_off(&self, endpoint: ReplicaKey) {
         self.gateway.endpoint_failed(endpoint);
@@ -108,12 +117,17 @@
         let endpoint = lease.endpoint;
         match Limited::new(body, WHOLE_ANSWER_MOST_BYTES).collect().await {
             Ok(whole) => {
-                lease.finish();
+                lease.finish(head.status);
                 gateway.cleared(job.suspect);
-                return Ok(pass_whole(head, whole.to_bytes()));
+                // What the endpoint has failed by a fault of its own, another may serve.
+                let failed = head.status == StatusCode::INTERNAL_SERVER_ERROR;
+                if !failed || !dispatch.may_go_on() {
+                    return Ok(pass_whole(head, whole.to_bytes()));
+                }
+                log::info!(request:% = job.request; "failed at an endpoint; tried at another");
             }
             Err(_) => {
-                drop(lease);
+                lease.broken();
                 dispatch.broke_off(endpoint).await;
                 if job.repeat != Repeat::Idempotent {
                     return Err(Refusal::OutcomeUnknown);
--- a/src/gateway/turn.rs
+++ b/src/gateway/turn.rs
@@ -1,7 +1,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use http::{Response, response};
+use http::{Response, StatusCode, response};
 use http_body_util::BodyExt;
 use hyper::body::{Bytes, Incoming};
 use tokio::sync::{mpsc, oneshot};
@@ -165,11 +165,12 @@
                 Ok(None) => break,
                 Err(refusal) => {
                     let endpoint = lease.endpoint;
-                    drop(lease);
+                    lease.broken();
                     dispatch.broke_off(endpoint).await;
                     return Err(refusal);
                 }
             };
+            lease.heard();
             reader.push(&piece);
             let begun = u64::from(!reader.between_events());
             reservation.used = (reader.events() + begun) * self.call.job.order.tokens_per_event;
@@ -185,7 +186,7 @@
         }
         let endpoint = lease.endpoint;
         let ran_at = lease.endpoint_id.to_string();
-        lease.finish();
+        lease.finish(StatusCode::OK);
         gateway.cleared(self.call.job.suspect);
         let output: Bytes = reader.into_output().into();
         self.call.remember_prompt(&gateway, endpoint, output.len());
@@ -237,7 +238,7 @@
         let ends_at = self.call.job.ends_at;
         let whole = within(&self.gateway, ends_at, answer.body.collect()).await?;
         let whole = whole.map_err(|_| Refusal::OutcomeUnknown)?;
-        answer.lease.finish();
+        answer.lease.finish(answer.head.status);
         if let Some(opening) = self.opening.take() {
             drop(opening.send(Ok(answer.head)));
         }
--- a/src/http/connections.rs
+++ b/src/http/connections.rs
@@ -4,13 +4,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use http_body_util::Full;
-use hyper::body::Bytes;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use super::Outgoing;
 use crate::prelude::*;
 
 /// The longest wait for a new connection. Source: a hundred times the way within a region; a
@@ -40,7 +39,7 @@
     /// Its other end.
     pub address: SocketAddr,
     /// Takes requests.
-    pub sender: SendRequest<Full<Bytes>>,
+    pub sender: SendRequest<Outgoing>,
     /// Whether it has carried a request before.
     pub reused: bool,
     /// How long it may stay unused.
--- a/src/replicas/health.rs
+++ b/src/replicas/health.rs
@@ -19,11 +19,10 @@
 /// network loses in its worst seconds.
 const EJECT_PART: f64 = 0.15;
 
-/// Fewer failures are enough where most answers are failures.
-const EJECT_MOSTLY_FAILURES: f64 = 1.8;
-
-/// What "most" means.
-const EJECT_MOSTLY_PART: f64 = 0.5;
+/// So many failures in a row are enough, however long they take: a seldom used endpoint that serves
+/// nobody would never fail often enough. Source: one that loses one answer in twenty is left out for
+/// nothing once in four hundred requests.
+const EJECT_IN_A_ROW: u32 = 2;
 
 /// How long an endpoint is left out at least, and at most twice that: entries differ, so that they do
 /// not all return to it at once. Doubled each time that its trial fails.
@@ -84,8 +83,7 @@
 
     fn condemns(&self) -> bool {
         let part = self.failures / (self.failures + self.served).max(1.0);
-        (self.failures >= EJECT_FAILURES && part >= EJECT_PART)
-            || (self.failures >= EJECT_MOSTLY_FAILURES && part >= EJECT_MOSTLY_PART)
+        self.failures >= EJECT_FAILURES && part >= EJECT_PART
     }
 }
 
@@ -98,6 +96,8 @@
     own_recent: Recent,
     told: HashMap<u64, (Answers, TimeMs)>,
     recent: Recent,
+    /// Failures since the last answer, of all entries.
+    in_a_row: u32,
     failed_at: Option<TimeMs>,
     ejected_at: TimeMs,
     ejected_until: TimeMs,
@@ -118,6 +118,7 @@
         self.own.served += 1;
         self.own_recent.add(now, one);
         self.recent.add(now, one);
+        self.in_a_row = 0;
         self.trial_left = self.trial_left.saturating_sub(1);
     }
 
@@ -137,6 +138,9 @@
             failures: answers.failures.saturating_sub(before.failures),
             served: answers.served.saturating_sub(before.served),
         };
+        if more.served > 0 {
+            self.in_a_row = 0;
+        }
         match more.failures {
             0 => self.recent.add(now, more),
             _ => self.count_failures(now, more),
@@ -171,10 +175,11 @@
         }
         self.failed_at = Some(now);
         self.recent.add(now, more);
+        self.in_a_row += more.failures;
         let late_news = now.since(self.ejected_at) < LATE_NEWS_MS;
         let condemned = match self.is_on_trial() {
             true => !late_news,
-            false => self.recent.condemns(),
+            false => self.in_a_row >= EJECT_IN_A_ROW || self.recent.condemns(),
         };
         if condemned {
             self.eject(now);
@@ -190,6 +195,7 @@
         self.ejected_at = now;
         self.ejected_until = now.plus(out_ms + self.spread(out_ms));
         self.trial_left = TRIAL_ANSWERS;
+        self.in_a_row = 0;
         self.recent = Recent { at: now, ..Recent::default() };
     }
 
