--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -20,8 +20,14 @@
 use crate::quota::Claim;
 use crate::turns::{AccountKey, TurnKey};
 
-/// When to return if this entry knows no configuration that is fresh enough.
-const NOT_READY_RETRY_MS: u64 = 300;
+/// When to return if this entry knows no configuration yet. Source: one that starts reads it within
+/// some hundred milliseconds.
+const STARTING_RETRY_MS: u64 = 300;
+
+/// When to return if the configuration could not be confirmed for too long. Source: outages last
+/// seconds, and callers come back a few times only; a third of the time that they wait is the longest
+/// that they heed.
+const STALE_RETRY_MS: u64 = 1_000;
 
 /// A request waits for its workspace's rate for one part in so many of its time: one that begins a
 /// program, of the time that its operator aims at; one that goes on with it, of its longest time.
@@ -88,8 +94,9 @@
     body: Incoming,
     seen: &mut Seen,
 ) -> Result<Response<AnswerBody>, Refusal> {
-    let not_ready = Refusal::Unavailable { retry_after_ms: NOT_READY_RETRY_MS };
-    let catalog = gateway.in_force.catalog().ok_or(not_ready)?;
+    let starting = Refusal::Unavailable { retry_after_ms: STARTING_RETRY_MS };
+    let catalog = gateway.in_force.catalog().ok_or(starting)?;
+    let not_ready = Refusal::Unavailable { retry_after_ms: STALE_RETRY_MS };
     let limits = catalog.limits();
     let body = match Limited::new(body, limits.body_bytes).collect().await {
         Ok(whole) => whole.to_bytes(),
