--- a/src/replicas/placement.rs
+++ b/src/replicas/placement.rs
@@ -18,7 +18,7 @@
 const FULL_BATCH_MS: f64 = 20.0;
 
 /// The way to another failure domain and back.
-const OTHER_DOMAIN_MS: f64 = 1.0;
+const OTHER_DOMAIN_MS: f64 = 4.0;
 
 /// Prompt tokens that an engine reads in a millisecond.
 const PREFILL_TOKENS_PER_MS: f64 = 168.0;
