--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -102,7 +102,13 @@
             }
             8 => {
                 let endpoint = self.random.random_range(0..world.endpoints.len());
-                world.endpoints[endpoint].set_fault(EndpointFault::BreaksOneIn(4));
+                let faults = [
+                    EndpointFault::BreaksOneIn(4),
+                    EndpointFault::FailsOneIn(2),
+                    EndpointFault::Silent,
+                ];
+                let fault = faults[self.random.random_range(0..faults.len())];
+                world.endpoints[endpoint].set_fault(fault);
                 Ends::Endpoint(endpoint)
             }
             _ => {
--- a/src/gateway/find.rs
+++ b/src/gateway/find.rs
@@ -23,6 +23,10 @@
 /// takes some ten milliseconds, and a quarter of a second when the store is slow.
 const FIND_TIMEOUT_MS: u64 = 600;
 
+/// The longest wait for one shard's confirmation. The store may be out for some shards only: the others
+/// are told as searched, within the time that the asker waits.
+const CONFIRM_MOST_MS: u64 = 400;
+
 /// The most bytes of a chain. Source: 160,000 tokens at two bytes, with room for the framing.
 const CHAIN_MOST_BYTES: usize = 1 << 20;
 
@@ -120,13 +124,12 @@
     if let Some(chain) = serving.iter().find_map(|shard| held(shard, turn)) {
         return FoundTurn { chain: Some(chain), searched: Vec::new() };
     }
-    let confirmed = serving.iter().map(|shard| shard.writer.append(Vec::new()));
-    let confirmed = futures_util::future::join_all(confirmed);
-    let answers = timeout(Duration::from_millis(FIND_TIMEOUT_MS), confirmed).await;
-    let answers = answers.unwrap_or_default();
+    let limit = Duration::from_millis(CONFIRM_MOST_MS);
+    let confirmed = serving.iter().map(|shard| timeout(limit, shard.writer.append(Vec::new())));
+    let answers = futures_util::future::join_all(confirmed).await;
     // A turn may have been recorded while the confirmations were under way.
     let chain = serving.iter().find_map(|shard| held(shard, turn));
-    let searched = serving.iter().zip(answers).filter(|(_, answer)| answer.is_ok());
+    let searched = serving.iter().zip(answers).filter(|(_, answer)| matches!(answer, Ok(Ok(()))));
     FoundTurn { chain, searched: searched.map(|(shard, _)| shard.number).collect() }
 }
 
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -41,8 +41,9 @@
 /// Crashing requests are told for this long.
 const SUSPECTS_TOLD_MS: u64 = 5_000;
 
-/// Pause between two reads of the list of entries while it can't be read.
-const PEERS_RETRY_MS: u64 = 200;
+/// Pause between two reads of the list of entries while it can't be read. Source: it only matters to
+/// an entry that starts; calls to a store in trouble are part of the trouble.
+const PEERS_RETRY_MS: u64 = 400;
 
 /// Pause between two reads of the list of entries. Source: a new entry tells all that it knows of;
 /// the list only finds those that were announced at the same moment.
@@ -62,16 +63,20 @@
         log::warn!(fault:display; "this entry can't be announced");
         tokio::time::sleep(Duration::from_millis(PEERS_RETRY_MS)).await;
     }
+    let mut failing = false;
     loop {
         let pause_ms = match gateway.store.peers().await {
             Ok(records) => {
+                failing = false;
                 let others = records.into_iter().filter(|record| record.address != own.address);
                 let mut peers = gateway.peers.borrow_mut();
                 others.for_each(|peer| peers.know(gateway.now(), peer.address, peer.name));
                 PEERS_EVERY_MS
             }
             Err(fault) => {
-                log::warn!(fault:display; "the list of entries can't be read");
+                if !std::mem::replace(&mut failing, true) {
+                    log::warn!(fault:display; "the list of entries can't be read");
+                }
                 PEERS_RETRY_MS
             }
         };
