A kept connection decides between endpoints that are alike; numbers and truths are logged as such

Cause: an entry sends to each of 71 endpoints so seldom that its connections close before the next request: a fifth of the requests opened one.

--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -90,7 +90,9 @@
 
     /// The best endpoint for a request.
     pub(super) fn choose(&self, want: &Want) -> Option<ReplicaKey> {
-        self.placement.borrow_mut().choose(self.now(), &self.directory.borrow(), want)
+        let now = self.now();
+        let connected = |address| self.connections.has_kept(now, address);
+        self.placement.borrow_mut().choose(now, &self.directory.borrow(), want, connected)
     }
 
     /// An endpoint broke off or can't be reached.
--- a/src/http/connections.rs
+++ b/src/http/connections.rs
@@ -67,6 +67,13 @@
         }
     }
 
+    /// Whether a connection to `address` is kept that could take a request now.
+    pub fn has_kept(&self, now: TimeMs, address: SocketAddr) -> bool {
+        let usable =
+            |c: &Connection| c.sender.is_ready() && now.since(c.idle_since) < c.idle_most_ms;
+        self.idle.borrow().get(&address).is_some_and(|kept| kept.iter().any(usable))
+    }
+
     fn kept(&self, now: TimeMs, address: SocketAddr) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let kept = idle.get_mut(&address)?;
--- a/src/replicas/placement.rs
+++ b/src/replicas/placement.rs
@@ -5,6 +5,7 @@
 //! it and is full costs a wait of about one running request.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 
 use super::{Directory, ReplicaKey};
 use crate::prelude::*;
@@ -20,6 +21,10 @@
 /// The way to another failure domain and back.
 const OTHER_DOMAIN_MS: f64 = 4.0;
 
+/// What a new connection to an endpoint costs: the way there and back, and the place that it takes among
+/// those that the endpoint accepts. Entries that send seldom would else open one for most requests.
+const NEW_CONNECTION_MS: f64 = 3.0;
+
 /// Prompt tokens that an engine reads in a millisecond.
 const PREFILL_TOKENS_PER_MS: f64 = 168.0;
 
@@ -57,12 +62,14 @@
         Placement { domain, ..Placement::default() }
     }
 
-    /// The best usable endpoint, if there is one.
+    /// The best usable endpoint, if there is one. `connected` tells whether a connection is kept to an
+    /// address.
     pub fn choose(
         &mut self,
         now: TimeMs,
         directory: &Directory,
         want: &Want,
+        connected: impl Fn(SocketAddr) -> bool,
     ) -> Option<ReplicaKey> {
         self.turn = self.turn.wrapping_add(1);
         let untried = |key: &ReplicaKey| !want.not.contains(key);
@@ -89,7 +96,11 @@
             let near = replica.announced.failure_domain == self.domain;
             let way_ms = if near { 0.0 } else { OTHER_DOMAIN_MS };
             let read_ms = self.unread_tokens(now, key, &want.parts) as f64 / PREFILL_TOKENS_PER_MS;
-            let cost_ms = wait_ms + batch_ms + way_ms + read_ms;
+            let open_ms = match connected(replica.announced.address) {
+                true => 0.0,
+                false => NEW_CONNECTION_MS,
+            };
+            let cost_ms = wait_ms + batch_ms + way_ms + read_ms + open_ms;
             // Equal costs are taken in turn, so that idle endpoints share the requests.
             let tie = (at as u64).wrapping_add(self.turn) % 64;
             (key, cost_ms, tie)
--- a/src/replicas/tests.rs
+++ b/src/replicas/tests.rs
@@ -72,8 +72,9 @@
 fn idle_endpoints_share_requests() {
     let directory = with(&[("r", announced("s", 1, 5, 9)), ("q", announced("s", 2, 5, 9))]);
     let mut placement = Placement::open("d".into());
-    let mut chosen: Vec<_> =
-        (0..64).filter_map(|_| placement.choose(TimeMs(0), &directory, &want(&[]))).collect();
+    let mut chosen: Vec<_> = (0..64)
+        .filter_map(|_| placement.choose(TimeMs(0), &directory, &want(&[]), |_| true))
+        .collect();
     chosen.sort();
     chosen.dedup();
     assert_eq!(chosen.len(), 2);
@@ -86,10 +87,16 @@
     let holder = directory.find("q").expect("known");
     placement.read(TimeMs(0), holder, &[(1, 2_000)]);
     for _ in 0..4 {
-        assert_eq!(placement.choose(TimeMs(1), &directory, &want(&[(1, 2_000)])), Some(holder));
+        assert_eq!(
+            placement.choose(TimeMs(1), &directory, &want(&[(1, 2_000)]), |_| true),
+            Some(holder)
+        );
     }
     (0..6).for_each(|_| directory.sent(holder));
-    assert_ne!(placement.choose(TimeMs(1), &directory, &want(&[(1, 2_000)])), Some(holder));
+    assert_ne!(
+        placement.choose(TimeMs(1), &directory, &want(&[(1, 2_000)]), |_| true),
+        Some(holder)
+    );
 }
 
 // An endpoint resets four of ten requests while its health check is good. Thirty entries send to it,
@@ -176,7 +183,7 @@
     for key in keys {
         (0..3).for_each(|_| directory.failed(TimeMs(0), key));
     }
-    assert!(placement.choose(TimeMs(100), &directory, &want(&[])).is_some());
+    assert!(placement.choose(TimeMs(100), &directory, &want(&[]), |_| true).is_some());
 }
 
 #[test]
@@ -185,10 +192,10 @@
     let mut placement = Placement::open("d".into());
     let key = directory.find("r").expect("known");
     (0..3).for_each(|_| directory.failed(TimeMs(0), key));
-    assert_eq!(placement.choose(TimeMs(100), &directory, &want(&[])), None);
-    assert_eq!(placement.choose(TimeMs(1_000), &directory, &want(&[])), Some(key));
+    assert_eq!(placement.choose(TimeMs(100), &directory, &want(&[]), |_| true), None);
+    assert_eq!(placement.choose(TimeMs(1_000), &directory, &want(&[]), |_| true), Some(key));
     directory.sent(key);
-    assert_eq!(placement.choose(TimeMs(1_000), &directory, &want(&[])), None);
+    assert_eq!(placement.choose(TimeMs(1_000), &directory, &want(&[]), |_| true), None);
 }
 
 // One entry can read the list again after an outage; half a second later an endpoint leaves and is
@@ -202,3 +209,16 @@
     directory.tidy(TimeMs(3_300));
     assert!(directory.find("r").is_none());
 }
+
+// Many entries send to many endpoints, each to each so seldom that its connection is closed before the
+// next request. Most requests then open a connection, which endpoints accept a limited number of.
+#[test]
+fn a_kept_connection_decides_between_endpoints_that_are_alike() {
+    let directory = with(&[("r", announced("s", 1, 5, 9)), ("q", announced("s", 2, 5, 9))]);
+    let mut placement = Placement::open("d".into());
+    let kept = directory.find("q").expect("known");
+    for _ in 0..8 {
+        let connected = |address: std::net::SocketAddr| address.port() == 2;
+        assert_eq!(placement.choose(TimeMs(0), &directory, &want(&[]), connected), Some(kept));
+    }
+}
--- a/src/telemetry/logs.rs
+++ b/src/telemetry/logs.rs
@@ -184,9 +184,14 @@
         self.0.push(',');
         self.text(key.as_str());
         self.0.push(':');
-        match value.to_u64() {
-            Some(number) => write!(self.0, "{number}").unwrap_or_default(),
-            None => self.text(&value.to_string()),
+        match (value.to_u64(), value.to_bool(), value.to_f64()) {
+            (Some(number), _, _) => write!(self.0, "{number}").unwrap_or_default(),
+            (None, Some(truth), _) => write!(self.0, "{truth}").unwrap_or_default(),
+            // JSON has no word for what is not a number.
+            (None, None, Some(number)) if number.is_finite() => {
+                write!(self.0, "{number:.3}").unwrap_or_default();
+            }
+            _ => self.text(&value.to_string()),
         }
         Ok(())
     }
--- a/src/telemetry/logs/tests.rs
+++ b/src/telemetry/logs/tests.rs
@@ -30,3 +30,12 @@
         "{{\"level\":\"WARN\",\"msg\":\"lines dropped\",\"lines\":{dropped}}}"
     )));
 }
+
+#[test]
+fn numbers_and_truths_stay_what_they_are() {
+    let pairs = [("share", Value::from(0.5)), ("known", Value::from(true))];
+    let arguments = format_args!("told");
+    let record = Record::builder().args(arguments).key_values(&pairs).build();
+    let parsed: serde_json::Value = serde_json::from_str(&compose(&record)).expect("JSON");
+    assert_eq!((parsed["share"].as_f64(), parsed["known"].as_bool()), (Some(0.5), Some(true)));
+}
