--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -52,13 +52,15 @@
 pub struct PlatformEndpoint {
     /// Its id.
     pub id: String,
+    store: PlatformStore,
     state: Arc<State>,
-    _running: Running,
+    running: Running,
     beating: tokio::task::JoinHandle<()>,
 }
 
 struct State {
-    id: String,
+    /// Its id, which changes when its address is given to another.
+    id: Mutex<String>,
     kind: EndpointKind,
     journal: Arc<Journal>,
     fault: Mutex<EndpointFault>,
@@ -75,7 +77,7 @@
         journal: Arc<Journal>,
     ) -> std::io::Result<PlatformEndpoint> {
         let state = Arc::new(State {
-            id: id.to_string(),
+            id: Mutex::new(id.to_string()),
             kind,
             journal,
             fault: Mutex::new(EndpointFault::None),
@@ -87,17 +89,25 @@
             async move { state.answer(request).await }
         })
         .await?;
-        let (address, service, beat_id) = (running.address, service.to_string(), id.to_string());
-        let beating = tokio::spawn(async move {
-            for sequence in 0_u64.. {
-                let entry = json!({"service": service, "address": address, "zone": "a",
-                    "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0,
-                    "seqNo": sequence, "born": 1});
-                store.put("keyed.servers", &beat_id, Some(entry));
-                tokio::time::sleep(BEAT).await;
-            }
-        });
-        Ok(PlatformEndpoint { id: id.to_string(), state, _running: running, beating })
+        let beating = beat(store.clone(), id.to_string(), service, running.address, "ready");
+        Ok(PlatformEndpoint { id: id.to_string(), store, state, running, beating })
+    }
+
+    /// It says that it is leaving, and goes on serving what reaches it.
+    pub fn drain(&mut self, service: &str) {
+        self.beating.abort();
+        let (store, address) = (self.store.clone(), self.running.address);
+        self.beating = beat(store, self.id.clone(), service, address, "draining");
+    }
+
+    /// It is gone without a word, and its address belongs to an endpoint of another service, which
+    /// enters itself in the list; the old entry stays there.
+    pub fn replace(&mut self, id: &str, service: &str) {
+        self.beating.abort();
+        *self.state.id.lock().expect("not poisoned") = id.to_string();
+        self.id = id.to_string();
+        let (store, address) = (self.store.clone(), self.running.address);
+        self.beating = beat(store, id.to_string(), service, address, "ready");
     }
 
     /// From now on, this is wrong with it.
@@ -119,7 +129,8 @@
             let value = head.headers.get(name).and_then(|value| value.to_str().ok());
             value.unwrap_or_default().to_string()
         };
-        if text("trefoilproxy-expect-instance") != self.id {
+        let id = self.id.lock().expect("not poisoned").clone();
+        if text("trefoilproxy-expect-instance") != id {
             return answer(StatusCode::MISDIRECTED_REQUEST, &HeaderMap::new(), whole("other"));
         }
         let Ok(body) = body.collect().await else {
@@ -128,7 +139,7 @@
         let request = text("trefoilproxy-request-id");
         self.journal.ran(Run {
             request: request.clone(),
-            endpoint: self.id.clone(),
+            endpoint: id,
             workspace: text("trefoilproxy-tenant"),
             body: body.to_bytes().to_vec(),
             had_key: head.headers.contains_key("authorization"),
@@ -161,6 +172,28 @@
     }
 }
 
+/// Keeps an endpoint's entry in the list.
+fn beat(
+    store: PlatformStore,
+    id: String,
+    service: &str,
+    address: SocketAddr,
+    state: &'static str,
+) -> tokio::task::JoinHandle<()> {
+    let service = service.to_string();
+    tokio::spawn(async move {
+        // Later states of one life have higher numbers.
+        let first = if state == "ready" { 0_u64 } else { 1 << 32 };
+        for sequence in first.. {
+            let entry = json!({"service": service, "address": address, "zone": "a",
+                "version": "v1", "slots": 8, "state": state, "coldLeftMs": 0,
+                "seqNo": sequence, "born": 1});
+            store.put("keyed.servers", &id, Some(entry));
+            tokio::time::sleep(BEAT).await;
+        }
+    })
+}
+
 /// The data of a turn's events, as its successor's prompt holds them.
 pub(crate) fn output_of(request: &str) -> String {
     (0..EVENTS).map(|event| format!("{request}-{event}\n")).collect()
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -41,6 +41,8 @@
     pub journal: Arc<Journal>,
     /// A caller whose key is in force.
     pub caller: Caller,
+    /// The workspaces' rate and burst, in the next configuration.
+    pub rate_per_s: u64,
     version: u64,
     _running: Running,
 }
@@ -81,6 +83,7 @@
             endpoints,
             journal,
             caller,
+            rate_per_s: 10_000,
             version: 0,
             _running: running,
         };
@@ -92,6 +95,7 @@
     /// Publishes a configuration in which two workspaces hold these keys.
     pub fn configure(&mut self, keys: &[&str], other_keys: &[&str]) {
         self.version += 1;
+        let rate = self.rate_per_s;
         let route = |name: &str, kind: &str, prefix: &str, service: &str, extra: Value| {
             let mut route = json!({"name": name, "hostname": "soak.example", "pathPrefix": prefix,
                 "routeType": kind, "timeoutMs": 3000, "targetLatencyMs": 200, "priority": 0,
@@ -114,8 +118,8 @@
                 ],
                 "services": [{"name": "llm", "engine": {"stride": 20}}, {"name": "desk"}],
                 "tenants": [
-                    {"name": "ours", "apiKeys": keys, "ratePerS": 10_000, "burst": 10_000},
-                    {"name": "theirs", "apiKeys": other_keys, "ratePerS": 10_000, "burst": 10_000},
+                    {"name": "ours", "apiKeys": keys, "ratePerS": rate, "burst": rate},
+                    {"name": "theirs", "apiKeys": other_keys, "ratePerS": rate, "burst": rate},
                 ],
             })),
         );
--- a/soak/tests/gateways.rs
+++ b/soak/tests/gateways.rs
@@ -3,12 +3,16 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use trefoil_soak::{
     Answer, Caller, EndpointFault, LinkFault, StoreFault, Turn, World, WorldSettings,
 };
 
 const REVOKE_MS: u64 = 2_000;
 
+/// An endpoint that leaves gets nothing new after this.
+const DRAIN_MS: u64 = 2_000;
+
 fn program() -> PathBuf {
     // Tests lie in target/PROFILE/deps, programs beside that folder.
     let test = std::env::current_exe().expect("a running test has a path");
@@ -361,3 +365,113 @@
     }
     assert!(failed <= 8, "{failed}");
 }
+
+// An endpoint says that it is leaving. Requests that reach it later than the platform allows are cut
+// when it ends, so that from then on none may.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_endpoint_that_leaves_gets_nothing_new() {
+    let mut world = world(2).await;
+    let at = world.endpoints.iter().position(|e| e.id.starts_with("desk")).expect("one");
+    let leaving = world.endpoints[at].id.clone();
+    world.endpoints[at].drain("desk");
+    tokio::time::sleep(Duration::from_millis(DRAIN_MS)).await;
+    for number in 0..40 {
+        let answer = world.caller.look_up(world.entry(number), &format!("after-{number}")).await;
+        assert!(answer.is_served(), "{answer:?}");
+    }
+    let runs = world.journal.runs();
+    let late =
+        runs.iter().filter(|run| run.endpoint == leaving && run.request.starts_with("after"));
+    assert_eq!(late.count(), 0);
+}
+
+// An endpoint dies, and its address is given to one of another service while its entry is still in the
+// list. Turns must not run at a service that their route does not name, and lookups are served there.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_reused_address_runs_nothing_of_the_old_service() {
+    let mut world = world(2).await;
+    let at = world.endpoints.iter().position(|e| e.id.starts_with("desk")).expect("one");
+    world.endpoints[at].replace("llm-reborn", "llm");
+    for number in 0..30 {
+        let looked_up = world.caller.look_up(world.entry(number), &format!("look-{number}")).await;
+        assert!(looked_up.is_served(), "{looked_up:?}");
+    }
+    let runs = world.journal.runs();
+    let strayed =
+        runs.iter().filter(|r| r.endpoint == "llm-reborn" && r.request.starts_with("look"));
+    assert_eq!(strayed.count(), 0);
+}
+
+// One workspace floods all entries, while one of them is killed and starts again. The rate holds over
+// all entries in any window, and the others go on.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_rate_holds_over_all_entries_through_the_death_of_one() {
+    const RATE_PER_S: u64 = 40;
+    const WINDOW: Duration = Duration::from_secs(5);
+    let mut world = world(3).await;
+    world.rate_per_s = RATE_PER_S;
+    world.configure(&["secret-key-in-force"], &["other-key"]);
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let flood = (0..3).map(|entry| {
+        let (caller, address) = (world.caller.clone(), world.entry(entry));
+        tokio::spawn(async move {
+            for number in 0..400 {
+                caller.look_up(address, &format!("flood-{entry}-{number}")).await;
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        })
+    });
+    let flood: Vec<_> = flood.collect();
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    world.gateways[1].kill().expect("killed");
+    world.gateways[1].start().expect("started");
+    for line in flood {
+        line.await.expect("no panic");
+    }
+    let mut at: Vec<_> =
+        world.journal.runs().into_iter().filter(|r| r.request.starts_with("flood")).collect();
+    at.sort_by_key(|run| run.at);
+    let windows = at.iter().map(|first| {
+        at.iter().filter(|run| run.at >= first.at && run.at < first.at + WINDOW).count()
+    });
+    let most = windows.max().unwrap_or(0) as u64;
+    let allowed = (RATE_PER_S * 5 + RATE_PER_S) * 11 / 10 + 20;
+    assert!(most <= allowed, "{most} of {allowed}");
+    assert!(most >= RATE_PER_S, "{most}");
+}
+
+// A request that names its length twice, once as chunks, could carry a second one inside it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_inside_another_never_runs() {
+    let world = world(1).await;
+    let inner = "GET /lookups/1 HTTP/1.1\r\nhost: soak.example\r\n\
+        authorization: Bearer secret-key-in-force\r\ntrefoilproxy-request-id: smuggled\r\n\r\n";
+    let outer = format!(
+        "POST /actions/1 HTTP/1.1\r\nhost: soak.example\r\n\
+        authorization: Bearer secret-key-in-force\r\ntrefoilproxy-request-id: outer\r\n\
+        trefoilproxy-deadline-ms: 1000\r\ncontent-length: {}\r\n\
+        transfer-encoding: chunked\r\n\r\n0\r\n\r\n{inner}",
+        inner.len() + 5
+    );
+    let mut stream = tokio::net::TcpStream::connect(world.entry(0)).await.expect("connected");
+    stream.write_all(outer.as_bytes()).await.expect("sent");
+    let mut answer = Vec::new();
+    let reading = stream.read_to_end(&mut answer);
+    drop(tokio::time::timeout(Duration::from_millis(1_500), reading).await);
+    assert!(!world.journal.counts().contains_key("smuggled"));
+    assert!(world.caller.look_up(world.entry(0), "after").await.is_served());
+}
+
+// A head larger than any configuration allows is refused, and costs other callers nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_oversized_head_is_refused() {
+    let world = world(1).await;
+    let head = format!("GET /lookups/1 HTTP/1.1\r\nx-long: {}\r\n\r\n", "x".repeat(200_000));
+    let mut stream = tokio::net::TcpStream::connect(world.entry(0)).await.expect("connected");
+    drop(stream.write_all(head.as_bytes()).await);
+    let mut answer = Vec::new();
+    let reading = stream.read_to_end(&mut answer);
+    drop(tokio::time::timeout(Duration::from_millis(1_500), reading).await);
+    assert!(!answer.starts_with(b"HTTP/1.1 2"), "{:?}", String::from_utf8_lossy(&answer));
+    assert!(world.caller.look_up(world.entry(0), "after").await.is_served());
+}
