Only what is awaited of an endpoint counts as its silence

Cause: an endpoint was taken for silent when its caller left, though the turn had waited for the store: in an outage all sound endpoints were blamed, and left out just when the store was back. Change: silence counts only while something is awaited of the endpoint.

--- a/soak/tests/gateways.rs
+++ b/soak/tests/gateways.rs
@@ -323,6 +323,34 @@
     assert!(twice.is_empty(), "{twice:?}");
 }
 
+// The store is away for longer than callers wait. Turns run, and their first tokens wait for the store
+// until their callers leave. That is not the endpoints' silence: counted against them, sound endpoints
+// were left out just when the store was back.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_outage_of_the_store_is_not_the_endpoints_silence() {
+    let world = world(1).await;
+    world.store.set_fault(StoreFault::Down);
+    let turns = (0..8).map(|number| {
+        let (caller, entry) = (world.caller.clone(), world.entry(0));
+        tokio::spawn(async move {
+            let id = format!("t{number}");
+            let asked = turn(&id, &id, None);
+            let leaves = Duration::from_millis(1_200);
+            tokio::time::timeout(leaves, caller.turn(entry, &asked)).await.is_ok()
+        })
+    });
+    for asked in turns.collect::<Vec<_>>() {
+        assert!(!asked.await.expect("no panic"), "no turn may end while the store is away");
+    }
+    world.store.set_fault(StoreFault::None);
+    served(&world, 0, turn("after", "after", None)).await;
+    // Lines are written a few times a second.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let lines = world.gateways[0].lines();
+    let blamed: Vec<_> = lines.iter().filter(|line| line.contains("endpoint is silent")).collect();
+    assert!(blamed.is_empty(), "{blamed:?}");
+}
+
 // One of the endpoints of each service says nothing, and its entry in the list is sound. Callers of
 // lookups are served by another endpoint; callers of turns lose those that reach it until it is left
 // out, and no more, though no connection ever breaks.
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -48,7 +48,9 @@
     pub(super) endpoint: ReplicaKey,
     pub(super) endpoint_id: Arc<str>,
     connection: Option<Connection>,
-    heard_at: Cell<TimeMs>,
+    /// Since when something is awaited of the endpoint; none while the request waits for others: its
+    /// caller, or the store.
+    awaited_since: Cell<Option<TimeMs>>,
     silent_after_ms: u64,
     judged: Cell<bool>,
 }
@@ -61,15 +63,20 @@
             endpoint,
             endpoint_id: id,
             connection: None,
-            heard_at: Cell::new(gateway.now()),
+            awaited_since: Cell::new(Some(gateway.now())),
             silent_after_ms: (SILENT_TARGETS * job.order.target_ms).max(SILENT_LEAST_MS),
             judged: Cell::new(false),
         }
     }
 
-    /// Something of the answer came.
+    /// Something of the answer came; nothing more is awaited for now.
     pub(super) fn heard(&self) {
-        self.heard_at.set(self.gateway.now());
+        self.awaited_since.set(None);
+    }
+
+    /// More of the answer is awaited.
+    pub(super) fn listen(&self) {
+        self.awaited_since.set(Some(self.gateway.now()));
     }
 
     /// The answer was read whole: the connection serves the next request. An endpoint that answers
@@ -95,7 +102,10 @@
     /// Counts a silent endpoint as failing, once for a request: it may hold its requests until their
     /// callers leave, which no error ever tells. One that has more to run than slots is only busy.
     fn judge_silence(&self) {
-        let silent_ms = self.gateway.now().since(self.heard_at.get());
+        let Some(since) = self.awaited_since.get() else {
+            return;
+        };
+        let silent_ms = self.gateway.now().since(since);
         if silent_ms < self.silent_after_ms || self.judged.get() {
             return;
         }
--- a/src/gateway/endpoint_feed.rs
+++ b/src/gateway/endpoint_feed.rs
@@ -7,15 +7,20 @@
 use crate::prelude::*;
 use crate::replicas::Change;
 
-/// Pause between two reads of the endpoints' list. Source: an endpoint that leaves must get nothing
-/// new after two seconds; a quarter of that leaves room for a slow answer and a second read.
-const POLL_MS: u64 = 400;
+/// The longest pause between two reads of the endpoints' list. Source: an endpoint that crashed or came
+/// is known soon enough, against the price of a read.
+const POLL_MOST_MS: u64 = 400;
+
+/// The pause is one part in so many of the time after which a leaving endpoint must get nothing new.
+/// Source: leaves room for a slow answer, a lost one and the read after it.
+const POLL_PART: u64 = 5;
 
 /// The longest that a read may take.
 const READ_TIMEOUT_MS: u64 = 700;
 
 /// Follows the endpoints' list for as long as the process lives.
 pub(super) async fn follow_endpoints(gateway: Rc<Gateway>) {
+    let pause_ms = POLL_MOST_MS.min(gateway.settings.bounds.drain_ms / POLL_PART);
     let mut from = None;
     let mut failing = false;
     loop {
@@ -41,7 +46,7 @@
         }
         gateway.directory.borrow_mut().tidy(gateway.now());
         gateway.connections.tidy(gateway.now());
-        tokio::time::sleep(Duration::from_millis(POLL_MS)).await;
+        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
     }
 }
 
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -115,6 +115,7 @@
     loop {
         let Answer { head, body, lease } = dispatch.answer().await?;
         let endpoint = lease.endpoint;
+        lease.listen();
         match Limited::new(body, WHOLE_ANSWER_MOST_BYTES).collect().await {
             Ok(whole) => {
                 lease.finish(head.status);
--- a/src/gateway/turn.rs
+++ b/src/gateway/turn.rs
@@ -146,7 +146,9 @@
         let Answer { head, mut body, lease } = answer;
         let mut head = Some(head);
         let mut reader = EventReader::default();
+        lease.listen();
         let mut next = next_piece(&gateway, ends_at, &mut body).await;
+        lease.heard();
         // Tokens may reach the caller only once they are accounted for, or a successor would hand
         // out the same budget again. If this owner can't record that any more, they are withheld
         // until its successor has.
@@ -170,7 +172,6 @@
                     return Err(refusal);
                 }
             };
-            lease.heard();
             reader.push(&piece);
             let begun = u64::from(!reader.between_events());
             reservation.used = (reader.events() + begun) * self.call.job.order.tokens_per_event;
@@ -179,7 +180,9 @@
             } else if self.pieces.send(Some(piece)).await.is_err() {
                 return Ok(());
             }
+            lease.listen();
             next = next_piece(&gateway, ends_at, &mut body).await;
+            lease.heard();
         }
         if !reader.between_events() || reader.events() == 0 {
             return Err(Refusal::OutcomeUnknown);
