Batches are numbered from another start in each life of a process

Its earlier life could not be signed off, so that it was dealt shard 2 in generation 4 again, under epoch 262145 as before. Its batches began at 1, as the earlier life's had; the store took them for repeats of its last five appends, acknowledged them and stored nothing. Ruled out: the search (all six shards were confirmed by their owners), the turn's own record at a later owner (two were recorded so, neither of this program), expiry (60 s). Change: batches are numbered from the wall clock of the process's start.

--- a/soak/tests/gateways.rs
+++ b/soak/tests/gateways.rs
@@ -123,6 +123,27 @@
     assert_eq!(prompt_of(&world, &next), format!("say t0;{}say t1;", output("t0")));
 }
 
+// A process starts again while the store is away, so that it can't sign its earlier life off, and is
+// dealt its shards under the epoch that it had. Its first batches bore the numbers of the earlier life's,
+// and the store took them for repeats: turns were acknowledged, seen to end, and never stored.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_life_that_is_taken_for_the_earlier_one_loses_no_turn() {
+    let mut world = world(1).await;
+    world.gateways[0].kill().expect("killed");
+    world.gateways[0].start().expect("started");
+    served(&world, 0, turn("t0", "p", None)).await;
+    world.gateways[0].kill().expect("killed");
+    world.store.set_fault(StoreFault::Down);
+    world.gateways[0].start().expect("started");
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    world.store.set_fault(StoreFault::None);
+    let kept = served(&world, 0, turn("t1", "p", None)).await;
+    world.gateways[0].kill().expect("killed");
+    world.gateways[0].start().expect("started");
+    let next = served(&world, 0, turn("t2", "p", Some(&kept))).await;
+    assert_eq!(prompt_of(&world, &next), format!("say t1;{}say t2;", output(&kept)));
+}
+
 // The store does appends and loses their answers. An owner that wrote them again under another number
 // would record turns twice; one that gave up would lose turns that are recorded.
 #[tokio::test(flavor = "multi_thread")]
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -37,6 +37,12 @@
     pub(super) renew: Notify,
     /// Set by SIGTERM.
     pub(super) draining: Cell<bool>,
+    /// Where the batches of an epoch are numbered from, different in each life of the process. An
+    /// epoch is that of the deal: a process that starts again while the store can't be told of it may
+    /// be dealt its shards under the epoch that it had. Numbered alike, its batches would be taken for
+    /// repeats, acknowledged and not stored; so they are out of sequence, and the shard is taken again
+    /// under a later epoch.
+    pub(super) first_sequence: u64,
     /// Requests of callers and peers being served.
     pub(super) running: Cell<u32>,
     clock: Clock,
@@ -51,7 +57,9 @@
         let shards = ShardTable::open(store.shards());
         let seed = Digest::of(&[settings.name.as_bytes()]).prefix();
         let placement = Placement::open(settings.failure_domain.clone());
+        let clock = Clock::start();
         Rc::new(Gateway {
+            first_sequence: clock.unix().0,
             store,
             protocol,
             in_force: InForce::default(),
@@ -67,7 +75,7 @@
             renew: Notify::new(),
             draining: Cell::new(false),
             running: Cell::new(0),
-            clock: Clock::start(),
+            clock,
             settings,
         })
     }
--- a/src/gateway/writer.rs
+++ b/src/gateway/writer.rs
@@ -63,7 +63,7 @@
 
 /// Writes a shard's records until its epoch is over.
 pub(super) async fn write_records(gateway: Rc<Gateway>, shard: Rc<OwnedShard>) {
-    let mut sequence = 0;
+    let mut sequence = gateway.first_sequence;
     while shard.stage() != Stage::Lost {
         let (records, done) = shard.writer.take();
         if done.is_empty() {
