--- /dev/null
+++ b/soak/tests/callers.rs
@@ -0,0 +1,161 @@
+//! What callers may rely on at the door of real gateways.
+
+mod common;
+
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use trefoil_soak::LinkFault;
+
+use common::{REVOKE_MS, turn, world};
+
+// A key is withdrawn while the store is out of reach of one entry. That entry can't know; it must
+// stop to serve keys by itself before the bound, and must not call the key unknown on its own.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_withdrawn_key_runs_nothing_at_an_entry_that_cannot_know() {
+    let mut world = world(2).await;
+    world.links[0].set(LinkFault::Silent);
+    world.configure(&["a-new-key"], &["other-key"]);
+    tokio::time::sleep(Duration::from_millis(REVOKE_MS + 100)).await;
+    let answer = world.caller.look_up(world.entry(0), "late-0").await;
+    assert_eq!(answer.status, Some(503), "{answer:?}");
+    let answer = world.caller.look_up(world.entry(1), "late-1").await;
+    assert_eq!(answer.status, Some(401), "{answer:?}");
+    assert!(!world.journal.counts().keys().any(|id| id.starts_with("late-")));
+}
+
+// An entry is stopped while callers keep sending to it. Each request is answered, by it or by the
+// owner that has taken its shards over, and its process ends by itself.
+#[tokio::test(flavor = "multi_thread")]
+async fn stopping_an_entry_loses_no_request() {
+    let mut world = world(2).await;
+    let (caller, entry) = (world.caller.clone(), world.entry(0));
+    let asking = tokio::spawn(async move {
+        let mut answers = Vec::new();
+        for number in 0..60 {
+            let asked = turn(&format!("t{number}"), &format!("p{number}"), None);
+            answers.push(caller.turn(entry, &asked).await);
+        }
+        answers
+    });
+    tokio::time::sleep(Duration::from_millis(150)).await;
+    world.gateways[0].signal("TERM").expect("sent");
+    let answers = asking.await.expect("no panic");
+    let cut = answers.iter().filter(|answer| answer.status.is_some() && !answer.whole);
+    assert_eq!(cut.count(), 0);
+    let unknown = answers.iter().filter(|answer| matches!(answer.status, Some(502 | 504)));
+    assert_eq!(unknown.count(), 0);
+    let status = world.gateways[0].wait_end(Duration::from_secs(6)).expect("waited");
+    assert!(status.is_some_and(|status| status.success()));
+}
+
+// An entry is stopped while callers keep opening connections to it until it is gone. A request that
+// was read in the last moment was sent to an endpoint and cut by the end of the process: its caller
+// got no answer though it had run.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_is_read_in_the_last_moment_is_answered() {
+    let mut world = world(1).await;
+    let entry = world.entry(0);
+    let callers = (0..24).map(|line| {
+        let caller = world.caller.clone();
+        tokio::spawn(async move {
+            let mut unanswered = Vec::new();
+            for number in 0.. {
+                let request = format!("last-{line}-{number}");
+                let answer = caller.look_up(entry, &request).await;
+                if answer.status.is_none() {
+                    unanswered.push(request);
+                }
+                if unanswered.len() >= 20 {
+                    break;
+                }
+            }
+            unanswered
+        })
+    });
+    let callers: Vec<_> = callers.collect();
+    world.gateways[0].signal("TERM").expect("sent");
+    let status = world.gateways[0].wait_end(Duration::from_secs(6)).expect("waited");
+    assert!(status.is_some_and(|status| status.success()));
+    let mut unanswered = Vec::new();
+    for caller in callers {
+        unanswered.extend(caller.await.expect("no panic"));
+    }
+    let counts = world.journal.counts();
+    let cut: Vec<_> = unanswered.iter().filter(|id| counts.contains_key(*id)).collect();
+    assert!(cut.is_empty(), "ran and not answered: {cut:?}");
+}
+
+// One workspace floods all entries, while one of them is killed and starts again. The rate holds over
+// all entries in any window, and the others go on.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_rate_holds_over_all_entries_through_the_death_of_one() {
+    const RATE_PER_S: u64 = 40;
+    const WINDOW: Duration = Duration::from_secs(5);
+    let mut world = world(3).await;
+    world.rate_per_s = RATE_PER_S;
+    world.configure(&["secret-key-in-force"], &["other-key"]);
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let flood = (0..3).map(|entry| {
+        let (caller, address) = (world.caller.clone(), world.entry(entry));
+        tokio::spawn(async move {
+            for number in 0..400 {
+                caller.look_up(address, &format!("flood-{entry}-{number}")).await;
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        })
+    });
+    let flood: Vec<_> = flood.collect();
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    world.gateways[1].kill().expect("killed");
+    world.gateways[1].start().expect("started");
+    for line in flood {
+        line.await.expect("no panic");
+    }
+    let mut at: Vec<_> =
+        world.journal.runs().into_iter().filter(|r| r.request.starts_with("flood")).collect();
+    at.sort_by_key(|run| run.at);
+    let windows = at.iter().map(|first| {
+        at.iter().filter(|run| run.at >= first.at && run.at < first.at + WINDOW).count()
+    });
+    let most = windows.max().unwrap_or(0) as u64;
+    let allowed = (RATE_PER_S * 5 + RATE_PER_S) * 11 / 10 + 20;
+    assert!(most <= allowed, "{most} of {allowed}");
+    assert!(most >= RATE_PER_S, "{most}");
+}
+
+// A request that names its length twice, once as chunks, could carry a second one inside it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_inside_another_never_runs() {
+    let world = world(1).await;
+    let inner = "GET /lookups/1 HTTP/1.1\r\nhost: soak.example\r\n\
+        authorization: Bearer secret-key-in-force\r\ntrefoilproxy-request-id: smuggled\r\n\r\n";
+    let outer = format!(
+        "POST /actions/1 HTTP/1.1\r\nhost: soak.example\r\n\
+        authorization: Bearer secret-key-in-force\r\ntrefoilproxy-request-id: outer\r\n\
+        trefoilproxy-deadline-ms: 1000\r\ncontent-length: {}\r\n\
+        transfer-encoding: chunked\r\n\r\n0\r\n\r\n{inner}",
+        inner.len() + 5
+    );
+    let mut stream = tokio::net::TcpStream::connect(world.entry(0)).await.expect("connected");
+    stream.write_all(outer.as_bytes()).await.expect("sent");
+    let mut answer = Vec::new();
+    let reading = stream.read_to_end(&mut answer);
+    drop(tokio::time::timeout(Duration::from_millis(1_500), reading).await);
+    assert!(!world.journal.counts().contains_key("smuggled"));
+    assert!(world.caller.look_up(world.entry(0), "after").await.is_served());
+}
+
+// A head larger than any configuration allows is refused, and costs other callers nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_oversized_head_is_refused() {
+    let world = world(1).await;
+    let head = format!("GET /lookups/1 HTTP/1.1\r\nx-long: {}\r\n\r\n", "x".repeat(200_000));
+    let mut stream = tokio::net::TcpStream::connect(world.entry(0)).await.expect("connected");
+    drop(stream.write_all(head.as_bytes()).await);
+    let mut answer = Vec::new();
+    let reading = stream.read_to_end(&mut answer);
+    drop(tokio::time::timeout(Duration::from_millis(1_500), reading).await);
+    assert!(!answer.starts_with(b"HTTP/1.1 2"), "{:?}", String::from_utf8_lossy(&answer));
+    assert!(world.caller.look_up(world.entry(0), "after").await.is_served());
+}
--- /dev/null
+++ b/soak/tests/common/mod.rs
@@ -0,0 +1,56 @@
+//! What the tests over real gateways share.
+
+// Each file of tests uses a part of it.
+#![allow(dead_code)]
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use trefoil_soak::{Turn, World, WorldSettings};
+
+/// A withdrawn key must not be served later than this.
+pub const REVOKE_MS: u64 = 2_000;
+
+fn program() -> PathBuf {
+    // Tests lie in target/PROFILE/deps, programs beside that folder.
+    let test = std::env::current_exe().expect("a running test has a path");
+    test.parent().and_then(|deps| deps.parent()).expect("deps").join("trefoilproxyd-platform")
+}
+
+pub async fn world(gateways: usize) -> World {
+    let settings = WorldSettings { program: program(), gateways, revoke_ms: REVOKE_MS };
+    World::start(&settings).await.expect("the world starts")
+}
+
+pub fn turn(request: &str, program: &str, previous: Option<&str>) -> Turn {
+    Turn {
+        request: request.to_string(),
+        program: program.to_string(),
+        previous: previous.map(str::to_string),
+        input: format!("say {request};"),
+        budget: 10_000,
+    }
+}
+
+pub fn output(request: &str) -> String {
+    (0..3).map(|event| format!("{request}-{event}\n")).collect()
+}
+
+pub fn prompt_of(world: &World, request: &str) -> String {
+    let runs = world.journal.runs();
+    let run = runs.iter().find(|run| run.request == request).expect("it has run");
+    String::from_utf8(run.body.clone()).expect("text")
+}
+
+/// Asks until it is served, with a new id each time, as callers do.
+pub async fn served(world: &World, entry: usize, mut asked: Turn) -> String {
+    let first = asked.request.clone();
+    for attempt in 0..40 {
+        asked.request = format!("{first}.{attempt}");
+        if world.caller.turn(world.entry(entry + attempt), &asked).await.is_served() {
+            return asked.request;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    panic!("{first} was never served; {:?}", world.gateways[0].lines());
+}
