Every turn with a budget is charged by its program's owner; a resumable stream goes on elsewhere

Cause: a turn whose route keeps no history went to an endpoint from whichever entry it reached, and was never charged: a looping program ran 21 turns over a budget of three. Its stream was passed on only once it was whole, its prompt was not remembered for placement, and a broken one was lost though its route lets it go on. Ruled out: a grant to the entry that took the turn (not built: one hop costs 1 ms here, and a grant needs the owner's append all the same). Change: turns with a budget go to the owner of the program's account, with or without history. A stream of a resumable route goes on at another endpoint behind its last whole event when the first breaks off, dies or stalls; one head, no event twice, no part of a cut event. Placement goes by the parts of the prompt that the caller names, also for turns that continue a history. Cutting at each byte found that a request was refused for want of an endpoint while others were left out for their failures: placement now tries those for what may run again.

--- a/soak/src/bin/trefoil-soak.rs
+++ b/soak/src/bin/trefoil-soak.rs
@@ -114,6 +114,7 @@
             previous: Some(previous.to_string()),
             input,
             budget: 10_000,
+            ..Turn::default()
         };
         let answer = world.caller.turn(world.entry(number + attempt), &turn).await;
         if answer.is_served() {
--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -14,9 +14,21 @@
 /// The most tokens of one turn.
 pub(crate) const MOST_TOKENS: u64 = 60;
 
+/// What becomes of a turn's history, and of its stream.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum TurnKind {
+    /// The system keeps what was said; a broken stream is lost.
+    #[default]
+    Kept,
+    /// Nothing is kept but the program's account; a broken stream may go on elsewhere.
+    Resumable,
+}
+
 /// A turn to ask for.
 #[derive(Debug, Clone, Default)]
 pub struct Turn {
+    /// On which route.
+    pub kind: TurnKind,
     /// Its request id.
     pub request: String,
     /// Its program.
@@ -69,8 +81,12 @@
 impl Caller {
     /// Asks an entry for a turn.
     pub async fn turn(&self, entry: SocketAddr, turn: &Turn) -> Answer {
+        let path = match turn.kind {
+            TurnKind::Kept => "/turns/1",
+            TurnKind::Resumable => "/asks/1",
+        };
         let mut request = self
-            .request(Method::POST, "/turns/1", &turn.request)
+            .request(Method::POST, path, &turn.request)
             .header("trefoilproxy-program-id", &turn.program)
             .header("trefoilproxy-token-budget", turn.budget)
             .header("trefoilproxy-token-count", format!("10,{MOST_TOKENS}"));
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -49,11 +49,12 @@
     fn of_request(&self, asked: &Asked) -> Vec<Broken> {
         let runs = self.runs.get(asked.request.as_str()).map_or(&[][..], Vec::as_slice);
         let answer = &asked.answer;
-        let turn = asked.kind == Kind::Turn;
+        let turn = matches!(asked.kind, Kind::Turn | Kind::Ask);
+        let once = matches!(asked.kind, Kind::Turn | Kind::Action);
         let body = String::from_utf8_lossy(&answer.body);
         let served = answer.is_served();
         let checks = [
-            ("at most one run", asked.kind != Kind::Lookup && runs.len() > 1),
+            ("at most one run", once && runs.len() > 1),
             ("a refusal that says not run is true", answer.promises() && !runs.is_empty()),
             ("a success has run", served && runs.is_empty()),
             (
@@ -82,7 +83,8 @@
 
     fn budgets(&self) -> Vec<Broken> {
         let mut tokens: HashMap<&str, u64> = HashMap::new();
-        for asked in self.report.asked.iter().filter(|asked| asked.kind == Kind::Turn) {
+        let turn = |asked: &&Asked| matches!(asked.kind, Kind::Turn | Kind::Ask);
+        for asked in self.report.asked.iter().filter(turn) {
             *tokens.entry(&asked.program).or_default() += asked.answer.events() * TOKENS_PER_EVENT;
         }
         let most = self.report.budget + MOST_TOKENS;
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -46,6 +46,10 @@
     FailsOneIn(u64),
     /// It runs requests and says nothing.
     Silent,
+    /// It breaks the first run of each request off after so many bytes of its events.
+    CutsFirstRunAfter(usize),
+    /// It says nothing more after the first event of the first run of each request.
+    StallsFirstRun,
 }
 
 /// An endpoint on the platform. It stops when the handle is dropped.
@@ -160,10 +164,24 @@
                 tokio::time::sleep(SILENCE).await;
                 true
             }
-            EndpointFault::None | EndpointFault::FailsOneIn(_) => false,
+            EndpointFault::None
+            | EndpointFault::FailsOneIn(_)
+            | EndpointFault::CutsFirstRunAfter(_)
+            | EndpointFault::StallsFirstRun => false,
+        };
+        let first_run = self.journal.counts().get(&request) == Some(&1);
+        let ending = match fault {
+            EndpointFault::CutsFirstRunAfter(bytes) if first_run => Ending::CutAfter(bytes),
+            EndpointFault::StallsFirstRun if first_run => Ending::StalledAfterOne,
+            _ if breaks => Ending::CutAfter(event_text(&request, 0).len()),
+            _ => Ending::Whole,
         };
         match self.kind {
-            EndpointKind::Engine => answer(StatusCode::OK, &headers, events(request, breaks)),
+            EndpointKind::Engine => {
+                let last_event = text("last-event-id").parse::<u64>().ok();
+                let from = last_event.map_or(0, |event| event + 1);
+                answer(StatusCode::OK, &headers, events(request, from, ending))
+            }
             EndpointKind::Tool if breaks => answer(StatusCode::OK, &headers, broken()),
             EndpointKind::Tool => {
                 answer(StatusCode::OK, &headers, whole(&format!("ran {request}")))
@@ -199,21 +217,41 @@
     (0..EVENTS).map(|event| format!("{request}-{event}\n")).collect()
 }
 
-fn events(request: String, breaks: bool) -> Body {
-    let last = if breaks { 1 } else { EVENTS };
-    let stream = futures_util::stream::iter(0..=last).then(move |event| {
-        let request = request.clone();
-        async move {
-            tokio::time::sleep(EVENT_PAUSE).await;
-            match event {
-                event if event < last => {
-                    let text = format!("id: {event}\ndata: {request}-{event}\n\n");
-                    Some(Ok(Frame::data(Bytes::from(text))))
-                }
-                _ if breaks => Some(Err(std::io::Error::other("broken off"))),
-                _ => None,
-            }
+/// How a stream of events ends.
+#[derive(Debug, Clone, Copy)]
+enum Ending {
+    Whole,
+    /// The connection breaks after so many bytes.
+    CutAfter(usize),
+    /// Nothing comes after the first event.
+    StalledAfterOne,
+}
+
+/// An event as it stands on the wire.
+pub(crate) fn event_text(request: &str, event: u64) -> String {
+    format!("id: {event}\ndata: {request}-{event}\n\n")
+}
+
+fn events(request: String, from: u64, ending: Ending) -> Body {
+    let mut pieces: Vec<_> = (from..EVENTS).map(|event| event_text(&request, event)).collect();
+    if let Ending::CutAfter(bytes) = ending {
+        let mut left = bytes;
+        for piece in &mut pieces {
+            piece.truncate(left);
+            left -= piece.len();
         }
+    }
+    let pieces = pieces.into_iter().filter(|piece| !piece.is_empty());
+    let pieces = pieces.map(|piece| Some(Ok(Frame::data(Bytes::from(piece)))));
+    let last = match ending {
+        Ending::Whole => None,
+        _ => Some(Err(std::io::Error::other("broken off"))),
+    };
+    let stream = futures_util::stream::iter(pieces.chain([last]).enumerate());
+    let stream = stream.then(move |(at, piece)| async move {
+        let stalls = matches!(ending, Ending::StalledAfterOne) && at > 0;
+        tokio::time::sleep(if stalls { SILENCE } else { EVENT_PAUSE }).await;
+        piece
     });
     BodyExt::boxed(StreamBody::new(stream.filter_map(std::future::ready)))
 }
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -13,7 +13,7 @@
 mod store_state;
 mod world;
 
-pub use caller::{Answer, Caller, Turn};
+pub use caller::{Answer, Caller, Turn, TurnKind};
 pub use checks::{Broken, Checks};
 pub use endpoint::{EndpointFault, EndpointKind, PlatformEndpoint};
 pub use faults::Faults;
--- a/soak/src/program.rs
+++ b/soak/src/program.rs
@@ -4,7 +4,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-use crate::caller::{Answer, Caller, Turn};
+use crate::caller::{Answer, Caller, Turn, TurnKind};
 
 /// Pause of a program between its requests.
 const PAUSE: Duration = Duration::from_millis(30);
@@ -12,11 +12,16 @@
 /// A program's budget: some of the longer ones spend it.
 const BUDGET: u64 = 600;
 
+/// One line in so many plays programs whose history is not kept.
+const ASKS_ONE_LINE_IN: u64 = 3;
+
 /// What was asked for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Kind {
-    /// A turn of a program.
+    /// A turn of a program whose history is kept.
     Turn,
+    /// A turn of a program whose streams may go on elsewhere.
+    Ask,
     /// A call that may run twice.
     Lookup,
     /// A call that must not.
@@ -88,19 +93,27 @@
             break;
         }
         let program = format!("p{line}-{number}");
-        play_program(&caller, &entries, &mut random, &program, until, &mut report).await;
+        let turns = match line % ASKS_ONE_LINE_IN {
+            0 => Kind::Ask,
+            _ => Kind::Turn,
+        };
+        let line = Line { caller: &caller, entries: &entries, turns, until };
+        play_program(line, &mut random, &program, &mut report).await;
     }
     report
 }
 
-async fn play_program(
-    caller: &Caller,
-    entries: &[SocketAddr],
-    random: &mut StdRng,
-    program: &str,
+/// What the programs of a line share.
+struct Line<'a> {
+    caller: &'a Caller,
+    entries: &'a [SocketAddr],
+    /// Which kind of turns they ask for.
+    turns: Kind,
     until: Instant,
-    report: &mut Report,
-) {
+}
+
+async fn play_program(line: Line<'_>, random: &mut StdRng, program: &str, report: &mut Report) {
+    let Line { caller, entries, turns, until } = line;
     let (mut previous, mut said): (Option<String>, String) = (None, String::new());
     for step in 0..random.random_range(2..14_u32) {
         if Instant::now() >= until {
@@ -111,7 +124,7 @@
         let kind = match random.random_range(0..4_u32) {
             0 => Kind::Lookup,
             1 => Kind::Action,
-            _ => Kind::Turn,
+            _ => turns,
         };
         let input = format!("say {request};");
         let prompt = format!("{said}{input}");
@@ -119,11 +132,14 @@
         let answer = match kind {
             Kind::Lookup => caller.look_up(entry, &request).await,
             Kind::Action => caller.act(entry, &request).await,
-            Kind::Turn => {
+            Kind::Turn | Kind::Ask => {
                 let (request, program) = (request.clone(), program.to_string());
-                let previous = previous.clone();
-                let turn = Turn { request, program, previous, input, budget: BUDGET };
-                caller.turn(entry, &turn).await
+                let (previous, budget) = (previous.clone(), BUDGET);
+                let kind = match kind {
+                    Kind::Ask => TurnKind::Resumable,
+                    _ => TurnKind::Kept,
+                };
+                caller.turn(entry, &Turn { kind, request, program, previous, input, budget }).await
             }
         };
         let continues = previous.is_some();
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -106,6 +106,7 @@
             route
         };
         let turns = json!({"stateful": true, "retentionS": 60.0});
+        let asks = json!({"resumable": true, "retentionS": 60.0});
         self.store.put(
             "keyed.op",
             "config",
@@ -113,6 +114,7 @@
                 "version": self.version,
                 "routes": [
                     route("turns", "streaming", "/turns/", "llm", turns),
+                    route("asks", "streaming", "/asks/", "llm", asks),
                     route("lookups", "idempotent", "/lookups/", "desk", json!({})),
                     route("actions", "non_idempotent", "/actions/", "desk", json!({"attempts": 1})),
                 ],
@@ -161,7 +163,7 @@
                 program: format!("probe-program-{part}"),
                 budget: u64::MAX / 2,
                 input: "probe".to_string(),
-                previous: None,
+                ..crate::Turn::default()
             };
             if !self.caller.turn(entry, &turn).await.is_served() {
                 return false;
--- a/soak/tests/common/mod.rs
+++ b/soak/tests/common/mod.rs
@@ -6,7 +6,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use trefoil_soak::{Turn, World, WorldSettings};
+use trefoil_soak::{Answer, Turn, TurnKind, World, WorldSettings};
 
 /// A withdrawn key must not be served later than this.
 pub const REVOKE_MS: u64 = 2_000;
@@ -29,9 +29,22 @@
         previous: previous.map(str::to_string),
         input: format!("say {request};"),
         budget: 10_000,
+        ..Turn::default()
     }
 }
 
+/// A turn whose history is not kept, and whose stream may go on elsewhere.
+pub fn ask(request: &str, program: &str) -> Turn {
+    Turn { kind: TurnKind::Resumable, ..turn(request, program, None) }
+}
+
+/// The data of the events that came.
+pub fn data(answer: &Answer) -> String {
+    let body = String::from_utf8_lossy(&answer.body);
+    let lines = body.lines().filter_map(|line| line.strip_prefix("data: "));
+    lines.map(|line| format!("{line}\n")).collect()
+}
+
 pub fn output(request: &str) -> String {
     (0..3).map(|event| format!("{request}-{event}\n")).collect()
 }
--- a/src/catalog/route.rs
+++ b/src/catalog/route.rs
@@ -1,7 +1,7 @@
 use crate::prelude::*;
 
 /// Whether a request may run more than once.
-#[value]
+#[wire]
 #[derive(Copy)]
 pub enum Repeat {
     /// Running twice does no harm.
@@ -10,6 +10,20 @@
     AtMostOnce,
     /// At most one run, answered by a stream of events.
     Stream,
+    /// Answered by a stream of events that may go on at another endpoint from the last whole event.
+    ResumableStream,
+}
+
+impl Repeat {
+    /// Whether the answer is a stream of events.
+    pub fn is_stream(self) -> bool {
+        matches!(self, Repeat::Stream | Repeat::ResumableStream)
+    }
+
+    /// Whether another endpoint may run what one may have run already.
+    pub fn may_run_again(self) -> bool {
+        matches!(self, Repeat::Idempotent | Repeat::ResumableStream)
+    }
 }
 
 /// One of the services that share a route.
@@ -40,8 +54,10 @@
     pub priority: u8,
     /// The most endpoints that one request may be sent to.
     pub attempts: u32,
-    /// How long a turn's history is kept; none where the route keeps no history.
-    pub history_ms: Option<u64>,
+    /// Whether the system keeps what was said, and puts it before the next turn.
+    pub keeps_history: bool,
+    /// How long histories and the accounts of programs are kept after their last use.
+    pub retention_ms: u64,
     /// Whether no key is asked for.
     pub public: bool,
     /// The services, one or several.
--- a/src/catalog/tests.rs
+++ b/src/catalog/tests.rs
@@ -11,7 +11,8 @@
         gap_target_ms: 0,
         priority: 0,
         attempts: 2,
-        history_ms: None,
+        keeps_history: false,
+        retention_ms: 60_000,
         public: false,
         backends: vec![Backend { service: service.into(), weight: 1 }],
     }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -8,12 +8,12 @@
 use super::ports::Addressed;
 use super::state::Gateway;
 use super::{Order, Reply};
-use crate::catalog::Repeat;
 use crate::http::{ConnectFault, Connection, Outgoing};
 use crate::prelude::*;
 use crate::replicas::ReplicaKey;
 
 /// A request on its way to an endpoint.
+#[derive(Clone)]
 pub(super) struct Job {
     pub(super) request: Arc<str>,
     pub(super) method: Method,
@@ -22,7 +22,6 @@
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
     pub(super) order: Order,
-    pub(super) repeat: Repeat,
     /// Parts of its prompt, as hashes, with their tokens.
     pub(super) parts: Vec<(u64, u64)>,
     /// What its crashes are counted under.
@@ -101,13 +100,15 @@
 
     /// Counts a silent endpoint as failing, once for a request: it may hold its requests until their
     /// callers leave, which no error ever tells. One that has more to run than slots is only busy.
-    fn judge_silence(&self) {
+    ///
+    /// Yields whether it does.
+    pub(super) fn judge_silence(&self) -> bool {
         let Some(since) = self.awaited_since.get() else {
-            return;
+            return false;
         };
         let silent_ms = self.gateway.now().since(since);
         if silent_ms < self.silent_after_ms || self.judged.get() {
-            return;
+            return false;
         }
         let directory = self.gateway.directory.borrow();
         let replica = directory.get(self.endpoint);
@@ -118,6 +119,12 @@
             log::info!(endpoint:% = self.endpoint_id, silent_ms; "an endpoint is silent");
             self.gateway.endpoint_failed(self.endpoint);
         }
+        !busy
+    }
+
+    /// How long an endpoint may say nothing.
+    pub(super) fn silent_after_ms(&self) -> u64 {
+        self.silent_after_ms
     }
 }
 
@@ -153,7 +160,14 @@
 }
 
 /// Sends a request to one endpoint and waits for the head of its answer.
-pub(super) async fn attempt(gateway: &Rc<Gateway>, job: &Job, endpoint: ReplicaKey) -> Attempted {
+///
+/// An answer whose first events the caller has goes on behind the event named `last_event`.
+pub(super) async fn attempt(
+    gateway: &Rc<Gateway>,
+    job: &Job,
+    endpoint: ReplicaKey,
+    last_event: Option<&str>,
+) -> Attempted {
     let Some((address, id)) = gateway.endpoint(endpoint) else {
         return Attempted::NeverSent { stale_connection: false };
     };
@@ -163,12 +177,12 @@
             return Attempted::NeverSent { stale_connection: false };
         }
     };
-    let Some(request) = compose(gateway, job, &id) else {
+    let Some(request) = compose(gateway, job, &id, last_event) else {
         return Attempted::NeverSent { stale_connection: false };
     };
     let mut lease = Lease::open(gateway, job, endpoint, id);
     let answer = connection.sender.try_send_request(request);
-    let answer = match heard_within(&lease, answer, job.repeat == Repeat::Idempotent).await {
+    let answer = match heard_within(&lease, answer, job.order.repeat.may_run_again()).await {
         Some(answer) => answer,
         None => return Attempted::Silent,
     };
@@ -220,7 +234,12 @@
     }
 }
 
-fn compose(gateway: &Gateway, job: &Job, id: &str) -> Option<Request<Outgoing>> {
+fn compose(
+    gateway: &Gateway,
+    job: &Job,
+    id: &str,
+    last_event: Option<&str>,
+) -> Option<Request<Outgoing>> {
     let mut request = Request::new(Outgoing::whole(job.body.clone()));
     *request.method_mut() = job.method.clone();
     *request.uri_mut() = job.uri.clone();
@@ -230,8 +249,9 @@
         endpoint: id,
         workspace: &job.order.workspace,
         left_ms,
-        priority: (job.repeat == Repeat::Stream).then_some(job.order.priority),
+        priority: job.order.repeat.is_stream().then_some(job.order.priority),
         pin_ms: None,
+        last_event,
     };
     gateway.protocol.address(request.headers_mut(), &addressed);
     (left_ms > 0).then_some(request)
--- a/src/gateway/bequest.rs
+++ b/src/gateway/bequest.rs
@@ -19,7 +19,7 @@
 use super::state::Gateway;
 use crate::http::Outgoing;
 use crate::prelude::*;
-use crate::turns::{AccountKey, Turn, TurnKey};
+use crate::turns::{AccountKey, Ledger, Record, Turn, TurnKey};
 
 /// Where an entry takes other entries' turns over.
 pub(super) const BEQUEST_PATH: &str = "/record-turn";
@@ -37,16 +37,16 @@
 /// A turn that its owner could not record.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(super) struct Bequest {
-    /// Its key.
-    pub(super) key: TurnKey,
-    /// What was asked and answered.
-    pub(super) turn: Turn,
+    /// What was asked and answered, where the history is kept.
+    pub(super) turn: Option<(TurnKey, Turn)>,
     /// Its program.
     pub(super) program: AccountKey,
     /// Tokens that the program may generate in all.
     pub(super) budget: u64,
     /// Tokens of the turn that no durable record has reserved.
     pub(super) unreserved: u64,
+    /// The program's account is kept at least until then.
+    pub(super) kept_until: UnixMs,
 }
 
 /// Has the shard's next owner record the turn; `false` if the time was over before, or the next owner
@@ -100,25 +100,27 @@
 async fn record(shard: &OwnedShard, bequest: &Bequest) -> bool {
     let records = {
         let mut ledger = shard.ledger.borrow_mut();
-        let orphan = bequest.turn.parent.is_some_and(|parent| ledger.turn(parent).is_none());
-        if orphan {
+        let parent = bequest.turn.as_ref().and_then(|(_, turn)| turn.parent);
+        if parent.is_some_and(|parent| ledger.turn(parent).is_none()) {
             return false;
         }
         // The last owner's append may have been done although it was not answered.
-        if ledger.turn(bequest.key).is_some() {
-            Vec::new()
-        } else {
-            let kept_until = bequest.turn.kept_until;
-            let charged =
-                ledger.charge(bequest.program, bequest.budget, bequest.unreserved, kept_until);
-            let Ok(charged) = charged else {
-                return false;
-            };
-            let completed = ledger.complete(bequest.key, bequest.turn.clone());
-            charged.into_iter().chain([completed]).collect()
-        }
+        let known = bequest.turn.as_ref().is_some_and(|(key, _)| ledger.turn(*key).is_some());
+        if known { Some(Vec::new()) } else { take_over(&mut ledger, bequest) }
     };
-    shard.writer.append(records).await.is_ok()
+    match records {
+        Some(records) => shard.writer.append(records).await.is_ok(),
+        None => false,
+    }
+}
+
+/// The records that make a turn durable; nothing if its tokens do not fit the budget.
+fn take_over(ledger: &mut Ledger, bequest: &Bequest) -> Option<Vec<Record>> {
+    let Bequest { program, budget, unreserved, kept_until, .. } = *bequest;
+    let charged = ledger.charge(program, budget, unreserved, kept_until).ok()?;
+    let turn = bequest.turn.clone();
+    let completed = turn.map(|(key, turn)| ledger.complete(key, turn));
+    Some(charged.into_iter().chain(completed).collect())
 }
 
 /// Answers another entry that has a turn to be recorded here.
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -1,5 +1,6 @@
 use serde::{Deserialize, Serialize};
 
+use crate::catalog::Repeat;
 use crate::prelude::*;
 
 /// What the head of a request says, decoded.
@@ -42,8 +43,12 @@
     pub attempts: u32,
     /// The time to its first byte that its operator aims at.
     pub target_ms: u64,
-    /// How long its history is kept; none: it has no history.
-    pub history_ms: Option<u64>,
+    /// Whether it may run more than once.
+    pub repeat: Repeat,
+    /// Whether what was said is kept.
+    pub keeps_history: bool,
+    /// How long its history and its program's account are kept.
+    pub retention_ms: u64,
     /// Tokens that one event stands for.
     pub tokens_per_event: u64,
     /// Its rank: zero is first.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -8,10 +8,11 @@
 use hyper::body::{Bytes, Incoming};
 use tokio::sync::{mpsc, oneshot};
 
+use super::event_stream::next_frame;
 use super::owned_shard::{OwnedShard, Stage};
 use super::plain::end_to_end;
 use super::state::Gateway;
-use super::turn::{next_piece, within};
+use super::turn::within;
 use super::{AnswerBody, Order, Refusal};
 use crate::http::{ConnectFault, Gate, Outgoing};
 use crate::prelude::*;
@@ -219,10 +220,10 @@
 ) -> bool {
     loop {
         let next = tokio::select! {
-            next = next_piece(&gateway, ends_at, &mut body) => next,
+            next = within(&gateway, ends_at, next_frame(&mut body)) => next,
             () = pieces.closed() => return false,
         };
-        let Ok(piece) = next else {
+        let Ok(Ok(piece)) = next else {
             return false;
         };
         let ended = piece.is_none();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod call;
 mod config_feed;
 mod endpoint_feed;
+mod event_stream;
 mod failure;
 mod find;
 mod forward;
--- a/src/gateway/observe.rs
+++ b/src/gateway/observe.rs
@@ -11,11 +11,11 @@
 
 /// The class of a route's requests.
 pub(super) fn class(route: &Route) -> &'static str {
-    match (route.repeat, route.history_ms) {
-        (Repeat::Idempotent, _) => "idempotent",
-        (Repeat::AtMostOnce, _) => "at_most_once",
-        (Repeat::Stream, None) => "stream",
-        (Repeat::Stream, Some(_)) => "turn",
+    match route.repeat {
+        Repeat::Idempotent => "idempotent",
+        Repeat::AtMostOnce => "at_most_once",
+        Repeat::Stream | Repeat::ResumableStream if route.keeps_history => "turn",
+        Repeat::Stream | Repeat::ResumableStream => "stream",
     }
 }
 
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -7,7 +7,6 @@
 use super::attempt::{Answer, Attempted, Job, attempt};
 use super::state::Gateway;
 use super::{AnswerBody, Refusal};
-use crate::catalog::Repeat;
 use crate::replicas::{ReplicaKey, Want};
 
 /// The most bytes of an answer that is held until it is whole.
@@ -21,24 +20,32 @@
 const NO_ENDPOINT_RETRY_MS: u64 = 150;
 
 /// Attempts of one request, one after the other.
-pub(super) struct Dispatch<'a> {
-    gateway: &'a Rc<Gateway>,
-    job: &'a Job,
+pub(super) struct Dispatch {
+    gateway: Rc<Gateway>,
+    job: Rc<Job>,
     not: Vec<ReplicaKey>,
     may_have_run: u32,
     not_run: u32,
+    /// The last event that the caller has; the next endpoint goes on behind it.
+    last_event: Option<String>,
 }
 
-impl<'a> Dispatch<'a> {
-    pub(super) fn open(gateway: &'a Rc<Gateway>, job: &'a Job) -> Dispatch<'a> {
-        Dispatch { gateway, job, not: Vec::new(), may_have_run: 0, not_run: 0 }
+impl Dispatch {
+    pub(super) fn open(gateway: &Rc<Gateway>, job: &Rc<Job>) -> Dispatch {
+        let (gateway, job) = (gateway.clone(), job.clone());
+        Dispatch { gateway, job, not: vec![], may_have_run: 0, not_run: 0, last_event: None }
+    }
+
+    /// The next endpoint goes on behind the event named `last_event`.
+    pub(super) fn go_on_behind(&mut self, last_event: Option<String>) {
+        self.last_event = last_event;
     }
 
     /// The next endpoint's answer. What may run once only is tried again only while it is certain
     /// that it has not run.
     pub(super) async fn answer(&mut self) -> Result<Answer, Refusal> {
         while let Some(endpoint) = self.next() {
-            match attempt(self.gateway, self.job, endpoint).await {
+            match attempt(&self.gateway, &self.job, endpoint, self.last_event.as_deref()).await {
                 Attempted::Answered(answer) => {
                     self.may_have_run += 1;
                     self.not.push(endpoint);
@@ -62,7 +69,7 @@
                     self.may_have_run += 1;
                     self.not.push(endpoint);
                     self.broke_off(endpoint).await;
-                    if self.job.repeat != Repeat::Idempotent {
+                    if !self.job.order.repeat.may_run_again() {
                         return Err(Refusal::OutcomeUnknown);
                     }
                 }
@@ -80,27 +87,31 @@
 
     /// Whether another endpoint may be tried after one that has run the request.
     pub(super) fn may_go_on(&self) -> bool {
-        self.job.repeat == Repeat::Idempotent && self.next().is_some()
+        !self.is_spent() && self.job.order.repeat.may_run_again()
     }
 
     /// An endpoint broke the request off after it was sent.
     pub(super) async fn broke_off(&self, endpoint: ReplicaKey) {
         self.gateway.endpoint_failed(endpoint);
-        self.gateway.suspect(self.job, endpoint).await;
+        self.gateway.suspect(&self.job, endpoint).await;
     }
 
-    fn next(&self) -> Option<ReplicaKey> {
-        let spent = self.may_have_run >= self.job.order.attempts.max(1)
+    fn is_spent(&self) -> bool {
+        self.may_have_run >= self.job.order.attempts.max(1)
             || self.not_run >= UNRUN_ATTEMPTS_MOST
-            || (self.may_have_run > 0 && self.job.repeat != Repeat::Idempotent)
-            || self.gateway.is_guilty(self.job.suspect);
-        if spent {
+            || (self.may_have_run > 0 && !self.job.order.repeat.may_run_again())
+            || self.gateway.is_guilty(self.job.suspect)
+    }
+
+    fn next(&self) -> Option<ReplicaKey> {
+        if self.is_spent() {
             return None;
         }
         let want = Want {
             service: self.job.order.service.clone(),
             parts: self.job.parts.clone(),
             not: self.not.clone(),
+            rather_any: self.job.order.repeat.may_run_again(),
         };
         self.gateway.choose(&want)
     }
@@ -109,7 +120,7 @@
 /// Serves a request whose answer is passed on once it is whole.
 pub(super) async fn serve_plain(
     gateway: &Rc<Gateway>,
-    job: &Job,
+    job: &Rc<Job>,
 ) -> Result<Response<AnswerBody>, Refusal> {
     let mut dispatch = Dispatch::open(gateway, job);
     loop {
@@ -130,7 +141,7 @@
             Err(_) => {
                 lease.broken();
                 dispatch.broke_off(endpoint).await;
-                if job.repeat != Repeat::Idempotent {
+                if !job.order.repeat.may_run_again() {
                     return Err(Refusal::OutcomeUnknown);
                 }
             }
--- a/src/gateway/ports.rs
+++ b/src/gateway/ports.rs
@@ -156,4 +156,6 @@
     pub priority: Option<u8>,
     /// How long its memory should stay after its end.
     pub pin_ms: Option<u64>,
+    /// The last event that the caller has of the answer; none: the answer begins.
+    pub last_event: Option<&'a str>,
 }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -15,7 +15,7 @@
 use super::state::Gateway;
 use super::turn::{TurnCall, serve_turn, within};
 use super::{AnswerBody, Call, Order, Refusal};
-use crate::catalog::{Catalog, Repeat, Route, Workspace};
+use crate::catalog::{Catalog, Route, Workspace};
 use crate::prelude::*;
 use crate::quota::Claim;
 use crate::turns::{AccountKey, TurnKey};
@@ -127,10 +127,10 @@
     let ends_at = arrived.plus(order.left_ms);
     let admitted = Admitted { head, call, order, body, ends_at };
     let charged = admitted.order.workspace.clone();
-    let mut served = if admitted.order.history_ms.is_some() {
+    let mut served = if admitted.needs_owner() {
         serve_at_owner(gateway, admitted).await
     } else {
-        let job = admitted.into_job(gateway, route.repeat);
+        let job = Rc::new(admitted.into_job(gateway));
         within(gateway, ends_at, serve_plain(gateway, &job)).await.and_then(|served| served)
     };
     let not_run = match &mut served {
@@ -210,7 +210,9 @@
         left_ms: call.wait_ms.unwrap_or(u64::MAX).min(route.timeout_ms),
         attempts: route.attempts,
         target_ms: route.target_ms,
-        history_ms: route.history_ms,
+        repeat: route.repeat,
+        keeps_history: route.keeps_history,
+        retention_ms: route.retention_ms,
         tokens_per_event,
         priority,
     })
@@ -234,7 +236,14 @@
         program(self.call, &self.order)
     }
 
-    fn into_job(self, gateway: &Gateway, repeat: Repeat) -> Job {
+    /// Whether it is charged to its program's account, or continues a history: both are with the
+    /// owner of the program's shard.
+    fn needs_owner(&self) -> bool {
+        let charged = self.order.repeat.is_stream() && self.call.budget.is_some();
+        self.order.keeps_history || charged
+    }
+
+    fn into_job(self, gateway: &Gateway) -> Job {
         let suspect = self.suspect();
         let mut headers = end_to_end(self.head.headers);
         gateway.protocol.strip(&mut headers);
@@ -245,7 +254,6 @@
             headers,
             body: self.body,
             order: self.order,
-            repeat,
             parts: self.call.parts.clone(),
             suspect,
             ends_at: self.ends_at,
@@ -291,15 +299,16 @@
     admitted: Admitted<'_>,
 ) -> Result<Response<AnswerBody>, Refusal> {
     let (call, workspace) = (admitted.call, admitted.order.workspace.clone());
+    let previous = call.previous.as_ref().filter(|_| admitted.order.keeps_history);
+    let previous = previous.map(|id| TurnKey::of(&workspace, id));
     let turn = TurnCall {
         turn: TurnKey::of(&workspace, &call.request),
-        previous: call.previous.as_ref().map(|id| TurnKey::of(&workspace, id)),
+        previous,
         program: admitted.program(),
         budget: call.budget.unwrap_or(u64::MAX),
         most_tokens: call.most_tokens,
-        history_ms: admitted.order.history_ms.unwrap_or(0),
         input: admitted.body.clone(),
-        job: admitted.into_job(gateway, Repeat::Stream),
+        job: Rc::new(admitted.into_job(gateway)),
     };
     serve_turn(gateway, shard, turn).await
 }
--- a/src/gateway/turn.rs
+++ b/src/gateway/turn.rs
@@ -1,32 +1,31 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use http::{Response, StatusCode, response};
+use http::{Response, response};
 use http_body_util::BodyExt;
-use hyper::body::{Bytes, Incoming};
+use hyper::body::Bytes;
 use tokio::sync::{mpsc, oneshot};
 
 use super::attempt::{Answer, Job};
 use super::bequest::{Bequest, bequeath};
+use super::event_stream::{Ended, EventStream, Opened};
 use super::find::find_chain;
 use super::owned_shard::OwnedShard;
-use super::plain::{Dispatch, end_to_end};
+use super::plain::end_to_end;
 use super::reservation::Reservation;
 use super::state::Gateway;
+use super::writer::Recorded;
 use super::{AnswerBody, Refusal};
 use crate::prelude::*;
 use crate::replicas::ReplicaKey;
-use crate::turns::{AccountKey, EventReader, Turn, TurnKey};
+use crate::turns::{AccountKey, EventReader, Turn, TurnKey, Version};
 
-/// Pieces of a stream that wait for a slow reader. Source: about one answer.
+/// Pieces of a stream that wait for a slow reader.
 const PIECES_WAITING_MOST: usize = 32;
 
-/// Bytes of a prompt that make a token, for estimates of what an endpoint has to read.
-const BYTES_PER_TOKEN: u64 = 2;
-
 /// A turn at the owner of its program's shard.
 pub(super) struct TurnCall {
-    pub(super) job: Job,
+    pub(super) job: Rc<Job>,
     /// What the caller sent, without the history.
     pub(super) input: Bytes,
     pub(super) turn: TurnKey,
@@ -34,39 +33,32 @@
     pub(super) program: AccountKey,
     pub(super) budget: u64,
     pub(super) most_tokens: u64,
-    pub(super) history_ms: u64,
 }
 
 impl TurnCall {
     /// Puts the history before the turn's own input.
     fn continue_from(&mut self, chain: &[(TurnKey, Turn)]) {
         let mut prompt = Vec::new();
-        let mut parts = Vec::new();
-        for (key, turn) in chain {
+        for (_, turn) in chain {
             prompt.extend_from_slice(&turn.input);
             prompt.extend_from_slice(&turn.output);
-            let bytes = (turn.input.len() + turn.output.len()) as u64;
-            parts.push((key.hash(), bytes / BYTES_PER_TOKEN));
         }
         prompt.extend_from_slice(&self.input);
-        self.job.body = prompt.into();
-        self.job.parts = parts;
+        Rc::make_mut(&mut self.job).body = prompt.into();
     }
 
-    /// The endpoint holds the prompt, and the turn itself as its last part.
-    fn remember_prompt(&mut self, gateway: &Gateway, endpoint: ReplicaKey, output_bytes: usize) {
-        let own_bytes = (self.input.len() + output_bytes) as u64;
-        let mut parts = std::mem::take(&mut self.job.parts);
-        parts.push((self.turn.hash(), own_bytes / BYTES_PER_TOKEN));
-        gateway.placement.borrow_mut().read(gateway.now(), endpoint, &parts);
+    /// The endpoint holds the prompt now.
+    fn remember_prompt(&self, gateway: &Gateway, endpoint: ReplicaKey) {
+        gateway.placement.borrow_mut().read(gateway.now(), endpoint, &self.job.parts);
     }
 }
 
 /// The first that is known of an answer.
 type Opening = Result<response::Parts, Refusal>;
 
-/// Serves a turn: the endpoint gets its whole history, and its end reaches the caller only once the
-/// turn is recorded. So no turn that a caller saw end can be lost, whatever happens next.
+/// Serves a turn. Its tokens reach the caller once they are charged to its program. Where its history
+/// is kept, the endpoint gets the whole of it, and the turn's end reaches the caller only once the
+/// turn is recorded: so no turn that a caller saw end can be lost, whatever happens next.
 pub(super) async fn serve_turn(
     gateway: &Rc<Gateway>,
     shard: Rc<OwnedShard>,
@@ -74,8 +66,9 @@
 ) -> Result<Response<AnswerBody>, Refusal> {
     let (opening, opened) = oneshot::channel();
     let (pieces, passing) = mpsc::channel(PIECES_WAITING_MOST);
-    let run = Run { gateway: gateway.clone(), shard, call, opening: Some(opening), pieces };
-    tokio::task::spawn_local(run.until_over());
+    let caller = Caller { opening: Some(opening), pieces };
+    let run = Run { gateway: gateway.clone(), shard, call };
+    tokio::task::spawn_local(run.until_over(caller));
     match opened.await {
         Ok(Ok(head)) => {
             let mut response = Response::new(AnswerBody::passing(passing));
@@ -88,22 +81,40 @@
     }
 }
 
+/// Whoever waits for the answer: the caller, or the entry that it came through.
+struct Caller {
+    opening: Option<oneshot::Sender<Opening>>,
+    pieces: mpsc::Sender<Option<Bytes>>,
+}
+
+impl Caller {
+    /// The answer begins to reach it, unless it has before.
+    fn open(&mut self, opening: Opening) {
+        if let Some(waiting) = self.opening.take() {
+            drop(waiting.send(opening));
+        }
+    }
+
+    /// Passes bytes on; nothing is the answer's end. One that has left misses them.
+    async fn pass(&self, piece: Option<Bytes>) {
+        drop(self.pieces.send(piece).await);
+    }
+}
+
 struct Run {
     gateway: Rc<Gateway>,
     shard: Rc<OwnedShard>,
     call: TurnCall,
-    opening: Option<oneshot::Sender<Opening>>,
-    pieces: mpsc::Sender<Option<Bytes>>,
 }
 
 impl Run {
     /// Runs the turn until it ends or its caller has left.
-    async fn until_over(mut self) {
+    async fn until_over(mut self, mut caller: Caller) {
         let _under_way = self.shard.begin();
         let request = self.call.job.request.clone();
-        let pieces = self.pieces.clone();
+        let pieces = caller.pieces.clone();
         let outcome = tokio::select! {
-            outcome = self.run() => outcome,
+            outcome = self.run(&mut caller) => outcome,
             () = pieces.closed() => {
                 log::info!(request:%; "the caller left a turn");
                 return;
@@ -112,116 +123,97 @@
         if let Err(refusal) = outcome {
             log::info!(request:%, refusal = refusal.name(), shard = self.shard.number,
                 epoch = self.shard.epoch; "a turn did not end");
-            if let Some(opening) = self.opening.take() {
-                drop(opening.send(Err(refusal)));
-            }
+            caller.open(Err(refusal));
         }
     }
 
-    async fn run(&mut self) -> Result<(), Refusal> {
-        let (gateway, shard) = (self.gateway.clone(), self.shard.clone());
-        let mut records = Vec::new();
-        if let Some(previous) = self.call.previous {
-            let chain = find_chain(&gateway, &shard, previous, &mut records).await?;
-            self.call.continue_from(&chain);
-        }
-        let kept_until = UnixMs(gateway.unix().0 + self.call.history_ms);
-        let (mut reservation, reserved) = Reservation::open(
-            &shard,
-            self.call.program,
-            (self.call.budget, self.call.most_tokens),
-            kept_until,
-        )?;
-        let version = reserved.map(|(record, version)| {
-            records.push(record);
-            version
-        });
-        let recorded = (!records.is_empty()).then(|| shard.writer.append(records));
-        let mut dispatch = Dispatch::open(&gateway, &self.call.job);
+    async fn run(&mut self, caller: &mut Caller) -> Result<(), Refusal> {
+        let gateway = self.gateway.clone();
         let ends_at = self.call.job.ends_at;
-        let answer = within(&gateway, ends_at, dispatch.answer()).await??;
-        if !answer.head.status.is_success() {
-            return self.pass_failure(answer).await;
-        }
-        let Answer { head, mut body, lease } = answer;
-        let mut head = Some(head);
-        let mut reader = EventReader::default();
-        lease.listen();
-        let mut next = next_piece(&gateway, ends_at, &mut body).await;
-        lease.heard();
+        let mut charge = self.charge().await?;
+        let reader = match self.call.job.order.keeps_history {
+            true => EventReader::keeping_output(),
+            false => EventReader::default(),
+        };
+        let (head, opened) = EventStream::open(&gateway, &self.call.job, reader).await?;
+        let mut events = match opened {
+            Opened::Events(events) => events,
+            Opened::Failure(answer) => return self.pass_failure(*answer, caller).await,
+        };
+        let mut next = events.next().await?;
         // Tokens may reach the caller only once they are accounted for, or a successor would hand
         // out the same budget again. If this owner can't record that any more, they are withheld
         // until its successor has.
-        let reserved = match recorded {
-            Some(recorded) => within(&gateway, ends_at, recorded).await?.is_ok(),
-            None => true,
-        };
+        let durable = within(&gateway, ends_at, charge.is_durable()).await?;
         let mut withheld = Vec::new();
-        if reserved {
-            version.into_iter().for_each(|version| reservation.recorded(version));
-            open(&mut self.opening, head.take());
+        if durable {
+            caller.open(Ok(head.clone()));
         }
-        loop {
-            let piece = match next {
-                Ok(Some(piece)) => piece,
-                Ok(None) => break,
-                Err(refusal) => {
-                    let endpoint = lease.endpoint;
-                    lease.broken();
-                    dispatch.broke_off(endpoint).await;
-                    return Err(refusal);
-                }
-            };
-            reader.push(&piece);
-            let begun = u64::from(!reader.between_events());
-            reservation.used = (reader.events() + begun) * self.call.job.order.tokens_per_event;
-            if !reserved {
-                withheld.push(piece);
-            } else if self.pieces.send(Some(piece)).await.is_err() {
-                return Ok(());
+        while let Some(piece) = next {
+            charge.reservation.used = events.begun() * self.call.job.order.tokens_per_event;
+            match durable {
+                true => caller.pass(Some(piece)).await,
+                false => withheld.push(piece),
             }
-            lease.listen();
-            next = next_piece(&gateway, ends_at, &mut body).await;
-            lease.heard();
-        }
-        if !reader.between_events() || reader.events() == 0 {
-            return Err(Refusal::OutcomeUnknown);
+            next = events.next().await?;
         }
-        let endpoint = lease.endpoint;
-        let ran_at = lease.endpoint_id.to_string();
-        lease.finish(StatusCode::OK);
-        gateway.cleared(self.call.job.suspect);
-        let output: Bytes = reader.into_output().into();
-        self.call.remember_prompt(&gateway, endpoint, output.len());
-        let input = self.call.input.clone();
-        let turn = Turn { parent: self.call.previous, input, output, kept_until, ran_at };
-        self.record(&mut reservation, turn, reserved).await?;
-        open(&mut self.opening, head);
+        let ended = events.finish().ok_or(Refusal::OutcomeUnknown)?;
+        self.call.remember_prompt(&gateway, ended.endpoint);
+        self.settle(charge, ended, durable).await?;
+        caller.open(Ok(head));
         for piece in withheld {
-            drop(self.pieces.send(Some(piece)).await);
+            caller.pass(Some(piece)).await;
         }
-        drop(self.pieces.send(None).await);
+        caller.pass(None).await;
         Ok(())
     }
 
-    /// Makes a turn durable that was answered whole: here, or by the shard's next owner.
-    async fn record(
-        &self,
-        reservation: &mut Reservation,
-        turn: Turn,
-        reserved: bool,
-    ) -> Result<(), Refusal> {
+    /// Puts the history before the turn, and reserves its tokens out of its program's budget.
+    async fn charge(&mut self) -> Result<Charge, Refusal> {
+        let (gateway, shard) = (&self.gateway, &self.shard);
+        let mut records = Vec::new();
+        if let Some(previous) = self.call.previous {
+            let chain = find_chain(gateway, shard, previous, &mut records).await?;
+            self.call.continue_from(&chain);
+        }
+        let call = &self.call;
+        let kept_until = UnixMs(gateway.unix().0 + call.job.order.retention_ms);
+        let tokens = (call.budget, call.most_tokens);
+        let (reservation, reserved) = Reservation::open(shard, call.program, tokens, kept_until)?;
+        let version = reserved.map(|(record, version)| {
+            records.push(record);
+            version
+        });
+        let recorded = (!records.is_empty()).then(|| shard.writer.append(records));
+        Ok(Charge { reservation, recorded, version, kept_until })
+    }
+
+    /// Makes durable what a turn that was answered whole has used and, where its history is kept,
+    /// said: here, or by the shard's next owner.
+    async fn settle(&self, charge: Charge, ended: Ended, durable: bool) -> Result<(), Refusal> {
+        let Charge { mut reservation, kept_until, .. } = charge;
+        let keeps_history = self.call.job.order.keeps_history;
+        if !keeps_history && durable {
+            // What was reserved covers what was used: its record may follow.
+            return Ok(());
+        }
         let (gateway, shard, ends_at) = (&self.gateway, &self.shard, self.call.job.ends_at);
-        let unreserved = if reserved { 0 } else { reservation.used };
+        let turn = Turn {
+            parent: self.call.previous,
+            input: self.call.input.clone(),
+            output: ended.output.into(),
+            kept_until,
+            ran_at: ended.endpoint_id.to_string(),
+        };
         let bequest = Bequest {
-            key: self.call.turn,
-            turn: turn.clone(),
+            turn: keeps_history.then(|| (self.call.turn, turn.clone())),
             program: self.call.program,
             budget: self.call.budget,
-            unreserved,
+            unreserved: if durable { 0 } else { reservation.used },
+            kept_until,
         };
         let (settled, version) = reservation.settle();
-        if reserved {
+        if durable {
             let completed = shard.ledger.borrow_mut().complete(self.call.turn, turn);
             let recorded = shard.writer.append(vec![completed, settled]);
             if within(gateway, ends_at, recorded).await?.is_ok() {
@@ -237,24 +229,38 @@
     }
 
     /// Passes on an endpoint's own failure.
-    async fn pass_failure(&mut self, answer: Answer) -> Result<(), Refusal> {
+    async fn pass_failure(&self, answer: Answer, caller: &mut Caller) -> Result<(), Refusal> {
         let ends_at = self.call.job.ends_at;
         let whole = within(&self.gateway, ends_at, answer.body.collect()).await?;
         let whole = whole.map_err(|_| Refusal::OutcomeUnknown)?;
         answer.lease.finish(answer.head.status);
-        if let Some(opening) = self.opening.take() {
-            drop(opening.send(Ok(answer.head)));
-        }
-        drop(self.pieces.send(Some(whole.to_bytes())).await);
-        drop(self.pieces.send(None).await);
+        caller.open(Ok(answer.head));
+        caller.pass(Some(whole.to_bytes())).await;
+        caller.pass(None).await;
         Ok(())
     }
 }
 
-/// The answer begins to reach the caller, unless it has before.
-fn open(opening: &mut Option<oneshot::Sender<Opening>>, head: Option<response::Parts>) {
-    if let (Some(head), Some(opening)) = (head, opening.take()) {
-        drop(opening.send(Ok(head)));
+/// A turn's tokens, reserved out of its program's budget.
+struct Charge {
+    reservation: Reservation,
+    /// Told once the reservation is durable; none where an earlier record has reserved ahead.
+    recorded: Option<Recorded>,
+    version: Option<Version>,
+    kept_until: UnixMs,
+}
+
+impl Charge {
+    /// Waits until the reservation is durable, or never will be under this epoch.
+    async fn is_durable(&mut self) -> bool {
+        let durable = match self.recorded.take() {
+            Some(recorded) => recorded.await.is_ok(),
+            None => true,
+        };
+        if let (true, Some(version)) = (durable, self.version) {
+            self.reservation.recorded(version);
+        }
+        durable
     }
 }
 
@@ -267,22 +273,3 @@
     let left = Duration::from_millis(ends_at.since(gateway.now()));
     tokio::time::timeout(left, something).await.map_err(|_| Refusal::TimedOut)
 }
-
-/// The next bytes of a stream; nothing at its end.
-pub(super) async fn next_piece(
-    gateway: &Gateway,
-    ends_at: TimeMs,
-    body: &mut Incoming,
-) -> Result<Option<Bytes>, Refusal> {
-    loop {
-        match within(gateway, ends_at, body.frame()).await? {
-            None => return Ok(None),
-            Some(Err(_)) => return Err(Refusal::OutcomeUnknown),
-            Some(Ok(frame)) => match frame.into_data() {
-                Ok(data) if data.is_empty() => {}
-                Ok(data) => return Ok(Some(data)),
-                Err(_trailers) => {}
-            },
-        }
-    }
-}
--- a/src/replicas/placement.rs
+++ b/src/replicas/placement.rs
@@ -46,13 +46,23 @@
     pub parts: Vec<(u64, u64)>,
     /// Endpoints that have refused or failed it.
     pub not: Vec<ReplicaKey>,
+    /// Whether one that is left out for its failures is better than none: so it is for what may run
+    /// again, and would be refused else.
+    pub rather_any: bool,
+}
+
+/// A part of a prompt that an endpoint has read.
+#[key]
+struct Cached {
+    at: TimeMs,
+    tokens: u64,
 }
 
 /// Chooses endpoints, and remembers which have read which parts of prompts.
 #[derive(Debug, Default)]
 pub struct Placement {
     domain: Arc<str>,
-    cached: HashMap<(ReplicaKey, u64), TimeMs>,
+    cached: HashMap<(ReplicaKey, u64), Cached>,
     turn: u64,
 }
 
@@ -87,8 +97,11 @@
         if all >= EJECT_FROM && usable.len() < all / 2 {
             usable.append(&mut ejected);
         }
-        let usable = usable.into_iter().filter(|(key, _)| untried(key));
-        let costs = usable.enumerate().map(|(at, (key, replica))| {
+        usable.retain(|(key, _)| untried(key));
+        if usable.is_empty() && want.rather_any {
+            usable.extend(ejected.into_iter().filter(|(key, _)| untried(key)));
+        }
+        let costs = usable.into_iter().enumerate().map(|(at, (key, replica))| {
             let slots = f64::from(replica.announced.slots.max(1));
             let load = f64::from(replica.load());
             let wait_ms = (load + 1.0 - slots).max(0.0) * WAIT_EACH_MS;
@@ -109,23 +122,33 @@
         best.map(|(key, _, _)| key)
     }
 
+    /// Tokens that the endpoint would have to read. The last part of a session grows from turn to turn:
+    /// what was read of it before is held.
     fn unread_tokens(&self, now: TimeMs, key: ReplicaKey, parts: &[(u64, u64)]) -> u64 {
-        let held = |part: &u64| {
-            self.cached.get(&(key, *part)).is_some_and(|at| now.since(*at) < CACHED_FOR_MS)
-        };
-        parts.iter().skip_while(|(part, _)| held(part)).map(|(_, tokens)| *tokens).sum()
+        let all: u64 = parts.iter().map(|(_, tokens)| *tokens).sum();
+        let mut held = 0;
+        for (part, tokens) in parts {
+            let cached = self.cached.get(&(key, *part));
+            let cached = cached.filter(|cached| now.since(cached.at) < CACHED_FOR_MS);
+            let cached_tokens = cached.map_or(0, |cached| cached.tokens.min(*tokens));
+            held += cached_tokens;
+            if cached_tokens < *tokens {
+                break;
+            }
+        }
+        all - held
     }
 
     /// An endpoint has read these parts.
     pub fn read(&mut self, now: TimeMs, key: ReplicaKey, parts: &[(u64, u64)]) {
-        for (part, _) in parts {
-            self.cached.insert((key, *part), now);
+        for (part, tokens) in parts {
+            self.cached.insert((key, *part), Cached { at: now, tokens: *tokens });
         }
         if self.cached.len() > PARTS_MOST {
-            let mut ages: Vec<TimeMs> = self.cached.values().copied().collect();
+            let mut ages: Vec<TimeMs> = self.cached.values().map(|cached| cached.at).collect();
             ages.sort_unstable();
             let middle = ages[ages.len() / 2];
-            self.cached.retain(|_, at| *at > middle);
+            self.cached.retain(|_, cached| cached.at > middle);
         }
     }
 }
--- a/src/replicas/tests.rs
+++ b/src/replicas/tests.rs
@@ -22,7 +22,7 @@
 }
 
 fn want(parts: &[(u64, u64)]) -> Want {
-    Want { service: "s".into(), parts: parts.to_vec(), not: vec![] }
+    Want { service: "s".into(), parts: parts.to_vec(), not: vec![], rather_any: false }
 }
 
 #[test]
@@ -222,3 +222,37 @@
         assert_eq!(placement.choose(TimeMs(0), &directory, &want(&[]), connected), Some(kept));
     }
 }
+
+// Two of three endpoints are left out, and the third has just failed a stream in its middle. Refused for
+// want of an endpoint, the caller would lose a turn that one of the two could have gone on with.
+#[test]
+fn what_may_run_again_is_rather_tried_where_it_may_fail_than_refused() {
+    let entries = ["a", "b", "c"].map(|id| (id, announced("s", 1, 5, 9)));
+    let mut directory = with(&entries);
+    let mut placement = Placement::open("d".into());
+    let keys: Vec<_> = directory.all().map(|(key, _)| key).collect();
+    for key in &keys[..2] {
+        (0..3).for_each(|_| directory.failed(TimeMs(0), *key));
+    }
+    let once = Want { not: vec![keys[2]], ..want(&[]) };
+    assert_eq!(placement.choose(TimeMs(100), &directory, &once, |_| true), None);
+    let again = Want { rather_any: true, ..once };
+    let chosen = placement.choose(TimeMs(100), &directory, &again, |_| true);
+    assert!(chosen.is_some_and(|key| key != keys[2]));
+}
+
+// A session's last part grows with each turn. Where its earlier turns were read only the news is unread,
+// and anywhere else that holds what all sessions share only the session is.
+#[test]
+fn a_session_that_has_grown_returns_to_where_it_was_read() {
+    let directory = with(&[("r", announced("s", 1, 5, 9)), ("q", announced("s", 2, 5, 9))]);
+    let mut placement = Placement::open("d".into());
+    let holder = directory.find("q").expect("known");
+    let other = directory.find("r").expect("known");
+    placement.read(TimeMs(0), other, &[(1, 12_000)]);
+    placement.read(TimeMs(0), holder, &[(1, 12_000), (2, 4_000)]);
+    for _ in 0..4 {
+        let grown = want(&[(1, 12_000), (2, 4_500)]);
+        assert_eq!(placement.choose(TimeMs(1), &directory, &grown, |_| true), Some(holder));
+    }
+}
--- a/src/turns/tests.rs
+++ b/src/turns/tests.rs
@@ -132,7 +132,7 @@
 
 #[test]
 fn events_are_counted_and_their_data_kept() {
-    let mut reader = EventReader::default();
+    let mut reader = EventReader::keeping_output();
     for piece in [&b"id: 1\nda"[..], b"ta: one\n\n: note\n\nid: 2\r\ndata: t", b"wo\ndata:x\n\n"] {
         reader.push(piece);
     }
@@ -156,3 +156,24 @@
     let mut next = reload(&[record]);
     assert!(next.reserve(program, 100, 1, UnixMs(1)).is_err());
 }
+
+// An endpoint stops in the middle of an event, and another goes on behind the last whole one. What had
+// come of the cut event must neither be passed on nor be joined to the next endpoint's events.
+#[test]
+fn a_cut_event_is_dropped_and_the_next_run_goes_on_behind_the_last_whole_one() {
+    let first = b"id: 7\ndata: a\n\nid: 8\ndata: b\n\n";
+    for cut in 0..=first.len() {
+        let mut reader = EventReader::keeping_output();
+        let whole = reader.push(&first[..cut]);
+        assert_eq!(whole, [0, 15, 30][reader.events() as usize], "{cut}");
+        let last_id = reader.last_id().map(<[u8]>::to_vec);
+        assert_eq!(
+            last_id.as_deref(),
+            [None, Some(&b"7"[..]), Some(b"8")][reader.events() as usize]
+        );
+        reader.drop_partial();
+        assert!(reader.between_events());
+        reader.push(&first[whole..]);
+        assert_eq!((reader.events(), reader.into_output()), (2, b"a\nb\n".to_vec()));
+    }
+}
