Requests wait for a part of their time while the store is away for all

Cause: a program's turn has three tries of two attempts. Change: a request whose key can't be confirmed, or whose turn can't be recorded, waits for 0.4 of its time and 1.5 s at most, then is refused with a time to return, so that three tries cover some ten seconds. Only while most entries in touch miss the store too. Test: programs_outlast_an_outage_of_the_store fails on the gateway before.

--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -46,6 +46,8 @@
 pub struct Answer {
     /// The status; none if there was no answer.
     pub status: Option<u16>,
+    /// When to come back, if the answer says so.
+    pub retry_after_ms: Option<u64>,
     /// Whether the body came to its end.
     pub whole: bool,
     /// The bytes of the body that came.
@@ -53,7 +55,8 @@
 }
 
 impl Answer {
-    const NONE: Answer = Answer { status: None, whole: false, body: Vec::new() };
+    const NONE: Answer =
+        Answer { status: None, retry_after_ms: None, whole: false, body: Vec::new() };
 
     /// Whether it is a success, whole.
     pub fn is_served(&self) -> bool {
@@ -143,6 +146,9 @@
         return Answer::NONE;
     };
     let status = Some(response.status().as_u16());
+    let retry_after = response.headers().get("retry-after").and_then(|value| value.to_str().ok());
+    let retry_after = retry_after.and_then(|seconds| seconds.parse::<f64>().ok());
+    let retry_after_ms = retry_after.map(|seconds| (seconds * 1_000.0) as u64);
     let (mut body, mut received, mut whole) = (response.into_body(), Vec::new(), true);
     while let Some(frame) = body.frame().await {
         match frame.map(|frame| frame.into_data()) {
@@ -155,5 +161,5 @@
         }
     }
     driving.abort();
-    Answer { status, whole, body: received }
+    Answer { status, retry_after_ms, whole, body: received }
 }
--- /dev/null
+++ b/soak/tests/outages.rs
@@ -0,0 +1,77 @@
+//! Outages of the store, as callers who come back a few times live through them.
+
+mod common;
+
+use std::time::Duration;
+
+use trefoil_soak::{Caller, StoreFault, Turn, World};
+
+use common::{ask, turn, world};
+
+/// A caller of a stream leaves if nothing comes for this long.
+const GAP: Duration = Duration::from_secs(2);
+
+/// How long a caller waits in all for one try.
+const TRY_MS: u64 = 3_000;
+
+/// Tries of a turn.
+const TRIES: usize = 3;
+
+/// Pause between two tries.
+const TRY_PAUSE: Duration = Duration::from_millis(250);
+
+/// Asks as callers do: each try comes back once after a refusal, heeding at most a third of what is left
+/// of its time, and a turn is tried three times.
+async fn serves(world: &World, caller: Caller, entry: usize, asked: Turn) -> bool {
+    let mut number = 0;
+    for at in 0..TRIES {
+        let mut left_ms = TRY_MS;
+        for _ in 0..2 {
+            number += 1;
+            let turn = Turn { request: format!("{}.{number}", asked.request), ..asked.clone() };
+            let started = tokio::time::Instant::now();
+            let answer = caller.turn(world.entry(entry + number), &turn);
+            let limit = GAP.min(Duration::from_millis(left_ms));
+            let Ok(answer) = tokio::time::timeout(limit, answer).await else {
+                break;
+            };
+            if answer.is_served() {
+                return true;
+            }
+            left_ms = left_ms.saturating_sub(started.elapsed().as_millis() as u64);
+            let Some(retry_after_ms) = answer.retry_after_ms.filter(|_| answer.promises()) else {
+                break;
+            };
+            let pause_ms = retry_after_ms.min(left_ms / 3);
+            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+            left_ms -= pause_ms;
+        }
+        if at + 1 < TRIES {
+            tokio::time::sleep(TRY_PAUSE).await;
+        }
+    }
+    false
+}
+
+// The store refuses all calls for seven seconds, longer than a configuration may go unconfirmed. Each
+// program has three tries of its turn; refused at once each time, or left without a first event until
+// its caller had gone, it was over before the store was back.
+#[tokio::test(flavor = "multi_thread")]
+async fn programs_outlast_an_outage_of_the_store() {
+    let world = std::sync::Arc::new(world(2).await);
+    world.store.set_fault(StoreFault::Down);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let asking = (0..8).map(|number| {
+        let (world, id) = (world.clone(), format!("t{number}"));
+        tokio::spawn(async move {
+            let asked = if number % 2 == 0 { ask(&id, &id) } else { turn(&id, &id, None) };
+            serves(&world, world.caller.clone(), number, asked).await
+        })
+    });
+    let asking: Vec<_> = asking.collect();
+    tokio::time::sleep(Duration::from_millis(6_500)).await;
+    world.store.set_fault(StoreFault::None);
+    for asked in asking {
+        assert!(asked.await.expect("no panic"), "a program was lost to the outage");
+    }
+}
--- a/src/gateway/config_feed.rs
+++ b/src/gateway/config_feed.rs
@@ -2,6 +2,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::sync::Notify;
+
 use super::state::Gateway;
 use super::{Position, StoreError};
 use crate::catalog::Catalog;
@@ -24,6 +26,8 @@
 pub(super) struct InForce {
     catalog: RefCell<Option<Rc<Catalog>>>,
     confirmed_at_ms: Cell<Option<u64>>,
+    /// It was confirmed to be the newest.
+    pub(super) confirmed: Notify,
 }
 
 impl InForce {
@@ -110,5 +114,6 @@
         }
     }
     gateway.in_force.confirmed_at_ms.set(Some(started_ms));
+    gateway.in_force.confirmed.notify_waiters();
     Ok(feed.next)
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod find;
 mod forward;
 mod gossip;
+mod hold;
 mod message;
 mod observe;
 mod owned_shard;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -32,6 +32,7 @@
     met_at: TimeMs,
     known_at: TimeMs,
     leaving: bool,
+    store_away: bool,
     young: bool,
     running: HashMap<u64, u32>,
     signed_off: Option<u64>,
@@ -67,6 +68,7 @@
             met_at: now,
             known_at: now,
             leaving: false,
+            store_away: false,
             young: false,
             running: HashMap::new(),
             signed_off: None,
@@ -87,6 +89,7 @@
         peer.life = gossip.life;
         peer.heard_at = Some(now);
         peer.leaving = gossip.leaving;
+        peer.store_away = gossip.store_away;
         peer.young = gossip.young;
         let since = peer.met_at;
         let now_running = gossip.running.iter().copied().collect();
@@ -123,6 +126,20 @@
         heard_at.is_some_and(|at| now.since(at) < IN_TOUCH_MS)
     }
 
+    /// Whether the store is away for most entries, as far as this one hears them. It is not if this one
+    /// hears few of the others: then it is itself that is cut off.
+    pub(super) fn miss_store(&self, now: TimeMs) -> bool {
+        let alive = self.peers.values().filter(|peer| peer.heard_at.is_some() && !peer.leaving);
+        let (mut known, mut heard, mut away) = (0, 0, 0);
+        for peer in alive {
+            let recent = peer.heard_at.is_some_and(|at| now.since(at) < IN_TOUCH_MS);
+            known += 1;
+            heard += usize::from(recent);
+            away += usize::from(recent && peer.store_away);
+        }
+        heard * 2 >= known && away * 2 >= heard
+    }
+
     /// Whether an entry has started of late and needs to hear what the others know.
     pub(super) fn has_newcomer(&self, now: TimeMs) -> bool {
         let heard = |peer: &Peer| peer.heard_at.is_some_and(|at| now.since(at) < IN_TOUCH_MS);
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -9,6 +9,7 @@
 
 use super::attempt::Job;
 use super::forward::{Forwarded, NOT_RUN_HEADER, ORDER_HEADER, Served, find_owner, moved};
+use super::hold::hold;
 use super::observe::{self, Seen};
 use super::owned_shard::{OwnedShard, Stage};
 use super::plain::{end_to_end, serve_plain};
@@ -94,6 +95,12 @@
     body: Incoming,
     seen: &mut Seen,
 ) -> Result<Response<AnswerBody>, Refusal> {
+    let revoke_ms = gateway.settings.bounds.revoke_ms;
+    let is_fresh = || gateway.in_force.is_fresh(revoke_ms);
+    if !is_fresh() && gateway.store_is_away_for_all() {
+        let left_ms = call.wait_ms.unwrap_or(u64::MAX);
+        hold(left_ms, &gateway.in_force.confirmed, is_fresh).await;
+    }
     let starting = Refusal::Unavailable { retry_after_ms: STARTING_RETRY_MS };
     let catalog = gateway.in_force.catalog().ok_or(starting)?;
     let not_ready = Refusal::Unavailable { retry_after_ms: STALE_RETRY_MS };
@@ -107,7 +114,7 @@
     };
     // The body may have taken its time: what holds now decides, not what held before.
     let catalog = gateway.in_force.catalog().unwrap_or(catalog);
-    let fresh = gateway.in_force.is_fresh(gateway.settings.bounds.revoke_ms);
+    let fresh = is_fresh();
     let route = catalog.route(&call.host, head.uri.path());
     // What an old configuration denies, a newer one may allow.
     let route = route.cloned().ok_or(if fresh { Refusal::NoRoute } else { not_ready })?;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -152,6 +152,12 @@
         self.renew.notify_one();
     }
 
+    /// Whether the store is away for all, and not only for this entry: then no other entry would serve
+    /// a caller any better.
+    pub(super) fn store_is_away_for_all(&self) -> bool {
+        self.peers.borrow().miss_store(self.now())
+    }
+
     /// Counts a request as running until the guard is dropped.
     pub(super) fn enter(self: &Rc<Self>) -> Running {
         self.running.set(self.running.get() + 1);
--- a/src/gateway/turn.rs
+++ b/src/gateway/turn.rs
@@ -23,6 +23,9 @@
 /// Pieces of a stream that wait for a slow reader.
 const PIECES_WAITING_MOST: usize = 32;
 
+/// When to return if the shard's records can't be written: callers heed at most a third of their time.
+const STORE_AWAY_RETRY_MS: u64 = 1_000;
+
 /// A turn at the owner of its program's shard.
 pub(super) struct TurnCall {
     pub(super) job: Rc<Job>,
@@ -184,7 +187,14 @@
             records.push(record);
             version
         });
+        let needs_store = call.job.order.keeps_history || !records.is_empty();
         let recorded = (!records.is_empty()).then(|| shard.writer.append(records));
+        let left_ms = call.job.ends_at.since(gateway.now());
+        let holds = needs_store && gateway.store_is_away_for_all();
+        if holds && !shard.writer.until_sound(left_ms).await {
+            log::info!(request:% = call.job.request, shard = shard.number; "the store is away");
+            return Err(Refusal::Unavailable { retry_after_ms: STORE_AWAY_RETRY_MS });
+        }
         Ok(Charge { reservation, recorded, version, kept_until })
     }
 
--- a/src/gateway/writer.rs
+++ b/src/gateway/writer.rs
@@ -4,6 +4,7 @@
 
 use tokio::sync::{Notify, oneshot};
 
+use super::hold::hold;
 use super::owned_shard::{OwnedShard, Stage};
 use super::state::Gateway;
 use super::{Append, StoreError};
@@ -28,6 +29,8 @@
     waiting: RefCell<Vec<(Vec<Record>, oneshot::Sender<()>)>>,
     wake: Notify,
     failing: Cell<bool>,
+    /// Appends succeed again.
+    recovered: Notify,
     closed: Cell<bool>,
 }
 
@@ -43,6 +46,11 @@
         recorded
     }
 
+    /// Waits while appends fail, for a part of a request's time; `false` if they still fail then.
+    pub(super) async fn until_sound(&self, left_ms: u64) -> bool {
+        !self.failing.get() || hold(left_ms, &self.recovered, || !self.failing.get()).await
+    }
+
     fn take(&self) -> (Vec<Record>, Vec<oneshot::Sender<()>>) {
         let mut waiting = self.waiting.borrow_mut();
         let mut bytes = 0;
@@ -92,7 +100,9 @@
         match answer {
             Ok(()) => {
                 gateway.reach.found(gateway.now());
-                shard.writer.failing.set(false);
+                if shard.writer.failing.replace(false) {
+                    shard.writer.recovered.notify_waiters();
+                }
                 return true;
             }
             Err(fault @ (StoreError::Fenced | StoreError::OutOfSequence { .. })) => {
@@ -118,6 +128,8 @@
 pub(super) fn lose(gateway: &Gateway, shard: &OwnedShard) {
     shard.enter(Stage::Lost);
     shard.writer.closed.set(true);
+    shard.writer.failing.set(false);
+    shard.writer.recovered.notify_waiters();
     shard.writer.waiting.borrow_mut().clear();
     shard.writer.wake.notify_one();
     let current = gateway.shards.own(shard.number);
