Deals of shards settle fast; an entry that starts waits for the endpoints' list

Cause: after all entries were restarted at once, each joined the group and was dealt nothing, since the earlier lives' shards were still changing hands; the next renewal came 400 ms later and the one after that at 800, so that turns found no owner for 0.5 to 0.95 s after the first entry was back. Requests that came before the first reading of the endpoints' list were refused for want of endpoints. Change: a renewal follows 50 ms after each one that brought a new deal; entries tell each other the generation that they follow, and one that hears of a later one renews at once. Requests wait for the first reading of the list, for a part of their time. Tests: a_shard_that_changes_hands_is_taken_soon_after_the_deal (virtual time), and those of the wait and of telling one's own cut from an outage.

--- a/src/gateway/endpoint_feed.rs
+++ b/src/gateway/endpoint_feed.rs
@@ -1,7 +1,11 @@
+use std::cell::Cell;
 use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::sync::Notify;
+
+use super::hold::hold;
 use super::state::Gateway;
 use super::{Feed, Position, StoreError};
 use crate::prelude::*;
@@ -18,6 +22,27 @@
 /// The longest that a read may take.
 const READ_TIMEOUT_MS: u64 = 700;
 
+/// Whether the endpoints' list was read in this life of the process. A request that came before would be
+/// refused for want of endpoints that are all there.
+#[derive(Debug, Default)]
+pub(super) struct Listing {
+    is_read: Cell<bool>,
+    was_read: Notify,
+}
+
+impl Listing {
+    fn read(&self) {
+        if !self.is_read.replace(true) {
+            self.was_read.notify_waiters();
+        }
+    }
+
+    /// Waits for the first reading, for a part of a request's time.
+    pub(super) async fn until_read(&self, left_ms: u64) -> bool {
+        self.is_read.get() || hold(left_ms, &self.was_read, || self.is_read.get()).await
+    }
+}
+
 /// Follows the endpoints' list for as long as the process lives.
 pub(super) async fn follow_endpoints(gateway: Rc<Gateway>) {
     let pause_ms = POLL_MOST_MS.min(gateway.settings.bounds.drain_ms / POLL_PART);
@@ -33,6 +58,7 @@
                 }
                 from = Some(feed.next);
                 apply(&gateway, feed);
+                gateway.listing.read();
             }
             Err(fault) => {
                 gateway.reach.lost(gateway.now(), &fault);
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -136,6 +136,7 @@
         leaving: gateway.draining.get(),
         store_away: gateway.reach.is_away(now),
         young: now.0 < gateway.settings.bounds.rate_window_ms,
+        generation: gateway.shards.generation(),
         shards: serving.map(|shard| (shard.number, shard.epoch)).collect(),
         running: in_turn(running.map(|(_, r)| (r.hash, r.in_flight)).collect(), round, rows),
         answers: in_turn(answers.collect(), round, rows),
@@ -199,6 +200,9 @@
         gateway.shards.told(*shard, Owner { address: from, epoch: *epoch });
         give_up_to(gateway, *shard, *epoch);
     }
+    if gossip.generation > gateway.shards.generation() {
+        gateway.renew_membership();
+    }
     if gossip.store_away && !gossip.shards.is_empty() && gateway.reach.is_sound(now) {
         relieve(gateway, from);
     }
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -15,6 +15,8 @@
     pub(super) store_away: bool,
     /// Whether it has lived for less than a window of the rates: all that it took is in the window.
     pub(super) young: bool,
+    /// The generation of the deal that it follows.
+    pub(super) generation: u64,
     /// The shards that it owns, with their epochs.
     pub(super) shards: Vec<(u32, u64)>,
     /// Requests that it has running, by endpoint.
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -103,6 +103,9 @@
     }
     let starting = Refusal::Unavailable { retry_after_ms: STARTING_RETRY_MS };
     let catalog = gateway.in_force.catalog().ok_or(starting)?;
+    if !gateway.listing.until_read(call.wait_ms.unwrap_or(u64::MAX)).await {
+        return Err(starting);
+    }
     let not_ready = Refusal::Unavailable { retry_after_ms: STALE_RETRY_MS };
     let limits = catalog.limits();
     let body = match Limited::new(body, limits.body_bytes).collect().await {
--- a/src/gateway/shard_table.rs
+++ b/src/gateway/shard_table.rs
@@ -1,4 +1,4 @@
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -18,6 +18,8 @@
 /// Who owns which shard, as far as known.
 pub(super) struct ShardTable {
     count: u32,
+    /// Of the deal that this process follows.
+    generation: Cell<u64>,
     own: RefCell<HashMap<u32, Rc<OwnedShard>>>,
     others: RefCell<HashMap<u32, Owner>>,
     /// Something changed.
@@ -28,6 +30,7 @@
     pub(super) fn open(count: u32) -> ShardTable {
         ShardTable {
             count,
+            generation: Cell::new(0),
             own: RefCell::default(),
             others: RefCell::default(),
             changed: Notify::new(),
@@ -39,6 +42,16 @@
         self.count
     }
 
+    /// The generation of the deal that this process follows.
+    pub(super) fn generation(&self) -> u64 {
+        self.generation.get()
+    }
+
+    /// A new deal is followed.
+    pub(super) fn dealt(&self, generation: u64) {
+        self.generation.set(generation);
+    }
+
     /// The shard, if this process owns it.
     pub(super) fn own(&self, shard: u32) -> Option<Rc<OwnedShard>> {
         self.own.borrow().get(&shard).cloned()
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -6,6 +6,7 @@
 
 use super::attempt::Job;
 use super::config_feed::InForce;
+use super::endpoint_feed::Listing;
 use super::peers::Peers;
 use super::rates::Rates;
 use super::reach::Reach;
@@ -24,6 +25,7 @@
     pub(super) protocol: Rc<dyn Protocol>,
     pub(super) in_force: InForce,
     pub(super) reach: Reach,
+    pub(super) listing: Listing,
     pub(super) directory: RefCell<Directory>,
     pub(super) placement: RefCell<Placement>,
     pub(super) connections: Rc<Connections>,
@@ -64,6 +66,7 @@
             protocol,
             in_force: InForce::default(),
             reach: Reach::default(),
+            listing: Listing::default(),
             directory: RefCell::new(Directory::open(seed)),
             placement: RefCell::new(placement),
             connections: Rc::default(),
--- a/src/gateway/tenure.rs
+++ b/src/gateway/tenure.rs
@@ -15,6 +15,11 @@
 /// member that has fallen silent, so that two calls may fail.
 const RENEW_MS: u64 = 400;
 
+/// Pause after a call that brought a new deal. A shard that changes hands takes several calls: its last
+/// owner shows that it has let go, and only then does the next one hear that it is its own. At the usual
+/// pace turns find no owner for most of a second after each change.
+const SETTLE_MS: u64 = 50;
+
 /// The longest wait for one call.
 const CALL_TIMEOUT_MS: u64 = 700;
 
@@ -30,18 +35,25 @@
 /// Room for the shards that one process takes within one generation, in the number of an epoch.
 const TAKES_PER_GENERATION: u64 = 1 << 16;
 
+/// What a deal has changed here.
+enum Followed {
+    Unchanged,
+    Changed,
+    /// Shards were handed over; the store should hear of it at once.
+    HandedOver,
+}
+
 /// This process's membership in the group of owners.
 pub(super) struct Tenure {
     gateway: Rc<Gateway>,
     member: Arc<str>,
-    generation: Cell<u64>,
     takes: Cell<u64>,
 }
 
 impl Tenure {
     pub(super) fn open(gateway: Rc<Gateway>) -> Rc<Tenure> {
         let member = gateway.settings.name.clone();
-        Rc::new(Tenure { gateway, member, generation: Cell::new(0), takes: Cell::new(0) })
+        Rc::new(Tenure { gateway, member, takes: Cell::new(0) })
     }
 
     /// Keeps the membership for as long as the process lives.
@@ -64,10 +76,11 @@
             let pause_ms = match self.join().await {
                 Ok(deal) => {
                     self.gateway.reach.found(self.gateway.now());
-                    if self.follow(deal).await {
-                        continue;
+                    match self.follow(deal).await {
+                        Followed::HandedOver => continue,
+                        Followed::Changed => SETTLE_MS,
+                        Followed::Unchanged => RENEW_MS,
                     }
-                    RENEW_MS
                 }
                 Err(fault) => {
                     self.gateway.reach.lost(self.gateway.now(), &fault);
@@ -82,26 +95,30 @@
     }
 
     async fn join(&self) -> Result<Deal, StoreError> {
-        limited(self.gateway.store.join(&self.member, self.generation.get())).await
+        limited(self.gateway.store.join(&self.member, self.gateway.shards.generation())).await
     }
 
-    /// Follows a deal; `true` if shards were handed over and the store should hear of it at once.
+    /// Follows a deal.
     ///
     /// A shard that was dealt to another is that other's only once this member has shown the new
     /// generation, so that turns under way may end first.
-    async fn follow(&self, deal: Deal) -> bool {
-        if deal.generation == self.generation.get() {
+    async fn follow(&self, deal: Deal) -> Followed {
+        if deal.generation == self.gateway.shards.generation() {
             self.take_new(&deal);
-            return false;
+            return Followed::Unchanged;
         }
         let kept: HashSet<u32> = deal.shards.iter().copied().collect();
         let leaving: Vec<_> = self.gateway.shards.all_own();
         let leaving: Vec<_> = leaving.into_iter().filter(|s| !kept.contains(&s.number)).collect();
         log::info!(generation = deal.generation, shards:? = deal.shards; "shards were dealt");
         hand_over(&self.gateway, &leaving).await;
-        self.generation.set(deal.generation);
+        self.gateway.shards.dealt(deal.generation);
+        self.gateway.news.notify_one();
         self.take_new(&deal);
-        !leaving.is_empty()
+        match leaving.is_empty() {
+            true => Followed::Changed,
+            false => Followed::HandedOver,
+        }
     }
 
     /// Takes what was dealt and is not held. Each take has an epoch of its own, also when a shard
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -1,7 +1,18 @@
+mod fakes;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
 use super::gossip::life_number;
-use super::message::Taken;
+use super::hold::hold;
+use super::message::{Gossip, Taken};
+use super::peers::Peers;
 use super::rates::{Known, Rates};
 use super::suspects::Suspects;
+use super::tenure::Tenure;
 use crate::catalog::Workspace;
 use crate::prelude::*;
 use crate::quota::{Claim, Peering};
@@ -49,3 +60,80 @@
     let room = (0..100).filter(takes).count();
     assert!((39..=44).contains(&room), "{room}");
 }
+
+// All entries were restarted at once. Each joins the group and is dealt nothing, since the earlier lives
+// have not let go yet; at the usual pace of renewals a shard was taken most of a second later, and every
+// turn of its programs waited for that.
+#[tokio::test(start_paused = true)]
+async fn a_shard_that_changes_hands_is_taken_soon_after_the_deal() {
+    let gateway = fakes::gateway(Rc::<fakes::DealingStore>::default());
+    let started = Instant::now();
+    let tasks = tokio::task::LocalSet::new();
+    tasks.spawn_local(Tenure::open(gateway.clone()).keep());
+    let served = async {
+        while gateway.shards.own(0).is_none() {
+            gateway.news.notified().await;
+        }
+    };
+    tasks.run_until(served).await;
+    assert!(started.elapsed() <= Duration::from_millis(100), "{:?}", started.elapsed());
+}
+
+// The store is away for longer than a caller's tries last if each is refused at once. A request waits
+// for a part of its time, and leaves its caller enough of the rest to come back.
+#[tokio::test(start_paused = true)]
+async fn a_request_waits_for_a_part_of_its_time_only() {
+    let started = Instant::now();
+    assert!(!hold(3_000, &Notify::new(), || false).await);
+    assert_eq!(started.elapsed(), Duration::from_millis(1_200));
+    let started = Instant::now();
+    assert!(!hold(60_000, &Notify::new(), || false).await);
+    assert!(started.elapsed() < Duration::from_millis(2_000));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_request_that_waits_goes_on_once_the_wait_is_over() {
+    let changed = Rc::new(Notify::new());
+    let over = Rc::new(std::cell::Cell::new(false));
+    let tasks = tokio::task::LocalSet::new();
+    let (sets, notifies) = (over.clone(), changed.clone());
+    tasks.spawn_local(async move {
+        tokio::time::sleep(Duration::from_millis(700)).await;
+        sets.set(true);
+        notifies.notify_waiters();
+    });
+    let started = Instant::now();
+    assert!(tasks.run_until(hold(4_000, &changed, || over.get())).await);
+    assert_eq!(started.elapsed(), Duration::from_millis(700));
+}
+
+// A caller that meets the one entry that is cut off from the store is better served by another, and must
+// be told so at once; while all are cut off, there is no other.
+#[test]
+fn an_entry_tells_its_own_cut_from_an_outage() {
+    let gossip = |life, store_away| Gossip {
+        life,
+        name: format!("entry-{life}").into(),
+        leaving: false,
+        store_away,
+        young: false,
+        generation: 1,
+        shards: vec![],
+        running: vec![],
+        taken: vec![],
+        answers: vec![],
+        suspects: vec![],
+    };
+    let address = |port| ([127, 0, 0, 1], port).into();
+    let mut peers = Peers::default();
+    assert!(peers.miss_store(TimeMs(0)), "alone, it has nobody to send callers to");
+    for port in 1..=4 {
+        peers.heard(TimeMs(0), address(port), &gossip(u64::from(port), false));
+    }
+    assert!(!peers.miss_store(TimeMs(100)));
+    for port in 1..=3 {
+        peers.heard(TimeMs(200), address(port), &gossip(u64::from(port), true));
+    }
+    assert!(peers.miss_store(TimeMs(300)));
+    assert!(!peers.miss_store(TimeMs(900)), "nobody was heard for long: it is cut off itself");
+}
