Unused connections of callers are kept for seconds, and callers are told so

Cause: a caller opens a connection for each call that it makes at once. Change: Keep-Alive says three seconds; the connection is closed after four and a half.

--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -3,8 +3,9 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
 use hyper::client::conn::http1::handshake;
-use hyper::{Method, Request};
+use hyper::{Method, Request, Response};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
@@ -48,6 +49,8 @@
     pub status: Option<u16>,
     /// When to come back, if the answer says so.
     pub retry_after_ms: Option<u64>,
+    /// How long an unused connection is kept, if the answer says so.
+    pub keep_alive_ms: Option<u64>,
     /// Whether the body came to its end.
     pub whole: bool,
     /// The bytes of the body that came.
@@ -55,8 +58,13 @@
 }
 
 impl Answer {
-    const NONE: Answer =
-        Answer { status: None, retry_after_ms: None, whole: false, body: Vec::new() };
+    const NONE: Answer = Answer {
+        status: None,
+        retry_after_ms: None,
+        keep_alive_ms: None,
+        whole: false,
+        body: Vec::new(),
+    };
 
     /// Whether it is a success, whole.
     pub fn is_served(&self) -> bool {
@@ -146,9 +154,8 @@
         return Answer::NONE;
     };
     let status = Some(response.status().as_u16());
-    let retry_after = response.headers().get("retry-after").and_then(|value| value.to_str().ok());
-    let retry_after = retry_after.and_then(|seconds| seconds.parse::<f64>().ok());
-    let retry_after_ms = retry_after.map(|seconds| (seconds * 1_000.0) as u64);
+    let retry_after_ms = seconds(&response, "retry-after", "");
+    let keep_alive_ms = seconds(&response, "keep-alive", "timeout=");
     let (mut body, mut received, mut whole) = (response.into_body(), Vec::new(), true);
     while let Some(frame) = body.frame().await {
         match frame.map(|frame| frame.into_data()) {
@@ -161,5 +168,12 @@
         }
     }
     driving.abort();
-    Answer { status, retry_after_ms, whole, body: received }
+    Answer { status, retry_after_ms, keep_alive_ms, whole, body: received }
+}
+
+/// The seconds behind `label` in a header, in milliseconds.
+fn seconds(response: &Response<Incoming>, header: &str, label: &str) -> Option<u64> {
+    let value = response.headers().get(header)?.to_str().ok()?;
+    let seconds = value.strip_prefix(label)?.parse::<f64>().ok()?;
+    Some((seconds * 1_000.0) as u64)
 }
--- a/soak/tests/callers.rs
+++ b/soak/tests/callers.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use trefoil_soak::LinkFault;
 
 use common::{REVOKE_MS, turn, world};
@@ -137,7 +138,7 @@
         transfer-encoding: chunked\r\n\r\n0\r\n\r\n{inner}",
         inner.len() + 5
     );
-    let mut stream = tokio::net::TcpStream::connect(world.entry(0)).await.expect("connected");
+    let mut stream = TcpStream::connect(world.entry(0)).await.expect("connected");
     stream.write_all(outer.as_bytes()).await.expect("sent");
     let mut answer = Vec::new();
     let reading = stream.read_to_end(&mut answer);
@@ -151,7 +152,7 @@
 async fn an_oversized_head_is_refused() {
     let world = world(1).await;
     let head = format!("GET /lookups/1 HTTP/1.1\r\nx-long: {}\r\n\r\n", "x".repeat(200_000));
-    let mut stream = tokio::net::TcpStream::connect(world.entry(0)).await.expect("connected");
+    let mut stream = TcpStream::connect(world.entry(0)).await.expect("connected");
     drop(stream.write_all(head.as_bytes()).await);
     let mut answer = Vec::new();
     let reading = stream.read_to_end(&mut answer);
@@ -159,3 +160,24 @@
     assert!(!answer.starts_with(b"HTTP/1.1 2"), "{:?}", String::from_utf8_lossy(&answer));
     assert!(world.caller.look_up(world.entry(0), "after").await.is_served());
 }
+
+// A caller opens a connection for each call that it makes at once, and uses most of them once. Kept for a
+// minute each, they took most of an entry's memory; callers are told how long theirs is kept, and one
+// that keeps to it never meets a connection that closes as it sends.
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_are_told_how_long_an_unused_connection_is_kept() {
+    let world = world(1).await;
+    let answer = world.caller.look_up(world.entry(0), "told").await;
+    assert!(answer.is_served(), "{answer:?}");
+    let told_ms = answer.keep_alive_ms.expect("it is told");
+    let mut stream = TcpStream::connect(world.entry(0)).await.expect("it listens");
+    tokio::time::sleep(Duration::from_millis(told_ms)).await;
+    let sent = stream.write_all(b"GET /none HTTP/1.1\r\nhost: soak.example\r\n\r\n").await;
+    assert!(sent.is_ok());
+    let mut first = [0; 8];
+    stream.read_exact(&mut first).await.expect("it is answered");
+    assert_eq!(&first, b"HTTP/1.1");
+    let mut rest = Vec::new();
+    let closed = tokio::time::timeout(Duration::from_secs(20), stream.read_to_end(&mut rest)).await;
+    assert!(closed.is_ok(), "an unused connection is never closed");
+}
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use http::{HeaderValue, Request, Response, StatusCode, header};
+use http::{HeaderName, HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::BodyExt;
 use hyper::body::{Bytes, Incoming};
 use hyper::server::conn::http1;
@@ -21,9 +21,14 @@
 use crate::http::tune;
 use crate::telemetry::Metrics;
 
-/// A connection of a caller stays open this long without a request. Source: well beyond what
-/// configurations set, since a connection that closes as a request comes costs its caller a retry.
-const CALLERS_IDLE_MOST_MS: u64 = 60_000;
+/// How long callers are told that an unused connection is kept. Each holds buffers, and a caller opens
+/// one for every call that it makes at once: kept for as long as callers would use them, unused ones
+/// took most of an entry's memory.
+const KEEP_ALIVE: HeaderValue = HeaderValue::from_static("timeout=3");
+
+/// How long an unused connection is kept: longer than told, since one that closes as a request comes
+/// costs its caller a retry.
+const CALLERS_IDLE_MOST_MS: u64 = 4_500;
 
 /// Buffer of a connection. Source: the largest head that configurations allow, with room.
 const CONNECTION_BUFFER_BYTES: usize = 64 * 1024;
@@ -122,6 +127,7 @@
         Door::Callers => {
             let draining = gateway.clone();
             let mut response = serve_caller(gateway, request).await;
+            response.headers_mut().insert(HeaderName::from_static("keep-alive"), KEEP_ALIVE);
             if draining.draining.get() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
