Mechanisms can be switched off by name, so that their worth can be measured again

Cause: what each mechanism is worth could only be told from edited copies of the code. Refusals log how long their caller waits. Tests: two of the names; the unit tests pass.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -15,6 +15,7 @@
 use super::turn::within;
 use super::{AnswerBody, Order, Refusal};
 use crate::http::{ConnectFault, Gate, Outgoing};
+use crate::mechanisms::Mechanism;
 use crate::prelude::*;
 
 /// Carries the [`Order`] of a forwarded turn.
@@ -118,7 +119,8 @@
 /// Signs off an entry whose process is gone while its VM lives, so that its shards are dealt anew at
 /// once instead of after its membership lapses. If it lives after all, the epochs keep it harmless.
 async fn sign_off_gone(gateway: &Gateway, address: std::net::SocketAddr) {
-    if gateway.peers.borrow_mut().sign_off(address).is_some() {
+    let relieves = gateway.has(Mechanism::Relief);
+    if relieves && gateway.peers.borrow_mut().sign_off(address).is_some() {
         sign_off(gateway, address).await;
     }
 }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -12,6 +12,7 @@
 use super::shard_table::Owner;
 use super::state::Gateway;
 use super::writer::lose;
+use crate::mechanisms::Mechanism;
 use crate::prelude::*;
 use crate::replicas::Answers;
 
@@ -200,10 +201,12 @@
         gateway.shards.told(*shard, Owner { address: from, epoch: *epoch });
         give_up_to(gateway, *shard, *epoch);
     }
-    if gossip.generation > gateway.shards.generation() {
+    let settles = gateway.has(Mechanism::Settling);
+    if settles && gossip.generation > gateway.shards.generation() {
         gateway.renew_membership();
     }
-    if gossip.store_away && !gossip.shards.is_empty() && gateway.reach.is_sound(now) {
+    let relieves = gateway.has(Mechanism::Relief);
+    if relieves && gossip.store_away && !gossip.shards.is_empty() && gateway.reach.is_sound(now) {
         relieve(gateway, from);
     }
     let known = Known { since: heard.since, young: gossip.young };
@@ -217,7 +220,8 @@
             directory.tell_others(key, peers.running(endpoint));
         }
     }
-    for (endpoint, failures, served) in &gossip.answers {
+    let shares = gateway.has(Mechanism::Health) && gateway.has(Mechanism::SharedHealth);
+    for (endpoint, failures, served) in gossip.answers.iter().filter(|_| shares) {
         if let Some(key) = directory.find_hash(*endpoint) {
             let answers = Answers { failures: *failures, served: *served };
             directory.tell_answers(now, key, gossip.life, answers, heard.first);
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -16,7 +16,8 @@
 use super::state::Gateway;
 use super::turn::{TurnCall, serve_turn, within};
 use super::{AnswerBody, Call, Order, Refusal};
-use crate::catalog::{Catalog, Route, Workspace};
+use crate::catalog::{Catalog, Repeat, Route, Workspace};
+use crate::mechanisms::{Mechanism, Mechanisms};
 use crate::prelude::*;
 use crate::quota::Claim;
 use crate::turns::{AccountKey, TurnKey};
@@ -71,8 +72,9 @@
             let config_age_ms = gateway.in_force.age_ms().unwrap_or(u64::MAX);
             let (program, previous) = (text(&call.program), text(&call.previous));
             let (workspace, refusal_name) = (text(&seen.workspace), refusal.name());
-            log::info!(request:% = call.request, refusal = refusal_name, took_ms, config_age_ms,
-                program, previous, workspace; "refused");
+            let wait_ms = call.wait_ms.unwrap_or(u64::MAX);
+            log::info!(request:% = call.request, refusal = refusal_name, took_ms, wait_ms,
+                config_age_ms, program, previous, workspace; "refused");
             observe::refused(&seen, refusal);
             refuse(&gateway, Some(&call.request), refusal)
         }
@@ -97,7 +99,7 @@
 ) -> Result<Response<AnswerBody>, Refusal> {
     let revoke_ms = gateway.settings.bounds.revoke_ms;
     let is_fresh = || gateway.in_force.is_fresh(revoke_ms);
-    if !is_fresh() && gateway.store_is_away_for_all() {
+    if !is_fresh() && gateway.waits_for_store() {
         let left_ms = call.wait_ms.unwrap_or(u64::MAX);
         hold(left_ms, &gateway.in_force.confirmed, is_fresh).await;
     }
@@ -130,7 +132,8 @@
         return Err(not_ready);
     }
     seen.workspace = workspace.as_ref().map(|workspace| workspace.name.clone());
-    let order = order(&catalog, &route, workspace.as_deref(), call)?;
+    let mechanisms = gateway.settings.mechanisms;
+    let order = order(mechanisms, &catalog, &route, workspace.as_deref(), call)?;
     if gateway.is_guilty(suspect(&order.workspace, &head, &body)) {
         return Err(Refusal::CrashesEndpoints);
     }
@@ -185,9 +188,13 @@
 ) -> Result<(), u64> {
     let arrived = gateway.now();
     let begins = call.program.is_some() && call.most_tokens > 0 && call.previous.is_none();
-    let (claim, wait_most_ms) = match begins {
-        true => (Claim::Begins, route.target_ms / RATE_WAIT_PART),
-        false => (Claim::GoesOn, RATE_WAIT_MOST_MS.min(route.timeout_ms / RATE_WAIT_PART)),
+    let wait_most_ms = match begins {
+        true => route.target_ms / RATE_WAIT_PART,
+        false => RATE_WAIT_MOST_MS.min(route.timeout_ms / RATE_WAIT_PART),
+    };
+    let claim = match begins && gateway.has(Mechanism::RankedClaims) {
+        true => Claim::Begins,
+        false => Claim::GoesOn,
     };
     loop {
         let now = gateway.now();
@@ -204,6 +211,7 @@
 }
 
 fn order(
+    mechanisms: Mechanisms,
     catalog: &Catalog,
     route: &Route,
     workspace: Option<&Workspace>,
@@ -213,6 +221,10 @@
     let affinity = AccountKey::of(&route.prefix, program).hash();
     let service = route.service(affinity).ok_or(Refusal::NoRoute)?;
     let priority = workspace.and_then(|w| w.priority).unwrap_or(route.priority);
+    let repeat = match route.repeat {
+        Repeat::ResumableStream if !mechanisms.has(Mechanism::Resumption) => Repeat::Stream,
+        repeat => repeat,
+    };
     let tokens_per_event = catalog.service(service).map_or(0, |s| s.tokens_per_event);
     Ok(Order {
         workspace: workspace.map_or_else(|| NO_WORKSPACE.into(), |w| w.name.clone()),
@@ -220,7 +232,7 @@
         left_ms: call.wait_ms.unwrap_or(u64::MAX).min(route.timeout_ms),
         attempts: route.attempts,
         target_ms: route.target_ms,
-        repeat: route.repeat,
+        repeat,
         keeps_history: route.keeps_history,
         retention_ms: route.retention_ms,
         tokens_per_event,
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -1,5 +1,6 @@
 use std::net::SocketAddr;
 
+use crate::mechanisms::Mechanisms;
 use crate::prelude::*;
 
 /// Bounds that a deployment's operator sets.
@@ -33,4 +34,6 @@
     pub metrics: Option<SocketAddr>,
     /// Bounds to keep.
     pub bounds: Bounds,
+    /// The mechanisms that are on.
+    pub mechanisms: Mechanisms,
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -14,6 +14,7 @@
 use super::suspects::Suspects;
 use super::{GatewaySettings, Protocol, Store};
 use crate::http::Connections;
+use crate::mechanisms::Mechanism;
 use crate::prelude::*;
 use crate::replicas::{Directory, Placement, ReplicaKey, Want};
 use crate::time::Clock;
@@ -58,7 +59,7 @@
     ) -> Rc<Gateway> {
         let shards = ShardTable::open(store.shards());
         let seed = Digest::of(&[settings.name.as_bytes()]).prefix();
-        let placement = Placement::open(settings.failure_domain.clone());
+        let placement = Placement::open(settings.failure_domain.clone(), settings.mechanisms);
         let clock = Clock::start();
         Rc::new(Gateway {
             first_sequence: clock.unix().0,
@@ -106,8 +107,16 @@
         self.placement.borrow_mut().choose(now, &self.directory.borrow(), want, connected)
     }
 
+    /// Whether a mechanism is on.
+    pub(super) fn has(&self, mechanism: Mechanism) -> bool {
+        self.settings.mechanisms.has(mechanism)
+    }
+
     /// An endpoint broke off or can't be reached.
     pub(super) fn endpoint_failed(&self, key: ReplicaKey) {
+        if !self.has(Mechanism::Health) {
+            return;
+        }
         self.directory.borrow_mut().failed(self.now(), key);
         self.news.notify_one();
     }
@@ -155,10 +164,10 @@
         self.renew.notify_one();
     }
 
-    /// Whether the store is away for all, and not only for this entry: then no other entry would serve
-    /// a caller any better.
-    pub(super) fn store_is_away_for_all(&self) -> bool {
-        self.peers.borrow().miss_store(self.now())
+    /// Whether requests wait here for the store: it is away for all, and not only for this entry, so that
+    /// no other entry would serve a caller any better.
+    pub(super) fn waits_for_store(&self) -> bool {
+        self.has(Mechanism::Waiting) && self.peers.borrow().miss_store(self.now())
     }
 
     /// Counts a request as running until the guard is dropped.
--- a/src/gateway/tenure.rs
+++ b/src/gateway/tenure.rs
@@ -9,6 +9,7 @@
 use super::state::Gateway;
 use super::writer::{lose, write_records};
 use super::{Append, Deal, StoreError};
+use crate::mechanisms::Mechanism;
 use crate::prelude::*;
 
 /// Pause between two calls that keep the membership. Source: a third of the shortest life of a
@@ -78,8 +79,8 @@
                     self.gateway.reach.found(self.gateway.now());
                     match self.follow(deal).await {
                         Followed::HandedOver => continue,
-                        Followed::Changed => SETTLE_MS,
-                        Followed::Unchanged => RENEW_MS,
+                        Followed::Changed if self.gateway.has(Mechanism::Settling) => SETTLE_MS,
+                        Followed::Changed | Followed::Unchanged => RENEW_MS,
                     }
                 }
                 Err(fault) => {
--- a/src/gateway/tests/fakes.rs
+++ b/src/gateway/tests/fakes.rs
@@ -11,6 +11,7 @@
     Addressed, Append, Bounds, Call, Deal, Feed, GatewaySettings, Later, Page, PeerRecord,
     Position, Protocol, Refusal, Reply, Store, StoreError,
 };
+use crate::mechanisms::Mechanisms;
 use crate::replicas::Change;
 
 /// A store that deals one shard anew at the second call to join, as one does whose earlier owner has
@@ -93,6 +94,7 @@
         peers: anywhere,
         metrics: None,
         bounds,
+        mechanisms: Mechanisms::default(),
     };
     Gateway::open(settings, store, Rc::new(Silence))
 }
--- a/src/gateway/turn.rs
+++ b/src/gateway/turn.rs
@@ -16,6 +16,7 @@
 use super::state::Gateway;
 use super::writer::Recorded;
 use super::{AnswerBody, Refusal};
+use crate::mechanisms::Mechanism;
 use crate::prelude::*;
 use crate::replicas::ReplicaKey;
 use crate::turns::{AccountKey, EventReader, Turn, TurnKey, Version};
@@ -190,7 +191,7 @@
         let needs_store = call.job.order.keeps_history || !records.is_empty();
         let recorded = (!records.is_empty()).then(|| shard.writer.append(records));
         let left_ms = call.job.ends_at.since(gateway.now());
-        let holds = needs_store && gateway.store_is_away_for_all();
+        let holds = needs_store && gateway.waits_for_store();
         if holds && !shard.writer.until_sound(left_ms).await {
             log::info!(request:% = call.job.request, shard = shard.number; "the store is away");
             return Err(Refusal::Unavailable { retry_after_ms: STORE_AWAY_RETRY_MS });
@@ -232,7 +233,8 @@
             }
         }
         let request = &self.call.job.request;
-        let recorded = bequeath(gateway, &bequest, ends_at).await;
+        let recorded =
+            gateway.has(Mechanism::Bequests) && bequeath(gateway, &bequest, ends_at).await;
         log::info!(request:%, shard = shard.number, epoch = shard.epoch, recorded;
             "a turn ended after its shard was lost");
         recorded.then_some(()).ok_or(Refusal::OutcomeUnknown)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod ids;
 pub mod link;
 pub mod logstore;
+pub mod mechanisms;
 pub mod membership;
 pub mod prelude;
 pub mod programs;
--- /dev/null
+++ b/src/mechanisms/tests.rs
@@ -0,0 +1,16 @@
+use super::*;
+
+#[test]
+fn those_named_are_off_and_all_others_on() {
+    let mechanisms = Mechanisms::without("waiting, health").expect("known");
+    for (mechanism, name) in Mechanism::ALL {
+        assert_eq!(mechanisms.has(mechanism), !["waiting", "health"].contains(&name), "{name}");
+    }
+    assert_eq!(Mechanisms::without(""), Ok(Mechanisms::default()));
+}
+
+#[test]
+fn an_unknown_name_is_refused_with_those_known() {
+    let fault = Mechanisms::without("waiting,luck").expect_err("unknown").to_string();
+    assert!(fault.contains("\"luck\"") && fault.contains("ranked-claims"), "{fault}");
+}
--- a/src/replicas/placement.rs
+++ b/src/replicas/placement.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 
 use super::{Directory, ReplicaKey};
+use crate::mechanisms::{Mechanism, Mechanisms};
 use crate::prelude::*;
 
 /// What a request waits for at an endpoint without a free slot, for each request beyond its slots.
@@ -62,14 +63,15 @@
 #[derive(Debug, Default)]
 pub struct Placement {
     domain: Arc<str>,
+    mechanisms: Mechanisms,
     cached: HashMap<(ReplicaKey, u64), Cached>,
     turn: u64,
 }
 
 impl Placement {
     /// Chooses for an entry in `domain`.
-    pub fn open(domain: Arc<str>) -> Placement {
-        Placement { domain, ..Placement::default() }
+    pub fn open(domain: Arc<str>, mechanisms: Mechanisms) -> Placement {
+        Placement { domain, mechanisms, ..Placement::default() }
     }
 
     /// The best usable endpoint, if there is one. `connected` tells whether a connection is kept to an
@@ -106,13 +108,13 @@
             let load = f64::from(replica.load());
             let wait_ms = (load + 1.0 - slots).max(0.0) * WAIT_EACH_MS;
             let batch_ms = (load / slots).min(1.0) * FULL_BATCH_MS;
-            let near = replica.announced.failure_domain == self.domain;
+            let near = replica.announced.failure_domain == self.domain
+                || !self.mechanisms.has(Mechanism::Nearness);
             let way_ms = if near { 0.0 } else { OTHER_DOMAIN_MS };
             let read_ms = self.unread_tokens(now, key, &want.parts) as f64 / PREFILL_TOKENS_PER_MS;
-            let open_ms = match connected(replica.announced.address) {
-                true => 0.0,
-                false => NEW_CONNECTION_MS,
-            };
+            let is_open = connected(replica.announced.address)
+                || !self.mechanisms.has(Mechanism::KeptConnections);
+            let open_ms = if is_open { 0.0 } else { NEW_CONNECTION_MS };
             let cost_ms = wait_ms + batch_ms + way_ms + read_ms + open_ms;
             // Equal costs are taken in turn, so that idle endpoints share the requests.
             let tie = (at as u64).wrapping_add(self.turn) % 64;
@@ -141,6 +143,9 @@
 
     /// An endpoint has read these parts.
     pub fn read(&mut self, now: TimeMs, key: ReplicaKey, parts: &[(u64, u64)]) {
+        if !self.mechanisms.has(Mechanism::Affinity) {
+            return;
+        }
         for (part, tokens) in parts {
             self.cached.insert((key, *part), Cached { at: now, tokens: *tokens });
         }
--- a/src/replicas/tests.rs
+++ b/src/replicas/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::mechanisms::Mechanisms;
 use crate::prelude::*;
 
 fn announced(service: &str, port: u16, born_ms: u64, sequence: u64) -> Announced {
@@ -71,7 +72,7 @@
 #[test]
 fn idle_endpoints_share_requests() {
     let directory = with(&[("r", announced("s", 1, 5, 9)), ("q", announced("s", 2, 5, 9))]);
-    let mut placement = Placement::open("d".into());
+    let mut placement = Placement::open("d".into(), Mechanisms::default());
     let mut chosen: Vec<_> = (0..64)
         .filter_map(|_| placement.choose(TimeMs(0), &directory, &want(&[]), |_| true))
         .collect();
@@ -83,7 +84,7 @@
 #[test]
 fn a_prompt_returns_to_the_endpoint_that_read_it_unless_that_is_full() {
     let mut directory = with(&[("r", announced("s", 1, 5, 9)), ("q", announced("s", 2, 5, 9))]);
-    let mut placement = Placement::open("d".into());
+    let mut placement = Placement::open("d".into(), Mechanisms::default());
     let holder = directory.find("q").expect("known");
     placement.read(TimeMs(0), holder, &[(1, 2_000)]);
     for _ in 0..4 {
@@ -178,7 +179,7 @@
 fn most_endpoints_of_a_service_are_never_left_out() {
     let entries = ["a", "b", "c", "d"].map(|id| (id, announced("s", 1, 5, 9)));
     let mut directory = with(&entries);
-    let mut placement = Placement::open("d".into());
+    let mut placement = Placement::open("d".into(), Mechanisms::default());
     let keys: Vec<_> = directory.all().map(|(key, _)| key).collect();
     for key in keys {
         (0..3).for_each(|_| directory.failed(TimeMs(0), key));
@@ -189,7 +190,7 @@
 #[test]
 fn an_endpoint_that_fails_in_a_row_is_left_out_and_tried_again() {
     let mut directory = with(&[("r", announced("s", 1, 5, 9))]);
-    let mut placement = Placement::open("d".into());
+    let mut placement = Placement::open("d".into(), Mechanisms::default());
     let key = directory.find("r").expect("known");
     (0..3).for_each(|_| directory.failed(TimeMs(0), key));
     assert_eq!(placement.choose(TimeMs(100), &directory, &want(&[]), |_| true), None);
@@ -215,7 +216,7 @@
 #[test]
 fn a_kept_connection_decides_between_endpoints_that_are_alike() {
     let directory = with(&[("r", announced("s", 1, 5, 9)), ("q", announced("s", 2, 5, 9))]);
-    let mut placement = Placement::open("d".into());
+    let mut placement = Placement::open("d".into(), Mechanisms::default());
     let kept = directory.find("q").expect("known");
     for _ in 0..8 {
         let connected = |address: std::net::SocketAddr| address.port() == 2;
@@ -229,7 +230,7 @@
 fn what_may_run_again_is_rather_tried_where_it_may_fail_than_refused() {
     let entries = ["a", "b", "c"].map(|id| (id, announced("s", 1, 5, 9)));
     let mut directory = with(&entries);
-    let mut placement = Placement::open("d".into());
+    let mut placement = Placement::open("d".into(), Mechanisms::default());
     let keys: Vec<_> = directory.all().map(|(key, _)| key).collect();
     for key in &keys[..2] {
         (0..3).for_each(|_| directory.failed(TimeMs(0), *key));
@@ -246,7 +247,7 @@
 #[test]
 fn a_session_that_has_grown_returns_to_where_it_was_read() {
     let directory = with(&[("r", announced("s", 1, 5, 9)), ("q", announced("s", 2, 5, 9))]);
-    let mut placement = Placement::open("d".into());
+    let mut placement = Placement::open("d".into(), Mechanisms::default());
     let holder = directory.find("q").expect("known");
     let other = directory.find("r").expect("known");
     placement.read(TimeMs(0), other, &[(1, 12_000)]);
