Every call to the store has a limit: entries that start in a silent outage meet each other

Cause: an entry announces itself and reads the list of entries with calls that had no limit. Change: one function bounds every call to the store; it stood four times, and not where it was missing. Test: an_entry_that_starts_while_the_store_is_silent_meets_the_others fails without the limit.

--- a/src/gateway/config_feed.rs
+++ b/src/gateway/config_feed.rs
@@ -4,6 +4,7 @@
 
 use tokio::sync::Notify;
 
+use super::bounded::bounded;
 use super::state::Gateway;
 use super::{Position, StoreError};
 use crate::catalog::Catalog;
@@ -94,10 +95,7 @@
         false => WAIT_MOST_MS.min(gateway.settings.bounds.revoke_ms / WAIT_PART),
     };
     let read = gateway.store.configurations(from, wait_ms);
-    let limit = Duration::from_millis(wait_ms + READ_SLACK_MS);
-    let feed = tokio::time::timeout(limit, read)
-        .await
-        .unwrap_or_else(|_| Err(StoreError::NoAnswer("timeout".to_string())))?;
+    let feed = bounded(wait_ms + READ_SLACK_MS, read).await?;
     for declared in feed.items {
         let version = declared.version;
         let in_force = gateway.in_force.catalog();
--- a/src/gateway/endpoint_feed.rs
+++ b/src/gateway/endpoint_feed.rs
@@ -5,9 +5,10 @@
 
 use tokio::sync::Notify;
 
+use super::bounded::bounded;
 use super::hold::hold;
 use super::state::Gateway;
-use super::{Feed, Position, StoreError};
+use super::{Feed, StoreError};
 use crate::prelude::*;
 use crate::replicas::Change;
 
@@ -49,7 +50,7 @@
     let mut from = None;
     let mut failing = false;
     loop {
-        match read_once(&gateway, from).await {
+        match bounded(READ_TIMEOUT_MS, gateway.store.endpoints(from)).await {
             Ok(feed) => {
                 gateway.reach.found(gateway.now());
                 if std::mem::take(&mut failing) {
@@ -76,16 +77,6 @@
     }
 }
 
-async fn read_once(
-    gateway: &Rc<Gateway>,
-    from: Option<Position>,
-) -> Result<Feed<Change>, StoreError> {
-    let limit = Duration::from_millis(READ_TIMEOUT_MS);
-    tokio::time::timeout(limit, gateway.store.endpoints(from))
-        .await
-        .unwrap_or_else(|_| Err(StoreError::NoAnswer("timeout".to_string())))
-}
-
 fn apply(gateway: &Gateway, feed: Feed<Change>) {
     let now = gateway.now();
     let mut directory = gateway.directory.borrow_mut();
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -8,6 +8,7 @@
 use hyper::body::{Bytes, Incoming};
 use tokio::sync::{mpsc, oneshot};
 
+use super::bounded::{CALL_TIMEOUT_MS, bounded};
 use super::event_stream::next_frame;
 use super::owned_shard::{OwnedShard, Stage};
 use super::plain::end_to_end;
@@ -131,7 +132,7 @@
         return;
     };
     log::info!(peer:% = name; "an entry is signed off; its shards are dealt anew");
-    if let Err(fault) = gateway.store.leave(&name).await {
+    if let Err(fault) = bounded(CALL_TIMEOUT_MS, gateway.store.leave(&name)).await {
         log::warn!(peer:% = name, fault:display; "an entry could not be signed off");
     }
     gateway.renew_membership();
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -5,6 +5,7 @@
 use tokio::net::UdpSocket;
 
 use super::PeerRecord;
+use super::bounded::{CALL_TIMEOUT_MS, bounded};
 use super::forward::sign_off;
 use super::message::{Gossip, in_turn};
 use super::owned_shard::Stage;
@@ -60,13 +61,13 @@
 /// Announces this entry and follows the list of the others.
 pub(super) async fn follow_peers(gateway: Rc<Gateway>) {
     let own = PeerRecord { name: gateway.settings.name.clone(), address: gateway.settings.peers };
-    while let Err(fault) = gateway.store.announce(&own).await {
+    while let Err(fault) = bounded(CALL_TIMEOUT_MS, gateway.store.announce(&own)).await {
         log::warn!(fault:display; "this entry can't be announced");
         tokio::time::sleep(Duration::from_millis(PEERS_RETRY_MS)).await;
     }
     let mut failing = false;
     loop {
-        let pause_ms = match gateway.store.peers().await {
+        let pause_ms = match bounded(CALL_TIMEOUT_MS, gateway.store.peers()).await {
             Ok(records) => {
                 failing = false;
                 let others = records.into_iter().filter(|record| record.address != own.address);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod answer;
 mod attempt;
 mod bequest;
+mod bounded;
 mod call;
 mod config_feed;
 mod endpoint_feed;
--- a/src/gateway/tenure.rs
+++ b/src/gateway/tenure.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use super::bounded::{CALL_TIMEOUT_MS, bounded};
 use super::owned_shard::{OwnedShard, Stage};
 use super::state::Gateway;
 use super::writer::{lose, write_records};
@@ -21,9 +22,6 @@
 /// pace turns find no owner for most of a second after each change.
 const SETTLE_MS: u64 = 50;
 
-/// The longest wait for one call.
-const CALL_TIMEOUT_MS: u64 = 700;
-
 /// Pause before a failed call is made again.
 const RETRY_MS: u64 = 50;
 
@@ -66,7 +64,7 @@
     /// The member's name is that of the VM: what an earlier life of this process still holds in the
     /// group is freed at once by its leaving, instead of staying unserved until it lapses.
     pub(super) async fn keep(self: Rc<Self>) {
-        if let Err(fault) = limited(self.gateway.store.leave(&self.member)).await {
+        if let Err(fault) = bounded(CALL_TIMEOUT_MS, self.gateway.store.leave(&self.member)).await {
             log::warn!(fault:display; "an earlier life could not be signed off");
         }
         while !self.gateway.draining.get() {
@@ -96,7 +94,11 @@
     }
 
     async fn join(&self) -> Result<Deal, StoreError> {
-        limited(self.gateway.store.join(&self.member, self.gateway.shards.generation())).await
+        bounded(
+            CALL_TIMEOUT_MS,
+            self.gateway.store.join(&self.member, self.gateway.shards.generation()),
+        )
+        .await
     }
 
     /// Follows a deal.
@@ -139,19 +141,13 @@
     /// Gives all shards to the other members.
     pub(super) async fn leave(&self) {
         hand_over(&self.gateway, &self.gateway.shards.all_own()).await;
-        if let Err(fault) = limited(self.gateway.store.leave(&self.member)).await {
+        if let Err(fault) = bounded(CALL_TIMEOUT_MS, self.gateway.store.leave(&self.member)).await {
             log::warn!(fault:display; "the shards could not be signed off; they lapse");
         }
         self.gateway.news.notify_one();
     }
 }
 
-async fn limited<T>(call: impl Future<Output = Result<T, StoreError>>) -> Result<T, StoreError> {
-    tokio::time::timeout(Duration::from_millis(CALL_TIMEOUT_MS), call)
-        .await
-        .unwrap_or_else(|_| Err(StoreError::NoAnswer("timeout".to_string())))
-}
-
 async fn hand_over(gateway: &Gateway, leaving: &[Rc<OwnedShard>]) {
     leaving.iter().for_each(|shard| shard.enter(Stage::Leaving));
     let started = gateway.now();
@@ -208,7 +204,7 @@
     call: impl Fn() -> F,
 ) -> Result<T, StoreError> {
     loop {
-        match limited(call()).await {
+        match bounded(CALL_TIMEOUT_MS, call()).await {
             Err(StoreError::NoAnswer(_) | StoreError::Refused(_) | StoreError::Unreadable(_))
                 if shard.stage() != Stage::Lost =>
             {
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -6,7 +6,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use super::gossip::life_number;
+use super::gossip::{follow_peers, life_number};
 use super::hold::hold;
 use super::message::{Gossip, Taken};
 use super::peers::Peers;
@@ -79,6 +79,23 @@
     assert!(started.elapsed() <= Duration::from_millis(100), "{:?}", started.elapsed());
 }
 
+// All entries start while the store says nothing, with its connections standing. Their first calls had no
+// limit and never ended, so that no entry heard of another until its process was replaced: shards were
+// served, and seven of eight turns found no owner for the rest of the day.
+#[tokio::test(start_paused = true)]
+async fn an_entry_that_starts_while_the_store_is_silent_meets_the_others() {
+    let gateway = fakes::gateway(Rc::<fakes::FirstSilentStore>::default());
+    let tasks = tokio::task::LocalSet::new();
+    tasks.spawn_local(follow_peers(gateway.clone()));
+    let met = async {
+        while gateway.peers.borrow().addresses().is_empty() {
+            gateway.news.notified().await;
+        }
+    };
+    let met = tokio::time::timeout(Duration::from_secs(5), met);
+    assert!(tasks.run_until(met).await.is_ok(), "it never hears of another entry");
+}
+
 // The store is away for longer than a caller's tries last if each is refused at once. A request waits
 // for a part of its time, and leaves its caller enough of the rest to come back.
 #[tokio::test(start_paused = true)]
--- a/src/gateway/tests/fakes.rs
+++ b/src/gateway/tests/fakes.rs
@@ -1,7 +1,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-use futures_util::future::{FutureExt, ready};
+use futures_util::future::{FutureExt, pending, ready};
 use http::{HeaderMap, Response, request, response};
 use hyper::body::Bytes;
 
@@ -61,6 +61,58 @@
     }
 }
 
+/// A store that never answers the first call of each kind, and knows of one other entry.
+#[derive(Default)]
+pub(super) struct FirstSilentStore {
+    announced: Cell<bool>,
+    listed: Cell<bool>,
+}
+
+impl Store for FirstSilentStore {
+    fn shards(&self) -> u32 {
+        1
+    }
+
+    fn append<'a>(&'a self, _: &'a Append) -> Later<'a, ()> {
+        pending().boxed_local()
+    }
+
+    fn newest(&self, _: u32, _: Option<String>) -> Later<'_, Page> {
+        pending().boxed_local()
+    }
+
+    fn join<'a>(&'a self, _: &'a str, _: u64) -> Later<'a, Deal> {
+        pending().boxed_local()
+    }
+
+    fn leave<'a>(&'a self, _: &'a str) -> Later<'a, ()> {
+        pending().boxed_local()
+    }
+
+    fn configurations(&self, _: Option<Position>, _: u64) -> Later<'_, Feed<Declared>> {
+        pending().boxed_local()
+    }
+
+    fn endpoints(&self, _: Option<Position>) -> Later<'_, Feed<Change>> {
+        pending().boxed_local()
+    }
+
+    fn announce<'a>(&'a self, _: &'a PeerRecord) -> Later<'a, ()> {
+        match self.announced.replace(true) {
+            true => ready(Ok(())).boxed_local(),
+            false => pending().boxed_local(),
+        }
+    }
+
+    fn peers(&self) -> Later<'_, Vec<PeerRecord>> {
+        let other = PeerRecord { name: "other".into(), address: ([127, 0, 0, 2], 1).into() };
+        match self.listed.replace(true) {
+            true => ready(Ok(vec![other])).boxed_local(),
+            false => pending().boxed_local(),
+        }
+    }
+}
+
 /// A protocol that nobody speaks.
 pub(super) struct Silence;
 
--- a/src/gateway/writer.rs
+++ b/src/gateway/writer.rs
@@ -4,6 +4,7 @@
 
 use tokio::sync::{Notify, oneshot};
 
+use super::bounded::bounded;
 use super::hold::hold;
 use super::owned_shard::{OwnedShard, Stage};
 use super::state::Gateway;
@@ -94,10 +95,7 @@
 /// its number: the store does it once.
 async fn write(gateway: &Gateway, shard: &OwnedShard, append: &Append) -> bool {
     loop {
-        let limit = Duration::from_millis(APPEND_TIMEOUT_MS);
-        let answer = tokio::time::timeout(limit, gateway.store.append(append)).await;
-        let answer = answer.unwrap_or_else(|_| Err(StoreError::NoAnswer("timeout".to_string())));
-        match answer {
+        match bounded(APPEND_TIMEOUT_MS, gateway.store.append(append)).await {
             Ok(()) => {
                 gateway.reach.found(gateway.now());
                 if shard.writer.failing.replace(false) {
