An entry joins the owners of shards only once it knows the endpoints

Cause: an entry that was restarted while the endpoints' list could not be read was dealt shards, and refused every turn that the other entries sent it, for want of endpoints (incident inc-4a46: 141 turns). Ruled out: endpoints left out for failures (none was known at all). Change: the membership begins behind the first reading of the list. Test: an_entry_that_knows_no_endpoints_owns_no_shard fails without it.

--- a/src/gateway/endpoint_feed.rs
+++ b/src/gateway/endpoint_feed.rs
@@ -38,6 +38,13 @@
         }
     }
 
+    /// Waits for the first reading.
+    pub(super) async fn known(&self) {
+        while !self.is_read.get() {
+            self.was_read.notified().await;
+        }
+    }
+
     /// Waits for the first reading, for a part of a request's time.
     pub(super) async fn until_read(&self, left_ms: u64) -> bool {
         self.is_read.get() || hold(left_ms, &self.was_read, || self.is_read.get()).await
--- a/src/gateway/tenure.rs
+++ b/src/gateway/tenure.rs
@@ -67,6 +67,9 @@
         if let Err(fault) = bounded(CALL_TIMEOUT_MS, self.gateway.store.leave(&self.member)).await {
             log::warn!(fault:display; "an earlier life could not be signed off");
         }
+        // Turns of a shard come here from all entries. Owned before the endpoints are known, each would be
+        // refused for want of an endpoint, though all of them are there.
+        self.gateway.listing.known().await;
         while !self.gateway.draining.get() {
             if self.gateway.reach.is_away(self.gateway.now()) {
                 tokio::time::sleep(Duration::from_millis(RETRY_MS)).await;
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -6,6 +6,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use super::endpoint_feed::follow_endpoints;
 use super::gossip::{follow_peers, life_number};
 use super::hold::hold;
 use super::message::{Gossip, Taken};
@@ -66,9 +67,11 @@
 // turn of its programs waited for that.
 #[tokio::test(start_paused = true)]
 async fn a_shard_that_changes_hands_is_taken_soon_after_the_deal() {
-    let gateway = fakes::gateway(Rc::<fakes::DealingStore>::default());
+    let store = fakes::DealingStore { lists_endpoints: true, ..Default::default() };
+    let gateway = fakes::gateway(Rc::new(store));
     let started = Instant::now();
     let tasks = tokio::task::LocalSet::new();
+    tasks.spawn_local(follow_endpoints(gateway.clone()));
     tasks.spawn_local(Tenure::open(gateway.clone()).keep());
     let served = async {
         while gateway.shards.own(0).is_none() {
@@ -79,6 +82,18 @@
     assert!(started.elapsed() <= Duration::from_millis(100), "{:?}", started.elapsed());
 }
 
+// An entry is restarted while the endpoints' list can't be read. Dealt shards all the same, it refused every
+// turn that the other entries sent it, for want of an endpoint; they would have kept the shards.
+#[tokio::test(start_paused = true)]
+async fn an_entry_that_knows_no_endpoints_owns_no_shard() {
+    let gateway = fakes::gateway(Rc::<fakes::DealingStore>::default());
+    let tasks = tokio::task::LocalSet::new();
+    tasks.spawn_local(follow_endpoints(gateway.clone()));
+    tasks.spawn_local(Tenure::open(gateway.clone()).keep());
+    tasks.run_until(tokio::time::sleep(Duration::from_secs(3))).await;
+    assert!(gateway.shards.own(0).is_none());
+}
+
 // All entries start while the store says nothing, with its connections standing. Their first calls had no
 // limit and never ended, so that no entry heard of another until its process was replaced: shards were
 // served, and seven of eight turns found no owner for the rest of the day.
--- a/src/gateway/tests/fakes.rs
+++ b/src/gateway/tests/fakes.rs
@@ -18,7 +18,8 @@
 /// just shown that it has let go.
 #[derive(Default)]
 pub(super) struct DealingStore {
-    joins: Cell<u32>,
+    pub(super) lists_endpoints: bool,
+    pub(super) joins: Cell<u32>,
 }
 
 impl Store for DealingStore {
@@ -49,7 +50,12 @@
     }
 
     fn endpoints(&self, _: Option<Position>) -> Later<'_, Feed<Change>> {
-        ready(Err(StoreError::Refused(503))).boxed_local()
+        let feed = Feed { items: vec![], whole: true, next: Position(0) };
+        let read = match self.lists_endpoints {
+            true => Ok(feed),
+            false => Err(StoreError::Refused(503)),
+        };
+        ready(read).boxed_local()
     }
 
     fn announce<'a>(&'a self, _: &'a PeerRecord) -> Later<'a, ()> {
