--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -30,15 +30,15 @@
     pub(super) ends_at: TimeMs,
 }
 
-/// An endpoint that says nothing for this many times its route's target is silent. Source: a loaded
+/// An endpoint that says nothing for this many times its route's target is silent: a loaded
 /// engine takes up to about twice the target.
 const SILENT_TARGETS: u64 = 3;
 
-/// The shortest silence that counts. Source: what a lost packet costs, twice.
+/// The shortest silence that counts: what a lost packet costs, twice.
 const SILENT_LEAST_MS: u64 = 500;
 
-/// An answer may have come while this process stood still; it is looked for once more after this time.
-/// Source: what a busy process takes to read all that waits.
+/// An answer may have come while this process stood still; it is looked for once more after this time:
+/// what a busy process takes to read all that waits.
 const OWN_DELAY_MS: u64 = 30;
 
 /// Marks a request as running at an endpoint, and holds its connection.
--- a/src/gateway/bequest.rs
+++ b/src/gateway/bequest.rs
@@ -24,14 +24,14 @@
 /// Where an entry takes other entries' turns over.
 pub(super) const BEQUEST_PATH: &str = "/record-turn";
 
-/// The longest wait for one answer. Source: the other entry appends the turn, which takes some ten
+/// The longest wait for one answer: the other entry appends the turn, which takes some ten
 /// milliseconds, and a quarter of a second when the store is slow.
 const ANSWER_MOST_MS: u64 = 600;
 
 /// Pause between two looks for the next owner.
 const LOOK_AGAIN_MS: u64 = 20;
 
-/// The most bytes of a turn. Source: what a caller may send, and an answer.
+/// The most bytes of a turn: what a caller may send, and an answer.
 const BEQUEST_MOST_BYTES: usize = 8 << 20;
 
 /// A turn that its owner could not record.
--- a/src/gateway/config_feed.rs
+++ b/src/gateway/config_feed.rs
@@ -12,8 +12,8 @@
 /// The longest that the store holds a read for a newer configuration.
 const WAIT_MOST_MS: u64 = 1_000;
 
-/// It holds a read for one part in so many of the time within which a withdrawn key must end.
-/// Source: what is known is up to two waits old, and a slow or lost answer must fit in as well.
+/// It holds a read for one part in so many of the time within which a withdrawn key must end:
+/// what is known is up to two waits old, and a slow or lost answer must fit in as well.
 const WAIT_PART: u64 = 5;
 
 /// The longest that a read may take beyond its wait before it is given up.
--- a/src/gateway/endpoint_feed.rs
+++ b/src/gateway/endpoint_feed.rs
@@ -12,12 +12,12 @@
 use crate::prelude::*;
 use crate::replicas::Change;
 
-/// The longest pause between two reads of the endpoints' list. Source: an endpoint that crashed or came
+/// The longest pause between two reads of the endpoints' list: an endpoint that crashed or came
 /// is known soon enough, against the price of a read.
 const POLL_MOST_MS: u64 = 400;
 
-/// The pause is one part in so many of the time after which a leaving endpoint must get nothing new.
-/// Source: leaves room for a slow answer, a lost one and the read after it.
+/// The pause is one part in so many of the time after which a leaving endpoint must get nothing new:
+/// leaves room for a slow answer, a lost one and the read after it.
 const POLL_PART: u64 = 5;
 
 /// The longest that a read may take.
--- a/src/gateway/find.rs
+++ b/src/gateway/find.rs
@@ -19,7 +19,7 @@
 /// Where an entry is asked for a turn.
 pub(super) const FIND_PATH: &str = "/find-turn";
 
-/// The longest wait for another entry's search. Source: it confirms its epochs at the store, which
+/// The longest wait for another entry's search: it confirms its epochs at the store, which
 /// takes some ten milliseconds, and a quarter of a second when the store is slow.
 const FIND_TIMEOUT_MS: u64 = 600;
 
@@ -27,13 +27,13 @@
 /// are told as searched, within the time that the asker waits.
 const CONFIRM_MOST_MS: u64 = 400;
 
-/// The most bytes of a chain. Source: 160,000 tokens at two bytes, with room for the framing.
+/// The most bytes of a chain: 160,000 tokens at two bytes, with room for the framing.
 const CHAIN_MOST_BYTES: usize = 1 << 20;
 
 /// When to return if a search was not complete: a shard is between two owners.
 const INCOMPLETE_RETRY_MS: u64 = 300;
 
-/// How long a search is repeated while it is not complete. Source: a shard that is dealt anew is
+/// How long a search is repeated while it is not complete: a shard that is dealt anew is
 /// read by its next owner within some hundred milliseconds; a dead owner's lapses after longer, and
 /// then its caller is better served by an answer.
 const SEARCH_MOST_MS: u64 = 700;
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -28,7 +28,7 @@
 /// Marks a refusal: the turn has not run and never will.
 pub(super) const NOT_RUN_HEADER: &str = "x-trefoil-not-run";
 
-/// How long a turn may wait for its shard to find an owner. Source: an owner that dies is replaced
+/// How long a turn may wait for its shard to find an owner: an owner that dies is replaced
 /// once its membership lapses, after one and a half seconds, and its records are read.
 const OWNER_WAIT_MOST_MS: u64 = 1_900;
 
@@ -36,7 +36,7 @@
 /// not end in time.
 const OWNER_WAIT_PART: f64 = 0.6;
 
-/// An owner takes a turn within this time or does not get it. Source: a machine whose processor is
+/// An owner takes a turn within this time or does not get it: a machine whose processor is
 /// held back stands still for up to a tenth of a second.
 const TAKEN_WITHIN_MS: u64 = 250;
 
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -17,37 +17,37 @@
 use crate::prelude::*;
 use crate::replicas::Answers;
 
-/// Pause between two messages to the others while requests are running. Source: what an entry takes
+/// Pause between two messages to the others while requests are running: what an entry takes
 /// out of a workspace's rate in this time must be small against its burst.
 const TELL_EVERY_MS: u64 = 100;
 
-/// Messages that an entry sends in a second, to all others together. Source: a tenth of a percent of
+/// Messages that an entry sends in a second, to all others together: a tenth of a percent of
 /// a core; with more entries, each tells less often, and takes less in between.
 const MESSAGES_PER_S: u64 = 150;
 
-/// The longest pause between two messages. Source: an entry that is silent for half a second counts
+/// The longest pause between two messages: an entry that is silent for half a second counts
 /// as out of touch.
 const TELL_MOST_MS: u64 = 200;
 
-/// The most bytes of a datagram. Source: what a link carries in one frame.
+/// The most bytes of a datagram: what a link carries in one frame.
 const DATAGRAM_MOST_BYTES: usize = 1_400;
 
 /// The most rows of each list in one message, so that it fits a datagram; lists that are longer are
 /// told in turn.
 const ROWS_MOST: usize = 50;
 
-/// Shortest pause between two messages, whatever happens. Source: what happens within it is told
+/// Shortest pause between two messages, whatever happens: what happens within it is told
 /// in one; ten times the way between two entries.
 const TELL_LEAST_MS: u64 = 20;
 
 /// Crashing requests are told for this long.
 const SUSPECTS_TOLD_MS: u64 = 5_000;
 
-/// Pause between two reads of the list of entries while it can't be read. Source: it only matters to
+/// Pause between two reads of the list of entries while it can't be read: it only matters to
 /// an entry that starts; calls to a store in trouble are part of the trouble.
 const PEERS_RETRY_MS: u64 = 400;
 
-/// Pause between two reads of the list of entries. Source: a new entry tells all that it knows of;
+/// Pause between two reads of the list of entries: a new entry tells all that it knows of;
 /// the list only finds those that were announced at the same moment.
 const PEERS_EVERY_MS: u64 = 10_000;
 
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -5,22 +5,22 @@
 use crate::prelude::*;
 use crate::quota::Peering;
 
-/// An entry that was not heard from for this long has nothing running and owns nothing. Source: six
+/// An entry that was not heard from for this long has nothing running and owns nothing: six
 /// messages lost in a row.
 const SILENT_AFTER_MS: u64 = 1_500;
 
-/// An entry that was not heard from for this long no longer takes part in the workspaces' rates.
-/// Source: one that is cut off for longer has no fresh configuration and admits nothing.
+/// An entry that was not heard from for this long no longer takes part in the workspaces' rates:
+/// one that is cut off for longer has no fresh configuration and admits nothing.
 const FORGOTTEN_AFTER_MS: u64 = 20_000;
 
-/// An entry is relieved of its shards at most once in this time. Source: longer than new owners take
+/// An entry is relieved of its shards at most once in this time: longer than new owners take
 /// to read them.
 const RELIEF_PAUSE_MS: u64 = 3_000;
 
 /// So many entries relieve one that is cut off from the store: one may be cut off as well.
 const RELIEVERS: usize = 2;
 
-/// An entry that was heard within this time is in touch. Source: three messages lost in a row.
+/// An entry that was heard within this time is in touch: three messages lost in a row.
 const IN_TOUCH_MS: u64 = 500;
 
 #[derive(Debug)]
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -16,7 +16,7 @@
 /// run. They cost the endpoints nothing, but a request must not wander over all of them.
 const UNRUN_ATTEMPTS_MOST: u32 = 3;
 
-/// When to return if no endpoint takes the request now. Source: about two mean running times.
+/// When to return if no endpoint takes the request now: about two mean running times.
 const NO_ENDPOINT_RETRY_MS: u64 = 150;
 
 /// Attempts of one request, one after the other.
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -23,14 +23,14 @@
 /// Part of that time after which the process ends, whatever is still running.
 const END_PART: f64 = 0.92;
 
-/// A process ends once nothing has run for this long. Source: several times what a loaded entry takes
+/// A process ends once nothing has run for this long: several times what a loaded entry takes
 /// from the arrival of a request to its first step.
 const IDLE_BEFORE_END_MS: u64 = 200;
 
 /// Pause between two looks at what is still running.
 const LOOK_AGAIN_MS: u64 = 20;
 
-/// Pause between two writings of the log. Source: what a killed process may leave unsaid, against a
+/// Pause between two writings of the log: what a killed process may leave unsaid, against a
 /// call of the system for each line.
 const FLUSH_LOGS_MS: u64 = 200;
 
--- a/src/gateway/rates.rs
+++ b/src/gateway/rates.rs
@@ -5,11 +5,11 @@
 use crate::prelude::*;
 use crate::quota::{Allowance, Claim, Peering, SharedWindow};
 
-/// What this entry has taken is told for this long after each change. Source: three messages, so that
+/// What this entry has taken is told for this long after each change: three messages, so that
 /// two may be lost.
 const TOLD_FOR_MS: u64 = 700;
 
-/// What has not changed is told once in so many messages, for entries that missed it. Source: within
+/// What has not changed is told once in so many messages, for entries that missed it: within
 /// a second and a bit; an entry that was just met counts what it hears of for the first time after
 /// one and a half as new.
 const TOLD_ONCE_IN: usize = 6;
--- a/src/gateway/reach.rs
+++ b/src/gateway/reach.rs
@@ -3,11 +3,11 @@
 use super::StoreError;
 use crate::prelude::*;
 
-/// Calls to the store fail for this long before the other entries are told. Source: one slow or lost
+/// Calls to the store fail for this long before the other entries are told: one slow or lost
 /// answer is no outage.
 const AWAY_AFTER_MS: u64 = 300;
 
-/// The store is taken for sound once calls have succeeded for this long. Source: after an outage,
+/// The store is taken for sound once calls have succeeded for this long: after an outage,
 /// entries find the store again within about half a second of each other.
 const SOUND_AFTER_MS: u64 = 800;
 
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -22,28 +22,28 @@
 use crate::quota::Claim;
 use crate::turns::{AccountKey, TurnKey};
 
-/// When to return if this entry knows no configuration yet. Source: one that starts reads it within
+/// When to return if this entry knows no configuration yet: one that starts reads it within
 /// some hundred milliseconds.
 const STARTING_RETRY_MS: u64 = 300;
 
-/// When to return if the configuration could not be confirmed for too long. Source: outages last
+/// When to return if the configuration could not be confirmed for too long: outages last
 /// seconds, and callers come back a few times only; a third of the time that they wait is the longest
 /// that they heed.
 const STALE_RETRY_MS: u64 = 1_000;
 
 /// A request waits for its workspace's rate for one part in so many of its time: one that begins a
-/// program, of the time that its operator aims at; one that goes on with it, of its longest time.
-/// Source: a caller that is refused comes back after a new connection and a pause.
+/// program, of the time that its operator aims at; one that goes on with it, of its longest time:
+/// a caller that is refused comes back after a new connection and a pause.
 const RATE_WAIT_PART: u64 = 4;
 
-/// The longest wait for a workspace's rate. Source: about what a program may lose and still be of
+/// The longest wait for a workspace's rate: about what a program may lose and still be of
 /// use; callers give a request up that nothing is heard of after a second or two.
 const RATE_WAIT_MOST_MS: u64 = 600;
 
 /// A workspace's name where the configuration has none.
 const NO_WORKSPACE: &str = "";
 
-/// The most bytes of a forwarded turn. Source: what a record of the store holds.
+/// The most bytes of a forwarded turn: what a record of the store holds.
 const FORWARDED_MOST_BYTES: usize = 4 << 20;
 
 /// Serves a caller's request.
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -30,7 +30,7 @@
 /// costs its caller a retry.
 const CALLERS_IDLE_MOST_MS: u64 = 4_500;
 
-/// Buffer of a connection. Source: the largest head that configurations allow, with room.
+/// Buffer of a connection: the largest head that configurations allow, with room.
 const CONNECTION_BUFFER_BYTES: usize = 64 * 1024;
 
 /// Pause after a failed accept, which mostly means that descriptors have run out.
--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -7,7 +7,7 @@
 /// After so many crashes a request is not sent again.
 const GUILTY_AFTER: u32 = 3;
 
-/// How long a crash is remembered. Source: such requests return for about a minute.
+/// How long a crash is remembered: such requests return for about a minute.
 const REMEMBERED_MS: u64 = 90_000;
 
 /// The most requests remembered.
--- a/src/gateway/tenure.rs
+++ b/src/gateway/tenure.rs
@@ -13,7 +13,7 @@
 use crate::mechanisms::Mechanism;
 use crate::prelude::*;
 
-/// Pause between two calls that keep the membership. Source: a third of the shortest life of a
+/// Pause between two calls that keep the membership: a third of the shortest life of a
 /// member that has fallen silent, so that two calls may fail.
 const RENEW_MS: u64 = 400;
 
@@ -25,7 +25,7 @@
 /// Pause before a failed call is made again.
 const RETRY_MS: u64 = 50;
 
-/// How long turns under way may hold a shard that was dealt to another. Source: ten mean turns.
+/// How long turns under way may hold a shard that was dealt to another: ten mean turns.
 const HANDOVER_MOST_MS: u64 = 1_000;
 
 /// Pause between two looks at what is forgotten.
--- a/src/gateway/writer.rs
+++ b/src/gateway/writer.rs
@@ -11,10 +11,10 @@
 use super::{Append, StoreError};
 use crate::turns::Record;
 
-/// The most bytes of one batch. Source: half of what the store takes in a call.
+/// The most bytes of one batch: half of what the store takes in a call.
 const BATCH_MOST_BYTES: usize = 1 << 20;
 
-/// The longest wait for one append. Source: the store answers in some 6 ms, and in a quarter of a
+/// The longest wait for one append: the store answers in some 6 ms, and in a quarter of a
 /// second when it is slow.
 const APPEND_TIMEOUT_MS: u64 = 700;
 
--- a/src/http/connections.rs
+++ b/src/http/connections.rs
@@ -12,7 +12,7 @@
 use super::Outgoing;
 use crate::prelude::*;
 
-/// The longest wait for a new connection. Source: a hundred times the way within a region; a
+/// The longest wait for a new connection: a hundred times the way within a region; a
 /// machine without power does not refuse, it never answers.
 const CONNECT_TIMEOUT_MS: u64 = 400;
 
@@ -20,7 +20,7 @@
 /// otherwise hold its request until the deadline.
 const UNACKNOWLEDGED_MOST_MS: u64 = 1_500;
 
-/// How long an unused connection is kept when its other end does not say. Source: servers close
+/// How long an unused connection is kept when its other end does not say: servers close
 /// idle connections after five seconds or later; half of that leaves no race.
 const IDLE_DEFAULT_MS: u64 = 2_500;
 
--- a/src/quota/shared_window.rs
+++ b/src/quota/shared_window.rs
@@ -11,23 +11,22 @@
 
 use crate::prelude::*;
 
-/// The window is counted in slots of this length. Source: the time between two messages; finer
+/// The window is counted in slots of this length: the time between two messages; finer
 /// slots would only order what arrives late anyway.
 const SLOT_MS: u64 = 100;
 
-/// The others' takings are averaged over about this time. Source: five messages.
+/// The others' takings are averaged over about this time: five messages.
 const AVERAGED_MS: f64 = 500.0;
 
 /// Time between two messages of an entry, for which the others are reckoned to go on.
 const TOLD_EVERY_MS: f64 = 100.0;
 
 /// A window that is not known takes over what others say of it after this long, and then the most
-/// that was said. Source: two messages of each of them; one that is out of touch with some knows less.
+/// that was said: two messages of each of them; one that is out of touch with some knows less.
 const ASKED_FOR_MS: u64 = 400;
 
-/// Part of the burst that is kept for programs under way: one that is refused in its middle has
-/// wasted all before. Source: measured; a half refuses programs that could have been run, and with
-/// nothing kept more of them fail on the way.
+/// Part of the burst that is kept for programs under way: one that is refused in its middle has wasted
+/// all before, and one that is refused at its beginning could often have been run.
 const KEPT_FOR_RUNNING: f64 = 0.2;
 
 /// What a request means to its program.
--- a/src/replicas/health.rs
+++ b/src/replicas/health.rs
@@ -8,19 +8,19 @@
 
 use crate::prelude::*;
 
-/// Answers are forgotten over about this time. Source: an endpoint of a busy service answers some
+/// Answers are forgotten over about this time: an endpoint of a busy service answers some
 /// ten requests a second; twenty answers tell one that fails in part from one that lost a few.
 const FORGOTTEN_OVER_MS: f64 = 2_000.0;
 
-/// An endpoint is left out from so many failures on. Source: one or two lost answers happen to any.
+/// An endpoint is left out from so many failures on: one or two lost answers happen to any.
 const EJECT_FAILURES: f64 = 2.5;
 
-/// And only if they are at least this part of its answers. Source: twice the part that a sound
+/// And only if they are at least this part of its answers: twice the part that a sound
 /// network loses in its worst seconds.
 const EJECT_PART: f64 = 0.15;
 
 /// So many failures in a row are enough, however long they take: a seldom used endpoint that serves
-/// nobody would never fail often enough. Source: one that loses one answer in twenty is left out for
+/// nobody would never fail often enough: one that loses one answer in twenty is left out for
 /// nothing once in four hundred requests.
 const EJECT_IN_A_ROW: u32 = 2;
 
@@ -28,7 +28,7 @@
 /// not all return to it at once. Doubled each time that its trial fails.
 const EJECT_MS: u64 = 500;
 
-/// The longest that an endpoint is left out, before the spread. Source: a trial costs one or two
+/// The longest that an endpoint is left out, before the spread: a trial costs one or two
 /// requests of all entries together, and an endpoint that is sound again is missed until then.
 const EJECT_MOST_MS: u64 = 2_000;
 
@@ -39,7 +39,7 @@
 const SOUND_AFTER_MS: u64 = 15_000;
 
 /// Failures that are told this long after an endpoint was left out belong to requests that were sent
-/// before. Source: a running request ends within that, mostly.
+/// before: a running request ends within that, mostly.
 const LATE_NEWS_MS: u64 = 250;
 
 /// The answers of an endpoint are told to the others for this long after its last failure.
@@ -48,7 +48,7 @@
 /// After this long without a failure anywhere, they are counted anew.
 const COUNTED_ANEW_MS: u64 = 6_000;
 
-/// What an entry told longer ago than this belongs to an earlier count. Source: less than the time
+/// What an entry told longer ago than this belongs to an earlier count: less than the time
 /// for which nothing is told between two counts, and many messages.
 const EARLIER_COUNT_MS: u64 = 1_500;
 
--- a/src/replicas/placement.rs
+++ b/src/replicas/placement.rs
@@ -12,11 +12,9 @@
 use crate::prelude::*;
 
 /// What a request waits for at an endpoint without a free slot, for each request beyond its slots.
-/// Source: a mean turn takes some 80 ms over 8 slots.
 const WAIT_EACH_MS: f64 = 10.0;
 
-/// What a running neighbour costs, at all slots taken. Source: an engine's step grows by about a
-/// quarter from one running request to a full batch.
+/// What running neighbours cost a request at most, with all slots taken.
 const FULL_BATCH_MS: f64 = 20.0;
 
 /// The way to another failure domain and back.
--- a/src/telemetry/logs.rs
+++ b/src/telemetry/logs.rs
@@ -10,12 +10,12 @@
 
 use crate::prelude::*;
 
-/// The most bytes of lines that wait for a slow reader. Source: a second of lines at ten times the
+/// The most bytes of lines that wait for a slow reader: a second of lines at ten times the
 /// usual load. Beyond, lines are dropped and counted: a process never waits for whoever reads its
 /// log, and never grows for it.
 const WAITING_MOST_BYTES: usize = 512 * 1024;
 
-/// Bytes written at once. Source: a pipe that can be written to takes that many without blocking.
+/// Bytes written at once: a pipe that can be written to takes that many without blocking.
 const WRITE_MOST_BYTES: usize = 4_096;
 
 /// Why logging could not start.
--- a/src/turns/ledger.rs
+++ b/src/turns/ledger.rs
@@ -6,7 +6,7 @@
 use crate::prelude::*;
 
 /// How much longer than promised a record is kept: clocks of VMs differ, and a successor judges by
-/// its own. Source: twice the difference that the platform allows for.
+/// its own: twice the difference that the platform allows for.
 const KEPT_LONGER_MS: u64 = 10_000;
 
 /// A program has spent its budget: the turn is not run.
