--- a/src/turns/tests.rs
+++ b/src/turns/tests.rs
@@ -1,3 +1,5 @@
+mod properties;
+
 use super::*;
 use crate::prelude::*;
 
