--- a/src/gateway/hold.rs
+++ b/src/gateway/hold.rs
@@ -1,7 +1,7 @@
 //! Pattern: the store is away for some seconds, and each request of a program needs it. Callers come
 //! back a few times only: refused at once each time, a program has used up its attempts after some
 //! four seconds. A request that waits here for a part of its time, and is then told when to come back,
-//! carries its program through an outage three times as long.
+//! carries its program through an outage about twice as long.
 
 use std::time::Duration;
 
