--- a/src/mechanisms.rs
+++ b/src/mechanisms.rs
@@ -1,4 +1,4 @@
-//! Mechanisms that can be switched off, so that what each is worth can be measured again.
+//! Mechanisms that can be switched off one by one, to show what each is worth.
 
 use std::fmt;
 
