What waited while an entry stood still is no news: a withdrawn key is not let in after a freeze

Cause: an entry that was frozen wakes to heartbeats that were sent as the freeze began. They say that their senders have just confirmed the same configuration; dated by their arrival, they made the entry's own old configuration fresh, and a key that was withdrawn meanwhile was let in until the log was read. Ruled out: the entry's own confirmation (counted from the start of its read, on a clock that goes on). Change: a process notices its standstill by its own beats; what it hears before three of them have passed counts for nothing, and what it hears otherwise may have waited for as long as goes unnoticed. Test: what_waited_while_an_entry_stood_still_is_no_news.

--- a/src/entry/config.rs
+++ b/src/entry/config.rs
@@ -140,13 +140,17 @@
         let own = (self.current_book().through(), self.config_age_ms());
         let now = self.clock.now();
         let peers = self.peers();
-        let entries = peers.live_entries().filter_map(|peer| match &peer.heartbeat.duty {
-            Duty::Entry { config, log_age_ms, .. } => Some(PeerConfig {
-                config: *config,
-                age_ms: log_age_ms.map(|age_ms| age_ms + now.since(peer.heard)),
-                address: peer.heartbeat.address,
-            }),
-            Duty::Endpoint { .. } => None,
+        let standstill = self.standstill();
+        let entries = peers.live_entries().filter_map(|peer| {
+            let said_ago_ms = standstill.age_ms(now, peer.heard)?;
+            match &peer.heartbeat.duty {
+                Duty::Entry { config, log_age_ms, .. } => Some(PeerConfig {
+                    config: *config,
+                    age_ms: log_age_ms.map(|age_ms| age_ms + said_ago_ms),
+                    address: peer.heartbeat.address,
+                }),
+                Duty::Endpoint { .. } => None,
+            }
         });
         let entries: Vec<PeerConfig> = entries.collect();
         judge(own, self.settings.config_stale_ms, &entries, peers.listed_entries())
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -10,6 +10,7 @@
 mod peers;
 mod process;
 mod rates;
+mod standstill;
 mod state;
 mod surroundings;
 mod tasks;
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -89,6 +89,15 @@
     }
 }
 
+/// Notices when this process stands still. Never returns.
+pub(super) async fn watch_standstill(entry: Arc<Entry>) {
+    let beat = Duration::from_millis(entry.settings.process.heartbeat_ms);
+    loop {
+        entry.standstill().beat(entry.clock.now());
+        tokio::time::sleep(beat).await;
+    }
+}
+
 /// Sends this entry's heartbeats and keeps the table of peers. Never returns.
 pub(super) async fn beat(entry: Arc<Entry>, mut pulse: Pulse) {
     loop {
--- a/src/entry/process.rs
+++ b/src/entry/process.rs
@@ -40,6 +40,7 @@
         tokio::spawn(Core::new(entry.clone()).run(queue)),
         tokio::spawn(config::follow(entry.clone())),
         tokio::spawn(config::keep(entry.clone())),
+        tokio::spawn(peers::watch_standstill(entry.clone())),
         tokio::spawn(peers::listen(entry.clone(), pulse.socket())),
         tokio::spawn(peers::beat(entry.clone(), pulse)),
     ];
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -11,6 +11,7 @@
 use crate::entry::config::Confirmation;
 use crate::entry::core::Command;
 use crate::entry::rates::Lenders;
+use crate::entry::standstill::Standstill;
 use crate::http::Client;
 use crate::link::LinkPool;
 use crate::logstore::{LogClient, Pacer};
@@ -36,6 +37,7 @@
     pub book: watch::Sender<Arc<Book>>,
     confirmation: Mutex<Confirmation>,
     peers: Mutex<PeerTable>,
+    standstill: Mutex<Standstill>,
     router: Mutex<Router>,
     retries: Mutex<RetryBudget>,
     pacer: Mutex<Pacer>,
@@ -99,6 +101,7 @@
             book: watch::Sender::new(Arc::new(Book::default())),
             confirmation: Mutex::default(),
             peers: Mutex::new(PeerTable::new(timings)),
+            standstill: Mutex::new(Standstill::open(settings.process.heartbeat_ms)),
             router: Mutex::new(Router::new(RoutingPolicy::CacheAffinity, instance.0)),
             retries: Mutex::default(),
             pacer: Mutex::new(Pacer::new(settings.appends_per_s)),
@@ -122,6 +125,10 @@
         locked(&self.peers)
     }
 
+    pub fn standstill(&self) -> MutexGuard<'_, Standstill> {
+        locked(&self.standstill)
+    }
+
     pub fn router(&self) -> MutexGuard<'_, Router> {
         locked(&self.router)
     }
--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -1,4 +1,5 @@
 use super::freshness::{Freshness, PeerConfig, judge};
+use super::standstill::Standstill;
 use crate::prelude::*;
 
 const STALE_MS: u64 = 4_000;
@@ -42,3 +43,22 @@
     assert_eq!(judged((5, None), &[knows], 2), Freshness::Fresh);
     assert_eq!(judged((0, None), &[peer(0, None)], 2), Freshness::Stale);
 }
+
+/// An entry is frozen for a second while a key is withdrawn. It wakes to heartbeats that were sent as the
+/// freeze began: they say that nothing is newer, and are taken for news. Only what is heard once it runs
+/// again for a while says anything.
+#[test]
+fn what_waited_while_an_entry_stood_still_is_no_news() {
+    let mut standstill = Standstill::open(100);
+    (1..=10).for_each(|beat| standstill.beat(TimeMs(beat * 100)));
+    assert_eq!(standstill.age_ms(TimeMs(1_050), TimeMs(1_040)), Some(310));
+    let woken = TimeMs(2_000);
+    assert_eq!(standstill.age_ms(woken, woken), None, "before the first beat");
+    standstill.beat(woken);
+    assert_eq!(standstill.age_ms(woken, woken), None, "after it");
+    assert_eq!(standstill.age_ms(woken, TimeMs(1_000)), None, "what was heard before");
+    standstill.beat(TimeMs(2_100));
+    standstill.beat(TimeMs(2_200));
+    standstill.beat(TimeMs(2_300));
+    assert_eq!(standstill.age_ms(TimeMs(2_310), TimeMs(2_305)), Some(305));
+}
