Attempts at endpoints in a file of their own; names that say what they hold

Dispatch served plain requests and streams from the file of the plain ones. Listing::read marked and until_read waited for a part of a request's time; Want::rather_any meant endpoints that are ejected. No change of behaviour.

--- a/src/gateway/endpoint_feed.rs
+++ b/src/gateway/endpoint_feed.rs
@@ -32,21 +32,21 @@
 }
 
 impl Listing {
-    fn read(&self) {
+    fn mark_read(&self) {
         if !self.is_read.replace(true) {
             self.was_read.notify_waiters();
         }
     }
 
-    /// Waits for the first reading.
-    pub(super) async fn known(&self) {
+    /// Waits for the first reading, however long it takes.
+    pub(super) async fn until_read(&self) {
         while !self.is_read.get() {
             self.was_read.notified().await;
         }
     }
 
-    /// Waits for the first reading, for a part of a request's time.
-    pub(super) async fn until_read(&self, left_ms: u64) -> bool {
+    /// Waits for the first reading, for a part of a request's time; `false` if it did not come.
+    pub(super) async fn hold_until_read(&self, left_ms: u64) -> bool {
         self.is_read.get() || hold(left_ms, &self.was_read, || self.is_read.get()).await
     }
 }
@@ -66,7 +66,7 @@
                 }
                 from = Some(feed.next);
                 apply(&gateway, feed);
-                gateway.listing.read();
+                gateway.listing.mark_read();
             }
             Err(fault) => {
                 gateway.reach.lost(gateway.now(), &fault);
--- a/src/gateway/event_stream.rs
+++ b/src/gateway/event_stream.rs
@@ -9,7 +9,7 @@
 
 use super::Refusal;
 use super::attempt::{Answer, Job, Lease};
-use super::plain::Dispatch;
+use super::dispatch::Dispatch;
 use super::state::Gateway;
 use super::turn::within;
 use crate::prelude::*;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod bounded;
 mod call;
 mod config_feed;
+mod dispatch;
 mod endpoint_feed;
 mod event_stream;
 mod failure;
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -99,13 +99,13 @@
 ) -> Result<Response<AnswerBody>, Refusal> {
     let revoke_ms = gateway.settings.bounds.revoke_ms;
     let is_fresh = || gateway.in_force.is_fresh(revoke_ms);
+    let left_ms = call.wait_ms.unwrap_or(u64::MAX);
     if !is_fresh() && gateway.waits_for_store() {
-        let left_ms = call.wait_ms.unwrap_or(u64::MAX);
         hold(left_ms, &gateway.in_force.confirmed, is_fresh).await;
     }
     let starting = Refusal::Unavailable { retry_after_ms: STARTING_RETRY_MS };
     let catalog = gateway.in_force.catalog().ok_or(starting)?;
-    if !gateway.listing.until_read(call.wait_ms.unwrap_or(u64::MAX)).await {
+    if !gateway.listing.hold_until_read(left_ms).await {
         return Err(starting);
     }
     let not_ready = Refusal::Unavailable { retry_after_ms: STALE_RETRY_MS };
--- a/src/gateway/tenure.rs
+++ b/src/gateway/tenure.rs
@@ -69,7 +69,7 @@
         }
         // Turns of a shard come here from all entries. Owned before the endpoints are known, each would be
         // refused for want of an endpoint, though all of them are there.
-        self.gateway.listing.known().await;
+        self.gateway.listing.until_read().await;
         while !self.gateway.draining.get() {
             if self.gateway.reach.is_away(self.gateway.now()) {
                 tokio::time::sleep(Duration::from_millis(RETRY_MS)).await;
--- a/src/replicas/placement.rs
+++ b/src/replicas/placement.rs
@@ -45,9 +45,9 @@
     pub parts: Vec<(u64, u64)>,
     /// Endpoints that have refused or failed it.
     pub not: Vec<ReplicaKey>,
-    /// Whether one that is left out for its failures is better than none: so it is for what may run
-    /// again, and would be refused else.
-    pub rather_any: bool,
+    /// Whether an endpoint that is ejected for its failures is better than none: so it is for what may
+    /// run again, and would be refused else.
+    pub accepts_ejected: bool,
 }
 
 /// A part of a prompt that an endpoint has read.
@@ -98,7 +98,7 @@
             usable.append(&mut ejected);
         }
         usable.retain(|(key, _)| untried(key));
-        if usable.is_empty() && want.rather_any {
+        if usable.is_empty() && want.accepts_ejected {
             usable.extend(ejected.into_iter().filter(|(key, _)| untried(key)));
         }
         let costs = usable.into_iter().enumerate().map(|(at, (key, replica))| {
--- a/src/replicas/tests.rs
+++ b/src/replicas/tests.rs
@@ -23,7 +23,7 @@
 }
 
 fn want(parts: &[(u64, u64)]) -> Want {
-    Want { service: "s".into(), parts: parts.to_vec(), not: vec![], rather_any: false }
+    Want { service: "s".into(), parts: parts.to_vec(), not: vec![], accepts_ejected: false }
 }
 
 #[test]
@@ -237,7 +237,7 @@
     }
     let once = Want { not: vec![keys[2]], ..want(&[]) };
     assert_eq!(placement.choose(TimeMs(100), &directory, &once, |_| true), None);
-    let again = Want { rather_any: true, ..once };
+    let again = Want { accepts_ejected: true, ..once };
     let chosen = placement.choose(TimeMs(100), &directory, &again, |_| true);
     assert!(chosen.is_some_and(|key| key != keys[2]));
 }
