--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -6,6 +6,8 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use fakes::FakeStore;
+
 use super::endpoint_feed::follow_endpoints;
 use super::gossip::{follow_peers, life_number};
 use super::hold::hold;
@@ -67,8 +69,7 @@
 // turn of its programs waited for that.
 #[tokio::test(start_paused = true)]
 async fn a_shard_that_changes_hands_is_taken_soon_after_the_deal() {
-    let store = fakes::DealingStore { lists_endpoints: true, ..Default::default() };
-    let gateway = fakes::gateway(Rc::new(store));
+    let gateway = fakes::gateway(FakeStore::default());
     let started = Instant::now();
     let tasks = tokio::task::LocalSet::new();
     tasks.spawn_local(follow_endpoints(gateway.clone()));
@@ -86,7 +87,7 @@
 // turn that the other entries sent it, for want of an endpoint; they would have kept the shards.
 #[tokio::test(start_paused = true)]
 async fn an_entry_that_knows_no_endpoints_owns_no_shard() {
-    let gateway = fakes::gateway(Rc::<fakes::DealingStore>::default());
+    let gateway = fakes::gateway(FakeStore::hiding_endpoints());
     let tasks = tokio::task::LocalSet::new();
     tasks.spawn_local(follow_endpoints(gateway.clone()));
     tasks.spawn_local(Tenure::open(gateway.clone()).keep());
@@ -99,7 +100,7 @@
 // served, and seven of eight turns found no owner for the rest of the day.
 #[tokio::test(start_paused = true)]
 async fn an_entry_that_starts_while_the_store_is_silent_meets_the_others() {
-    let gateway = fakes::gateway(Rc::<fakes::FirstSilentStore>::default());
+    let gateway = fakes::gateway(FakeStore::silent_at_first());
     let tasks = tokio::task::LocalSet::new();
     tasks.spawn_local(follow_peers(gateway.clone()));
     let met = async {
--- a/src/gateway/tests/fakes.rs
+++ b/src/gateway/tests/fakes.rs
@@ -14,15 +14,36 @@
 use crate::mechanisms::Mechanisms;
 use crate::replicas::Change;
 
-/// A store that deals one shard anew at the second call to join, as one does whose earlier owner has
-/// just shown that it has let go.
+/// A store that is sound, unless it is made otherwise.
 #[derive(Default)]
-pub(super) struct DealingStore {
-    pub(super) lists_endpoints: bool,
-    pub(super) joins: Cell<u32>,
+pub(super) struct FakeStore {
+    hides_endpoints: bool,
+    silent_at_first: bool,
+    joins: Cell<u32>,
+    announced: Cell<bool>,
+    peers_read: Cell<bool>,
+}
+
+impl FakeStore {
+    /// The endpoints' list can't be read.
+    pub(super) fn hiding_endpoints() -> FakeStore {
+        FakeStore { hides_endpoints: true, ..FakeStore::default() }
+    }
+
+    /// The first call about entries of each kind is never answered, with its connection standing.
+    pub(super) fn silent_at_first() -> FakeStore {
+        FakeStore { silent_at_first: true, ..FakeStore::default() }
+    }
+
+    fn answer<'a, T: 'a>(&self, before: &Cell<bool>, answer: T) -> Later<'a, T> {
+        match self.silent_at_first && !before.replace(true) {
+            true => pending().boxed_local(),
+            false => ready(Ok(answer)).boxed_local(),
+        }
+    }
 }
 
-impl Store for DealingStore {
+impl Store for FakeStore {
     fn shards(&self) -> u32 {
         1
     }
@@ -35,6 +56,8 @@
         ready(Ok(Page { items: vec![], next: None })).boxed_local()
     }
 
+    /// Deals the shard at the second call, as one does whose earlier owner has just shown that it has
+    /// let go.
     fn join<'a>(&'a self, _: &'a str, _: u64) -> Later<'a, Deal> {
         self.joins.set(self.joins.get() + 1);
         let shards = if self.joins.get() > 1 { vec![0] } else { vec![] };
@@ -50,72 +73,20 @@
     }
 
     fn endpoints(&self, _: Option<Position>) -> Later<'_, Feed<Change>> {
-        let feed = Feed { items: vec![], whole: true, next: Position(0) };
-        let read = match self.lists_endpoints {
-            true => Ok(feed),
-            false => Err(StoreError::Refused(503)),
+        let read = match self.hides_endpoints {
+            true => Err(StoreError::Refused(503)),
+            false => Ok(Feed { items: vec![], whole: true, next: Position(0) }),
         };
         ready(read).boxed_local()
     }
 
     fn announce<'a>(&'a self, _: &'a PeerRecord) -> Later<'a, ()> {
-        ready(Ok(())).boxed_local()
-    }
-
-    fn peers(&self) -> Later<'_, Vec<PeerRecord>> {
-        ready(Ok(vec![])).boxed_local()
-    }
-}
-
-/// A store that never answers the first call of each kind, and knows of one other entry.
-#[derive(Default)]
-pub(super) struct FirstSilentStore {
-    announced: Cell<bool>,
-    listed: Cell<bool>,
-}
-
-impl Store for FirstSilentStore {
-    fn shards(&self) -> u32 {
-        1
-    }
-
-    fn append<'a>(&'a self, _: &'a Append) -> Later<'a, ()> {
-        pending().boxed_local()
-    }
-
-    fn newest(&self, _: u32, _: Option<String>) -> Later<'_, Page> {
-        pending().boxed_local()
-    }
-
-    fn join<'a>(&'a self, _: &'a str, _: u64) -> Later<'a, Deal> {
-        pending().boxed_local()
-    }
-
-    fn leave<'a>(&'a self, _: &'a str) -> Later<'a, ()> {
-        pending().boxed_local()
-    }
-
-    fn configurations(&self, _: Option<Position>, _: u64) -> Later<'_, Feed<Declared>> {
-        pending().boxed_local()
-    }
-
-    fn endpoints(&self, _: Option<Position>) -> Later<'_, Feed<Change>> {
-        pending().boxed_local()
-    }
-
-    fn announce<'a>(&'a self, _: &'a PeerRecord) -> Later<'a, ()> {
-        match self.announced.replace(true) {
-            true => ready(Ok(())).boxed_local(),
-            false => pending().boxed_local(),
-        }
+        self.answer(&self.announced, ())
     }
 
     fn peers(&self) -> Later<'_, Vec<PeerRecord>> {
         let other = PeerRecord { name: "other".into(), address: ([127, 0, 0, 2], 1).into() };
-        match self.listed.replace(true) {
-            true => ready(Ok(vec![other])).boxed_local(),
-            false => pending().boxed_local(),
-        }
+        self.answer(&self.peers_read, vec![other])
     }
 }
 
@@ -140,7 +111,7 @@
     }
 }
 
-pub(super) fn gateway(store: Rc<dyn Store>) -> Rc<Gateway> {
+pub(super) fn gateway(store: FakeStore) -> Rc<Gateway> {
     let anywhere = ([127, 0, 0, 1], 0).into();
     let bounds =
         Bounds { revoke_ms: 5_000, grace_ms: 8_000, rate_window_ms: 5_000, drain_ms: 2_000 };
@@ -154,5 +125,5 @@
         bounds,
         mechanisms: Mechanisms::default(),
     };
-    Gateway::open(settings, store, Rc::new(Silence))
+    Gateway::open(settings, Rc::new(store), Rc::new(Silence))
 }
