Programs begin when their workspace's rate has room for the whole of them; trefoilctl explains logs

Cause: a workspace that asks for more than its rate had its requests refused one at a time, so that all its programs were broken off now and then; a tool's call has two tries and a second and a half, and costs its program. Ruled out: longer waits alone; room kept for calls before turns; programs past their time yielding to others; bookings in requests left instead of time; a first turn told when its whole program fits. Change: a first turn books its program's time as its caller gives it; entries tell each other what is booked; requests for each millisecond booked are learnt while the window is not crowded. A program begins when the window, foreseen over its run, holds it beside the others; not so where the window carries fewer than three programs, since nothing can be foreseen there. Later requests wait for 0.4 of their time, 1.5 s at most (0.25 and 0.6 s before), first turns for a quarter of the target as before.

--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -2,6 +2,7 @@
 
 mod engines;
 mod policies;
+mod programs;
 mod random;
 mod rates;
 mod slopes;
@@ -9,11 +10,12 @@
 
 use std::process::ExitCode;
 
-const USAGE: &str = "Usage: trefoil-lab rates|policies|overload|flood|slopes";
+const USAGE: &str = "Usage: trefoil-lab rates|programs|policies|overload|flood|slopes";
 
 fn main() -> ExitCode {
     match std::env::args().nth(1).as_deref() {
         Some("rates") => rates::run(),
+        Some("programs") => programs::run(),
         Some("policies") => tables::run(),
         Some("overload") => tables::overload(),
         Some("flood") => tables::flood(),
--- a/src/ctl/command.rs
+++ b/src/ctl/command.rs
@@ -5,6 +5,7 @@
 
 use crate::contracts::KeyId;
 use crate::ctl::CtlError;
+use crate::explain::Subject;
 use crate::ids::InvalidName;
 use crate::prelude::*;
 
@@ -20,9 +21,14 @@
     grant WORKSPACE KEY-ID  let a key act for a workspace; the key is read from standard input
     revoke WORKSPACE KEY-ID stop a key
     status                  show what is in force, and how far each entry has it
+    explain request ID [LOG ...]
+                            show a request's way and how it ended, from logs (or standard input)
+    explain program ID [LOG ...]
+                            show a program's turns and calls in order
+    explain lost [LOG ...]  count what was refused, failed or came late
 
 Exit codes: 0 done, 1 log or VM list unreachable, 2 wrong usage, 3 bad file or name,
-4 conflict or no such workspace, 5 accepted but not in force everywhere yet.";
+4 conflict or no such workspace, 5 accepted but not in force everywhere yet, 6 not in the logs.";
 
 /// A command.
 #[value]
@@ -41,6 +47,13 @@
     Revoke(WorkspaceId, KeyId),
     /// Show what is in force.
     Status,
+    /// Show what logs tell.
+    Explain {
+        /// A request or program; what was lost, if there is none.
+        subject: Option<Subject>,
+        /// Files of logs; standard input if there are none.
+        logs: Vec<String>,
+    },
 }
 
 /// A command with its flags.
@@ -60,6 +73,8 @@
     pub timeout: Duration,
     /// The version that the change was made for; the one in force if absent.
     pub base: Option<Offset>,
+    /// Where to write a plot of what was lost.
+    pub plot: Option<String>,
     /// Whether to print JSON.
     pub json: bool,
 }
@@ -72,6 +87,7 @@
     options.optflag("", "wait", "wait until the change is in force on every entry");
     options.optopt("", "wait-timeout-ms", "how long to wait [default: 10000]", "MS");
     options.optopt("", "timeout-ms", "how long a call may take [default: 5000]", "MS");
+    options.optopt("", "plot", "write a plot of what was lost by second", "FILE.svg");
     options.optflag("", "json", "print one JSON object");
     options.optflag("h", "help", "print this help");
     options
@@ -107,6 +123,7 @@
                 true => Some(Offset(number(&matches, "base", 0)?)),
                 false => None,
             },
+            plot: matches.opt_str("plot"),
             json: matches.opt_present("json"),
         }))
     }
@@ -136,10 +153,21 @@
             Ok(Command::Revoke(parse_workspace(workspace)?, parse_key_id(key)?))
         }
         ["status"] => Ok(Command::Status),
+        ["explain", "request", id, logs @ ..] => {
+            Ok(explain(Some(Subject::Request((*id).into())), logs))
+        }
+        ["explain", "program", id, logs @ ..] => {
+            Ok(explain(Some(Subject::Program((*id).into())), logs))
+        }
+        ["explain", "lost", logs @ ..] => Ok(explain(None, logs)),
         _ => Err(CtlError::Usage(format!("can't read the command {:?}", words.join(" ")))),
     }
 }
 
+fn explain(subject: Option<Subject>, logs: &[&str]) -> Command {
+    Command::Explain { subject, logs: logs.iter().map(|log| log.to_string()).collect() }
+}
+
 fn parse_workspace(text: &str) -> Result<WorkspaceId, CtlError> {
     WorkspaceId::parse(text).map_err(|fault| CtlError::Name { what: "workspace", fault })
 }
--- a/src/ctl/error.rs
+++ b/src/ctl/error.rs
@@ -1,6 +1,7 @@
 use std::fmt;
 
 use crate::contracts::{Conflict, DeclarationFault};
+use crate::explain::PlotFault;
 use crate::ids::InvalidName;
 use crate::logstore::LogFault;
 use crate::prelude::*;
@@ -53,6 +54,15 @@
     },
     /// The list of VMs gave no answer.
     VmList,
+    /// No line of the logs is about the request or program.
+    NotInLogs {
+        /// Its id.
+        id: Arc<str>,
+        /// Lines that were read.
+        lines: u64,
+    },
+    /// A plot could not be written.
+    Plot(PlotFault),
 }
 
 impl CtlError {
@@ -61,9 +71,13 @@
         match self {
             CtlError::Log { .. } | CtlError::VmList | CtlError::ConfigurationLost => 1,
             CtlError::Usage(_) => 2,
-            CtlError::File { .. } | CtlError::Declaration { .. } | CtlError::Name { .. } => 3,
+            CtlError::File { .. }
+            | CtlError::Declaration { .. }
+            | CtlError::Name { .. }
+            | CtlError::Plot(_) => 3,
             CtlError::Conflict(_) | CtlError::NoSuchWorkspace(_) => 4,
             CtlError::NotInForce { .. } => 5,
+            CtlError::NotInLogs { .. } => 6,
         }
     }
 
@@ -80,6 +94,8 @@
             CtlError::NoSuchWorkspace(_) => "no_such_workspace",
             CtlError::NotInForce { .. } => "not_in_force",
             CtlError::VmList => "vm_list",
+            CtlError::NotInLogs { .. } => "not_in_logs",
+            CtlError::Plot(_) => "plot",
         }
     }
 }
@@ -110,6 +126,10 @@
                 write!(f, "change {offset} is not in force yet on: {}", lagging.join(", "))
             }
             CtlError::VmList => f.write_str("the list of VMs did not answer"),
+            CtlError::NotInLogs { id, lines } => {
+                write!(f, "none of the {lines} lines read is about {id}")
+            }
+            CtlError::Plot(fault) => write!(f, "{fault}"),
         }
     }
 }
--- a/src/ctl/mod.rs
+++ b/src/ctl/mod.rs
@@ -2,6 +2,7 @@
 
 mod command;
 mod error;
+mod explain;
 mod publisher;
 mod run;
 mod status;
--- a/src/ctl/run.rs
+++ b/src/ctl/run.rs
@@ -3,6 +3,7 @@
 use serde_json::{Value, json};
 
 use crate::contracts::{Contract, Declaration, KeyDigest, Operation, parse_declaration};
+use crate::ctl::explain::explain;
 use crate::ctl::publisher::Publisher;
 use crate::ctl::status::{entries, wait_in_force};
 use crate::ctl::{Command, CtlError, Invocation};
@@ -41,6 +42,9 @@
             change(invocation, workspace.clone(), operation).await
         }
         Command::Status => status(invocation).await,
+        Command::Explain { subject, logs } => {
+            explain(subject.as_ref(), logs, invocation.plot.as_deref())
+        }
     }
 }
 
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -1,4 +1,5 @@
 use crate::prelude::*;
+use crate::quota::Tally;
 use crate::turns::{Turn, TurnKey};
 
 /// What an entry tells the others, in one datagram. All of it is absolute, so that a lost one is
@@ -44,8 +45,8 @@
 pub(super) struct Taken {
     /// Stands for the workspace.
     pub(super) workspace: u64,
-    /// Requests admitted in the entry's life.
-    pub(super) taken: u64,
+    /// What the entry has admitted in its life.
+    pub(super) taken: Tally,
     /// Requests that all entries have admitted in the window, if the entry knows.
     pub(super) in_window: Option<u64>,
 }
--- a/src/gateway/observe.rs
+++ b/src/gateway/observe.rs
@@ -26,6 +26,8 @@
     pub(super) workspace: Option<std::sync::Arc<str>>,
     /// Its class.
     pub(super) class: Option<&'static str>,
+    /// The time to its first byte that its operator aims at.
+    pub(super) target_ms: u64,
 }
 
 /// Counts an answered request, with the time to the head of its answer.
--- a/src/gateway/rates.rs
+++ b/src/gateway/rates.rs
@@ -3,7 +3,7 @@
 use super::message::{Taken, in_turn};
 use crate::catalog::Workspace;
 use crate::prelude::*;
-use crate::quota::{Allowance, Claim, Peering, SharedWindow};
+use crate::quota::{Allowance, Claim, Pace, Peering, SharedWindow};
 
 /// What this entry has taken is told for this long after each change: three messages, so that
 /// two may be lost.
@@ -48,12 +48,14 @@
 pub(super) struct Rates {
     window_ms: u64,
     windows: HashMap<u64, Counted>,
+    /// The pace of all workspaces' programs.
+    pace: Pace,
 }
 
 impl Rates {
     /// Counts in windows of `window_ms`.
     pub(super) fn open(window_ms: u64) -> Rates {
-        Rates { window_ms, windows: HashMap::new() }
+        Rates { window_ms, windows: HashMap::new(), pace: Pace::default() }
     }
 
     /// Takes one request out of the workspace's rate, or says when there may be room.
@@ -64,9 +66,12 @@
         peering: Peering,
         claim: Claim,
     ) -> Result<(), u64> {
+        let usual = self.pace;
         let counted = self.know(now, workspace);
-        counted.window.take(now, peering, claim)?;
+        counted.window.take(now, peering, claim, &usual)?;
         counted.changed_at = now;
+        let learnt = counted.window.learnt();
+        self.pace.learn(&learnt);
         Ok(())
     }
 
@@ -91,9 +96,9 @@
     }
 
     /// A request that was taken out of the workspace's rate has not run.
-    pub(super) fn give_back(&mut self, now: TimeMs, workspace: &str) {
+    pub(super) fn give_back(&mut self, now: TimeMs, workspace: &str, claim: Claim) {
         if let Some(counted) = self.windows.get_mut(&workspace_hash(workspace)) {
-            counted.window.give_back();
+            counted.window.give_back(claim);
             counted.changed_at = now;
         }
     }
@@ -118,7 +123,7 @@
             let row = Taken { workspace: *workspace, taken, in_window };
             let new = telling.newcomers || now.since(counted.changed_at) < TOLD_FOR_MS;
             match new {
-                _ if taken == 0 && in_window.unwrap_or(0) == 0 => {}
+                _ if taken.requests == 0 && in_window.unwrap_or(0) == 0 => {}
                 true => news.push(row),
                 false => rest.push(row),
             }
@@ -143,6 +148,7 @@
                 true => window.tell(now, life, row.taken),
                 false => window.meet(now, life, row.taken),
             }
+            self.pace.learn(&window.learnt());
             if let Some(in_window) = row.in_window {
                 window.learn(now, in_window as f64);
             }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -31,14 +31,20 @@
 /// that they heed.
 const STALE_RETRY_MS: u64 = 1_000;
 
-/// A request waits for its workspace's rate for one part in so many of its time: one that begins a
-/// program, of the time that its operator aims at; one that goes on with it, of its longest time:
-/// a caller that is refused comes back after a new connection and a pause.
-const RATE_WAIT_PART: u64 = 4;
+/// Part of its time that a request waits for its workspace's rate at most: the wait is shorter than its
+/// caller's pause, and the rest of the time is enough to come back once.
+const RATE_WAIT_PART: f64 = 0.4;
 
-/// The longest wait for a workspace's rate: about what a program may lose and still be of
-/// use; callers give a request up that nothing is heard of after a second or two.
-const RATE_WAIT_MOST_MS: u64 = 600;
+/// The longest wait for a workspace's rate: callers give a stream up that nothing is heard of after
+/// two seconds.
+const RATE_WAIT_MOST_MS: u64 = 1_500;
+
+/// A request that begins a program waits for this part of the time that its operator aims at: a program
+/// that begins late ends late, and the next one can still be in time.
+const BEGIN_WAIT_PART: f64 = 0.25;
+
+/// The longest time that a program may book, whatever its caller says.
+const PROGRAM_MOST_MS: u64 = 3_600_000;
 
 /// A workspace's name where the configuration has none.
 const NO_WORKSPACE: &str = "";
@@ -64,7 +70,9 @@
         Ok(response) => {
             let status = response.status().as_u16();
             let (program, workspace) = (text(&call.program), text(&seen.workspace));
-            log::info!(request:% = call.request, status, took_ms, program, workspace; "answered");
+            let (class, target_ms) = (seen.class.unwrap_or_default(), seen.target_ms);
+            log::info!(request:% = call.request, status, took_ms, target_ms, class, program,
+                workspace; "answered");
             observe::answered(&seen, status, took_ms);
             response.map(|body| body.counted(running))
         }
@@ -73,8 +81,10 @@
             let (program, previous) = (text(&call.program), text(&call.previous));
             let (workspace, refusal_name) = (text(&seen.workspace), refusal.name());
             let wait_ms = call.wait_ms.unwrap_or(u64::MAX);
+            let class = seen.class.unwrap_or_default();
+            let domain = &gateway.settings.failure_domain;
             log::info!(request:% = call.request, refusal = refusal_name, took_ms, wait_ms,
-                config_age_ms, program, previous, workspace; "refused");
+                config_age_ms, class, program, previous, workspace, domain:%; "refused");
             observe::refused(&seen, refusal);
             refuse(&gateway, Some(&call.request), refusal)
         }
@@ -124,14 +134,14 @@
     // What an old configuration denies, a newer one may allow.
     let route = route.cloned().ok_or(if fresh { Refusal::NoRoute } else { not_ready })?;
     seen.class = Some(observe::class(&route));
-    let workspace = match admit(gateway, &catalog, &route, call).await {
+    seen.target_ms = route.target_ms;
+    let workspace = match admit(gateway, &catalog, &route, call, seen).await {
         Err(Refusal::UnknownKey) if !fresh => return Err(not_ready),
         admitted => admitted?,
     };
     if !route.public && catalog.asks_for_keys() && !fresh {
         return Err(not_ready);
     }
-    seen.workspace = workspace.as_ref().map(|workspace| workspace.name.clone());
     let mechanisms = gateway.settings.mechanisms;
     let order = order(mechanisms, &catalog, &route, workspace.as_deref(), call)?;
     if gateway.is_guilty(suspect(&order.workspace, &head, &body)) {
@@ -140,6 +150,7 @@
     let ends_at = arrived.plus(order.left_ms);
     let admitted = Admitted { head, call, order, body, ends_at };
     let charged = admitted.order.workspace.clone();
+    let keeps_history = admitted.order.keeps_history;
     let mut served = if admitted.needs_owner() {
         serve_at_owner(gateway, admitted).await
     } else {
@@ -151,7 +162,8 @@
         Err(refusal) => refusal.promises(),
     };
     if not_run {
-        gateway.rates.borrow_mut().give_back(gateway.now(), &charged);
+        let claim = claim(gateway, call, keeps_history);
+        gateway.rates.borrow_mut().give_back(gateway.now(), &charged, claim);
     }
     served
 }
@@ -161,17 +173,21 @@
     catalog: &Catalog,
     route: &Route,
     call: &Call,
+    seen: &mut Seen,
 ) -> Result<Option<Arc<Workspace>>, Refusal> {
     if route.public || !catalog.asks_for_keys() {
         return Ok(None);
     }
     let key = call.key.ok_or(Refusal::UnknownKey)?;
     let workspace = catalog.holder(key).ok_or(Refusal::UnknownKey)?;
+    seen.workspace = Some(workspace.name.clone());
     if let Err(retry_after_ms) = take_rate(gateway, workspace, route, call).await {
         let (used, limit) = gateway.rates.borrow().used(&workspace.name);
         let peering = gateway.peers.borrow().peering(gateway.now());
-        log::info!(request:% = call.request, workspace:% = workspace.name, retry_after_ms, used,
-            limit, entries = peering.entries, heard = peering.heard,
+        let claim = claim(gateway, call, route.keeps_history).name();
+        let finish_ms = call.finish_ms.unwrap_or(u64::MAX);
+        log::info!(request:% = call.request, workspace:% = workspace.name, claim, finish_ms,
+            retry_after_ms, used, limit, entries = peering.entries, heard = peering.heard,
             config = catalog.version(); "over the rate");
         return Err(Refusal::OverRate { retry_after_ms });
     }
@@ -187,14 +203,11 @@
     call: &Call,
 ) -> Result<(), u64> {
     let arrived = gateway.now();
-    let begins = call.program.is_some() && call.most_tokens > 0 && call.previous.is_none();
-    let wait_most_ms = match begins {
-        true => route.target_ms / RATE_WAIT_PART,
-        false => RATE_WAIT_MOST_MS.min(route.timeout_ms / RATE_WAIT_PART),
-    };
-    let claim = match begins && gateway.has(Mechanism::RankedClaims) {
-        true => Claim::Begins,
-        false => Claim::GoesOn,
+    let left_ms = call.wait_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
+    let claim = claim(gateway, call, route.keeps_history);
+    let wait_most_ms = match claim {
+        Claim::Begins { .. } => (route.target_ms as f64 * BEGIN_WAIT_PART) as u64,
+        Claim::GoesOn => ((left_ms as f64 * RATE_WAIT_PART) as u64).min(RATE_WAIT_MOST_MS),
     };
     loop {
         let now = gateway.now();
@@ -210,6 +223,19 @@
     }
 }
 
+/// What a request means to its program, as far as its rate goes.
+fn claim(gateway: &Gateway, call: &Call, keeps_history: bool) -> Claim {
+    if call.most_tokens == 0 || !gateway.has(Mechanism::WholePrograms) {
+        return Claim::GoesOn;
+    }
+    match (&call.program, &call.previous, call.finish_ms) {
+        (Some(_), None, Some(finish_ms)) if keeps_history => {
+            Claim::Begins { length_ms: finish_ms.min(PROGRAM_MOST_MS) }
+        }
+        _ => Claim::GoesOn,
+    }
+}
+
 fn order(
     mechanisms: Mechanisms,
     catalog: &Catalog,
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -18,7 +18,7 @@
 use super::tenure::Tenure;
 use crate::catalog::Workspace;
 use crate::prelude::*;
-use crate::quota::{Claim, Peering};
+use crate::quota::{Claim, Peering, Tally};
 
 // Two VMs start in the same millisecond. Under one number, each message of the one looked like news
 // of the other, the copies of all rates swung between empty and full, and workspaces were admitted
@@ -51,6 +51,7 @@
     let known = Known { since: TimeMs(0), young: false };
     let row = |taken, in_window| {
         let workspace = Digest::of(&[b"w"]).prefix();
+        let taken = Tally { requests: taken, ..Tally::default() };
         vec![Taken { workspace, taken, in_window }]
     };
     rates.tell(TimeMs(3_000), 1, &row(5_000, None), known);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod daemon;
 pub mod endpoint;
 pub mod entry;
+pub mod explain;
 pub mod gateway;
 pub mod http;
 pub mod ids;
--- a/src/mechanisms.rs
+++ b/src/mechanisms.rs
@@ -27,8 +27,8 @@
     Bequests,
     /// Entries that are gone or cut off are signed off by others.
     Relief,
-    /// A part of each rate is kept for programs that have begun.
-    RankedClaims,
+    /// A program begins when its workspace's rate has room for the whole of it.
+    WholePrograms,
 }
 
 impl Mechanism {
@@ -44,7 +44,7 @@
         (Mechanism::SharedHealth, "shared-health"),
         (Mechanism::Bequests, "bequests"),
         (Mechanism::Relief, "relief"),
-        (Mechanism::RankedClaims, "ranked-claims"),
+        (Mechanism::WholePrograms, "whole-programs"),
     ];
 }
 
--- /dev/null
+++ b/src/quota/bookings.rs
@@ -0,0 +1,75 @@
+//! Pattern: a workspace's rate is used by programs that go on for seconds and make many requests, several
+//! at once. Admitted one request at a time, more of them begin than the rate can carry; all of them are
+//! refused now and then, and few end. So a program books its time as it begins, and another one
+//! begins only when the window will have room for both.
+
+use crate::prelude::*;
+
+/// Programs under way whose time is booked; beyond, the oldest are forgotten.
+const BOOKED_MOST: usize = 1_000;
+
+/// Programs that began together, and how long each should take.
+#[derive(Debug, Clone, Copy)]
+struct Booking {
+    begun_at: TimeMs,
+    length_ms: u64,
+    programs: f64,
+}
+
+impl Booking {
+    fn ends_at(&self) -> TimeMs {
+        self.begun_at.plus(self.length_ms)
+    }
+}
+
+/// The time of programs under way.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Bookings {
+    running: Vec<Booking>,
+}
+
+impl Bookings {
+    /// Programs begin that should take `length_ms` each.
+    pub(super) fn begin(&mut self, now: TimeMs, length_ms: u64, programs: f64) {
+        self.expire(now);
+        if self.running.len() == BOOKED_MOST {
+            self.running.remove(0);
+        }
+        self.running.push(Booking { begun_at: now, length_ms, programs });
+    }
+
+    /// Programs that began, last of all, have not run: `programs_ms` in all.
+    pub(super) fn cancel(&mut self, mut programs_ms: f64) {
+        while programs_ms > 0.0
+            && let Some(last) = self.running.last_mut()
+        {
+            let length_ms = last.length_ms.max(1) as f64;
+            let cancelled = (programs_ms / length_ms).min(last.programs);
+            last.programs -= cancelled;
+            programs_ms -= cancelled * length_ms;
+            if last.programs <= f64::EPSILON {
+                self.running.pop();
+            }
+        }
+    }
+
+    /// Forgets programs whose time is over.
+    pub(super) fn expire(&mut self, now: TimeMs) {
+        self.running.retain(|booking| booking.ends_at() > now);
+    }
+
+    /// Programs under way.
+    pub(super) fn programs(&self, now: TimeMs) -> f64 {
+        let running = self.running.iter().filter(|booking| booking.ends_at() > now);
+        running.map(|booking| booking.programs).sum()
+    }
+
+    /// Time that all programs together still have between two moments.
+    pub(super) fn between(&self, from: TimeMs, to: TimeMs) -> f64 {
+        let overlap = |b: &Booking| {
+            let until = to.min(b.ends_at());
+            until.since(from.max(b.begun_at)) as f64 * b.programs
+        };
+        self.running.iter().map(overlap).sum()
+    }
+}
--- a/src/quota/mod.rs
+++ b/src/quota/mod.rs
@@ -1,8 +1,15 @@
 //! Rate and burst of a workspace over all entries together, from what the entries tell each other.
 
+mod bookings;
+mod claim;
+mod pace;
 mod shared_window;
+mod tally;
 
-pub use shared_window::{Allowance, Claim, Peering, SharedWindow};
+pub use claim::Claim;
+pub use pace::Pace;
+pub use shared_window::{Allowance, Peering, SharedWindow};
+pub use tally::Tally;
 
 #[cfg(test)]
 mod tests;
--- a/src/quota/shared_window.rs
+++ b/src/quota/shared_window.rs
@@ -9,6 +9,10 @@
 
 use std::collections::{HashMap, VecDeque};
 
+use super::Claim;
+use super::bookings::Bookings;
+use super::pace::Pace;
+use super::tally::Tally;
 use crate::prelude::*;
 
 /// The window is counted in slots of this length: the time between two messages; finer
@@ -25,18 +29,26 @@
 /// that was said: two messages of each of them; one that is out of touch with some knows less.
 const ASKED_FOR_MS: u64 = 400;
 
-/// Part of the burst that is kept for programs under way: one that is refused in its middle has wasted
-/// all before, and one that is refused at its beginning could often have been run.
-const KEPT_FOR_RUNNING: f64 = 0.2;
+/// Pause between two moments at which the window is foreseen.
+const FORESEEN_EVERY_MS: u64 = 500;
 
-/// What a request means to its program.
-#[key]
-pub enum Claim {
-    /// It begins a program: refused, it costs its caller nothing but the wait.
-    Begins,
-    /// It belongs to a program that has run already.
-    GoesOn,
-}
+/// A program that needs more than this part of the limit by itself begins as if it needed no more: it
+/// would never begin else.
+const NEED_MOST: f64 = 0.5;
+
+/// Booked for each request that a program is expected to make: some make more, or come late.
+const SPARE: f64 = 1.25;
+
+/// A window that carries fewer programs than this foresees nothing: one program takes many times what
+/// another does, and a window kept free for a mean one stays empty.
+const FORESEEABLE_FROM: f64 = 3.0;
+
+/// From this part of the limit on, a window is crowded: requests are refused, or soon will be.
+const CROWDED_FROM: f64 = 0.8;
+
+/// Part of the mean time of programs that a program takes at least: one that was refused comes back
+/// with less time to its end, and needs as much as before.
+const LENGTH_LEAST: f64 = 0.5;
 
 /// What an entry knows of the others.
 #[key]
@@ -105,8 +117,13 @@
     learnt: bool,
     /// When others began to say what is in the window, and the most that was said.
     said: Option<(TimeMs, f64)>,
-    taken: u64,
-    told: HashMap<u64, u64>,
+    taken: Tally,
+    told: HashMap<u64, Tally>,
+    bookings: Bookings,
+    pace: Pace,
+    /// What was learnt of the pace that others may learn too.
+    unshared: Pace,
+    learnt_at: TimeMs,
     /// What the others took of late, fading.
     others: f64,
     told_at: TimeMs,
@@ -125,8 +142,12 @@
             whole_at: now.plus(allowance.window_ms),
             learnt: false,
             said: None,
-            taken: 0,
+            taken: Tally::default(),
             told: HashMap::new(),
+            bookings: Bookings::default(),
+            pace: Pace::default(),
+            unshared: Pace::default(),
+            learnt_at: now,
             others: 0.0,
             told_at: now,
         }
@@ -142,40 +163,124 @@
         self.allowance = allowance;
     }
 
-    /// Takes one, or says in how many milliseconds there may be one.
-    pub fn take(&mut self, now: TimeMs, peering: Peering, claim: Claim) -> Result<(), u64> {
+    /// Takes one, or says in how many milliseconds there may be one. `usual` is the pace of all
+    /// workspaces' programs.
+    pub fn take(
+        &mut self,
+        now: TimeMs,
+        peering: Peering,
+        claim: Claim,
+        usual: &Pace,
+    ) -> Result<(), u64> {
         if self.allowance.rate_per_s <= 0.0 {
             return Ok(());
         }
         self.advance(now);
-        let kept = match claim {
-            Claim::Begins => self.allowance.burst * KEPT_FOR_RUNNING,
-            Claim::GoesOn => 0.0,
-        };
         let limit = self.allowance.in_window();
         let lacking = match peering.in_touch() {
             true => {
-                let used = self.counted.all() + self.taken_since_told();
-                used + 1.0 + kept - limit * peering.heard_part()
+                self.counted.all() + self.taken_since_told() + 1.0 - limit * peering.heard_part()
             }
-            false => self.counted.own + 1.0 + kept - limit / f64::from(peering.entries),
+            false => self.counted.own + 1.0 - limit / f64::from(peering.entries),
         };
         if lacking > 0.0 {
             return Err(self.freed_in_ms(now, lacking));
         }
+        if let Claim::Begins { length_ms } = claim {
+            let length_ms = self.whole_length_ms(length_ms);
+            if peering.in_touch() {
+                self.fits(now, limit * peering.heard_part(), length_ms, usual)?;
+            }
+            self.bookings.begin(now, length_ms, 1.0);
+            self.learn_pace(Pace::begun(1.0, length_ms as f64));
+        }
         self.count(Slot { own: 1.0, ..Slot::default() });
-        self.taken += 1;
+        self.taken.add(claim);
+        self.learn_run(now, 1.0);
         Ok(())
     }
 
+    /// Whether a program that begins now fits into the window beside those under way; if not, when it
+    /// may.
+    fn fits(&self, now: TimeMs, limit: f64, length_ms: u64, usual: &Pace) -> Result<(), u64> {
+        let carried = limit / (self.pace.among(usual) * self.pace.mean_length_ms()).max(1.0);
+        if self.bookings.programs(now) == 0.0 || carried < FORESEEABLE_FROM {
+            return Ok(());
+        }
+        let window_ms = self.allowance.window_ms;
+        let steps = (window_ms / FORESEEN_EVERY_MS) as usize;
+        let others: Vec<f64> = (0..=2 * steps)
+            .map(|step| self.foreseen(now, step as u64 * FORESEEN_EVERY_MS, usual))
+            .collect();
+        let own = |step: usize| {
+            let ran_ms = step as u64 * FORESEEN_EVERY_MS;
+            (self.need_per_ms(usual) * ran_ms as f64).min(limit * NEED_MOST)
+        };
+        let runs = (length_ms.min(window_ms) / FORESEEN_EVERY_MS) as usize;
+        let fits_from =
+            |begin: &usize| (0..=runs).all(|ran| others[begin + ran] + own(ran) + 1.0 <= limit);
+        match (0..=steps).find(fits_from) {
+            Some(0) => Ok(()),
+            Some(begin) => Err(begin as u64 * FORESEEN_EVERY_MS),
+            None => Err(window_ms),
+        }
+    }
+
+    /// What will be in the window after `in_ms`, of what is in it now and of what the programs under
+    /// way will take.
+    fn foreseen(&self, now: TimeMs, in_ms: u64, usual: &Pace) -> f64 {
+        let at = now.plus(in_ms);
+        let left = (in_ms / SLOT_MS) as usize;
+        let kept: f64 = self.slots.iter().skip(left).map(Slot::all).sum();
+        let from = TimeMs(at.0.saturating_sub(self.allowance.window_ms)).max(now);
+        kept + self.need_per_ms(usual) * self.bookings.between(from, at)
+    }
+
+    fn need_per_ms(&self, usual: &Pace) -> f64 {
+        self.pace.among(usual) * SPARE
+    }
+
+    fn whole_length_ms(&self, length_ms: u64) -> u64 {
+        length_ms.max((self.pace.mean_length_ms() * LENGTH_LEAST) as u64)
+    }
+
     /// Gives one back: its request has not run, and will not.
-    pub fn give_back(&mut self) {
+    pub fn give_back(&mut self, claim: Claim) {
         self.count(Slot { own: -1.0, ..Slot::default() });
-        self.taken = self.taken.saturating_sub(1);
+        self.taken.take_back(claim);
+        if let Claim::Begins { length_ms } = claim {
+            self.bookings.cancel(self.whole_length_ms(length_ms) as f64);
+            self.learn_pace(Pace::begun(-1.0, -(length_ms as f64)));
+        }
+    }
+
+    /// What was learnt of the programs' pace since this was last asked.
+    pub fn learnt(&mut self) -> Pace {
+        std::mem::take(&mut self.unshared)
+    }
+
+    fn learn_pace(&mut self, more: Pace) {
+        self.pace.learn(&more);
+        self.unshared.learn(&more);
     }
 
-    /// How many this entry has taken in its life, less those given back.
-    pub fn taken(&self) -> u64 {
+    /// Requests were made while the programs under way ran on. Where requests are refused, they show nothing
+    /// of what programs need: learnt from programs that are broken off, too little would be booked,
+    /// and more would be broken off.
+    fn learn_run(&mut self, now: TimeMs, requests: f64) {
+        let ran_ms = self.bookings.between(self.learnt_at, now);
+        self.learnt_at = now;
+        if !self.is_crowded() {
+            self.learn_pace(Pace::ran(requests, ran_ms));
+        }
+    }
+
+    fn is_crowded(&self) -> bool {
+        self.counted.all() > self.allowance.in_window() * CROWDED_FROM
+    }
+
+    /// What this entry has taken in its life, less what was given back.
+    pub fn taken(&self) -> Tally {
         self.taken
     }
 
@@ -216,7 +321,7 @@
 
     /// An entry that has lived for a while is not known for long, in the life `life`. What it has
     /// taken before it was first heard was taken at times that are not known.
-    pub fn meet(&mut self, now: TimeMs, life: u64, taken: u64) {
+    pub fn meet(&mut self, now: TimeMs, life: u64, taken: Tally) {
         match self.told.contains_key(&life) {
             true => self.tell(now, life, taken),
             false => drop(self.told.insert(life, taken)),
@@ -224,15 +329,23 @@
     }
 
     /// Another entry, in the life `life`, has taken `taken` in all.
-    pub fn tell(&mut self, now: TimeMs, life: u64, taken: u64) {
+    pub fn tell(&mut self, now: TimeMs, life: u64, taken: Tally) {
         self.advance(now);
-        let before = self.told.get(&life).copied().unwrap_or(0);
+        let before = self.told.insert(life, taken).unwrap_or_default();
+        let news = taken.news_since(&before);
         self.others *= (-(now.since(self.told_at) as f64) / AVERAGED_MS).exp();
         self.told_at = now;
-        let news = taken as f64 - before as f64;
-        self.told.insert(life, taken);
-        self.others = (self.others + news).max(0.0);
-        self.count(Slot { others: news, ..Slot::default() });
+        self.others = (self.others + news.requests).max(0.0);
+        self.count(Slot { others: news.requests, ..Slot::default() });
+        match news.programs > 0.0 && news.programs_ms > 0.0 {
+            true => {
+                let length_ms = (news.programs_ms / news.programs) as u64;
+                self.bookings.begin(now, self.whole_length_ms(length_ms), news.programs);
+                self.learn_pace(Pace::begun(news.programs, news.programs_ms));
+            }
+            false => self.bookings.cancel(-news.programs_ms),
+        }
+        self.learn_run(now, news.requests);
     }
 
     fn count(&mut self, more: Slot) {
