A part of a booking that is given back is taken off in whole milliseconds

Cause: entries that were restarted or cut off give back what they had told. Taken off a booking, the rest of a division was too small to change it, and the loop over bookings never ended: every entry that heard of it used its whole processor. Change: less than a millisecond is left over. Test: any_part_of_a_booking_can_be_given_back never ended in 60 s before, passes now.

--- a/src/quota/bookings.rs
+++ b/src/quota/bookings.rs
@@ -39,8 +39,10 @@
     }
 
     /// Programs that began, last of all, have not run: `programs_ms` in all.
+    ///
+    /// Less than a millisecond is left: the rest of a division may be too small ever to be taken off.
     pub(super) fn cancel(&mut self, mut programs_ms: f64) {
-        while programs_ms > 0.0
+        while programs_ms >= 1.0
             && let Some(last) = self.running.last_mut()
         {
             let length_ms = last.length_ms.max(1) as f64;
--- a/src/quota/tests/programs.rs
+++ b/src/quota/tests/programs.rs
@@ -1,3 +1,5 @@
+use test_case::test_case;
+
 use super::*;
 
 const ENTRIES: usize = 4;
@@ -120,3 +122,17 @@
     }
     assert_eq!(there.take(now, TOGETHER, whole(), &Pace::default()), Ok(()));
 }
+
+// An entry gives back a part of a program's time that it had told. The rest of a division was too small to
+// be taken off, so that the loop over bookings never ended, and every entry that heard of it stood still.
+#[test_case(1_425, 811)]
+#[test_case(73_031, 26_924)]
+#[test_case(56_024, 15_445)]
+fn any_part_of_a_booking_can_be_given_back(length_ms: u64, part_ms: u64) {
+    let mut window = window(40.0, 40.0);
+    let told = |programs_ms| Tally { requests: 1, programs: 1, programs_ms };
+    window.tell(TimeMs(10_000), 1, told(length_ms));
+    window.tell(TimeMs(10_000), 1, told(length_ms - part_ms));
+    let begins = Claim::Begins { length_ms };
+    assert_eq!(window.take(TimeMs(10_001), TOGETHER, begins, &Pace::default()), Ok(()));
+}
