An entry that alone has lost the store passes requests on to one that has not

Ruled out: entries without owner or endpoints (no such refusal); cut off from each other too (they hear all). Change: an entry whose configuration has aged, while the store is there for others, sends requests whole to an entry in touch that reaches the store, two at most; that one reads the key and decides all. Nobody's word about freshness is taken. A relayed request is not relayed again. Switch: `relaying`. Tests: callers_of_an_entry_that_alone_has_lost_the_store_are_served; an_entry_that_cannot_know_has_another_decide_on_keys. a_withdrawn_key_runs_nothing_at_an_entry_that_cannot_know asked for 503 with another entry beside; that caller now gets the other's 401. The test is kept with one entry, and the case of two asks that the withdrawn key is refused, the granted one served, and nothing run.

--- a/soak/tests/callers.rs
+++ b/soak/tests/callers.rs
@@ -6,20 +6,35 @@
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use trefoil_soak::LinkFault;
+use trefoil_soak::{Caller, LinkFault};
 
 use common::{REVOKE_MS, turn, world};
 
-// A key is withdrawn while the store is out of reach of one entry. That entry can't know; it must
-// stop to serve keys by itself before the bound, and must not call the key unknown on its own.
+// A key is withdrawn while the store is out of reach of the only entry. It can't know; it must stop to
+// serve keys by itself before the bound, and must not call the key unknown on its own.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_withdrawn_key_runs_nothing_at_an_entry_that_cannot_know() {
-    let mut world = world(2).await;
+    let mut world = world(1).await;
     world.links[0].set(LinkFault::Silent);
     world.configure(&["a-new-key"], &["other-key"]);
     tokio::time::sleep(Duration::from_millis(REVOKE_MS + 100)).await;
     let answer = world.caller.look_up(world.entry(0), "late-0").await;
     assert_eq!(answer.status, Some(503), "{answer:?}");
+    assert!(!world.journal.counts().keys().any(|id| id.starts_with("late-")));
+}
+
+// The same while another entry knows: it decides in place of the one that can't, on either key.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_cannot_know_has_another_decide_on_keys() {
+    let mut world = world(2).await;
+    world.links[0].set(LinkFault::Silent);
+    world.configure(&["a-new-key"], &["other-key"]);
+    tokio::time::sleep(Duration::from_millis(REVOKE_MS + 100)).await;
+    let answer = world.caller.look_up(world.entry(0), "late-0").await;
+    assert_eq!(answer.status, Some(401), "{answer:?}");
+    let granted = Caller { key: "a-new-key".into(), ..world.caller.clone() };
+    let answer = granted.look_up(world.entry(0), "granted").await;
+    assert!(answer.is_served(), "{answer:?}");
     let answer = world.caller.look_up(world.entry(1), "late-1").await;
     assert_eq!(answer.status, Some(401), "{answer:?}");
     assert!(!world.journal.counts().keys().any(|id| id.starts_with("late-")));
--- a/soak/tests/outages.rs
+++ b/soak/tests/outages.rs
@@ -4,9 +4,9 @@
 
 use std::time::Duration;
 
-use trefoil_soak::{Caller, StoreFault, Turn, World};
+use trefoil_soak::{Caller, LinkFault, StoreFault, Turn, World};
 
-use common::{ask, turn, world};
+use common::{REVOKE_MS, ask, turn, world};
 
 /// A caller of a stream leaves if nothing comes for this long.
 const GAP: Duration = Duration::from_secs(2);
@@ -75,3 +75,22 @@
         assert!(asked.await.expect("no panic"), "a program was lost to the outage");
     }
 }
+
+// One of three entries loses the store for longer than a configuration may go unconfirmed, and its callers
+// stay with it. It refused each of their requests, though the two others could have served them.
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_of_an_entry_that_alone_has_lost_the_store_are_served() {
+    let world = world(3).await;
+    world.links[0].set(LinkFault::Silent);
+    tokio::time::sleep(Duration::from_millis(REVOKE_MS + 500)).await;
+    let mut previous: Option<String> = None;
+    for number in 0..6 {
+        let id = format!("relayed-{number}");
+        let answer = world.caller.turn(world.entry(0), &turn(&id, "p", previous.as_deref())).await;
+        assert!(answer.is_served(), "{id}: {answer:?}");
+        let looked_up = world.caller.look_up(world.entry(0), &format!("look-{number}")).await;
+        assert!(looked_up.is_served(), "{looked_up:?}");
+        previous = Some(id);
+    }
+    assert!(world.journal.counts().values().all(|runs| *runs == 1));
+}
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -22,6 +22,9 @@
 /// Carries the [`Order`] of a forwarded turn.
 pub(super) const ORDER_HEADER: &str = "x-trefoil-order";
 
+/// Marks a request that another entry could not decide on.
+pub(super) const RELAYED_HEADER: &str = "x-trefoil-relayed";
+
 /// Marks an answer: this entry does not own the shard, and nothing was done.
 pub(super) const MOVED_HEADER: &str = "x-trefoil-moved";
 
@@ -49,14 +52,22 @@
 /// Pieces that wait for a slow caller.
 const PIECES_WAITING_MOST: usize = 32;
 
-/// A turn as its caller sent it.
+/// Why a request goes to another entry.
+pub(super) enum Towards {
+    /// The owner of its program's shard serves it as was decided here.
+    Owner(Order),
+    /// An entry with a fresh configuration decides all of it.
+    Fresh,
+}
+
+/// A request as its caller sent it.
 pub(super) struct Forwarded {
     pub(super) request: Arc<str>,
     pub(super) method: Method,
     pub(super) uri: Uri,
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
-    pub(super) order: Order,
+    pub(super) towards: Towards,
     pub(super) ends_at: TimeMs,
 }
 
@@ -138,7 +149,7 @@
     gateway.renew_membership();
 }
 
-enum Sent {
+pub(super) enum Sent {
     Answered(Response<AnswerBody>),
     Moved,
     /// It has not taken the turn and never will, though the connection stands.
@@ -151,7 +162,7 @@
 /// A frozen owner, one without power or one behind a cut takes the bytes of a kept connection and
 /// says nothing. Sent whole, the turn might run whenever that owner wakes, so that it could go
 /// nowhere else and its caller lost it. Without its body it can't run.
-async fn send(
+pub(super) async fn send(
     gateway: &Rc<Gateway>,
     address: std::net::SocketAddr,
     turn: &Forwarded,
@@ -246,14 +257,21 @@
     taken: oneshot::Sender<()>,
 ) -> Option<Request<Outgoing>> {
     let left_ms = turn.ends_at.since(gateway.now());
-    let order = Order { left_ms, ..turn.order.clone() };
-    let order = hex::encode(postcard::to_allocvec(&order).ok()?);
     let mut request = Request::new(Outgoing::held(turn.body.clone(), gate.clone()));
     *request.method_mut() = turn.method.clone();
     *request.uri_mut() = turn.uri.clone();
     let mut headers = turn.headers.clone();
-    headers.remove(http::header::AUTHORIZATION);
-    headers.insert(ORDER_HEADER, HeaderValue::from_str(&order).ok()?);
+    match &turn.towards {
+        Towards::Owner(order) => {
+            let order = Order { left_ms, ..order.clone() };
+            let order = hex::encode(postcard::to_allocvec(&order).ok()?);
+            headers.remove(http::header::AUTHORIZATION);
+            headers.insert(ORDER_HEADER, HeaderValue::from_str(&order).ok()?);
+        }
+        Towards::Fresh => {
+            headers.insert(RELAYED_HEADER, HeaderValue::from_static("1"));
+        }
+    }
     *request.headers_mut() = end_to_end(headers);
     let asks_first = HeaderValue::from_static("100-continue");
     request.headers_mut().insert(http::header::EXPECT, asks_first);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -27,6 +27,7 @@
 mod process;
 mod rates;
 mod reach;
+mod relay;
 mod reservation;
 mod serve;
 mod server;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -140,6 +140,18 @@
         heard * 2 >= known && away * 2 >= heard
     }
 
+    /// Entries in touch that reach the store and take requests, in the same order each time.
+    pub(super) fn that_reach_store(&self, now: TimeMs) -> Vec<SocketAddr> {
+        let sound = |peer: &Peer| {
+            let recent = peer.heard_at.is_some_and(|at| now.since(at) < IN_TOUCH_MS);
+            recent && !peer.store_away && !peer.leaving
+        };
+        let sound = self.peers.iter().filter(|(_, peer)| sound(peer));
+        let mut addresses: Vec<_> = sound.map(|(address, _)| *address).collect();
+        addresses.sort_unstable();
+        addresses
+    }
+
     /// Whether an entry has started of late and needs to hear what the others know.
     pub(super) fn has_newcomer(&self, now: TimeMs) -> bool {
         let heard = |peer: &Peer| peer.heard_at.is_some_and(|at| now.since(at) < IN_TOUCH_MS);
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -8,11 +8,14 @@
 use hyper::body::{Bytes, Incoming};
 
 use super::attempt::Job;
-use super::forward::{Forwarded, NOT_RUN_HEADER, ORDER_HEADER, Served, find_owner, moved};
+use super::forward::{
+    Forwarded, NOT_RUN_HEADER, ORDER_HEADER, RELAYED_HEADER, Served, Towards, find_owner, moved,
+};
 use super::hold::hold;
 use super::observe::{self, Seen};
 use super::owned_shard::{OwnedShard, Stage};
 use super::plain::{end_to_end, serve_plain};
+use super::relay::{must_relay, relay};
 use super::state::Gateway;
 use super::turn::{TurnCall, serve_turn, within};
 use super::{AnswerBody, Call, Order, Refusal};
@@ -52,19 +55,33 @@
 /// The most bytes of a forwarded turn: what a record of the store holds.
 const FORWARDED_MOST_BYTES: usize = 4 << 20;
 
+/// Whom a request came from.
+#[key]
+pub(super) enum Sender {
+    /// Its caller.
+    Caller,
+    /// Another entry, which could not decide on it.
+    Entry,
+}
+
 /// Serves a caller's request.
 pub(super) async fn serve_caller(
     gateway: Rc<Gateway>,
     request: Request<Incoming>,
+    sender: Sender,
 ) -> Response<AnswerBody> {
     let running = gateway.enter();
     let arrived = gateway.now();
-    let (head, body) = request.into_parts();
+    let (mut head, body) = request.into_parts();
+    head.headers.remove(RELAYED_HEADER);
     let Some(call) = gateway.protocol.read(&head) else {
         return refuse(&gateway, None, Refusal::BadCall);
     };
     let mut seen = Seen::default();
-    let outcome = admit_and_serve(&gateway, arrived, head, &call, body, &mut seen).await;
+    let outcome = match sender == Sender::Caller && must_relay(&gateway) {
+        true => relay(&gateway, head, &call, body).await,
+        false => admit_and_serve(&gateway, arrived, head, &call, body, &mut seen).await,
+    };
     let took_ms = gateway.now().since(arrived);
     match outcome {
         Ok(response) => {
@@ -107,8 +124,7 @@
     body: Incoming,
     seen: &mut Seen,
 ) -> Result<Response<AnswerBody>, Refusal> {
-    let revoke_ms = gateway.settings.bounds.revoke_ms;
-    let is_fresh = || gateway.in_force.is_fresh(revoke_ms);
+    let is_fresh = || gateway.is_fresh();
     let left_ms = call.wait_ms.unwrap_or(u64::MAX);
     if !is_fresh() && gateway.waits_for_store() {
         hold(left_ms, &gateway.in_force.confirmed, is_fresh).await;
@@ -315,7 +331,7 @@
             uri: self.head.uri.clone(),
             headers: self.head.headers.clone(),
             body: self.body.clone(),
-            order: self.order.clone(),
+            towards: Towards::Owner(self.order.clone()),
             ends_at: self.ends_at,
         }
     }
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -14,8 +14,9 @@
 
 use super::bequest::{BEQUEST_PATH, take_bequest};
 use super::find::{FIND_PATH, search_own};
+use super::forward::RELAYED_HEADER;
 use super::message::FindTurn;
-use super::serve::{serve_caller, serve_forwarded};
+use super::serve::{Sender, serve_caller, serve_forwarded};
 use super::state::Gateway;
 use super::{AnswerBody, GatewayError};
 use crate::http::tune;
@@ -126,7 +127,7 @@
     match door {
         Door::Callers => {
             let draining = gateway.clone();
-            let mut response = serve_caller(gateway, request).await;
+            let mut response = serve_caller(gateway, request, Sender::Caller).await;
             response.headers_mut().insert(HeaderName::from_static("keep-alive"), KEEP_ALIVE);
             if draining.draining.get() {
                 let close = HeaderValue::from_static("close");
@@ -146,6 +147,9 @@
         Door::Peers if request.uri().path() == BEQUEST_PATH => {
             take_bequest(&gateway, request).await
         }
+        Door::Peers if request.headers().contains_key(RELAYED_HEADER) => {
+            serve_caller(gateway, request, Sender::Entry).await
+        }
         Door::Peers => serve_forwarded(&gateway, request).await,
     }
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -164,6 +164,11 @@
         self.renew.notify_one();
     }
 
+    /// Whether the configuration was confirmed of late, so that keys may be served.
+    pub(super) fn is_fresh(&self) -> bool {
+        self.in_force.is_fresh(self.settings.bounds.revoke_ms)
+    }
+
     /// Whether requests wait here for the store: it is away for all, and not only for this entry, so that
     /// no other entry would serve a caller any better.
     pub(super) fn waits_for_store(&self) -> bool {
--- a/src/mechanisms.rs
+++ b/src/mechanisms.rs
@@ -29,11 +29,13 @@
     Relief,
     /// A program begins when its workspace's rate has room for the whole of it.
     WholePrograms,
+    /// An entry that alone has lost the store passes requests on to one that has not.
+    Relaying,
 }
 
 impl Mechanism {
     /// All of them, with their names.
-    pub const ALL: [(Mechanism, &'static str); 11] = [
+    pub const ALL: [(Mechanism, &'static str); 12] = [
         (Mechanism::Resumption, "resumption"),
         (Mechanism::Waiting, "waiting"),
         (Mechanism::Settling, "settling"),
@@ -45,6 +47,7 @@
         (Mechanism::Bequests, "bequests"),
         (Mechanism::Relief, "relief"),
         (Mechanism::WholePrograms, "whole-programs"),
+        (Mechanism::Relaying, "relaying"),
     ];
 }
 
