--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -141,11 +141,8 @@
     assert_eq!(started.elapsed(), Duration::from_millis(700));
 }
 
-// A caller that meets the one entry that is cut off from the store is better served by another, and must
-// be told so at once; while all are cut off, there is no other.
-#[test]
-fn an_entry_tells_its_own_cut_from_an_outage() {
-    let gossip = |life, store_away| Gossip {
+fn gossip(life: u64, store_away: bool) -> Gossip {
+    Gossip {
         life,
         name: format!("entry-{life}").into(),
         leaving: false,
@@ -157,7 +154,27 @@
         taken: vec![],
         answers: vec![],
         suspects: vec![],
-    };
+    }
+}
+
+// A request is relayed to an entry that can decide on it: not to one that has lost the store too, that is
+// shutting down, or that was not heard of late.
+#[test]
+fn requests_are_relayed_to_entries_that_reach_the_store_and_stay() {
+    let address = |port| ([127, 0, 0, 1], port).into();
+    let mut peers = Peers::default();
+    peers.heard(TimeMs(0), address(1), &gossip(1, false));
+    peers.heard(TimeMs(900), address(2), &gossip(2, true));
+    peers.heard(TimeMs(900), address(3), &Gossip { leaving: true, ..gossip(3, false) });
+    peers.heard(TimeMs(900), address(4), &gossip(4, false));
+    peers.know(TimeMs(900), address(5), "never-heard".into());
+    assert_eq!(peers.that_reach_store(TimeMs(1_000)), [address(4)]);
+}
+
+// A caller that meets the one entry that is cut off from the store is better served by another, and must
+// be told so at once; while all are cut off, there is no other.
+#[test]
+fn an_entry_tells_its_own_cut_from_an_outage() {
     let address = |port| ([127, 0, 0, 1], port).into();
     let mut peers = Peers::default();
     assert!(peers.miss_store(TimeMs(0)), "alone, it has nobody to send callers to");
