Relayed requests keep to their callers' time and count once; grants say what is given back; serve.rs split

Admission yields a grant, which is what is given back: the claim is no longer worked out anew at the end. No check is loosened.

--- a/lab/src/programs.rs
+++ b/lab/src/programs.rs
@@ -140,7 +140,7 @@
         loop {
             let now = self.now();
             let taken = self.window.borrow_mut().take(now, ALONE, claim, &Pace::default());
-            let Err(retry_after_ms) = taken else {
+            let Err(retry_after_ms) = taken.map(drop) else {
                 return Ok(());
             };
             if now.since(arrived) + retry_after_ms > wait_most_ms {
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -147,6 +147,7 @@
             workspace: text("trefoilproxy-tenant"),
             body: body.to_bytes().to_vec(),
             had_key: head.headers.contains_key("authorization"),
+            left_ms: text("trefoilproxy-deadline-ms").parse().ok(),
             at: std::time::Instant::now(),
         });
         let mut headers = HeaderMap::new();
--- a/soak/src/journal.rs
+++ b/soak/src/journal.rs
@@ -15,6 +15,8 @@
     pub body: Vec<u8>,
     /// Whether it came with a key.
     pub had_key: bool,
+    /// How long its caller still waited, as the endpoint was told.
+    pub left_ms: Option<u64>,
     /// When it began.
     pub at: Instant,
 }
--- a/soak/tests/outages.rs
+++ b/soak/tests/outages.rs
@@ -4,6 +4,8 @@
 
 use std::time::Duration;
 
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 use trefoil_soak::{Caller, LinkFault, StoreFault, Turn, World};
 
 use common::{REVOKE_MS, ask, turn, world};
@@ -17,6 +19,9 @@
 /// Tries of a turn.
 const TRIES: usize = 3;
 
+/// Gateways write their logs within this time.
+const LOGS_WAIT: Duration = Duration::from_millis(1_000);
+
 /// Pause between two tries.
 const TRY_PAUSE: Duration = Duration::from_millis(250);
 
@@ -76,6 +81,14 @@
     }
 }
 
+/// Lines of all gateways' logs with this message about a request.
+fn lines_about(world: &World, request: &str, message: &str) -> usize {
+    let request = format!("\"request\":\"{request}\"");
+    let message = format!("\"msg\":\"{message}\"");
+    let lines = world.gateways.iter().flat_map(|gateway| gateway.lines());
+    lines.filter(|line| line.contains(&request) && line.contains(&message)).count()
+}
+
 // One of three entries loses the store for longer than a configuration may go unconfirmed, and its callers
 // stay with it. It refused each of their requests, though the two others could have served them.
 #[tokio::test(flavor = "multi_thread")]
@@ -92,5 +105,36 @@
         assert!(looked_up.is_served(), "{looked_up:?}");
         previous = Some(id);
     }
+    tokio::time::sleep(LOGS_WAIT).await;
+    for number in 0..6 {
+        let id = format!("relayed-{number}");
+        assert_eq!(lines_about(&world, &id, "answered"), 1, "each request is counted once");
+        assert_eq!(lines_about(&world, &id, "a request was relayed"), 1);
+    }
     assert!(world.journal.counts().values().all(|runs| *runs == 1));
 }
+
+// A caller takes a second to send its body to an entry that has lost the store. The entry that decides in its
+// place gave the endpoint the caller's whole time once more.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_relayed_request_keeps_to_its_callers_time() {
+    const BODY_TAKES: Duration = Duration::from_millis(1_000);
+    let world = world(2).await;
+    world.links[0].set(LinkFault::Silent);
+    tokio::time::sleep(Duration::from_millis(REVOKE_MS + 500)).await;
+    let head = format!(
+        "POST /actions/1 HTTP/1.1\r\nhost: soak.example\r\nauthorization: Bearer {}\r\n\
+        trefoilproxy-request-id: slow\r\ntrefoilproxy-deadline-ms: {TRY_MS}\r\n\
+        content-length: 4\r\n\r\n",
+        world.caller.key
+    );
+    let mut stream = TcpStream::connect(world.entry(0)).await.expect("it listens");
+    stream.write_all(head.as_bytes()).await.expect("sent");
+    tokio::time::sleep(BODY_TAKES).await;
+    stream.write_all(b"slow").await.expect("sent");
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    let runs = world.journal.runs();
+    let run = runs.iter().find(|run| run.request == "slow").expect("it has run");
+    let left_ms = run.left_ms.expect("the endpoint is told");
+    assert!(left_ms <= TRY_MS - BODY_TAKES.as_millis() as u64, "{left_ms}");
+}
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -22,7 +22,10 @@
 /// Carries the [`Order`] of a forwarded turn.
 pub(super) const ORDER_HEADER: &str = "x-trefoil-order";
 
-/// Marks a request that another entry could not decide on.
+/// The most bytes of a request on its way between entries: what a record of the store holds.
+pub(super) const FORWARDED_MOST_BYTES: usize = 4 << 20;
+
+/// Marks a request that another entry could not decide on, with what is left of its time in milliseconds.
 pub(super) const RELAYED_HEADER: &str = "x-trefoil-relayed";
 
 /// Marks an answer: this entry does not own the shard, and nothing was done.
@@ -269,7 +272,7 @@
             headers.insert(ORDER_HEADER, HeaderValue::from_str(&order).ok()?);
         }
         Towards::Fresh => {
-            headers.insert(RELAYED_HEADER, HeaderValue::from_static("1"));
+            headers.insert(RELAYED_HEADER, HeaderValue::from(left_ms));
         }
     }
     *request.headers_mut() = end_to_end(headers);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 //! Everything runs on one thread. What must last, and who owns which shard of the programs, is
 //! agreed in a store that the operator runs; [`Store`] and [`Protocol`] are its seams.
 
+mod admit;
 mod answer;
 mod attempt;
 mod bequest;
@@ -27,6 +28,7 @@
 mod process;
 mod rates;
 mod reach;
+mod read_whole;
 mod relay;
 mod reservation;
 mod serve;
--- a/src/gateway/observe.rs
+++ b/src/gateway/observe.rs
@@ -2,9 +2,10 @@
 
 use metrics::{counter, gauge, histogram};
 
-use super::Refusal;
 use super::state::Gateway;
+use super::{Call, Refusal};
 use crate::catalog::{Repeat, Route};
+use crate::prelude::*;
 
 /// The workspace of requests that were refused before their key was known.
 const NO_WORKSPACE: &str = "-";
@@ -23,15 +24,19 @@
 #[derive(Debug, Default)]
 pub(super) struct Seen {
     /// Its workspace.
-    pub(super) workspace: Option<std::sync::Arc<str>>,
+    pub(super) workspace: Option<Arc<str>>,
     /// Its class.
     pub(super) class: Option<&'static str>,
     /// The time to its first byte that its operator aims at.
     pub(super) target_ms: u64,
 }
 
-/// Counts an answered request, with the time to the head of its answer.
-pub(super) fn answered(seen: &Seen, status: u16, took_ms: u64) {
+/// Logs and counts an answered request, with the time to the head of its answer.
+pub(super) fn answered(call: &Call, seen: &Seen, status: u16, took_ms: u64) {
+    let (program, workspace) = (text(&call.program), text(&seen.workspace));
+    let (class, target_ms) = (seen.class.unwrap_or_default(), seen.target_ms);
+    log::info!(request:% = call.request, status, took_ms, target_ms, class, program, workspace;
+        "answered");
     count(seen, format!("{status}"));
     let workspace = seen.workspace.as_deref().unwrap_or(NO_WORKSPACE).to_string();
     let class = seen.class.unwrap_or("unknown");
@@ -39,9 +44,20 @@
         .record(took_ms as f64);
 }
 
-/// Counts a refused request.
-pub(super) fn refused(seen: &Seen, refusal: Refusal) {
-    count(seen, refusal.name().to_string());
+/// Logs and counts a refused request.
+pub(super) fn refused(gateway: &Gateway, call: &Call, seen: &Seen, refusal: Refusal, took_ms: u64) {
+    let config_age_ms = gateway.in_force.age_ms().unwrap_or(u64::MAX);
+    let (program, previous) = (text(&call.program), text(&call.previous));
+    let (workspace, class) = (text(&seen.workspace), seen.class.unwrap_or_default());
+    let (name, wait_ms) = (refusal.name(), call.wait_ms.unwrap_or(u64::MAX));
+    let domain = &gateway.settings.failure_domain;
+    log::info!(request:% = call.request, refusal = name, took_ms, wait_ms, config_age_ms, class,
+        program, previous, workspace, domain:%; "refused");
+    count(seen, name.to_string());
+}
+
+fn text(id: &Option<Arc<str>>) -> &str {
+    id.as_deref().unwrap_or_default()
 }
 
 fn count(seen: &Seen, outcome: String) {
--- a/src/gateway/rates.rs
+++ b/src/gateway/rates.rs
@@ -3,7 +3,7 @@
 use super::message::{Taken, in_turn};
 use crate::catalog::Workspace;
 use crate::prelude::*;
-use crate::quota::{Allowance, Claim, Pace, Peering, SharedWindow};
+use crate::quota::{Allowance, Claim, Grant, Pace, Peering, SharedWindow};
 
 /// What this entry has taken is told for this long after each change: three messages, so that
 /// two may be lost.
@@ -65,14 +65,14 @@
         workspace: &Workspace,
         peering: Peering,
         claim: Claim,
-    ) -> Result<(), u64> {
+    ) -> Result<Grant, u64> {
         let usual = self.pace;
         let counted = self.know(now, workspace);
-        counted.window.take(now, peering, claim, &usual)?;
+        let grant = counted.window.take(now, peering, claim, &usual)?;
         counted.changed_at = now;
-        let learnt = counted.window.learnt();
-        self.pace.learn(&learnt);
-        Ok(())
+        let new_pace = counted.window.take_new_pace();
+        self.pace.learn(&new_pace);
+        Ok(grant)
     }
 
     /// A workspace is declared: its window fills from the moment it is first known.
@@ -96,9 +96,9 @@
     }
 
     /// A request that was taken out of the workspace's rate has not run.
-    pub(super) fn give_back(&mut self, now: TimeMs, workspace: &str, claim: Claim) {
+    pub(super) fn give_back(&mut self, now: TimeMs, workspace: &str, grant: Grant) {
         if let Some(counted) = self.windows.get_mut(&workspace_hash(workspace)) {
-            counted.window.give_back(claim);
+            counted.window.give_back(grant);
             counted.changed_at = now;
         }
     }
@@ -148,7 +148,7 @@
                 true => window.tell(now, life, row.taken),
                 false => window.meet(now, life, row.taken),
             }
-            self.pace.learn(&window.learnt());
+            self.pace.learn(&window.take_new_pace());
             if let Some(in_window) = row.in_window {
                 window.learn(now, in_window as f64);
             }
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -16,7 +16,7 @@
 use super::find::{FIND_PATH, search_own};
 use super::forward::RELAYED_HEADER;
 use super::message::FindTurn;
-use super::serve::{Sender, serve_caller, serve_forwarded};
+use super::serve::{serve_caller, serve_forwarded, serve_relayed};
 use super::state::Gateway;
 use super::{AnswerBody, GatewayError};
 use crate::http::tune;
@@ -127,7 +127,7 @@
     match door {
         Door::Callers => {
             let draining = gateway.clone();
-            let mut response = serve_caller(gateway, request, Sender::Caller).await;
+            let mut response = serve_caller(gateway, request).await;
             response.headers_mut().insert(HeaderName::from_static("keep-alive"), KEEP_ALIVE);
             if draining.draining.get() {
                 let close = HeaderValue::from_static("close");
@@ -148,7 +148,7 @@
             take_bequest(&gateway, request).await
         }
         Door::Peers if request.headers().contains_key(RELAYED_HEADER) => {
-            serve_caller(gateway, request, Sender::Entry).await
+            serve_relayed(gateway, request).await
         }
         Door::Peers => serve_forwarded(&gateway, request).await,
     }
--- a/src/quota/bookings.rs
+++ b/src/quota/bookings.rs
@@ -1,8 +1,3 @@
-//! Pattern: a workspace's rate is used by programs that go on for seconds and make many requests, several
-//! at once. Admitted one request at a time, more of them begin than the rate can carry; all of them are
-//! refused now and then, and few end. So a program books its time as it begins, and another one
-//! begins only when the window will have room for both.
-
 use crate::prelude::*;
 
 /// Programs under way whose time is booked; beyond, the oldest are forgotten.
@@ -38,7 +33,7 @@
         self.running.push(Booking { begun_at: now, length_ms, programs });
     }
 
-    /// Programs that began, last of all, have not run: `programs_ms` in all.
+    /// Programs that began last of all have not run: `programs_ms` in all.
     ///
     /// Less than a millisecond is left: the rest of a division may be too small ever to be taken off.
     pub(super) fn cancel(&mut self, mut programs_ms: f64) {
--- a/src/quota/claim.rs
+++ b/src/quota/claim.rs
@@ -21,3 +21,14 @@
         }
     }
 }
+
+/// A request that was admitted. It is given back if the request has not run.
+#[value]
+#[derive(Copy)]
+#[must_use]
+pub struct Grant {
+    /// Whether it was counted: nothing is while there is no limit.
+    pub(super) counted: bool,
+    /// The time that was booked for the program that it begins.
+    pub(super) booked_ms: Option<u64>,
+}
--- a/src/quota/mod.rs
+++ b/src/quota/mod.rs
@@ -3,10 +3,11 @@
 mod bookings;
 mod claim;
 mod pace;
+mod programs;
 mod shared_window;
 mod tally;
 
-pub use claim::Claim;
+pub use claim::{Claim, Grant};
 pub use pace::Pace;
 pub use shared_window::{Allowance, Peering, SharedWindow};
 pub use tally::Tally;
--- a/src/quota/pace.rs
+++ b/src/quota/pace.rs
@@ -42,7 +42,7 @@
     }
 
     /// Requests for each millisecond of a program's time, where all programs show what is usual.
-    pub(super) fn among(&self, all: &Pace) -> f64 {
+    pub(super) fn requests_per_ms(&self, all: &Pace) -> f64 {
         self.blended(all.blended(USUAL_REQUESTS_PER_S / 1_000.0))
     }
 
--- a/src/quota/shared_window.rs
+++ b/src/quota/shared_window.rs
@@ -9,10 +9,10 @@
 
 use std::collections::{HashMap, VecDeque};
 
-use super::Claim;
-use super::bookings::Bookings;
 use super::pace::Pace;
+use super::programs::{Programs, Room};
 use super::tally::Tally;
+use super::{Claim, Grant};
 use crate::prelude::*;
 
 /// The window is counted in slots of this length: the time between two messages; finer
@@ -29,27 +29,9 @@
 /// that was said: two messages of each of them; one that is out of touch with some knows less.
 const ASKED_FOR_MS: u64 = 400;
 
-/// Pause between two moments at which the window is foreseen.
-const FORESEEN_EVERY_MS: u64 = 500;
-
-/// A program that needs more than this part of the limit by itself begins as if it needed no more: it
-/// would never begin else.
-const NEED_MOST: f64 = 0.5;
-
-/// Booked for each request that a program is expected to make: some make more, or come late.
-const SPARE: f64 = 1.25;
-
-/// A window that carries fewer programs than this foresees nothing: one program takes many times what
-/// another does, and a window kept free for a mean one stays empty.
-const FORESEEABLE_FROM: f64 = 3.0;
-
 /// From this part of the limit on, a window is crowded: requests are refused, or soon will be.
 const CROWDED_FROM: f64 = 0.8;
 
-/// Part of the mean time of programs that a program takes at least: one that was refused comes back
-/// with less time to its end, and needs as much as before.
-const LENGTH_LEAST: f64 = 0.5;
-
 /// What an entry knows of the others.
 #[key]
 pub struct Peering {
@@ -119,11 +101,7 @@
     said: Option<(TimeMs, f64)>,
     taken: Tally,
     told: HashMap<u64, Tally>,
-    bookings: Bookings,
-    pace: Pace,
-    /// What was learnt of the pace that others may learn too.
-    unshared: Pace,
-    learnt_at: TimeMs,
+    programs: Programs,
     /// What the others took of late, fading.
     others: f64,
     told_at: TimeMs,
@@ -144,10 +122,7 @@
             said: None,
             taken: Tally::default(),
             told: HashMap::new(),
-            bookings: Bookings::default(),
-            pace: Pace::default(),
-            unshared: Pace::default(),
-            learnt_at: now,
+            programs: Programs::open(now),
             others: 0.0,
             told_at: now,
         }
@@ -171,9 +146,9 @@
         peering: Peering,
         claim: Claim,
         usual: &Pace,
-    ) -> Result<(), u64> {
+    ) -> Result<Grant, u64> {
         if self.allowance.rate_per_s <= 0.0 {
-            return Ok(());
+            return Ok(Grant { counted: false, booked_ms: None });
         }
         self.advance(now);
         let limit = self.allowance.in_window();
@@ -186,97 +161,63 @@
         if lacking > 0.0 {
             return Err(self.freed_in_ms(now, lacking));
         }
-        if let Claim::Begins { length_ms } = claim {
-            let length_ms = self.whole_length_ms(length_ms);
-            if peering.in_touch() {
-                self.fits(now, limit * peering.heard_part(), length_ms, usual)?;
-            }
-            self.bookings.begin(now, length_ms, 1.0);
-            self.learn_pace(Pace::begun(1.0, length_ms as f64));
-        }
+        let booked_ms = match claim {
+            Claim::Begins { length_ms } => Some(self.begin(now, length_ms, peering, usual)?),
+            Claim::GoesOn => None,
+        };
+        let grant = Grant { counted: true, booked_ms };
         self.count(Slot { own: 1.0, ..Slot::default() });
-        self.taken.add(claim);
-        self.learn_run(now, 1.0);
-        Ok(())
+        self.taken.add(grant);
+        self.programs.ran(now, 1.0, self.is_crowded());
+        Ok(grant)
     }
 
-    /// Whether a program that begins now fits into the window beside those under way; if not, when it
-    /// may.
-    fn fits(&self, now: TimeMs, limit: f64, length_ms: u64, usual: &Pace) -> Result<(), u64> {
-        let carried = limit / (self.pace.among(usual) * self.pace.mean_length_ms()).max(1.0);
-        if self.bookings.programs(now) == 0.0 || carried < FORESEEABLE_FROM {
-            return Ok(());
-        }
-        let window_ms = self.allowance.window_ms;
-        let steps = (window_ms / FORESEEN_EVERY_MS) as usize;
-        let others: Vec<f64> = (0..=2 * steps)
-            .map(|step| self.foreseen(now, step as u64 * FORESEEN_EVERY_MS, usual))
-            .collect();
-        let own = |step: usize| {
-            let ran_ms = step as u64 * FORESEEN_EVERY_MS;
-            (self.need_per_ms(usual) * ran_ms as f64).min(limit * NEED_MOST)
-        };
-        let runs = (length_ms.min(window_ms) / FORESEEN_EVERY_MS) as usize;
-        let fits_from =
-            |begin: &usize| (0..=runs).all(|ran| others[begin + ran] + own(ran) + 1.0 <= limit);
-        match (0..=steps).find(fits_from) {
-            Some(0) => Ok(()),
-            Some(begin) => Err(begin as u64 * FORESEEN_EVERY_MS),
-            None => Err(window_ms),
+    /// Books a program's time, or says in how many milliseconds it may begin.
+    fn begin(
+        &mut self,
+        now: TimeMs,
+        length_ms: u64,
+        peering: Peering,
+        usual: &Pace,
+    ) -> Result<u64, u64> {
+        let needed_ms = self.programs.needed_ms(length_ms);
+        if peering.in_touch() {
+            let limit = self.allowance.in_window() * peering.heard_part();
+            let room = Room { limit, window_ms: self.allowance.window_ms };
+            let kept = |in_ms| self.kept_after(in_ms);
+            match self.programs.begins_in_ms(now, needed_ms, room, usual, kept) {
+                0 => {}
+                begins_in_ms => return Err(begins_in_ms),
+            }
         }
+        self.programs.begin(now, needed_ms);
+        Ok(needed_ms)
     }
 
-    /// What will be in the window after `in_ms`, of what is in it now and of what the programs under
-    /// way will take.
-    fn foreseen(&self, now: TimeMs, in_ms: u64, usual: &Pace) -> f64 {
-        let at = now.plus(in_ms);
-        let left = (in_ms / SLOT_MS) as usize;
-        let kept: f64 = self.slots.iter().skip(left).map(Slot::all).sum();
-        let from = TimeMs(at.0.saturating_sub(self.allowance.window_ms)).max(now);
-        kept + self.need_per_ms(usual) * self.bookings.between(from, at)
-    }
-
-    fn need_per_ms(&self, usual: &Pace) -> f64 {
-        self.pace.among(usual) * SPARE
+    /// What of all that is in the window now is still there after `in_ms`.
+    fn kept_after(&self, in_ms: u64) -> f64 {
+        self.slots.iter().skip((in_ms / SLOT_MS) as usize).map(Slot::all).sum()
     }
 
-    fn whole_length_ms(&self, length_ms: u64) -> u64 {
-        length_ms.max((self.pace.mean_length_ms() * LENGTH_LEAST) as u64)
+    fn is_crowded(&self) -> bool {
+        self.counted.all() > self.allowance.in_window() * CROWDED_FROM
     }
 
     /// Gives one back: its request has not run, and will not.
-    pub fn give_back(&mut self, claim: Claim) {
+    pub fn give_back(&mut self, grant: Grant) {
+        if !grant.counted {
+            return;
+        }
         self.count(Slot { own: -1.0, ..Slot::default() });
-        self.taken.take_back(claim);
-        if let Claim::Begins { length_ms } = claim {
-            self.bookings.cancel(self.whole_length_ms(length_ms) as f64);
-            self.learn_pace(Pace::begun(-1.0, -(length_ms as f64)));
+        self.taken.take_back(grant);
+        if let Some(booked_ms) = grant.booked_ms {
+            self.programs.take_back(booked_ms);
         }
     }
 
     /// What was learnt of the programs' pace since this was last asked.
-    pub fn learnt(&mut self) -> Pace {
-        std::mem::take(&mut self.unshared)
-    }
-
-    fn learn_pace(&mut self, more: Pace) {
-        self.pace.learn(&more);
-        self.unshared.learn(&more);
-    }
-
-    /// Requests were made while the programs under way ran on. Where requests are refused, they show nothing
-    /// of what programs need: learnt from programs that are broken off, too little would be booked,
-    /// and more would be broken off.
-    fn learn_run(&mut self, now: TimeMs, requests: f64) {
-        let ran_ms = self.bookings.between(self.learnt_at, now);
-        self.learnt_at = now;
-        if !self.is_crowded() {
-            self.learn_pace(Pace::ran(requests, ran_ms));
-        }
-    }
-
-    fn is_crowded(&self) -> bool {
-        self.counted.all() > self.allowance.in_window() * CROWDED_FROM
+    pub fn take_new_pace(&mut self) -> Pace {
+        self.programs.take_new_pace()
     }
 
     /// What this entry has taken in its life, less what was given back.
@@ -337,15 +278,8 @@
         self.told_at = now;
         self.others = (self.others + news.requests).max(0.0);
         self.count(Slot { others: news.requests, ..Slot::default() });
-        match news.programs > 0.0 && news.programs_ms > 0.0 {
-            true => {
-                let length_ms = (news.programs_ms / news.programs) as u64;
-                self.bookings.begin(now, self.whole_length_ms(length_ms), news.programs);
-                self.learn_pace(Pace::begun(news.programs, news.programs_ms));
-            }
-            false => self.bookings.cancel(-news.programs_ms),
-        }
-        self.learn_run(now, news.requests);
+        self.programs.heard(now, &news);
+        self.programs.ran(now, news.requests, self.is_crowded());
     }
 
     fn count(&mut self, more: Slot) {
--- a/src/quota/tests.rs
+++ b/src/quota/tests.rs
@@ -85,7 +85,7 @@
 fn calls_below_the_rate_are_never_refused_after_the_start() {
     let mut bucket = window(100.0, 50.0);
     for now in (1_000..5_000).step_by(20) {
-        assert_eq!(bucket.take(TimeMs(now), TOGETHER, Claim::GoesOn, &Pace::default()), Ok(()));
+        assert!(bucket.take(TimeMs(now), TOGETHER, Claim::GoesOn, &Pace::default()).is_ok());
     }
 }
 
@@ -143,9 +143,9 @@
     let (mut here, mut there) = (window(10.0, 10.0), window(10.0, 10.0));
     let now = TimeMs(10_000);
     there.meet(now, 1, here.taken());
-    assert_eq!(here.take(now, TOGETHER, Claim::GoesOn, &Pace::default()), Ok(()));
+    let grant = here.take(now, TOGETHER, Claim::GoesOn, &Pace::default()).expect("there is room");
     there.tell(now, 1, here.taken());
-    here.give_back(Claim::GoesOn);
+    here.give_back(grant);
     there.tell(now, 1, here.taken());
     for bucket in [&mut here, &mut there] {
         let room = (0..100)
@@ -155,6 +155,22 @@
     }
 }
 
+// A workspace without a limit has requests that do not run, and then gets a limit. What was never counted
+// was taken off its window, and as much more was admitted as had not run before.
+#[test]
+fn what_was_not_counted_is_not_given_back() {
+    let mut bucket = window(0.0, 0.0);
+    let now = TimeMs(10_000);
+    assert_eq!(bucket.in_window(now), Some(0.0));
+    for _ in 0..50 {
+        let grant = bucket.take(now, TOGETHER, Claim::GoesOn, &Pace::default());
+        bucket.give_back(grant.expect("there is no limit"));
+    }
+    bucket.change(Allowance { rate_per_s: 10.0, burst: 10.0, window_ms: 5_000 });
+    let takes = |_: &u32| bucket.take(now, TOGETHER, Claim::GoesOn, &Pace::default()).is_ok();
+    assert_eq!((0..300).filter(takes).count(), 60);
+}
+
 // Thirty entries each admit a workspace's first request within one message's time. None of those
 // first requests was counted by the others, as each stood for all that was taken before.
 #[test]
--- a/src/quota/tests/programs.rs
+++ b/src/quota/tests/programs.rs
@@ -51,7 +51,7 @@
             let claim = if program.made == 0 { first() } else { Claim::GoesOn };
             let entry = &mut entries[(at + program.made as usize) % ENTRIES];
             match entry.take(TimeMs(now), together, claim, &Pace::default()) {
-                Ok(()) => {
+                Ok(_) => {
                     program.made += 1;
                     program.refused = 0;
                     program.next_at = now + REQUEST_EVERY_MS;
@@ -103,7 +103,7 @@
     let mut window = window(2.0, 2.0);
     let large = Claim::Begins { length_ms: 60_000 };
     for _ in 0..2 {
-        assert_eq!(window.take(TimeMs(10_000), TOGETHER, large, &Pace::default()), Ok(()));
+        assert!(window.take(TimeMs(10_000), TOGETHER, large, &Pace::default()).is_ok());
     }
 }
 
@@ -115,12 +115,29 @@
     let now = TimeMs(10_000);
     there.meet(now, 1, here.taken());
     for _ in 0..50 {
-        assert_eq!(here.take(now, TOGETHER, whole(), &Pace::default()), Ok(()));
+        let grant = here.take(now, TOGETHER, whole(), &Pace::default()).expect("it begins");
         there.tell(now, 1, here.taken());
-        here.give_back(whole());
+        here.give_back(grant);
         there.tell(now, 1, here.taken());
     }
-    assert_eq!(there.take(now, TOGETHER, whole(), &Pace::default()), Ok(()));
+    assert!(there.take(now, TOGETHER, whole(), &Pace::default()).is_ok());
+}
+
+// Callers that were refused come back with no time left, and their programs need as much as before. The entry
+// that let them begin booked them; the others were told of no time, booked nothing, and let in more.
+#[test]
+fn a_program_that_begins_late_is_booked_everywhere() {
+    let (mut here, mut there) = (window(40.0, 40.0), window(40.0, 40.0));
+    let begin = |entry: &mut SharedWindow, now, length_ms| {
+        entry.take(TimeMs(now), TOGETHER, Claim::Begins { length_ms }, &Pace::default()).is_ok()
+    };
+    there.meet(TimeMs(10_000), 1, here.taken());
+    assert!(begin(&mut here, 10_000, 2 * LENGTH_MS));
+    there.tell(TimeMs(10_000), 1, here.taken());
+    let late = (0..30).filter(|_| begin(&mut here, 20_000, 0)).count();
+    assert!((1..30).contains(&late), "{late}");
+    there.tell(TimeMs(20_000), 1, here.taken());
+    assert!(!begin(&mut there, 20_000, 0), "what fills the window here fills it there");
 }
 
 // An entry gives back a part of a program's time that it had told. The rest of a division was too small to
@@ -130,9 +147,9 @@
 #[test_case(56_024, 15_445)]
 fn any_part_of_a_booking_can_be_given_back(length_ms: u64, part_ms: u64) {
     let mut window = window(40.0, 40.0);
-    let told = |programs_ms| Tally { requests: 1, programs: 1, programs_ms };
+    let told = |booked_ms| Tally { requests: 1, programs: 1, booked_ms };
     window.tell(TimeMs(10_000), 1, told(length_ms));
     window.tell(TimeMs(10_000), 1, told(length_ms - part_ms));
     let begins = Claim::Begins { length_ms };
-    assert_eq!(window.take(TimeMs(10_001), TOGETHER, begins, &Pace::default()), Ok(()));
+    assert!(window.take(TimeMs(10_001), TOGETHER, begins, &Pace::default()).is_ok());
 }
