--- a/lab/src/programs.rs
+++ b/lab/src/programs.rs
@@ -14,45 +14,40 @@
 
 const WINDOW_MS: u64 = 5_000;
 const BEGIN_FOR_MS: u64 = 40_000;
+/// Programs drawn to find what one makes on the mean.
+const MEAN_OVER: u64 = 4_000;
 const SEEDS: std::ops::Range<u64> = 0..40;
 const BEGIN_WAIT_MS: u64 = 50;
+/// A caller's way to an entry and back.
+const WAY_MS: u64 = 2;
+const TURN_TRIES: usize = 3;
 const ALONE: Peering = Peering { entries: 1, heard: 1 };
 
+/// How long a request waits for the rate at most.
+#[derive(Debug, Clone, Copy)]
+struct Wait {
+    /// As a part of its time.
+    part: f64,
+    most_ms: u64,
+}
+
+const SHORT: Wait = Wait { part: 0.25, most_ms: 600 };
+const LONG: Wait = Wait { part: 0.4, most_ms: 1_500 };
+
 /// How requests are admitted.
 #[derive(Debug, Clone, Copy)]
 struct Policy {
     name: &'static str,
-    begins: bool,
-    /// The longest wait of a turn and of a call, as parts of their time.
-    waits: (f64, f64),
-    wait_most_ms: u64,
+    /// Whether programs begin whole.
+    whole: bool,
+    wait: Wait,
 }
 
 const POLICIES: [Policy; 4] = [
-    Policy {
-        name: "one by one, short waits",
-        begins: false,
-        waits: (0.25, 0.25),
-        wait_most_ms: 600,
-    },
-    Policy {
-        name: "one by one, long waits",
-        begins: false,
-        waits: (0.4, 0.4),
-        wait_most_ms: 1_500,
-    },
-    Policy {
-        name: "programs begin whole, short waits",
-        begins: true,
-        waits: (0.25, 0.25),
-        wait_most_ms: 600,
-    },
-    Policy {
-        name: "programs begin whole, long waits",
-        begins: true,
-        waits: (0.4, 0.4),
-        wait_most_ms: 1_500,
-    },
+    Policy { name: "one by one, short waits", whole: false, wait: SHORT },
+    Policy { name: "one by one, long waits", whole: false, wait: LONG },
+    Policy { name: "programs begin whole, short waits", whole: true, wait: SHORT },
+    Policy { name: "programs begin whole, long waits", whole: true, wait: LONG },
 ];
 
 /// A kind of program.
@@ -66,10 +61,18 @@
 const KINDS: [Kind; 2] =
     [Kind { turns: 4, think_ms: 150, fan: 0.05 }, Kind { turns: 11, think_ms: 60, fan: 0.15 }];
 
+/// A request, and what its caller does for it.
+#[derive(Debug, Clone, Copy)]
+struct Call {
+    run_ms: u64,
+    time_ms: u64,
+    attempts: u32,
+}
+
 /// One turn of a program with what follows it: its calls, then helpers side by side.
 struct Step {
     run_ms: u64,
-    calls: Vec<(u64, u64, u32)>,
+    calls: Vec<Call>,
     think_ms: u64,
     helpers: Vec<Vec<Step>>,
 }
@@ -80,13 +83,16 @@
             let mut calls = Vec::new();
             if random.unit() < 0.7 {
                 let lookups = 1 + random.below(5);
-                calls.extend((0..lookups).map(|_| (20 + random.below(80), 1_500, 2)));
+                calls.extend((0..lookups).map(|_| {
+                    let run_ms = 20 + random.below(80);
+                    Call { run_ms, time_ms: 1_500, attempts: 2 }
+                }));
             }
             if random.unit() < 0.4 {
-                calls.push((80 + random.below(250), 6_000, 2));
+                calls.push(Call { run_ms: 80 + random.below(250), time_ms: 6_000, attempts: 2 });
             }
             if random.unit() < 0.2 {
-                calls.push((60 + random.below(160), 3_000, 3));
+                calls.push(Call { run_ms: 60 + random.below(160), time_ms: 3_000, attempts: 3 });
             }
             let fans = may_fan && random.unit() < kind.fan;
             let helpers = match fans {
@@ -99,6 +105,13 @@
         .collect()
 }
 
+/// A program of either kind, one in five of the long one.
+fn draw(random: &mut Random) -> Vec<Step> {
+    let kind = KINDS[usize::from(random.unit() < 0.2)];
+    let turns = (kind.turns / 2 + random.below(kind.turns + 1)).max(1);
+    steps(random, turns, kind, true)
+}
+
 fn requests(steps: &[Step]) -> u64 {
     let helpers = |step: &Step| step.helpers.iter().map(|line| requests(line)).sum::<u64>();
     steps.iter().map(|step| 1 + step.calls.len() as u64 + helpers(step)).sum()
@@ -106,7 +119,7 @@
 
 fn ideal_ms(steps: &[Step]) -> u64 {
     let step_ms = |step: &Step| {
-        let calls = step.calls.iter().map(|call| call.0).max().unwrap_or(0);
+        let calls = step.calls.iter().map(|call| call.run_ms).max().unwrap_or(0);
         let helpers = step.helpers.iter().map(|line| ideal_ms(line)).max().unwrap_or(0);
         step.run_ms + calls + helpers + step.think_ms
     };
@@ -151,28 +164,24 @@
     }
 
     /// A request with its caller's attempts; whether it was served.
-    async fn request(
-        &self,
-        claim: impl Fn() -> Claim,
-        run_ms: u64,
-        time_ms: u64,
-        attempts: u32,
-    ) -> bool {
-        let ends_at = self.now().plus(time_ms);
-        let part = if time_ms == 3_000 { self.policy.waits.0 } else { self.policy.waits.1 };
-        for _ in 0..attempts {
+    async fn request(&self, claim: impl Fn() -> Claim, call: Call) -> bool {
+        let ends_at = self.now().plus(call.time_ms);
+        for _ in 0..call.attempts {
             let left_ms = ends_at.since(self.now());
-            let wait_ms = ((left_ms as f64 * part) as u64).min(self.policy.wait_most_ms);
-            let begins = matches!(claim(), Claim::Begins { .. });
-            let wait_ms = if begins { BEGIN_WAIT_MS } else { wait_ms };
-            match self.admit(claim(), wait_ms).await {
+            let Wait { part, most_ms } = self.policy.wait;
+            let claim = claim();
+            let wait_ms = match claim {
+                Claim::Begins { .. } => BEGIN_WAIT_MS,
+                Claim::GoesOn => ((left_ms as f64 * part) as u64).min(most_ms),
+            };
+            match self.admit(claim, wait_ms).await {
                 Ok(()) => {
-                    sleep(Duration::from_millis(run_ms)).await;
+                    sleep(Duration::from_millis(call.run_ms)).await;
                     return self.now() <= ends_at;
                 }
                 Err(retry_after_ms) => {
                     let pause_ms = retry_after_ms.min(ends_at.since(self.now()) / 3);
-                    sleep(Duration::from_millis(pause_ms + 2)).await;
+                    sleep(Duration::from_millis(pause_ms + WAY_MS)).await;
                 }
             }
         }
@@ -180,8 +189,8 @@
     }
 
     async fn turn(&self, run_ms: u64, claim: impl Fn() -> Claim) -> bool {
-        for _ in 0..3 {
-            if self.request(&claim, run_ms, 3_000, 2).await {
+        for _ in 0..TURN_TRIES {
+            if self.request(&claim, Call { run_ms, time_ms: 3_000, attempts: 2 }).await {
                 return true;
             }
             let pause_ms = 100 + self.random.borrow_mut().below(300);
@@ -193,7 +202,7 @@
     /// A line of turns; whether it ended.
     async fn line(self: Rc<World>, steps: Vec<Step>, begins: Option<TimeMs>) -> bool {
         for (at, step) in steps.into_iter().enumerate() {
-            let begins = begins.filter(|_| at == 0 && self.policy.begins);
+            let begins = begins.filter(|_| at == 0 && self.policy.whole);
             let claim = || match begins {
                 Some(finish) => Claim::Begins { length_ms: finish.since(self.now()) },
                 None => Claim::GoesOn,
@@ -202,11 +211,9 @@
                 return false;
             }
             let mut beside = JoinSet::new();
-            for (run_ms, time_ms, attempts) in step.calls {
+            for call in step.calls {
                 let world = self.clone();
-                beside.spawn_local(async move {
-                    world.request(|| Claim::GoesOn, run_ms, time_ms, attempts).await
-                });
+                beside.spawn_local(async move { world.request(|| Claim::GoesOn, call).await });
             }
             for helper in step.helpers {
                 beside.spawn_local(Box::pin(self.clone().line(helper, None)));
@@ -240,8 +247,9 @@
     }
 }
 
-/// One workspace with a limit in the window, of which its programs ask `load`.
-async fn play(policy: Policy, limit: f64, load: f64, seed: u64) -> Score {
+/// One workspace with a limit in the window, of which its programs ask `load`; `mean_requests` is what
+/// a program makes.
+async fn play(policy: Policy, limit: f64, load: f64, mean_requests: f64, seed: u64) -> Score {
     let mut random = Random::new(seed);
     let rate_per_s = limit / 6.0;
     let allowance = Allowance { rate_per_s, burst: rate_per_s, window_ms: WINDOW_MS };
@@ -256,10 +264,7 @@
     let asked_per_ms = load * limit / WINDOW_MS as f64;
     let mut begins_at_ms = 0.0;
     while begins_at_ms < BEGIN_FOR_MS as f64 {
-        let kind = KINDS[usize::from(random.unit() < 0.2)];
-        let turns = (kind.turns / 2 + random.below(kind.turns + 1)).max(1);
-        let steps = steps(&mut random, turns, kind, true);
-        let mean_requests = 28.0;
+        let steps = draw(&mut random);
         begins_at_ms += -random.unit().max(1e-9).ln() * mean_requests / asked_per_ms;
         let world = world.clone();
         let at = world.started + Duration::from_millis(begins_at_ms as u64);
@@ -275,23 +280,19 @@
 /// Prints the table.
 pub fn run() {
     let mut random = Random::new(1);
-    let sizes: Vec<u64> = (0..4_000)
-        .map(|_| {
-            let kind = KINDS[usize::from(random.unit() < 0.2)];
-            let turns = (kind.turns / 2 + random.below(kind.turns + 1)).max(1);
-            requests(&steps(&mut random, turns, kind, true))
-        })
-        .collect();
-    println!("requests a program: {}", sizes.iter().sum::<u64>() as f64 / sizes.len() as f64);
+    let drawn: u64 = (0..MEAN_OVER).map(|_| requests(&draw(&mut random))).sum();
+    let mean_requests = drawn as f64 / MEAN_OVER as f64;
+    println!("requests a program: {mean_requests:.1}");
     println!("| limit, load | policy | worth | in time % | late % | lost % | nines |");
     for (limit, load) in [
-        (42.0, 0.3),
-        (42.0, 0.6),
-        (84.0, 0.6),
-        (84.0, 1.0),
-        (240.0, 0.8),
-        (240.0, 1.1),
-        (240.0, 1.6),
+        (42.0, 0.4),
+        (42.0, 0.8),
+        (84.0, 0.8),
+        (84.0, 1.3),
+        (240.0, 0.7),
+        (240.0, 1.0),
+        (240.0, 1.5),
+        (240.0, 2.2),
     ] {
         for policy in POLICIES {
             let mut sum = Score::default();
@@ -301,7 +302,8 @@
                     .start_paused(true)
                     .build()
                     .expect("a runtime");
-                let score = LocalSet::new().block_on(&runtime, play(policy, limit, load, seed));
+                let playing = play(policy, limit, load, mean_requests, seed);
+                let score = LocalSet::new().block_on(&runtime, playing);
                 sum.owed += score.owed;
                 sum.earned += score.earned;
                 sum.programs += score.programs;
