What is refused after its rate was taken is given back

Cause, found by reading: a request with a key took its rate, and was then refused because the configuration had aged, because its route names no service, or because it crashes endpoints; only refusals further on gave the rate back. After an outage of the store a workspace was refused for seconds more, for requests never run. Ruled out: the waits (the same with each). Change: freshness is looked at before the rate; all that follows the rate ends in one place, which gives back. Test: what_is_refused_in_an_outage_costs_no_rate (429 before, 503 and then served now).

--- a/soak/tests/outages.rs
+++ b/soak/tests/outages.rs
@@ -138,3 +138,27 @@
     let left_ms = run.left_ms.expect("the endpoint is told");
     assert!(left_ms <= TRY_MS - BODY_TAKES.as_millis() as u64, "{left_ms}");
 }
+
+// The store is away, and callers are refused for want of a confirmed configuration. Each refusal was charged to
+// their workspace's rate, so that they were refused for seconds more once the store was back.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_is_refused_in_an_outage_costs_no_rate() {
+    const RATE_PER_S: u64 = 10;
+    let mut world = world(1).await;
+    world.rate_per_s = RATE_PER_S;
+    world.configure(&["secret-key-in-force"], &["other-key"]);
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    world.links[0].set(LinkFault::Silent);
+    tokio::time::sleep(Duration::from_millis(REVOKE_MS + 100)).await;
+    let asking = (0..10 * RATE_PER_S).map(|number| {
+        let (caller, entry) = (world.caller.clone(), world.entry(0));
+        tokio::spawn(async move { caller.look_up(entry, &format!("refused-{number}")).await })
+    });
+    for asked in asking.collect::<Vec<_>>() {
+        assert_eq!(asked.await.expect("no panic").status, Some(503));
+    }
+    world.links[0].set(LinkFault::None);
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let answer = world.caller.look_up(world.entry(0), "after").await;
+    assert!(answer.is_served(), "{answer:?}");
+}
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -132,25 +132,18 @@
     let route = route.cloned().ok_or(if fresh { Refusal::NoRoute } else { not_ready })?;
     seen.class = Some(observe::class(&route));
     seen.target_ms = route.target_ms;
-    let admission = match admit(gateway, &catalog, &route, call, seen).await {
-        Err(Refusal::UnknownKey) if !fresh => return Err(not_ready),
-        admitted => admitted?,
-    };
     if !route.public && catalog.asks_for_keys() && !fresh {
         return Err(not_ready);
     }
-    let mechanisms = gateway.settings.mechanisms;
-    let order = order(mechanisms, &catalog, &route, admission.workspace.as_deref(), call)?;
-    if gateway.is_guilty(suspect(&order.workspace, &head, &body)) {
-        return Err(Refusal::CrashesEndpoints);
-    }
-    let ends_at = arrived.plus(order.left_ms);
-    let admitted = Admitted { head, call, order, body, ends_at };
-    let mut served = if admitted.needs_owner() {
-        serve_at_owner(gateway, admitted).await
-    } else {
-        let job = Rc::new(admitted.into_job(gateway));
-        within(gateway, ends_at, serve_plain(gateway, &job)).await.and_then(|served| served)
+    let admission = admit(gateway, &catalog, &route, call, seen).await?;
+    let workspace = admission.workspace.as_deref();
+    let order = order(gateway.settings.mechanisms, &catalog, &route, workspace, call);
+    let mut served = match order {
+        Ok(order) => {
+            let ends_at = arrived.plus(order.left_ms);
+            serve_admitted(gateway, Admitted { head, call, order, body, ends_at }).await
+        }
+        Err(refusal) => Err(refusal),
     };
     let not_run = match &mut served {
         Ok(response) => response.headers_mut().remove(NOT_RUN_HEADER).is_some(),
@@ -162,6 +155,21 @@
     served
 }
 
+async fn serve_admitted(
+    gateway: &Rc<Gateway>,
+    admitted: Admitted<'_>,
+) -> Result<Response<AnswerBody>, Refusal> {
+    if gateway.is_guilty(admitted.suspect()) {
+        return Err(Refusal::CrashesEndpoints);
+    }
+    if admitted.needs_owner() {
+        return serve_at_owner(gateway, admitted).await;
+    }
+    let ends_at = admitted.ends_at;
+    let job = Rc::new(admitted.into_job(gateway));
+    within(gateway, ends_at, serve_plain(gateway, &job)).await.and_then(|served| served)
+}
+
 fn order(
     mechanisms: Mechanisms,
     catalog: &Catalog,
@@ -202,8 +210,10 @@
 }
 
 impl Admitted<'_> {
+    /// What the request's crashes are counted under: the same for each attempt of the same caller.
     fn suspect(&self) -> u64 {
-        suspect(&self.order.workspace, &self.head, &self.body)
+        let workspace = self.order.workspace.as_bytes();
+        Digest::of(&[workspace, self.head.uri.path().as_bytes(), &self.body]).prefix()
     }
 
     fn program(&self) -> AccountKey {
@@ -247,11 +257,6 @@
     }
 }
 
-/// What a request's crashes are counted under: the same for each attempt of the same caller.
-fn suspect(workspace: &str, head: &request::Parts, body: &[u8]) -> u64 {
-    Digest::of(&[workspace.as_bytes(), head.uri.path().as_bytes(), body]).prefix()
-}
-
 fn program(call: &Call, order: &Order) -> AccountKey {
     AccountKey::of(&order.workspace, call.program.as_ref().unwrap_or(&call.request))
 }
