Nothing is sent to the endpoints of an evacuated failure domain

Ruled out: late readings (every entry read the operator's record all the while). Change: the operator's record yields instructions (a configuration, a domain evacuated, a domain restored); the directory holds what is evacuated, as of which record, and neither the choice of an endpoint nor a send after its connection was opened passes over it. Entries tell each other what is evacuated: one that alone has lost the store goes by the newest that it hears. A start, and a log that was forgotten, read all that is in force.

--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -191,6 +191,11 @@
     }
 }
 
+/// The third endpoint of each service is in a failure domain of its own.
+fn failure_domain(id: &str) -> &'static str {
+    if id.ends_with("-2") { "b" } else { "a" }
+}
+
 /// Keeps an endpoint's entry in the list.
 fn beat(
     store: PlatformStore,
@@ -204,7 +209,7 @@
         // Later states of one life have higher numbers.
         let first = if state == "ready" { 0_u64 } else { 1 << 32 };
         for sequence in first.. {
-            let entry = json!({"service": service, "address": address, "zone": "a",
+            let entry = json!({"service": service, "address": address, "zone": failure_domain(&id),
                 "version": "v1", "slots": 8, "state": state, "coldLeftMs": 0,
                 "seqNo": sequence, "born": 1});
             store.put("keyed.servers", &id, Some(entry));
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -1,10 +1,12 @@
 //! The configuration in force: which service a request goes to, whose key it bears, what is allowed.
 
 mod build;
+mod instruction;
 mod route;
 mod workspace;
 
 pub use build::{Catalog, CatalogFault, Declared};
+pub use instruction::Instruction;
 pub use route::{Backend, Repeat, Route, Service};
 pub use workspace::{Limits, Workspace};
 
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -148,6 +148,8 @@
     Answered(Box<Answer>),
     /// The endpoint says that it has not run the request.
     NotRun,
+    /// Nothing was sent: by now the endpoint may get nothing, or nothing more.
+    Withheld,
     /// Nothing was sent; whether a kept connection had gone stale.
     NeverSent {
         /// The endpoint may still be sound: only the kept connection was not.
@@ -180,6 +182,11 @@
     let Some(request) = compose(gateway, job, &id, last_event) else {
         return Attempted::NeverSent { stale_connection: false };
     };
+    // Opening the connection may have taken long, and other requests went there meanwhile.
+    if !gateway.directory.borrow().may_send(endpoint) {
+        gateway.connections.keep(gateway.now(), connection);
+        return Attempted::Withheld;
+    }
     let mut lease = Lease::open(gateway, job, endpoint, id);
     let answer = connection.sender.try_send_request(request);
     let answer = match heard_within(&lease, answer, job.order.repeat.may_run_again()).await {
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -48,6 +48,7 @@
                     self.not_run += 1;
                     self.not.push(endpoint);
                 }
+                Attempted::Withheld => self.not.push(endpoint),
                 Attempted::NeverSent { stale_connection: true } => self.not_run += 1,
                 Attempted::NeverSent { stale_connection: false } => {
                     self.not_run += 1;
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -142,6 +142,10 @@
         shards: serving.map(|shard| (shard.number, shard.epoch)).collect(),
         running: in_turn(running.map(|(_, r)| (r.hash, r.in_flight)).collect(), round, rows),
         answers: in_turn(answers.collect(), round, rows),
+        evacuated: (
+            directory.evacuations().as_of(),
+            directory.evacuations().domains().cloned().collect(),
+        ),
         taken: in_turn(gateway.rates.borrow_mut().tell_others(now, telling), round, rows),
         suspects: in_turn(gateway.suspects.borrow().recent(now, SUSPECTS_TOLD_MS), round, rows),
     }
@@ -191,7 +195,7 @@
     }
 }
 
-fn hear(gateway: &Rc<Gateway>, from: SocketAddr, gossip: &Gossip) {
+pub(super) fn hear(gateway: &Rc<Gateway>, from: SocketAddr, gossip: &Gossip) {
     let now = gateway.now();
     let heard = gateway.peers.borrow_mut().heard(now, from, gossip);
     if heard.first {
@@ -215,6 +219,8 @@
     let mut suspects = gateway.suspects.borrow_mut();
     gossip.suspects.iter().for_each(|(request, crashes)| suspects.told(now, *request, *crashes));
     let mut directory = gateway.directory.borrow_mut();
+    let (as_of, evacuated) = &gossip.evacuated;
+    directory.evacuate(*as_of, evacuated.iter().cloned().collect());
     let peers = gateway.peers.borrow();
     for endpoint in heard.changed {
         if let Some(key) = directory.find_hash(endpoint) {
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -26,6 +26,8 @@
     pub(super) taken: Vec<Taken>,
     /// Answers of the endpoints that have failed of late: endpoint, failures, answers.
     pub(super) answers: Vec<(u64, u32, u32)>,
+    /// Up to where the operator's record is known, and the failure domains evacuated as of then.
+    pub(super) evacuated: (u64, Vec<Arc<str>>),
     /// Requests that crash endpoints, with their crashes.
     pub(super) suspects: Vec<(u64, u32)>,
 }
--- a/src/gateway/config_feed.rs
+++ b/src/gateway/operator_feed.rs
@@ -1,4 +1,5 @@
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -7,9 +8,9 @@
 use super::bounded::bounded;
 use super::state::Gateway;
 use super::{Position, StoreError};
-use crate::catalog::Catalog;
+use crate::catalog::{Catalog, Declared, Instruction};
 
-/// The longest that the store holds a read for a newer configuration.
+/// The longest that the store holds a read for something newer.
 const WAIT_MOST_MS: u64 = 1_000;
 
 /// It holds a read for one part in so many of the time within which a withdrawn key must end:
@@ -56,8 +57,8 @@
     now.tv_sec as u64 * 1_000 + now.tv_nsec as u64 / 1_000_000
 }
 
-/// Follows the configuration for as long as the process lives.
-pub(super) async fn follow_configuration(gateway: Rc<Gateway>) {
+/// Follows what the operator writes for as long as the process lives.
+pub(super) async fn follow_operator(gateway: Rc<Gateway>) {
     let mut from = None;
     let mut failing = false;
     loop {
@@ -65,14 +66,14 @@
             Ok(next) => {
                 gateway.reach.found(gateway.now());
                 if std::mem::take(&mut failing) {
-                    log::info!("the configuration can be read again");
+                    log::info!("the operator's record can be read again");
                 }
                 from = Some(next);
             }
             Err(fault) => {
                 gateway.reach.lost(gateway.now(), &fault);
                 if !std::mem::replace(&mut failing, true) {
-                    log::warn!(fault:display; "the configuration can't be read");
+                    log::warn!(fault:display; "the operator's record can't be read");
                 }
                 if fault == StoreError::Expired {
                     from = None;
@@ -94,24 +95,37 @@
         true => 0,
         false => WAIT_MOST_MS.min(gateway.settings.bounds.revoke_ms / WAIT_PART),
     };
-    let read = gateway.store.configurations(from, wait_ms);
+    let read = gateway.store.instructions(from, wait_ms);
     let feed = bounded(wait_ms + READ_SLACK_MS, read).await?;
-    for declared in feed.items {
-        let version = declared.version;
-        let in_force = gateway.in_force.catalog();
-        match Catalog::succeed(in_force.as_deref(), declared) {
-            Ok(catalog) => {
-                log::info!(version; "a configuration is in force");
-                let mut rates = gateway.rates.borrow_mut();
-                catalog.workspaces().for_each(|workspace| {
-                    rates.declared(gateway.now(), workspace);
-                });
-                *gateway.in_force.catalog.borrow_mut() = Some(Rc::new(catalog));
-            }
-            Err(fault) => log::debug!(fault:display; "a configuration was passed over"),
+    let mut evacuated = match feed.whole {
+        true => BTreeSet::new(),
+        false => gateway.directory.borrow().evacuations().domains().cloned().collect(),
+    };
+    for instruction in feed.items {
+        match instruction {
+            Instruction::Declared(declared) => declare(gateway, declared),
+            Instruction::Evacuate(domain) => drop(evacuated.insert(domain)),
+            Instruction::Restore(domain) => drop(evacuated.remove(&domain)),
         }
     }
+    gateway.directory.borrow_mut().evacuate(feed.next.0, evacuated);
     gateway.in_force.confirmed_at_ms.set(Some(started_ms));
     gateway.in_force.confirmed.notify_waiters();
     Ok(feed.next)
 }
+
+fn declare(gateway: &Gateway, declared: Declared) {
+    let version = declared.version;
+    let in_force = gateway.in_force.catalog();
+    match Catalog::succeed(in_force.as_deref(), declared) {
+        Ok(catalog) => {
+            log::info!(version; "a configuration is in force");
+            let mut rates = gateway.rates.borrow_mut();
+            catalog.workspaces().for_each(|workspace| {
+                rates.declared(gateway.now(), workspace);
+            });
+            *gateway.in_force.catalog.borrow_mut() = Some(Rc::new(catalog));
+        }
+        Err(fault) => log::debug!(fault:display; "a configuration was passed over"),
+    }
+}
--- a/src/gateway/ports.rs
+++ b/src/gateway/ports.rs
@@ -8,7 +8,7 @@
 use hyper::body::Bytes;
 
 use super::{Call, Refusal, Reply};
-use crate::catalog::Declared;
+use crate::catalog::Instruction;
 use crate::prelude::*;
 use crate::replicas::Change;
 use crate::turns::Record;
@@ -118,8 +118,8 @@
     fn join<'a>(&'a self, member: &'a str, generation: u64) -> Later<'a, Deal>;
     /// Leaves the group, so that the member's shards are dealt anew at once.
     fn leave<'a>(&'a self, member: &'a str) -> Later<'a, ()>;
-    /// Reads the configurations written since `from`, waiting for one if there is none.
-    fn configurations(&self, from: Option<Position>, wait_ms: u64) -> Later<'_, Feed<Declared>>;
+    /// Reads what the operator has written since `from`, waiting for something if there is nothing.
+    fn instructions(&self, from: Option<Position>, wait_ms: u64) -> Later<'_, Feed<Instruction>>;
     /// Reads the changes of the endpoints' list since `from`.
     fn endpoints(&self, from: Option<Position>) -> Later<'_, Feed<Change>>;
     /// Tells the other entries how this one is reached.
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -6,9 +6,9 @@
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 
-use super::config_feed::follow_configuration;
 use super::endpoint_feed::follow_endpoints;
 use super::gossip::{follow_peers, hear_peers, life_number, tell_peers};
+use super::operator_feed::follow_operator;
 use super::server::{Door, accept, listen};
 use super::state::Gateway;
 use super::tenure::Tenure;
@@ -70,7 +70,7 @@
     }
     let tenure = Tenure::open(gateway.clone());
     let life = life_number(&gateway.settings.name, gateway.unix());
-    spawn_local(follow_configuration(gateway.clone()));
+    spawn_local(follow_operator(gateway.clone()));
     spawn_local(follow_endpoints(gateway.clone()));
     spawn_local(follow_peers(gateway.clone()));
     spawn_local(tell_peers(gateway.clone(), datagrams.clone(), life));
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -5,8 +5,8 @@
 use tokio::sync::Notify;
 
 use super::attempt::Job;
-use super::config_feed::InForce;
 use super::endpoint_feed::Listing;
+use super::operator_feed::InForce;
 use super::peers::Peers;
 use super::rates::Rates;
 use super::reach::Reach;
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -9,7 +9,7 @@
 use fakes::FakeStore;
 
 use super::endpoint_feed::follow_endpoints;
-use super::gossip::{follow_peers, life_number};
+use super::gossip::{follow_peers, hear, life_number};
 use super::hold::hold;
 use super::message::{Gossip, Taken};
 use super::peers::Peers;
@@ -153,6 +153,7 @@
         running: vec![],
         taken: vec![],
         answers: vec![],
+        evacuated: (0, vec![]),
         suspects: vec![],
     }
 }
@@ -188,3 +189,15 @@
     assert!(peers.miss_store(TimeMs(300)));
     assert!(!peers.miss_store(TimeMs(900)), "nobody was heard for long: it is cut off itself");
 }
+
+// An entry has lost the store when a failure domain is evacuated. It would go on sending turns of its
+// shards there, since it never reads the operator's word.
+#[test]
+fn an_entry_learns_from_others_what_is_evacuated() {
+    let gateway = fakes::gateway(FakeStore::default());
+    let other = ([127, 0, 0, 2], 1).into();
+    hear(&gateway, other, &Gossip { evacuated: (7, vec!["d".into()]), ..gossip(1, false) });
+    assert!(gateway.directory.borrow().evacuations().contains("d"));
+    hear(&gateway, other, &Gossip { evacuated: (9, vec![]), ..gossip(1, false) });
+    assert!(!gateway.directory.borrow().evacuations().contains("d"));
+}
--- a/src/gateway/tests/fakes.rs
+++ b/src/gateway/tests/fakes.rs
@@ -5,7 +5,7 @@
 use http::{HeaderMap, Response, request, response};
 use hyper::body::Bytes;
 
-use crate::catalog::Declared;
+use crate::catalog::Instruction;
 use crate::gateway::state::Gateway;
 use crate::gateway::{
     Addressed, Append, Bounds, Call, Deal, Feed, GatewaySettings, Later, Page, PeerRecord,
@@ -68,7 +68,7 @@
         ready(Ok(())).boxed_local()
     }
 
-    fn configurations(&self, _: Option<Position>, _: u64) -> Later<'_, Feed<Declared>> {
+    fn instructions(&self, _: Option<Position>, _: u64) -> Later<'_, Feed<Instruction>> {
         ready(Err(StoreError::Refused(503))).boxed_local()
     }
 
--- a/src/replicas/directory.rs
+++ b/src/replicas/directory.rs
@@ -1,8 +1,8 @@
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 use slotmap::{SlotMap, new_key_type};
 
-use super::{Announced, Answers, Change, Health};
+use super::{Announced, Answers, Change, Evacuations, Health};
 use crate::prelude::*;
 
 /// How long after an outage of the list an entry that has lapsed stays in use. Entries lapse while
@@ -62,6 +62,7 @@
     by_hash: HashMap<u64, ReplicaKey>,
     by_service: HashMap<Arc<str>, Vec<ReplicaKey>>,
     list_back_at: Option<TimeMs>,
+    evacuations: Evacuations,
 }
 
 impl Directory {
@@ -84,6 +85,22 @@
         self.list_back_at = Some(now);
     }
 
+    /// What is evacuated as of `as_of` in the operator's record.
+    pub fn evacuate(&mut self, as_of: u64, domains: BTreeSet<Arc<str>>) {
+        self.evacuations.replace(as_of, domains);
+    }
+
+    /// What is evacuated.
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// Whether anything may be sent to an endpoint: it is known, and its failure domain may be used.
+    pub fn may_send(&self, key: ReplicaKey) -> bool {
+        let domain = self.replicas.get(key).map(|replica| &replica.announced.failure_domain);
+        domain.is_some_and(|domain| !self.evacuations.contains(domain))
+    }
+
     fn announce(&mut self, id: Arc<str>, announced: Announced) -> bool {
         if let Some(key) = self.by_id.get(&id).copied() {
             let known = &self.replicas[key].announced;
--- a/src/replicas/placement.rs
+++ b/src/replicas/placement.rs
@@ -86,6 +86,9 @@
         let (mut all, mut usable) = (0, Vec::new());
         let mut ejected = Vec::new();
         for (key, replica) in directory.of_service(&want.service) {
+            if !directory.may_send(key) {
+                continue;
+            }
             all += usize::from(!replica.announced.leaving);
             match replica.usable(now) {
                 true => usable.push((key, replica)),
--- a/src/replicas/tests.rs
+++ b/src/replicas/tests.rs
@@ -257,3 +257,40 @@
         assert_eq!(placement.choose(TimeMs(1), &directory, &grown, |_| true), Some(holder));
     }
 }
+
+fn in_domain(port: u16, domain: &str) -> Announced {
+    Announced { failure_domain: domain.into(), ..announced("s", port, 5, 9) }
+}
+
+fn domains(names: &[&str]) -> std::collections::BTreeSet<Arc<str>> {
+    names.iter().map(|name| Arc::from(*name)).collect()
+}
+
+// An operator evacuates a failure domain, and endpoints there stay listed and idle: they were the first
+// choice of every entry.
+#[test]
+fn nothing_is_placed_in_an_evacuated_domain() {
+    let mut directory = with(&[("r", in_domain(1, "d")), ("q", in_domain(2, "e"))]);
+    let mut placement = Placement::open("d".into(), Mechanisms::default());
+    let (evacuated, other) = (directory.find("r").unwrap(), directory.find("q").unwrap());
+    placement.read(TimeMs(0), evacuated, &[(1, 9_000)]);
+    (0..20).for_each(|_| directory.sent(other));
+    directory.evacuate(7, domains(&["d"]));
+    let again = Want { accepts_ejected: true, ..want(&[(1, 9_000)]) };
+    assert_eq!(placement.choose(TimeMs(0), &directory, &again, |_| true), Some(other));
+    directory.evacuate(8, domains(&["d", "e"]));
+    assert_eq!(placement.choose(TimeMs(0), &directory, &again, |_| true), None);
+    directory.evacuate(9, domains(&[]));
+    assert_eq!(placement.choose(TimeMs(0), &directory, &again, |_| true), Some(evacuated));
+}
+
+// An entry has read further than another, whose message arrives late: what that one knew is out of date.
+#[test]
+fn an_older_view_of_what_is_evacuated_changes_nothing() {
+    let mut evacuations = Evacuations::default();
+    evacuations.replace(8, domains(&["d"]));
+    evacuations.replace(7, domains(&[]));
+    assert!(evacuations.contains("d"));
+    evacuations.replace(9, domains(&[]));
+    assert!(!evacuations.contains("d"));
+}
