A cold endpoint gets no more than it bears, of all entries together

Cause: what an endpoint says of being cold was read nowhere. Change: entries of the list, starts, the end of an evacuation, and an endpoint that crashed or could not be reached make an endpoint count as cold; while it is, five entries chosen by rendezvous hash send to it, each a fixed share within any 1.15 s, looked at again once the connection stands. The shares of two views of the entries' list at once stay within the bound; an entry that has just started sends nothing. Entries, not endpoints, keep the count: no message.

--- a/src/catalog/build.rs
+++ b/src/catalog/build.rs
@@ -107,6 +107,11 @@
         of_host.iter().find(|route| path.starts_with(&*route.prefix))
     }
 
+    /// All services as declared, by name.
+    pub fn services(&self) -> impl Iterator<Item = (&Arc<str>, &Service)> {
+        self.services.iter()
+    }
+
     /// A service as declared.
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.get(name)
--- a/src/catalog/route.rs
+++ b/src/catalog/route.rs
@@ -80,7 +80,7 @@
 }
 
 /// What is declared of a service.
-#[value]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Service {
     /// The most connections that one of its endpoints accepts from all callers together.
     pub max_connections: u32,
@@ -88,4 +88,8 @@
     pub tokens_per_event: u64,
     /// The longest that an endpoint keeps a pause's memory when asked to; zero: it doesn't.
     pub pin_ms: u64,
+    /// How long an endpoint is cold after it has started.
+    pub cold_start_ms: u64,
+    /// Requests a second that a cold endpoint bears; zero: as many as a warm one.
+    pub cold_per_s: f64,
 }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -56,7 +56,7 @@
 
 impl Lease {
     fn open(gateway: &Rc<Gateway>, job: &Job, endpoint: ReplicaKey, id: Arc<str>) -> Lease {
-        gateway.directory.borrow_mut().sent(endpoint);
+        gateway.directory.borrow_mut().sent(gateway.now(), endpoint);
         Lease {
             gateway: gateway.clone(),
             endpoint,
@@ -183,7 +183,7 @@
         return Attempted::NeverSent { stale_connection: false };
     };
     // Opening the connection may have taken long, and other requests went there meanwhile.
-    if !gateway.directory.borrow().may_send(endpoint) {
+    if !gateway.directory.borrow().may_send(gateway.now(), endpoint) {
         gateway.connections.keep(gateway.now(), connection);
         return Attempted::Withheld;
     }
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -54,6 +54,7 @@
                     self.not_run += 1;
                     self.not.push(endpoint);
                     self.gateway.endpoint_failed(endpoint);
+                    self.gateway.may_be_cold(endpoint);
                 }
                 Attempted::Silent => {
                     self.may_have_run += 1;
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -103,6 +103,8 @@
             told_at = now;
             round += 1;
         }
+        let senders = gateway.peers.borrow().senders();
+        gateway.directory.borrow_mut().know_entries(now, senders);
         for address in gateway.peers.borrow_mut().fallen_silent(now) {
             log::info!(address:display; "an entry has fallen silent");
             gateway.shards.forget(address, None);
@@ -220,7 +222,7 @@
     gossip.suspects.iter().for_each(|(request, crashes)| suspects.told(now, *request, *crashes));
     let mut directory = gateway.directory.borrow_mut();
     let (as_of, evacuated) = &gossip.evacuated;
-    directory.evacuate(*as_of, evacuated.iter().cloned().collect());
+    directory.evacuate(now, *as_of, evacuated.iter().cloned().collect());
     let peers = gateway.peers.borrow();
     for endpoint in heard.changed {
         if let Some(key) = directory.find_hash(endpoint) {
--- a/src/gateway/operator_feed.rs
+++ b/src/gateway/operator_feed.rs
@@ -1,5 +1,5 @@
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -9,6 +9,8 @@
 use super::state::Gateway;
 use super::{Position, StoreError};
 use crate::catalog::{Catalog, Declared, Instruction};
+use crate::prelude::*;
+use crate::replicas::ColdRule;
 
 /// The longest that the store holds a read for something newer.
 const WAIT_MOST_MS: u64 = 1_000;
@@ -108,7 +110,7 @@
             Instruction::Restore(domain) => drop(evacuated.remove(&domain)),
         }
     }
-    gateway.directory.borrow_mut().evacuate(feed.next.0, evacuated);
+    gateway.directory.borrow_mut().evacuate(gateway.now(), feed.next.0, evacuated);
     gateway.in_force.confirmed_at_ms.set(Some(started_ms));
     gateway.in_force.confirmed.notify_waiters();
     Ok(feed.next)
@@ -124,8 +126,23 @@
             catalog.workspaces().for_each(|workspace| {
                 rates.declared(gateway.now(), workspace);
             });
+            gateway.directory.borrow_mut().declare_cold_rules(cold_rules(gateway, &catalog));
             *gateway.in_force.catalog.borrow_mut() = Some(Rc::new(catalog));
         }
         Err(fault) => log::debug!(fault:display; "a configuration was passed over"),
     }
 }
+
+fn cold_rules(gateway: &Gateway, catalog: &Catalog) -> HashMap<Arc<str>, ColdRule> {
+    let bounds = &gateway.settings.bounds;
+    let bearing = catalog.services().filter(|(_, service)| service.cold_per_s > 0.0);
+    let rules = bearing.map(|(name, service)| {
+        let rule = ColdRule {
+            start_ms: service.cold_start_ms,
+            per_s: service.cold_per_s,
+            bound_per_s: service.cold_per_s * bounds.cold_over + bounds.cold_slack,
+        };
+        (name.clone(), rule)
+    });
+    rules.collect()
+}
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -98,6 +98,12 @@
         Heard { first, since, changed }
     }
 
+    /// Stand for the entries that have been heard, also those silent by now.
+    pub(super) fn senders(&self) -> Vec<u64> {
+        let heard = self.peers.values().filter(|peer| peer.life != 0);
+        heard.map(|peer| Digest::of(&[peer.name.as_bytes()]).prefix()).collect()
+    }
+
     /// Where to send messages.
     pub(super) fn addresses(&self) -> Vec<SocketAddr> {
         self.peers.keys().copied().collect()
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -4,8 +4,7 @@
 use crate::prelude::*;
 
 /// Bounds that a deployment's operator sets.
-#[value]
-#[derive(Copy)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Bounds {
     /// A key withdrawn longer ago than this must not be served.
     pub revoke_ms: u64,
@@ -15,10 +14,14 @@
     pub rate_window_ms: u64,
     /// An endpoint that leaves must get nothing new after this.
     pub drain_ms: u64,
+    /// A cold endpoint must not get more in a second than this many times what its service bears,
+    pub cold_over: f64,
+    /// and this many requests more.
+    pub cold_slack: f64,
 }
 
 /// What a gateway has to know to start.
-#[value]
+#[derive(Debug, Clone, PartialEq)]
 pub struct GatewaySettings {
     /// The name of its VM.
     pub name: Arc<str>,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -121,6 +121,12 @@
         self.news.notify_one();
     }
 
+    /// An endpoint may have started anew under the name that it had. It says so only later, and by then
+    /// every entry takes it for an idle one that bears all they have.
+    pub(super) fn may_be_cold(&self, key: ReplicaKey) {
+        self.directory.borrow_mut().may_be_cold(self.now(), key);
+    }
+
     /// A request broke off at an endpoint: if the endpoint is down, the request may have done it.
     ///
     /// A lost answer alone proves nothing, and counting it would condemn sound requests; an endpoint
@@ -145,6 +151,7 @@
         };
         log::info!(request:% = job.request, endpoint:% = id, crashes; "broke off at an endpoint");
         if crashed {
+            self.may_be_cold(endpoint);
             self.news.notify_one();
         }
     }
--- a/src/gateway/tests/fakes.rs
+++ b/src/gateway/tests/fakes.rs
@@ -113,8 +113,14 @@
 
 pub(super) fn gateway(store: FakeStore) -> Rc<Gateway> {
     let anywhere = ([127, 0, 0, 1], 0).into();
-    let bounds =
-        Bounds { revoke_ms: 5_000, grace_ms: 8_000, rate_window_ms: 5_000, drain_ms: 2_000 };
+    let bounds = Bounds {
+        revoke_ms: 5_000,
+        grace_ms: 8_000,
+        rate_window_ms: 5_000,
+        drain_ms: 2_000,
+        cold_over: 1.5,
+        cold_slack: 5.0,
+    };
     let settings = GatewaySettings {
         name: "entry".into(),
         failure_domain: "d".into(),
--- a/src/replicas/announced.rs
+++ b/src/replicas/announced.rs
@@ -15,6 +15,8 @@
     pub slots: u32,
     /// Whether it takes no new requests.
     pub leaving: bool,
+    /// How long it stays cold: slow, and bearing few requests.
+    pub cold_left_ms: u64,
     /// Unix milliseconds of its start, if it says so. A higher one is a later life.
     pub born_ms: u64,
     /// Counts what it announced within one life.
--- a/src/replicas/directory.rs
+++ b/src/replicas/directory.rs
@@ -2,7 +2,8 @@
 
 use slotmap::{SlotMap, new_key_type};
 
-use super::{Announced, Answers, Change, Evacuations, Health};
+use super::cold::Sends;
+use super::{Announced, Answers, Change, ColdRule, ColdShare, Evacuations, Health};
 use crate::prelude::*;
 
 /// How long after an outage of the list an entry that has lapsed stays in use. Entries lapse while
@@ -31,6 +32,9 @@
     pub others_in_flight: u32,
     /// Its entry has lapsed: it stays in use until then.
     lapses_at: Option<TimeMs>,
+    /// It is cold until then, as far as is known.
+    cold_until: TimeMs,
+    sends: Sends,
     health: Health,
 }
 
@@ -45,11 +49,23 @@
         self.health.to_tell(now)
     }
 
-    /// Whether new requests may be sent to it.
+    /// Whether new requests may be sent to it, as far as its own state goes.
     pub fn usable(&self, now: TimeMs) -> bool {
         let on_trial = self.health.is_on_trial() && self.in_flight > 0;
         !self.announced.leaving && !self.health.is_ejected(now) && !on_trial
     }
+
+    /// Whether it has started, or lost its caches, of late.
+    pub fn is_cold(&self, now: TimeMs) -> bool {
+        now < self.cold_until
+    }
+
+    fn becomes_cold(&mut self, now: TimeMs, cold_ms: u64) {
+        if cold_ms > 0 && !self.is_cold(now) {
+            log::info!(endpoint:% = self.id, cold_ms; "an endpoint is cold");
+        }
+        self.cold_until = self.cold_until.max(now.plus(cold_ms));
+    }
 }
 
 /// All endpoints known.
@@ -63,19 +79,21 @@
     by_service: HashMap<Arc<str>, Vec<ReplicaKey>>,
     list_back_at: Option<TimeMs>,
     evacuations: Evacuations,
+    cold_rules: HashMap<Arc<str>, ColdRule>,
+    cold_share: ColdShare,
 }
 
 impl Directory {
     /// An empty directory. Processes with different seeds try an endpoint that has failed again at
     /// different moments.
     pub fn open(seed: u64) -> Directory {
-        Directory { seed, ..Directory::default() }
+        Directory { seed, cold_share: ColdShare::open(seed), ..Directory::default() }
     }
 
     /// Takes a change in; `false` if it is older than what is known.
     pub fn apply(&mut self, now: TimeMs, change: Change) -> bool {
         match change {
-            Change::Announced(id, announced) => self.announce(id, announced),
+            Change::Announced(id, announced) => self.announce(now, id, announced),
             Change::Removed(id) | Change::Unreadable(id) => self.lapse(now, &id),
         }
     }
@@ -85,9 +103,16 @@
         self.list_back_at = Some(now);
     }
 
-    /// What is evacuated as of `as_of` in the operator's record.
-    pub fn evacuate(&mut self, as_of: u64, domains: BTreeSet<Arc<str>>) {
-        self.evacuations.replace(as_of, domains);
+    /// What is evacuated as of `as_of` in the operator's record. Endpoints of domains that may be used
+    /// again count as cold: nothing ran there, and they say so only later.
+    pub fn evacuate(&mut self, now: TimeMs, as_of: u64, domains: BTreeSet<Arc<str>>) {
+        let restored = self.evacuations.replace(as_of, domains);
+        let keys: Vec<_> = self.replicas.keys().collect();
+        for key in keys {
+            if restored.contains(&self.replicas[key].announced.failure_domain) {
+                self.may_be_cold(now, key);
+            }
+        }
     }
 
     /// What is evacuated.
@@ -95,13 +120,44 @@
         &self.evacuations
     }
 
-    /// Whether anything may be sent to an endpoint: it is known, and its failure domain may be used.
-    pub fn may_send(&self, key: ReplicaKey) -> bool {
-        let domain = self.replicas.get(key).map(|replica| &replica.announced.failure_domain);
-        domain.is_some_and(|domain| !self.evacuations.contains(domain))
+    /// What the endpoints of each service bear while they are cold.
+    pub fn declare_cold_rules(&mut self, rules: HashMap<Arc<str>, ColdRule>) {
+        self.cold_rules = rules;
     }
 
-    fn announce(&mut self, id: Arc<str>, announced: Announced) -> bool {
+    /// The other entries that send to these endpoints, known `now`, counted from the start.
+    pub fn know_entries(&mut self, now: TimeMs, others: Vec<u64>) {
+        self.cold_share.know(now.0, others);
+    }
+
+    /// Whether an endpoint is in a failure domain that may be used, and if it is cold, whether this entry's
+    /// share of what it bears has room.
+    pub fn may_send(&self, now: TimeMs, key: ReplicaKey) -> bool {
+        self.replicas.get(key).is_some_and(|replica| {
+            !self.evacuations.contains(&replica.announced.failure_domain)
+                && self.has_room(now, replica)
+        })
+    }
+
+    fn has_room(&self, now: TimeMs, replica: &Replica) -> bool {
+        let rule = self.cold_rules.get(&replica.announced.service);
+        let rule = rule.filter(|rule| rule.per_s > 0.0 && replica.is_cold(now));
+        rule.is_none_or(|rule| {
+            replica.sends.within_window(now) < self.cold_share.of(replica.hash, rule)
+        })
+    }
+
+    /// An endpoint may have started anew or lost its caches, and has not said so yet.
+    pub fn may_be_cold(&mut self, now: TimeMs, key: ReplicaKey) {
+        if let Some(replica) = self.replicas.get_mut(key) {
+            let rule = self.cold_rules.get(&replica.announced.service);
+            replica.becomes_cold(now, rule.map_or(0, |rule| rule.start_ms));
+        }
+    }
+
+    fn announce(&mut self, now: TimeMs, id: Arc<str>, announced: Announced) -> bool {
+        let cold_ms = announced.cold_left_ms;
+        let mut sends = Sends::default();
         if let Some(key) = self.by_id.get(&id).copied() {
             let known = &self.replicas[key].announced;
             let at = (announced.born_ms, announced.sequence);
@@ -114,21 +170,27 @@
                 let replica = &mut self.replicas[key];
                 replica.announced = announced;
                 replica.lapses_at = None;
+                replica.becomes_cold(now, cold_ms);
                 return true;
             }
-            self.remove(key);
+            // What was sent to its address of late may have reached the new life.
+            sends = self.remove(key).map(|earlier| earlier.sends).unwrap_or_default();
         }
         let service = announced.service.clone();
         let hash = Digest::of(&[id.as_bytes()]).prefix();
-        let key = self.replicas.insert(Replica {
+        let mut replica = Replica {
             id: id.clone(),
             hash,
             announced,
             in_flight: 0,
             others_in_flight: 0,
             lapses_at: None,
+            cold_until: TimeMs::default(),
+            sends,
             health: Health::open(self.seed ^ hash),
-        });
+        };
+        replica.becomes_cold(now, cold_ms);
+        let key = self.replicas.insert(replica);
         self.by_id.insert(id, key);
         self.by_hash.insert(hash, key);
         self.by_service.entry(service).or_default().push(key);
@@ -143,7 +205,7 @@
             Some(lapses_at) if now < lapses_at => {
                 self.replicas[key].lapses_at = Some(lapses_at);
             }
-            _ => self.remove(key),
+            _ => drop(self.remove(key)),
         }
         true
     }
@@ -153,18 +215,17 @@
         let over = |replica: &Replica| replica.lapses_at.is_some_and(|at| now > at);
         let gone: Vec<_> =
             self.replicas.iter().filter(|(_, r)| over(r)).map(|(key, _)| key).collect();
-        gone.into_iter().for_each(|key| self.remove(key));
+        gone.into_iter().for_each(|key| drop(self.remove(key)));
     }
 
-    fn remove(&mut self, key: ReplicaKey) {
-        let Some(replica) = self.replicas.remove(key) else {
-            return;
-        };
+    fn remove(&mut self, key: ReplicaKey) -> Option<Replica> {
+        let replica = self.replicas.remove(key)?;
         self.by_id.remove(&replica.id);
         self.by_hash.remove(&replica.hash);
         if let Some(of_service) = self.by_service.get_mut(&replica.announced.service) {
             of_service.retain(|other| *other != key);
         }
+        Some(replica)
     }
 
     /// The endpoint at `key`, unless it is gone.
@@ -194,9 +255,10 @@
     }
 
     /// A request was sent there.
-    pub fn sent(&mut self, key: ReplicaKey) {
+    pub fn sent(&mut self, now: TimeMs, key: ReplicaKey) {
         if let Some(replica) = self.replicas.get_mut(key) {
             replica.in_flight += 1;
+            replica.sends.add(now);
         }
     }
 
--- a/src/replicas/evacuations.rs
+++ b/src/replicas/evacuations.rs
@@ -29,18 +29,21 @@
         self.domains.contains(domain)
     }
 
-    /// What is evacuated as of `as_of`, unless more is known already.
-    pub fn replace(&mut self, as_of: u64, domains: BTreeSet<Arc<str>>) {
+    /// What is evacuated as of `as_of`, unless more is known already. Yields the domains that may be
+    /// used again.
+    pub fn replace(&mut self, as_of: u64, domains: BTreeSet<Arc<str>>) -> Vec<Arc<str>> {
         if as_of < self.as_of || (as_of == self.as_of && domains == self.domains) {
-            return;
+            return Vec::new();
         }
         self.as_of = as_of;
         let before = std::mem::replace(&mut self.domains, domains);
         for domain in self.domains.difference(&before) {
             log::info!(domain:%, as_of; "a failure domain is evacuated");
         }
-        for domain in before.difference(&self.domains) {
+        let restored: Vec<_> = before.difference(&self.domains).cloned().collect();
+        for domain in &restored {
             log::info!(domain:%, as_of; "a failure domain may be used again");
         }
+        restored
     }
 }
--- a/src/replicas/placement.rs
+++ b/src/replicas/placement.rs
@@ -86,7 +86,7 @@
         let (mut all, mut usable) = (0, Vec::new());
         let mut ejected = Vec::new();
         for (key, replica) in directory.of_service(&want.service) {
-            if !directory.may_send(key) {
+            if !directory.may_send(now, key) {
                 continue;
             }
             all += usize::from(!replica.announced.leaving);
