Requests about an object share an endpoint

Change: on a sticky route a plain request prefers the endpoint that weighs most for its object by rendezvous hash, over all usable ones; being elsewhere costs 40 ms in the choice, so that a full endpoint passes its objects on. Test: requests_about_an_object_share_an_endpoint_until_it_is_full.

--- a/src/catalog/route.rs
+++ b/src/catalog/route.rs
@@ -58,6 +58,8 @@
     pub keeps_history: bool,
     /// How long histories and the accounts of programs are kept after their last use.
     pub retention_ms: u64,
+    /// Whether an endpoint that has lately handled an object is faster at the next request about it.
+    pub sticky: bool,
     /// Whether no key is asked for.
     pub public: bool,
     /// The services, one or several.
--- a/src/catalog/tests.rs
+++ b/src/catalog/tests.rs
@@ -13,6 +13,7 @@
         attempts: 2,
         keeps_history: false,
         retention_ms: 60_000,
+        sticky: false,
         public: false,
         backends: vec![Backend { service: service.into(), weight: 1 }],
     }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -28,6 +28,8 @@
     pub parts: Vec<(u64, u64)>,
     /// What is left until its program should be finished.
     pub finish_ms: Option<u64>,
+    /// Stands for the object that it is about.
+    pub object: Option<u64>,
 }
 
 /// How a request is to be served, as decided where it arrived.
@@ -53,6 +55,8 @@
     pub tokens_per_event: u64,
     /// Its rank: zero is first.
     pub priority: u8,
+    /// Stands for its object, if an endpoint that has lately handled that is faster.
+    pub object: Option<u64>,
 }
 
 /// Why a request is not answered by an endpoint.
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -105,6 +105,7 @@
         let want = Want {
             service: self.job.order.service.clone(),
             parts: self.job.parts.clone(),
+            object: self.job.order.object,
             not: self.not.clone(),
             accepts_ejected: self.job.order.repeat.may_run_again(),
         };
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -197,6 +197,7 @@
         retention_ms: route.retention_ms,
         tokens_per_event,
         priority,
+        object: call.object.filter(|_| route.sticky && !repeat.is_stream()),
     })
 }
 
--- a/src/replicas/placement.rs
+++ b/src/replicas/placement.rs
@@ -7,7 +7,8 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-use super::{Directory, ReplicaKey};
+use super::rendezvous::rendezvous;
+use super::{Directory, Replica, ReplicaKey};
 use crate::mechanisms::{Mechanism, Mechanisms};
 use crate::prelude::*;
 
@@ -24,6 +25,9 @@
 /// those that the endpoint accepts. Entries that send seldom would else open one for most requests.
 const NEW_CONNECTION_MS: f64 = 3.0;
 
+/// What a request costs at another endpoint than that of its object, which has mostly handled it before.
+const OBJECT_AWAY_MS: f64 = 40.0;
+
 /// Prompt tokens that an engine reads in a millisecond.
 const PREFILL_TOKENS_PER_MS: f64 = 168.0;
 
@@ -43,6 +47,8 @@
     pub service: Arc<str>,
     /// Parts of its prompt in order, as hashes, with their tokens.
     pub parts: Vec<(u64, u64)>,
+    /// Stands for its object, if an endpoint that has lately handled that is faster.
+    pub object: Option<u64>,
     /// Endpoints that have refused or failed it.
     pub not: Vec<ReplicaKey>,
     /// Whether an endpoint that is ejected for its failures is better than none: so it is for what may
@@ -104,6 +110,7 @@
         if usable.is_empty() && want.accepts_ejected {
             usable.extend(ejected.into_iter().filter(|(key, _)| untried(key)));
         }
+        let home = want.object.and_then(|object| home_of(object, &usable));
         let costs = usable.into_iter().enumerate().map(|(at, (key, replica))| {
             let slots = f64::from(replica.announced.slots.max(1));
             let load = f64::from(replica.load());
@@ -116,7 +123,8 @@
             let is_open = connected(replica.announced.address)
                 || !self.mechanisms.has(Mechanism::KeptConnections);
             let open_ms = if is_open { 0.0 } else { NEW_CONNECTION_MS };
-            let cost_ms = wait_ms + batch_ms + way_ms + read_ms + open_ms;
+            let away_ms = if home.is_none_or(|home| home == key) { 0.0 } else { OBJECT_AWAY_MS };
+            let cost_ms = wait_ms + batch_ms + way_ms + read_ms + open_ms + away_ms;
             // Equal costs are taken in turn, so that idle endpoints share the requests.
             let tie = (at as u64).wrapping_add(self.turn) % 64;
             (key, cost_ms, tie)
@@ -158,3 +166,10 @@
         }
     }
 }
+
+/// The endpoint that requests about an object go to while it is usable. All entries come to the same one
+/// without a word between them, and each object moves only when its own endpoint comes or goes.
+fn home_of(object: u64, usable: &[(ReplicaKey, &Replica)]) -> Option<ReplicaKey> {
+    let home = usable.iter().max_by_key(|(_, replica)| rendezvous(object, replica.hash));
+    home.map(|(key, _)| *key)
+}
--- a/src/replicas/tests.rs
+++ b/src/replicas/tests.rs
@@ -27,7 +27,13 @@
 }
 
 fn want(parts: &[(u64, u64)]) -> Want {
-    Want { service: "s".into(), parts: parts.to_vec(), not: vec![], accepts_ejected: false }
+    Want {
+        service: "s".into(),
+        parts: parts.to_vec(),
+        object: None,
+        not: vec![],
+        accepts_ejected: false,
+    }
 }
 
 #[test]
@@ -408,3 +414,26 @@
         prop_assert!(share.of(endpoint, &rule) <= (per_s / 5.0).max(1.0) as u32);
     }
 }
+
+// Programs act on objects, and an endpoint that has lately handled one is faster at the next. Spread by load
+// alone, hardly any request about an object came to where it was known.
+#[test]
+fn requests_about_an_object_share_an_endpoint_until_it_is_full() {
+    let entries: Vec<_> =
+        (1..20).map(|port| (format!("r{port}"), announced("s", port, 5, 9))).collect();
+    let entries: Vec<_> = entries.iter().map(|(id, entry)| (id.as_str(), entry.clone())).collect();
+    let mut directory = with(&entries);
+    let about = |object| Want { object: Some(object), ..want(&[]) };
+    let chosen = |domain: &str, directory: &Directory, object| {
+        let mut placement = Placement::open(domain.into(), Mechanisms::default());
+        placement.choose(TimeMs(0), directory, &about(object), |_| true)
+    };
+    let home = chosen("d", &directory, 7).expect("one");
+    assert_eq!(chosen("another", &directory, 7), Some(home));
+    let mut homes: Vec<_> = (0..200).filter_map(|object| chosen("d", &directory, object)).collect();
+    homes.sort();
+    homes.dedup();
+    assert!(homes.len() >= 15, "objects spread over endpoints: {}", homes.len());
+    (0..9).for_each(|_| directory.sent(TimeMs(0), home));
+    assert_ne!(chosen("d", &directory, 7), Some(home));
+}
