Requests keep to the regions that their route and workspace allow

Change: routes and workspaces name regions, both bind; the choice of an endpoint passes over others; a turn is refused where its shard's owner lies outside them and outside the caller's region; a turn of a lost shard is left to such an owner neither; an entry that may not decide relays within its own region only. Entries announce their region in the list of entries. A region that is not known counts as not allowed. Ruled out for now: shards owned by region (a program's shard is fixed by its id, and its account moves with it only); a caller whose own region has no entry in service may have its turn forwarded within the entry's region. Tests, of which none compiled before: a_request_stays_in_its_regions, a_body_stays_in_its_regions (two regions), regions_of_route_and_workspace_both_bind. The hot path without regions compares two options.

--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -2,11 +2,13 @@
 
 mod build;
 mod instruction;
+mod regions;
 mod route;
 mod workspace;
 
 pub use build::{Catalog, CatalogFault, Declared};
 pub use instruction::Instruction;
+pub use regions::Regions;
 pub use route::{Backend, Repeat, Route, Service};
 pub use workspace::{Limits, Workspace};
 
--- a/src/catalog/route.rs
+++ b/src/catalog/route.rs
@@ -1,3 +1,4 @@
+use super::Regions;
 use crate::prelude::*;
 
 /// Whether a request may run more than once.
@@ -60,6 +61,8 @@
     pub retention_ms: u64,
     /// Whether an endpoint that has lately handled an object is faster at the next request about it.
     pub sticky: bool,
+    /// Where its requests may run.
+    pub regions: Regions,
     /// Whether no key is asked for.
     pub public: bool,
     /// The services, one or several.
--- a/src/catalog/tests.rs
+++ b/src/catalog/tests.rs
@@ -14,6 +14,7 @@
         keeps_history: false,
         retention_ms: 60_000,
         sticky: false,
+        regions: Regions::default(),
         public: false,
         backends: vec![Backend { service: service.into(), weight: 1 }],
     }
@@ -64,7 +65,13 @@
 
 #[test]
 fn a_key_names_its_workspace_and_is_not_kept() {
-    let workspace = Workspace { name: "w".into(), priority: None, rate_per_s: 1.0, burst: 1.0 };
+    let workspace = Workspace {
+        name: "w".into(),
+        priority: None,
+        rate_per_s: 1.0,
+        burst: 1.0,
+        regions: Regions::default(),
+    };
     let mut with_key = declared(1, vec![]);
     with_key.workspaces = vec![(workspace, vec![Digest::of(&[b"secret"])])];
     let catalog = Catalog::succeed(None, with_key).expect("first");
@@ -72,3 +79,15 @@
     assert!(catalog.holder(Digest::of(&[b"Secret"])).is_none());
     assert!(!format!("{catalog:?}").contains("secret"));
 }
+
+// A route and its workspace both name regions: a request may run where both allow it, and nowhere if that
+// is nowhere.
+#[test]
+fn regions_of_route_and_workspace_both_bind() {
+    let (route, workspace) = (Regions::only(["a", "b"]), Regions::only(["b", "c"]));
+    let both = workspace.and(&route);
+    assert_eq!(["a", "b", "c"].map(|region| both.allow(Some(region))), [false, true, false]);
+    assert!(!Regions::only(["a"]).and(&Regions::only(["b"])).allow(Some("a")));
+    assert!(Regions::default().allow(None));
+    assert!(!route.and(&Regions::default()).allow(None));
+}
--- a/src/catalog/workspace.rs
+++ b/src/catalog/workspace.rs
@@ -1,3 +1,4 @@
+use super::Regions;
 use crate::prelude::*;
 
 /// What one workspace is allowed.
@@ -11,6 +12,8 @@
     pub rate_per_s: f64,
     /// Requests that may come at once beyond the rate.
     pub burst: f64,
+    /// Where its requests may run.
+    pub regions: Regions,
 }
 
 /// What a caller may send, and how long it may take.
--- a/src/gateway/bequest.rs
+++ b/src/gateway/bequest.rs
@@ -17,6 +17,7 @@
 use super::owned_shard::{OwnedShard, Stage};
 use super::server::status;
 use super::state::Gateway;
+use crate::catalog::Regions;
 use crate::http::Outgoing;
 use crate::prelude::*;
 use crate::turns::{AccountKey, Ledger, Record, Turn, TurnKey};
@@ -51,7 +52,12 @@
 
 /// Has the shard's next owner record the turn; `false` if the time was over before, or the next owner
 /// must not.
-pub(super) async fn bequeath(gateway: &Rc<Gateway>, bequest: &Bequest, ends_at: TimeMs) -> bool {
+pub(super) async fn bequeath(
+    gateway: &Rc<Gateway>,
+    bequest: &Bequest,
+    regions: &Regions,
+    ends_at: TimeMs,
+) -> bool {
     let shard = bequest.program.shard(gateway.shards.count());
     let Ok(body) = postcard::to_allocvec(bequest).map(Bytes::from) else {
         log::error!("a turn can't be encoded for its shard's next owner");
@@ -61,7 +67,8 @@
         if let Some(own) = gateway.shards.own(shard).filter(|own| own.stage() == Stage::Serving) {
             return record(&own, bequest).await;
         }
-        if let Some(owner) = gateway.shards.other(shard) {
+        let owner = gateway.shards.other(shard);
+        if let Some(owner) = owner.filter(|owner| gateway.may_carry(owner.address, regions)) {
             let answer = send(gateway, owner.address, body.clone());
             match timeout(Duration::from_millis(ANSWER_MOST_MS), answer).await {
                 Ok(Some(StatusCode::OK)) => return true,
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -1,6 +1,6 @@
 use serde::{Deserialize, Serialize};
 
-use crate::catalog::Repeat;
+use crate::catalog::{Regions, Repeat};
 use crate::prelude::*;
 
 /// What the head of a request says, decoded.
@@ -55,6 +55,8 @@
     pub tokens_per_event: u64,
     /// Its rank: zero is first.
     pub priority: u8,
+    /// Where it may run, and to which entries it may be sent.
+    pub regions: Regions,
     /// Stands for its object, if an endpoint that has lately handled that is faster.
     pub object: Option<u64>,
 }
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -106,6 +106,7 @@
             service: self.job.order.service.clone(),
             parts: self.job.parts.clone(),
             object: self.job.order.object,
+            regions: self.job.order.regions.clone(),
             not: self.not.clone(),
             accepts_ejected: self.job.order.repeat.may_run_again(),
         };
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -99,6 +99,13 @@
             return Ok(Served::Here(own));
         }
         if let Some(owner) = gateway.shards.other(shard) {
+            if let Towards::Owner(order) = &turn.towards
+                && !gateway.may_carry(owner.address, &order.regions)
+            {
+                log::info!(request:% = turn.request, shard, owner:% = owner.address;
+                    "the owner of a shard lies outside a turn's regions");
+                return Err(Refusal::Unavailable { retry_after_ms: NO_OWNER_RETRY_MS });
+            }
             match send(gateway, owner.address, turn).await? {
                 Sent::Answered(response) => return Ok(Served::There(response)),
                 Sent::Moved => gateway.shards.forget(owner.address, Some(shard)),
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -60,7 +60,11 @@
 
 /// Announces this entry and follows the list of the others.
 pub(super) async fn follow_peers(gateway: Rc<Gateway>) {
-    let own = PeerRecord { name: gateway.settings.name.clone(), address: gateway.settings.peers };
+    let own = PeerRecord {
+        name: gateway.settings.name.clone(),
+        address: gateway.settings.peers,
+        region: Some(gateway.settings.places.region.clone()),
+    };
     while let Err(fault) = bounded(CALL_TIMEOUT_MS, gateway.store.announce(&own)).await {
         log::warn!(fault:display; "this entry can't be announced");
         tokio::time::sleep(Duration::from_millis(PEERS_RETRY_MS)).await;
@@ -72,7 +76,7 @@
                 failing = false;
                 let others = records.into_iter().filter(|record| record.address != own.address);
                 let mut peers = gateway.peers.borrow_mut();
-                others.for_each(|peer| peers.know(gateway.now(), peer.address, peer.name));
+                others.for_each(|peer| peers.know(gateway.now(), peer));
                 PEERS_EVERY_MS
             }
             Err(fault) => {
--- a/src/gateway/observe.rs
+++ b/src/gateway/observe.rs
@@ -50,7 +50,7 @@
     let (program, previous) = (text(&call.program), text(&call.previous));
     let (workspace, class) = (text(&seen.workspace), seen.class.unwrap_or_default());
     let (name, wait_ms) = (refusal.name(), call.wait_ms.unwrap_or(u64::MAX));
-    let domain = &gateway.settings.failure_domain;
+    let domain = &gateway.settings.places.domain;
     log::info!(request:% = call.request, refusal = name, took_ms, wait_ms, config_age_ms, class,
         program, previous, workspace, domain:%; "refused");
     count(seen, name.to_string());
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -1,6 +1,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
+use super::PeerRecord;
 use super::message::Gossip;
 use crate::prelude::*;
 use crate::quota::Peering;
@@ -26,6 +27,8 @@
 #[derive(Debug)]
 struct Peer {
     name: Arc<str>,
+    /// None as long as it is known from its messages only.
+    region: Option<Arc<str>>,
     life: u64,
     heard_at: Option<TimeMs>,
     /// When it was first heard in this life.
@@ -60,9 +63,11 @@
 
 impl Peers {
     /// An entry is known to exist, alive or not.
-    pub(super) fn know(&mut self, now: TimeMs, address: SocketAddr, name: Arc<str>) {
-        self.peers.entry(address).or_insert_with(|| Peer {
+    pub(super) fn know(&mut self, now: TimeMs, record: PeerRecord) {
+        let PeerRecord { name, address, region } = record;
+        let peer = self.peers.entry(address).or_insert_with(|| Peer {
             name,
+            region: None,
             life: 0,
             heard_at: None,
             met_at: now,
@@ -74,11 +79,12 @@
             signed_off: None,
             relieved_at: None,
         });
+        peer.region = region.or(peer.region.take());
     }
 
     /// An entry was heard.
     pub(super) fn heard(&mut self, now: TimeMs, address: SocketAddr, gossip: &Gossip) -> Heard {
-        self.know(now, address, gossip.name.clone());
+        self.know(now, PeerRecord { name: gossip.name.clone(), address, region: None });
         let Some(peer) = self.peers.get_mut(&address) else {
             return Heard::default();
         };
@@ -146,11 +152,21 @@
         heard * 2 >= known && away * 2 >= heard
     }
 
-    /// Entries in touch that reach the store and take requests, in the same order each time.
-    pub(super) fn that_reach_store(&self, now: TimeMs) -> Vec<SocketAddr> {
+    /// The region that an entry is in, if it is known.
+    pub(super) fn region(&self, address: SocketAddr) -> Option<&str> {
+        self.peers.get(&address)?.region.as_deref()
+    }
+
+    /// Entries in touch that reach the store and take requests, in regions that `is_near` allows; in the same
+    /// order each time.
+    pub(super) fn that_reach_store(
+        &self,
+        now: TimeMs,
+        is_near: impl Fn(Option<&str>) -> bool,
+    ) -> Vec<SocketAddr> {
         let sound = |peer: &Peer| {
             let recent = peer.heard_at.is_some_and(|at| now.since(at) < IN_TOUCH_MS);
-            recent && !peer.store_away && !peer.leaving
+            recent && !peer.store_away && !peer.leaving && is_near(peer.region.as_deref())
         };
         let sound = self.peers.iter().filter(|(_, peer)| sound(peer));
         let mut addresses: Vec<_> = sound.map(|(address, _)| *address).collect();
--- a/src/gateway/ports.rs
+++ b/src/gateway/ports.rs
@@ -101,6 +101,8 @@
     pub name: Arc<str>,
     /// Where it takes messages and forwarded calls.
     pub address: SocketAddr,
+    /// The region it is in, if it has said so.
+    pub region: Option<Arc<str>>,
 }
 
 /// An answer of the store, some time later.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -32,7 +32,11 @@
     let relays =
         gateway.has(Mechanism::Relaying) && !gateway.is_fresh() && !gateway.waits_for_store();
     match relays {
-        true => gateway.peers.borrow().that_reach_store(gateway.now()),
+        // Where its body may go is not known here: it stays in its caller's region.
+        true => {
+            let is_near = |region: Option<&str>| gateway.is_near(region);
+            gateway.peers.borrow().that_reach_store(gateway.now(), is_near)
+        }
         false => Vec::new(),
     }
 }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -197,6 +197,7 @@
         retention_ms: route.retention_ms,
         tokens_per_event,
         priority,
+        regions: workspace.map_or_else(|| route.regions.clone(), |w| w.regions.and(&route.regions)),
         object: call.object.filter(|_| route.sticky && !repeat.is_stream()),
     })
 }
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -2,6 +2,7 @@
 
 use crate::mechanisms::Mechanisms;
 use crate::prelude::*;
+use crate::replicas::Places;
 
 /// Bounds that a deployment's operator sets.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -25,8 +26,8 @@
 pub struct GatewaySettings {
     /// The name of its VM.
     pub name: Arc<str>,
-    /// Its failure domain.
-    pub failure_domain: Arc<str>,
+    /// Where it is.
+    pub places: Places,
     /// Where it takes callers' requests.
     pub callers: SocketAddr,
     /// Where it says whether it is ready.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -13,6 +13,7 @@
 use super::shard_table::ShardTable;
 use super::suspects::Suspects;
 use super::{GatewaySettings, Protocol, Store};
+use crate::catalog::Regions;
 use crate::http::Connections;
 use crate::mechanisms::Mechanism;
 use crate::prelude::*;
@@ -59,7 +60,7 @@
     ) -> Rc<Gateway> {
         let shards = ShardTable::open(store.shards());
         let seed = Digest::of(&[settings.name.as_bytes()]).prefix();
-        let placement = Placement::open(settings.failure_domain.clone(), settings.mechanisms);
+        let placement = Placement::open(settings.places.clone(), settings.mechanisms);
         let clock = Clock::start();
         Rc::new(Gateway {
             first_sequence: clock.unix().0,
@@ -176,6 +177,20 @@
         self.in_force.is_fresh(self.settings.bounds.revoke_ms)
     }
 
+    /// Whether a request that may run in these regions may be sent to another entry: one in such a region, or
+    /// in this entry's own, where its caller is.
+    pub(super) fn may_carry(&self, entry: SocketAddr, regions: &Regions) -> bool {
+        let peers = self.peers.borrow();
+        let region = peers.region(entry);
+        regions.allow(region) || self.is_near(region)
+    }
+
+    /// Whether another entry is in this one's region.
+    pub(super) fn is_near(&self, region: Option<&str>) -> bool {
+        let places = &self.settings.places;
+        !places.has_other_regions() || region == Some(&*places.region)
+    }
+
     /// Whether requests wait here for the store: it is away for all, and not only for this entry, so that
     /// no other entry would serve a caller any better.
     pub(super) fn waits_for_store(&self) -> bool {
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -8,6 +8,7 @@
 
 use fakes::FakeStore;
 
+use super::PeerRecord;
 use super::endpoint_feed::follow_endpoints;
 use super::gossip::{follow_peers, hear, life_number};
 use super::hold::hold;
@@ -16,9 +17,10 @@
 use super::rates::{Known, Rates};
 use super::suspects::Suspects;
 use super::tenure::Tenure;
-use crate::catalog::Workspace;
+use crate::catalog::{Regions, Workspace};
 use crate::prelude::*;
 use crate::quota::{Claim, Peering, Tally};
+use crate::replicas::Places;
 
 // Two VMs start in the same millisecond. Under one number, each message of the one looked like news
 // of the other, the copies of all rates swung between empty and full, and workspaces were admitted
@@ -46,7 +48,13 @@
 // life; counted as taken now, it filled every window, and callers were refused for five seconds.
 #[test]
 fn counts_heard_before_the_workspaces_are_known_are_not_news() {
-    let workspace = Workspace { name: "w".into(), priority: None, rate_per_s: 10.0, burst: 10.0 };
+    let workspace = Workspace {
+        name: "w".into(),
+        priority: None,
+        rate_per_s: 10.0,
+        burst: 10.0,
+        regions: Regions::default(),
+    };
     let mut rates = Rates::open(5_000);
     let known = Known { since: TimeMs(0), young: false };
     let row = |taken, in_window| {
@@ -158,6 +166,38 @@
     }
 }
 
+fn peer(port: u16, region: Option<&str>) -> PeerRecord {
+    let address = ([127, 0, 0, 1], port).into();
+    PeerRecord { name: format!("entry-{port}").into(), address, region: region.map(Arc::from) }
+}
+
+// A request may be sent neither to an entry in a region that its operator does not allow, nor to one whose
+// region is not known; its caller's own region knows it already.
+#[test]
+fn a_body_stays_in_its_regions() {
+    let gateway = fakes::gateway_at(FakeStore::default(), two_regions());
+    let address = |port| ([127, 0, 0, 1], port).into();
+    for (port, region) in [(1, Some("near")), (2, Some("far")), (3, None)] {
+        gateway.peers.borrow_mut().know(TimeMs(0), peer(port, region));
+        gateway.peers.borrow_mut().heard(TimeMs(0), address(port), &gossip(u64::from(port), false));
+    }
+    let carried = |names: &[&str]| {
+        let regions = Regions::only(names.iter().copied());
+        [1, 2, 3].map(|port| gateway.may_carry(address(port), &regions))
+    };
+    assert_eq!(carried(&["near"]), [true, false, false]);
+    assert_eq!(carried(&["far"]), [true, true, false]);
+    assert_eq!(carried(&[]), [true, true, true]);
+    let near = |region: Option<&str>| gateway.is_near(region);
+    assert_eq!(gateway.peers.borrow().that_reach_store(TimeMs(100), near), [address(1)]);
+}
+
+fn two_regions() -> Places {
+    let regions =
+        [("d", "near"), ("e", "far")].map(|(domain, region)| (domain.into(), region.into()));
+    Places { domain: "d".into(), region: "near".into(), regions: regions.into() }
+}
+
 // A request is relayed to an entry that can decide on it: not to one that has lost the store too, that is
 // shutting down, or that was not heard of late.
 #[test]
@@ -168,8 +208,8 @@
     peers.heard(TimeMs(900), address(2), &gossip(2, true));
     peers.heard(TimeMs(900), address(3), &Gossip { leaving: true, ..gossip(3, false) });
     peers.heard(TimeMs(900), address(4), &gossip(4, false));
-    peers.know(TimeMs(900), address(5), "never-heard".into());
-    assert_eq!(peers.that_reach_store(TimeMs(1_000)), [address(4)]);
+    peers.know(TimeMs(900), peer(5, None));
+    assert_eq!(peers.that_reach_store(TimeMs(1_000), |_| true), [address(4)]);
 }
 
 // A caller that meets the one entry that is cut off from the store is better served by another, and must
--- a/src/gateway/tests/fakes.rs
+++ b/src/gateway/tests/fakes.rs
@@ -12,7 +12,7 @@
     Position, Protocol, Refusal, Reply, Store, StoreError,
 };
 use crate::mechanisms::Mechanisms;
-use crate::replicas::Change;
+use crate::replicas::{Change, Places};
 
 /// A store that is sound, unless it is made otherwise.
 #[derive(Default)]
@@ -85,7 +85,8 @@
     }
 
     fn peers(&self) -> Later<'_, Vec<PeerRecord>> {
-        let other = PeerRecord { name: "other".into(), address: ([127, 0, 0, 2], 1).into() };
+        let other =
+            PeerRecord { name: "other".into(), address: ([127, 0, 0, 2], 1).into(), region: None };
         self.answer(&self.peers_read, vec![other])
     }
 }
@@ -112,6 +113,10 @@
 }
 
 pub(super) fn gateway(store: FakeStore) -> Rc<Gateway> {
+    gateway_at(store, Places { domain: "d".into(), ..Places::default() })
+}
+
+pub(super) fn gateway_at(store: FakeStore, places: Places) -> Rc<Gateway> {
     let anywhere = ([127, 0, 0, 1], 0).into();
     let bounds = Bounds {
         revoke_ms: 5_000,
@@ -123,7 +128,7 @@
     };
     let settings = GatewaySettings {
         name: "entry".into(),
-        failure_domain: "d".into(),
+        places,
         callers: anywhere,
         ready: anywhere,
         peers: anywhere,
--- a/src/gateway/turn.rs
+++ b/src/gateway/turn.rs
@@ -233,8 +233,8 @@
             }
         }
         let request = &self.call.job.request;
-        let recorded =
-            gateway.has(Mechanism::Bequests) && bequeath(gateway, &bequest, ends_at).await;
+        let recorded = gateway.has(Mechanism::Bequests)
+            && bequeath(gateway, &bequest, &self.call.job.order.regions, ends_at).await;
         log::info!(request:%, shard = shard.number, epoch = shard.epoch, recorded;
             "a turn ended after its shard was lost");
         recorded.then_some(()).ok_or(Refusal::OutcomeUnknown)
--- a/src/replicas/mod.rs
+++ b/src/replicas/mod.rs
@@ -6,6 +6,7 @@
 mod evacuations;
 mod health;
 mod placement;
+mod places;
 mod rendezvous;
 
 pub use announced::{Announced, Change};
@@ -14,6 +15,7 @@
 pub use evacuations::Evacuations;
 pub use health::{Answers, Health};
 pub use placement::{Placement, Want};
+pub use places::Places;
 
 #[cfg(test)]
 mod tests;
--- a/src/replicas/placement.rs
+++ b/src/replicas/placement.rs
@@ -8,7 +8,8 @@
 use std::net::SocketAddr;
 
 use super::rendezvous::rendezvous;
-use super::{Directory, Replica, ReplicaKey};
+use super::{Directory, Places, Replica, ReplicaKey};
+use crate::catalog::Regions;
 use crate::mechanisms::{Mechanism, Mechanisms};
 use crate::prelude::*;
 
@@ -49,6 +50,8 @@
     pub parts: Vec<(u64, u64)>,
     /// Stands for its object, if an endpoint that has lately handled that is faster.
     pub object: Option<u64>,
+    /// Where it may run.
+    pub regions: Regions,
     /// Endpoints that have refused or failed it.
     pub not: Vec<ReplicaKey>,
     /// Whether an endpoint that is ejected for its failures is better than none: so it is for what may
@@ -66,16 +69,16 @@
 /// Chooses endpoints, and remembers which have read which parts of prompts.
 #[derive(Debug, Default)]
 pub struct Placement {
-    domain: Arc<str>,
+    places: Places,
     mechanisms: Mechanisms,
     cached: HashMap<(ReplicaKey, u64), Cached>,
     turn: u64,
 }
 
 impl Placement {
-    /// Chooses for an entry in `domain`.
-    pub fn open(domain: Arc<str>, mechanisms: Mechanisms) -> Placement {
-        Placement { domain, mechanisms, ..Placement::default() }
+    /// Chooses for an entry at a place.
+    pub fn open(places: Places, mechanisms: Mechanisms) -> Placement {
+        Placement { places, mechanisms, ..Placement::default() }
     }
 
     /// The best usable endpoint, if there is one. `connected` tells whether a connection is kept to an
@@ -92,7 +95,8 @@
         let (mut all, mut usable) = (0, Vec::new());
         let mut ejected = Vec::new();
         for (key, replica) in directory.of_service(&want.service) {
-            if !directory.may_send(now, key) {
+            let region = self.places.region_of(&replica.announced.failure_domain);
+            if !directory.may_send(now, key) || !want.regions.allow(region) {
                 continue;
             }
             all += usize::from(!replica.announced.leaving);
@@ -116,7 +120,7 @@
             let load = f64::from(replica.load());
             let wait_ms = (load + 1.0 - slots).max(0.0) * WAIT_EACH_MS;
             let batch_ms = (load / slots).min(1.0) * FULL_BATCH_MS;
-            let near = replica.announced.failure_domain == self.domain
+            let near = replica.announced.failure_domain == self.places.domain
                 || !self.mechanisms.has(Mechanism::Nearness);
             let way_ms = if near { 0.0 } else { OTHER_DOMAIN_MS };
             let read_ms = self.unread_tokens(now, key, &want.parts) as f64 / PREFILL_TOKENS_PER_MS;
--- a/src/replicas/tests.rs
+++ b/src/replicas/tests.rs
@@ -2,6 +2,7 @@
 use test_case::test_case;
 
 use super::*;
+use crate::catalog::Regions;
 use crate::mechanisms::Mechanisms;
 use crate::prelude::*;
 
@@ -18,6 +19,11 @@
     }
 }
 
+fn at(domain: &str) -> Places {
+    let regions = [("d", "r1"), ("e", "r2")].map(|(domain, region)| (domain.into(), region.into()));
+    Places { domain: domain.into(), region: "r1".into(), regions: regions.into() }
+}
+
 fn with(entries: &[(&str, Announced)]) -> Directory {
     let mut directory = Directory::default();
     for (id, entry) in entries {
@@ -31,6 +37,7 @@
         service: "s".into(),
         parts: parts.to_vec(),
         object: None,
+        regions: Regions::default(),
         not: vec![],
         accepts_ejected: false,
     }
@@ -82,7 +89,7 @@
 #[test]
 fn idle_endpoints_share_requests() {
     let directory = with(&[("r", announced("s", 1, 5, 9)), ("q", announced("s", 2, 5, 9))]);
-    let mut placement = Placement::open("d".into(), Mechanisms::default());
+    let mut placement = Placement::open(at("d"), Mechanisms::default());
     let mut chosen: Vec<_> = (0..64)
         .filter_map(|_| placement.choose(TimeMs(0), &directory, &want(&[]), |_| true))
         .collect();
@@ -94,7 +101,7 @@
 #[test]
 fn a_prompt_returns_to_the_endpoint_that_read_it_unless_that_is_full() {
     let mut directory = with(&[("r", announced("s", 1, 5, 9)), ("q", announced("s", 2, 5, 9))]);
-    let mut placement = Placement::open("d".into(), Mechanisms::default());
+    let mut placement = Placement::open(at("d"), Mechanisms::default());
     let holder = directory.find("q").expect("known");
     placement.read(TimeMs(0), holder, &[(1, 2_000)]);
     for _ in 0..4 {
@@ -189,7 +196,7 @@
 fn most_endpoints_of_a_service_are_never_left_out() {
     let entries = ["a", "b", "c", "d"].map(|id| (id, announced("s", 1, 5, 9)));
     let mut directory = with(&entries);
-    let mut placement = Placement::open("d".into(), Mechanisms::default());
+    let mut placement = Placement::open(at("d"), Mechanisms::default());
     let keys: Vec<_> = directory.all().map(|(key, _)| key).collect();
     for key in keys {
         (0..3).for_each(|_| directory.failed(TimeMs(0), key));
@@ -200,7 +207,7 @@
 #[test]
 fn an_endpoint_that_fails_in_a_row_is_left_out_and_tried_again() {
     let mut directory = with(&[("r", announced("s", 1, 5, 9))]);
-    let mut placement = Placement::open("d".into(), Mechanisms::default());
+    let mut placement = Placement::open(at("d"), Mechanisms::default());
     let key = directory.find("r").expect("known");
     (0..3).for_each(|_| directory.failed(TimeMs(0), key));
     assert_eq!(placement.choose(TimeMs(100), &directory, &want(&[]), |_| true), None);
@@ -226,7 +233,7 @@
 #[test]
 fn a_kept_connection_decides_between_endpoints_that_are_alike() {
     let directory = with(&[("r", announced("s", 1, 5, 9)), ("q", announced("s", 2, 5, 9))]);
-    let mut placement = Placement::open("d".into(), Mechanisms::default());
+    let mut placement = Placement::open(at("d"), Mechanisms::default());
     let kept = directory.find("q").expect("known");
     for _ in 0..8 {
         let connected = |address: std::net::SocketAddr| address.port() == 2;
@@ -240,7 +247,7 @@
 fn what_may_run_again_is_rather_tried_where_it_may_fail_than_refused() {
     let entries = ["a", "b", "c"].map(|id| (id, announced("s", 1, 5, 9)));
     let mut directory = with(&entries);
-    let mut placement = Placement::open("d".into(), Mechanisms::default());
+    let mut placement = Placement::open(at("d"), Mechanisms::default());
     let keys: Vec<_> = directory.all().map(|(key, _)| key).collect();
     for key in &keys[..2] {
         (0..3).for_each(|_| directory.failed(TimeMs(0), *key));
@@ -257,7 +264,7 @@
 #[test]
 fn a_session_that_has_grown_returns_to_where_it_was_read() {
     let directory = with(&[("r", announced("s", 1, 5, 9)), ("q", announced("s", 2, 5, 9))]);
-    let mut placement = Placement::open("d".into(), Mechanisms::default());
+    let mut placement = Placement::open(at("d"), Mechanisms::default());
     let holder = directory.find("q").expect("known");
     let other = directory.find("r").expect("known");
     placement.read(TimeMs(0), other, &[(1, 12_000)]);
@@ -281,7 +288,7 @@
 #[test]
 fn nothing_is_placed_in_an_evacuated_domain() {
     let mut directory = with(&[("r", in_domain(1, "d")), ("q", in_domain(2, "e"))]);
-    let mut placement = Placement::open("d".into(), Mechanisms::default());
+    let mut placement = Placement::open(at("d"), Mechanisms::default());
     let (evacuated, other) = (directory.find("r").unwrap(), directory.find("q").unwrap());
     placement.read(TimeMs(0), evacuated, &[(1, 9_000)]);
     (0..20).for_each(|_| directory.sent(TimeMs(0), other));
@@ -361,7 +368,7 @@
 #[test]
 fn a_cold_endpoint_is_passed_over_once_its_share_is_used() {
     let (mut directory, cold, warm) = cold_and_warm();
-    let mut placement = Placement::open("d".into(), Mechanisms::default());
+    let mut placement = Placement::open(at("d"), Mechanisms::default());
     (0..40).for_each(|_| directory.sent(TimeMs(0), warm));
     let mut sent = 0;
     while placement.choose(TimeMs(2_000), &directory, &want(&[]), |_| true) == Some(cold) {
@@ -425,7 +432,7 @@
     let mut directory = with(&entries);
     let about = |object| Want { object: Some(object), ..want(&[]) };
     let chosen = |domain: &str, directory: &Directory, object| {
-        let mut placement = Placement::open(domain.into(), Mechanisms::default());
+        let mut placement = Placement::open(at(domain), Mechanisms::default());
         placement.choose(TimeMs(0), directory, &about(object), |_| true)
     };
     let home = chosen("d", &directory, 7).expect("one");
@@ -437,3 +444,21 @@
     (0..9).for_each(|_| directory.sent(TimeMs(0), home));
     assert_ne!(chosen("d", &directory, 7), Some(home));
 }
+
+// A route's requests may run in one region only, and the only idle endpoint is in another.
+#[test]
+fn a_request_stays_in_its_regions() {
+    let mut directory = with(&[("r", in_domain(1, "d")), ("q", in_domain(2, "e"))]);
+    let mut placement = Placement::open(at("d"), Mechanisms::default());
+    let (home, abroad) = (directory.find("r").expect("known"), directory.find("q"));
+    (0..20).for_each(|_| directory.sent(TimeMs(0), home));
+    let only = |names: &[&str]| Want {
+        regions: Regions::only(names.iter().copied()),
+        accepts_ejected: true,
+        ..want(&[])
+    };
+    let mut chosen = |want: &Want| placement.choose(TimeMs(0), &directory, want, |_| true);
+    assert_eq!(chosen(&only(&[])), abroad);
+    assert_eq!(chosen(&only(&["r1"])), Some(home));
+    assert_eq!(chosen(&only(&["r3"])), None);
+}
