A request that only evacuated endpoints could serve is told to come back in a second

Cause: it was told 150 ms, as while endpoints are full; an operator takes an evacuation back after seconds at best. Test: nothing_reaches_an_evacuated_domain (150 before, 1,000 now).

--- a/soak/tests/places.rs
+++ b/soak/tests/places.rs
@@ -42,6 +42,8 @@
     world.store.put("keyed.op", "evacuate/b", Some(json!({})));
     tokio::time::sleep(LEARNT).await;
     let started = Instant::now();
+    let refused = world.caller.look_up(world.entry(0), "nowhere").await;
+    assert_eq!((refused.status, refused.retry_after_ms), (Some(503), Some(1_000)));
     assert_eq!(call_all(&world, "nowhere").await, 0);
     assert!(started.elapsed() < Duration::from_secs(3), "{:?}", started.elapsed());
     assert!(ran_at(&world, "nowhere").is_empty());
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -12,6 +12,10 @@
 /// When to return if no endpoint takes the request now: about two mean running times.
 const NO_ENDPOINT_RETRY_MS: u64 = 150;
 
+/// When to return if every endpoint is in an evacuated failure domain: an operator takes that back after
+/// seconds at best.
+const EVACUATED_RETRY_MS: u64 = 1_000;
+
 /// Attempts of one request, one after the other.
 pub(super) struct Dispatch {
     gateway: Rc<Gateway>,
@@ -70,14 +74,25 @@
                 }
             }
         }
+        Err(self.refusal())
+    }
+
+    /// Why no endpoint has served it.
+    fn refusal(&self) -> Refusal {
         let directory = self.gateway.directory.borrow();
-        let endpoints = directory.of_service(&self.job.order.service).count();
-        log::info!(request:% = self.job.request, service:% = self.job.order.service, endpoints,
-            not_run = self.not_run, may_have_run = self.may_have_run; "no endpoint served it");
-        Err(match self.may_have_run {
+        let known = directory.of_service(&self.job.order.service);
+        let (evacuated, open): (Vec<_>, Vec<_>) =
+            known.partition(|(_, replica)| directory.is_evacuated(replica));
+        log::info!(request:% = self.job.request, service:% = self.job.order.service,
+            endpoints = open.len(), evacuated = evacuated.len(), not_run = self.not_run,
+            may_have_run = self.may_have_run; "no endpoint served it");
+        match self.may_have_run {
+            0 if open.is_empty() && !evacuated.is_empty() => {
+                Refusal::Unavailable { retry_after_ms: EVACUATED_RETRY_MS }
+            }
             0 => Refusal::Unavailable { retry_after_ms: NO_ENDPOINT_RETRY_MS },
             _ => Refusal::OutcomeUnknown,
-        })
+        }
     }
 
     /// Whether another endpoint may be tried after one that has run the request.
--- a/src/replicas/directory.rs
+++ b/src/replicas/directory.rs
@@ -133,10 +133,14 @@
     /// Whether an endpoint is in a failure domain that may be used, and if it is cold, whether this entry's
     /// share of what it bears has room.
     pub fn may_send(&self, now: TimeMs, key: ReplicaKey) -> bool {
-        self.replicas.get(key).is_some_and(|replica| {
-            !self.evacuations.contains(&replica.announced.failure_domain)
-                && self.has_room(now, replica)
-        })
+        self.replicas
+            .get(key)
+            .is_some_and(|replica| !self.is_evacuated(replica) && self.has_room(now, replica))
+    }
+
+    /// Whether an endpoint is in a failure domain that may not be used.
+    pub fn is_evacuated(&self, replica: &Replica) -> bool {
+        self.evacuations.contains(&replica.announced.failure_domain)
     }
 
     fn has_room(&self, now: TimeMs, replica: &Replica) -> bool {
