The choice of an endpoint looks up rules and regions only where they matter

Cause, found by reading: for each of up to a hundred endpoints the choice looked up its service's rule by name, and its domain's region, also where nothing is cold and no region is named.

--- a/src/catalog/regions.rs
+++ b/src/catalog/regions.rs
@@ -12,6 +12,11 @@
         Regions((!names.is_empty()).then_some(names))
     }
 
+    /// Whether all regions are allowed, also those not known.
+    pub fn are_all(&self) -> bool {
+        self.0.is_none()
+    }
+
     /// Whether a region is allowed. One that is not known is allowed only where all are.
     pub fn allow(&self, region: Option<&str>) -> bool {
         match &self.0 {
--- a/src/replicas/cold.rs
+++ b/src/replicas/cold.rs
@@ -29,7 +29,7 @@
 pub struct ColdRule {
     /// How long an endpoint is cold after it has started.
     pub start_ms: u64,
-    /// Requests a second that it bears; zero: as many as a warm one.
+    /// Requests a second that it bears.
     pub per_s: f64,
     /// Requests that it must not get in any second, of all entries together.
     pub bound_per_s: f64,
--- a/src/replicas/directory.rs
+++ b/src/replicas/directory.rs
@@ -144,8 +144,10 @@
     }
 
     fn has_room(&self, now: TimeMs, replica: &Replica) -> bool {
+        if !replica.is_cold(now) {
+            return true;
+        }
         let rule = self.cold_rules.get(&replica.announced.service);
-        let rule = rule.filter(|rule| rule.per_s > 0.0 && replica.is_cold(now));
         rule.is_none_or(|rule| {
             replica.sends.within_window(now) < self.cold_share.of(replica.hash, rule)
         })
--- a/src/replicas/placement.rs
+++ b/src/replicas/placement.rs
@@ -95,8 +95,7 @@
         let (mut all, mut usable) = (0, Vec::new());
         let mut ejected = Vec::new();
         for (key, replica) in directory.of_service(&want.service) {
-            let region = self.places.region_of(&replica.announced.failure_domain);
-            if !directory.may_send(now, key) || !want.regions.allow(region) {
+            if !directory.may_send(now, key) || !self.is_allowed(want, replica) {
                 continue;
             }
             all += usize::from(!replica.announced.leaving);
@@ -137,6 +136,12 @@
         best.map(|(key, _, _)| key)
     }
 
+    /// Whether an endpoint is in a region in which the request may run.
+    fn is_allowed(&self, want: &Want, replica: &Replica) -> bool {
+        let region = || self.places.region_of(&replica.announced.failure_domain);
+        want.regions.are_all() || want.regions.allow(region())
+    }
+
     /// Tokens that the endpoint would have to read. The last part of a session grows from turn to turn:
     /// what was read of it before is held.
     fn unread_tokens(&self, now: TimeMs, key: ReplicaKey, parts: &[(u64, u64)]) -> u64 {
