What a message tells of evacuations has a type; entries are hashed once

Read as a newcomer: the message carried a bare pair, each entry hashed the names of all others at every message it sent (ten times a second, for the share in cold endpoints that is mostly not asked for), and two tests of withdrawn keys set the same scene word for word. No decision and no check changes.

--- a/soak/tests/callers.rs
+++ b/soak/tests/callers.rs
@@ -6,18 +6,24 @@
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use trefoil_soak::{Caller, LinkFault};
+use trefoil_soak::{Caller, LinkFault, World};
 
 use common::{REVOKE_MS, turn, world};
 
+/// The caller's key was withdrawn longer ago than it may be served, and the first entry could not learn of it.
+async fn key_withdrawn_out_of_reach(gateways: usize) -> World {
+    let mut world = world(gateways).await;
+    world.links[0].set(LinkFault::Silent);
+    world.configure(&["a-new-key"], &["other-key"]);
+    tokio::time::sleep(Duration::from_millis(REVOKE_MS + 100)).await;
+    world
+}
+
 // A key is withdrawn while the store is out of reach of the only entry. It can't know; it must stop to
 // serve keys by itself before the bound, and must not call the key unknown on its own.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_withdrawn_key_runs_nothing_at_an_entry_that_cannot_know() {
-    let mut world = world(1).await;
-    world.links[0].set(LinkFault::Silent);
-    world.configure(&["a-new-key"], &["other-key"]);
-    tokio::time::sleep(Duration::from_millis(REVOKE_MS + 100)).await;
+    let world = key_withdrawn_out_of_reach(1).await;
     let answer = world.caller.look_up(world.entry(0), "late-0").await;
     assert_eq!(answer.status, Some(503), "{answer:?}");
     assert!(!world.journal.counts().keys().any(|id| id.starts_with("late-")));
@@ -26,10 +32,7 @@
 // The same while another entry knows: it decides in place of the one that can't, on either key.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_entry_that_cannot_know_has_another_decide_on_keys() {
-    let mut world = world(2).await;
-    world.links[0].set(LinkFault::Silent);
-    world.configure(&["a-new-key"], &["other-key"]);
-    tokio::time::sleep(Duration::from_millis(REVOKE_MS + 100)).await;
+    let world = key_withdrawn_out_of_reach(2).await;
     let answer = world.caller.look_up(world.entry(0), "late-0").await;
     assert_eq!(answer.status, Some(401), "{answer:?}");
     let granted = Caller { key: "a-new-key".into() };
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -7,7 +7,7 @@
 use super::PeerRecord;
 use super::bounded::{CALL_TIMEOUT_MS, bounded};
 use super::forward::sign_off;
-use super::message::{Gossip, in_turn};
+use super::message::{Evacuated, Gossip, in_turn};
 use super::owned_shard::Stage;
 use super::rates::{Known, Telling};
 use super::shard_table::Owner;
@@ -148,10 +148,10 @@
         shards: serving.map(|shard| (shard.number, shard.epoch)).collect(),
         running: in_turn(running.map(|(_, r)| (r.hash, r.in_flight)).collect(), round, rows),
         answers: in_turn(answers.collect(), round, rows),
-        evacuated: (
-            directory.evacuations().as_of(),
-            directory.evacuations().domains().cloned().collect(),
-        ),
+        evacuated: Evacuated {
+            as_of: directory.evacuations().as_of(),
+            domains: directory.evacuations().domains().clone(),
+        },
         taken: in_turn(gateway.rates.borrow_mut().tell_others(now, telling), round, rows),
         suspects: in_turn(gateway.suspects.borrow().recent(now, SUSPECTS_TOLD_MS), round, rows),
     }
@@ -225,8 +225,7 @@
     let mut suspects = gateway.suspects.borrow_mut();
     gossip.suspects.iter().for_each(|(request, crashes)| suspects.told(now, *request, *crashes));
     let mut directory = gateway.directory.borrow_mut();
-    let (as_of, evacuated) = &gossip.evacuated;
-    directory.evacuate(now, *as_of, evacuated.iter().cloned().collect());
+    directory.evacuate(now, gossip.evacuated.as_of, gossip.evacuated.domains.clone());
     let peers = gateway.peers.borrow();
     for endpoint in heard.changed {
         if let Some(key) = directory.find_hash(endpoint) {
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -1,3 +1,5 @@
+use std::collections::BTreeSet;
+
 use crate::prelude::*;
 use crate::quota::Tally;
 use crate::turns::{Turn, TurnKey};
@@ -26,8 +28,8 @@
     pub(super) taken: Vec<Taken>,
     /// Answers of the endpoints that have failed of late: endpoint, failures, answers.
     pub(super) answers: Vec<(u64, u32, u32)>,
-    /// Up to where the operator's record is known, and the failure domains evacuated as of then.
-    pub(super) evacuated: (u64, Vec<Arc<str>>),
+    /// What is evacuated, as far as it knows.
+    pub(super) evacuated: Evacuated,
     /// Requests that crash endpoints, with their crashes.
     pub(super) suspects: Vec<(u64, u32)>,
 }
@@ -42,6 +44,16 @@
     rows
 }
 
+/// What an entry knows of evacuations.
+#[wire]
+#[derive(Default)]
+pub(super) struct Evacuated {
+    /// Up to where it has read the operator's record.
+    pub(super) as_of: u64,
+    /// The failure domains that are evacuated as of then.
+    pub(super) domains: BTreeSet<Arc<str>>,
+}
+
 /// What an entry has admitted for a workspace.
 #[wire]
 pub(super) struct Taken {
--- a/src/gateway/observe.rs
+++ b/src/gateway/observe.rs
@@ -73,7 +73,7 @@
     gauge!("trefoil_requests_running").set(f64::from(gateway.running.get()));
     gauge!("trefoil_shards_owned").set(gateway.shards.all_own().len() as f64);
     gauge!("trefoil_ready").set(f64::from(u8::from(gateway.is_ready())));
-    let evacuated = gateway.directory.borrow().evacuations().domains().count();
+    let evacuated = gateway.directory.borrow().evacuations().domains().len();
     let cold = gateway.directory.borrow().all().filter(|(_, r)| r.is_cold(gateway.now())).count();
     gauge!("trefoil_endpoints_cold").set(cold as f64);
     gauge!("trefoil_domains_evacuated").set(evacuated as f64);
--- a/src/gateway/operator_feed.rs
+++ b/src/gateway/operator_feed.rs
@@ -101,7 +101,7 @@
     let feed = bounded(wait_ms + READ_SLACK_MS, read).await?;
     let mut evacuated = match feed.whole {
         true => BTreeSet::new(),
-        false => gateway.directory.borrow().evacuations().domains().cloned().collect(),
+        false => gateway.directory.borrow().evacuations().domains().clone(),
     };
     for instruction in feed.items {
         match instruction {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -27,6 +27,8 @@
 #[derive(Debug)]
 struct Peer {
     name: Arc<str>,
+    /// Stands for the name.
+    hash: u64,
     /// None as long as it is known from its messages only.
     region: Option<Arc<str>>,
     life: u64,
@@ -66,6 +68,7 @@
     pub(super) fn know(&mut self, now: TimeMs, record: PeerRecord) {
         let PeerRecord { name, address, region } = record;
         let peer = self.peers.entry(address).or_insert_with(|| Peer {
+            hash: Digest::of(&[name.as_bytes()]).prefix(),
             name,
             region: None,
             life: 0,
@@ -107,7 +110,7 @@
     /// Stand for the entries that have been heard, also those silent by now.
     pub(super) fn senders(&self) -> Vec<u64> {
         let heard = self.peers.values().filter(|peer| peer.life != 0);
-        heard.map(|peer| Digest::of(&[peer.name.as_bytes()]).prefix()).collect()
+        heard.map(|peer| peer.hash).collect()
     }
 
     /// Where to send messages.
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -12,7 +12,7 @@
 use super::endpoint_feed::follow_endpoints;
 use super::gossip::{follow_peers, hear, life_number};
 use super::hold::hold;
-use super::message::{Gossip, Taken};
+use super::message::{Evacuated, Gossip, Taken};
 use super::peers::Peers;
 use super::rates::{Known, Rates};
 use super::suspects::Suspects;
@@ -161,7 +161,7 @@
         running: vec![],
         taken: vec![],
         answers: vec![],
-        evacuated: (0, vec![]),
+        evacuated: Evacuated::default(),
         suspects: vec![],
     }
 }
@@ -236,8 +236,12 @@
 fn an_entry_learns_from_others_what_is_evacuated() {
     let gateway = fakes::gateway(FakeStore::default());
     let other = ([127, 0, 0, 2], 1).into();
-    hear(&gateway, other, &Gossip { evacuated: (7, vec!["d".into()]), ..gossip(1, false) });
+    let told = |as_of, names: &[&str]| {
+        let domains = names.iter().map(|name| Arc::from(*name)).collect();
+        Gossip { evacuated: Evacuated { as_of, domains }, ..gossip(1, false) }
+    };
+    hear(&gateway, other, &told(7, &["d"]));
     assert!(gateway.directory.borrow().evacuations().contains("d"));
-    hear(&gateway, other, &Gossip { evacuated: (9, vec![]), ..gossip(1, false) });
+    hear(&gateway, other, &told(9, &[]));
     assert!(!gateway.directory.borrow().evacuations().contains("d"));
 }
--- a/src/replicas/evacuations.rs
+++ b/src/replicas/evacuations.rs
@@ -20,8 +20,8 @@
     }
 
     /// The failure domains evacuated now.
-    pub fn domains(&self) -> impl Iterator<Item = &Arc<str>> {
-        self.domains.iter()
+    pub fn domains(&self) -> &BTreeSet<Arc<str>> {
+        &self.domains
     }
 
     /// Whether nothing may be sent to the endpoints of `domain`.
