Logs tell by which endpoint list a request was sent, and what became of a removed endpoint

Cause: of a request that reached an endpoint 3.3 s after it had left, the logs could not tell whether the list was old, the removal deferred or the announcement dropped: 'endpoint removed from the list' was written also for a deferred removal. Change: a line for each attempt with the list's position and age; lines for a lapse (with the time it is kept), its end and an ignored announcement; failed reads and unread time when the list is readable again; a gauge of the list's age. No decision changes.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -201,6 +201,7 @@
         gateway.connections.put_back(gateway.now(), connection);
         return AttemptOutcome::Withheld;
     }
+    log_sent(gateway, endpoint_request, &id);
     let mut in_flight = InFlightGuard::open(gateway, endpoint_request, endpoint, id);
     let response = connection.sender.try_send_request(request);
     let response = match wait_for_response(
@@ -262,6 +263,15 @@
     }
 }
 
+/// Logs which endpoint gets a request, and the state of the endpoint list that it was chosen by.
+fn log_sent(gateway: &Gateway, endpoint_request: &EndpointRequest, endpoint: &str) {
+    let version = gateway.endpoint_list.version();
+    let list_position = version.map_or(0, |version| version.position.0);
+    let list_age_ms = version.map_or(u64::MAX, |version| gateway.now().since(version.read_at));
+    log::info!(request:% = endpoint_request.request, endpoint, list_position, list_age_ms;
+        "request sent to an endpoint");
+}
+
 fn build_request(
     gateway: &Gateway,
     endpoint_request: &EndpointRequest,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod call_store;
 mod dispatch;
 mod endpoint_feed;
+mod endpoint_list;
 mod error;
 mod event_stream;
 mod find_turn;
--- a/src/gateway/observe.rs
+++ b/src/gateway/observe.rs
@@ -91,6 +91,10 @@
     gauge!("trefoil_endpoints_cold").set(cold as f64);
     gauge!("trefoil_domains_evacuated").set(evacuated as f64);
     gauge!("trefoil_connections_opened").set(gateway.connections.opened() as f64);
+    if let Some(version) = gateway.endpoint_list.version() {
+        let age_ms = gateway.now().since(version.read_at);
+        gauge!("trefoil_endpoint_list_age_ms").set(age_ms as f64);
+    }
     if let Some(age_ms) = gateway.active_config.age_ms() {
         gauge!("trefoil_config_age_ms").set(age_ms as f64);
     }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -5,7 +5,7 @@
 use tokio::sync::Notify;
 
 use super::attempt::EndpointRequest;
-use super::endpoint_feed::EndpointListStatus;
+use super::endpoint_list::EndpointListStatus;
 use super::operator_feed::ActiveConfig;
 use super::peers::Peers;
 use super::rates::RateLimiter;
--- a/src/replicas/announcement.rs
+++ b/src/replicas/announcement.rs
@@ -34,3 +34,23 @@
     /// The endpoint's record could not be decoded; it is treated like a removed one.
     Unreadable(Arc<str>),
 }
+
+/// What a change of the endpoint list came to.
+#[value]
+#[derive(Copy)]
+pub enum ChangeOutcome {
+    /// The announcement is the endpoint's latest one.
+    Announced,
+    /// The announcement is older than the known one, which is kept.
+    Outdated,
+    /// The endpoint was removed.
+    Removed,
+    /// The endpoint's record is gone, but may have lapsed during an outage of the list. The
+    /// endpoint stays in use for this long unless it is listed again.
+    Lapsed {
+        /// Milliseconds until it is removed.
+        keep_ms: u64,
+    },
+    /// The endpoint to be removed is not known.
+    Unknown,
+}
--- a/src/replicas/directory.rs
+++ b/src/replicas/directory.rs
@@ -4,7 +4,8 @@
 
 use super::cold_limits::RecentSends;
 use super::{
-    Announcement, AnswerCounts, ColdLimits, EndpointChange, Evacuations, Health, SenderQuota,
+    Announcement, AnswerCounts, ChangeOutcome, ColdLimits, EndpointChange, Evacuations, Health,
+    SenderQuota,
 };
 use crate::prelude::*;
 
@@ -93,9 +94,8 @@
         Directory { seed, sender_quota: SenderQuota::open(seed), ..Directory::default() }
     }
 
-    /// Applies a change of the endpoint list. Returns `false` if the change is older than the known
-    /// state or removes an unknown endpoint.
-    pub fn apply(&mut self, now: TimeMs, change: EndpointChange) -> bool {
+    /// Applies a change of the endpoint list.
+    pub fn apply(&mut self, now: TimeMs, change: EndpointChange) -> ChangeOutcome {
         match change {
             EndpointChange::Announcement(id, announcement) => {
                 self.apply_announcement(now, id, announcement)
@@ -178,14 +178,14 @@
         now: TimeMs,
         id: Arc<str>,
         announcement: Announcement,
-    ) -> bool {
+    ) -> ChangeOutcome {
         let cold_ms = announcement.cold_left_ms;
         let mut recent_sends = RecentSends::default();
         if let Some(key) = self.by_id.get(&id).copied() {
             let known = &self.replicas[key].announcement;
             let version = (announcement.started_at_ms, announcement.sequence);
             if version < (known.started_at_ms, known.sequence) {
-                return false;
+                return ChangeOutcome::Outdated;
             }
             let same_instance = announcement.started_at_ms == known.started_at_ms;
             if same_instance
@@ -196,7 +196,7 @@
                 replica.announcement = announcement;
                 replica.remove_at = None;
                 replica.mark_cold(now, cold_ms);
-                return true;
+                return ChangeOutcome::Announced;
             }
             // Requests recently sent to this address may have reached the new process instance.
             recent_sends =
@@ -220,20 +220,23 @@
         self.by_id.insert(id, key);
         self.by_hash.insert(hash, key);
         self.by_service.entry(service).or_default().push(key);
-        true
+        ChangeOutcome::Announced
     }
 
-    fn apply_removal(&mut self, now: TimeMs, id: &str) -> bool {
+    fn apply_removal(&mut self, now: TimeMs, id: &str) -> ChangeOutcome {
         let Some(key) = self.by_id.get(id).copied() else {
-            return false;
+            return ChangeOutcome::Unknown;
         };
         match self.list_recovered_at.map(|recovered_at| recovered_at.plus(LAPSE_GRACE_MS)) {
             Some(remove_at) if now < remove_at => {
                 self.replicas[key].remove_at = Some(remove_at);
+                ChangeOutcome::Lapsed { keep_ms: remove_at.since(now) }
+            }
+            _ => {
+                self.remove(key);
+                ChangeOutcome::Removed
             }
-            _ => drop(self.remove(key)),
         }
-        true
     }
 
     /// Removes lapsed endpoints whose grace period is over.
@@ -241,7 +244,9 @@
         let is_expired = |replica: &Replica| replica.remove_at.is_some_and(|at| now > at);
         let expired: Vec<_> =
             self.replicas.iter().filter(|(_, r)| is_expired(r)).map(|(key, _)| key).collect();
-        expired.into_iter().for_each(|key| drop(self.remove(key)));
+        for replica in expired.into_iter().filter_map(|key| self.remove(key)) {
+            log::info!(endpoint:% = replica.id; "lapsed endpoint was not listed again; removed");
+        }
     }
 
     fn remove(&mut self, key: ReplicaKey) -> Option<Replica> {
--- a/src/replicas/mod.rs
+++ b/src/replicas/mod.rs
@@ -10,7 +10,7 @@
 mod rendezvous;
 mod topology;
 
-pub use announcement::{Announcement, EndpointChange};
+pub use announcement::{Announcement, ChangeOutcome, EndpointChange};
 pub use cold_limits::{ColdLimits, SenderQuota};
 pub use directory::{Directory, Replica, ReplicaKey};
 pub use evacuations::Evacuations;
--- a/src/replicas/tests/directory.rs
+++ b/src/replicas/tests/directory.rs
@@ -4,11 +4,11 @@
 fn an_older_announcement_is_ignored() {
     let mut directory = directory_with(&[("r", announcement("s", 1, 5, 9))]);
     let old = announcement("s", 1, 5, 8);
-    assert!(!directory.apply(TimeMs(1), EndpointChange::Announcement("r".into(), old)));
     let earlier_instance = announcement("s", 1, 4, 100);
-    assert!(
-        !directory.apply(TimeMs(1), EndpointChange::Announcement("r".into(), earlier_instance))
-    );
+    for outdated in [old, earlier_instance] {
+        let change = EndpointChange::Announcement("r".into(), outdated);
+        assert_eq!(directory.apply(TimeMs(1), change), ChangeOutcome::Outdated);
+    }
 }
 
 #[test]
@@ -16,10 +16,8 @@
     let mut directory = directory_with(&[("r", announcement("s", 1, 5, 9))]);
     let before = directory.find("r").expect("known");
     directory.record_sent(TimeMs(0), before);
-    assert!(
-        directory
-            .apply(TimeMs(1), EndpointChange::Announcement("r".into(), announcement("s", 1, 6, 0)))
-    );
+    let restarted = EndpointChange::Announcement("r".into(), announcement("s", 1, 6, 0));
+    assert_eq!(directory.apply(TimeMs(1), restarted), ChangeOutcome::Announced);
     let after = directory.find("r").expect("known");
     assert_ne!(before, after);
     assert_eq!(directory.get(after).expect("known").in_flight, 0);
