A removal counts as a lapse only after an outage of the store for most entries

What callers saw: nothing yet; a request reached an endpoint 3.3 s after it had left, and a shutdown would have cut it. Cause: any failed read of the list (one lost answer, a 429, dropped records, a cut of this entry alone) opened a grace of 2.2 s in which removals were taken for lapses, and endpoints that had left stayed in use. Change: the grace needs an outage: reads failed for 1.5 s or more, and the other entries confirm that the store is unreachable for at least half of those heard (an entry that hears none of those it knew is cut off itself). It lasts 2.0 s from the first good read, so that it also ends before an entry counts as in touch again.

--- a/src/gateway/endpoint_feed.rs
+++ b/src/gateway/endpoint_feed.rs
@@ -36,13 +36,15 @@
                 if failed > 0 {
                     let unread_ms = previous.map_or(0, |previous| read_at.since(previous.read_at));
                     log::info!(failed_reads = failed, unread_ms; "endpoint list readable again");
-                    gateway.directory.borrow_mut().record_list_recovery(gateway.now());
                 }
+                gateway.directory.borrow_mut().record_list_read(gateway.now(), read_at);
                 from = Some(feed.next);
                 apply(&gateway, feed);
             }
             Err(fault) => {
                 gateway.reachability.record_failure(gateway.now(), &fault);
+                let is_general = gateway.peers.borrow().confirm_store_outage(gateway.now());
+                gateway.directory.borrow_mut().record_list_failure(is_general);
                 failed_reads += 1;
                 if failed_reads == 1 {
                     log::warn!(fault:display;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -53,6 +53,13 @@
     deregistered_at: Option<TimeMs>,
 }
 
+impl Peer {
+    /// Whether a message came from the entry recently.
+    fn is_heard_recently(&self, now: TimeMs) -> bool {
+        self.heard_at.is_some_and(|at| now.since(at) < HEARD_RECENTLY_MS)
+    }
+}
+
 /// What a message from an entry has changed.
 #[derive(Debug, Default)]
 pub(super) struct MessageOutcome {
@@ -152,8 +159,7 @@
 
     /// Whether a message came from the entry recently.
     pub(super) fn heard_recently(&self, now: TimeMs, address: SocketAddr) -> bool {
-        let heard_at = self.peers.get(&address).and_then(|peer| peer.heard_at);
-        heard_at.is_some_and(|at| now.since(at) < HEARD_RECENTLY_MS)
+        self.peers.get(&address).is_some_and(|peer| peer.is_heard_recently(now))
     }
 
     /// Whether the store is unreachable for at least half of the entries heard recently. If these
@@ -163,7 +169,7 @@
         let alive = self.peers.values().filter(|peer| peer.heard_at.is_some() && !peer.leaving);
         let (mut known, mut heard, mut unreachable) = (0, 0, 0);
         for peer in alive {
-            let recent = peer.heard_at.is_some_and(|at| now.since(at) < HEARD_RECENTLY_MS);
+            let recent = peer.is_heard_recently(now);
             known += 1;
             heard += usize::from(recent);
             unreachable += usize::from(recent && peer.store_unreachable);
@@ -171,6 +177,19 @@
         heard * 2 >= known && unreachable * 2 >= heard
     }
 
+    /// Whether the other entries confirm an outage of the store: it is unreachable for at least half
+    /// of those heard recently. If none of them is heard any more, this entry itself is cut off and
+    /// the answer is `false`. If none was ever heard, it is `true`: there is no other evidence.
+    pub(super) fn confirm_store_outage(&self, now: TimeMs) -> bool {
+        let mut known = self.peers.values().filter(|peer| peer.instance != 0).peekable();
+        if known.peek().is_none() {
+            return true;
+        }
+        let heard: Vec<_> = known.filter(|peer| peer.is_heard_recently(now)).collect();
+        let unreachable = heard.iter().filter(|peer| peer.store_unreachable).count();
+        !heard.is_empty() && unreachable * 2 >= heard.len()
+    }
+
     /// The region of an entry, if known.
     pub(super) fn region(&self, address: SocketAddr) -> Option<&str> {
         self.peers.get(&address)?.region.as_deref()
@@ -184,7 +203,7 @@
         is_local_region: impl Fn(Option<&str>) -> bool,
     ) -> Vec<SocketAddr> {
         let eligible = |peer: &Peer| {
-            let recent = peer.heard_at.is_some_and(|at| now.since(at) < HEARD_RECENTLY_MS);
+            let recent = peer.is_heard_recently(now);
             recent
                 && !peer.store_unreachable
                 && !peer.leaving
@@ -198,7 +217,7 @@
 
     /// Whether an entry has started recently and still needs the full state of the others.
     pub(super) fn has_newcomer(&self, now: TimeMs) -> bool {
-        let heard = |peer: &Peer| peer.heard_at.is_some_and(|at| now.since(at) < HEARD_RECENTLY_MS);
+        let heard = |peer: &Peer| peer.is_heard_recently(now);
         self.peers.values().any(|peer| peer.recently_started && heard(peer))
     }
 
@@ -232,7 +251,7 @@
         let rank = |candidate: &SocketAddr| {
             Digest::of(&[candidate.to_string().as_bytes(), address.to_string().as_bytes()]).prefix()
         };
-        let heard = |peer: &Peer| peer.heard_at.is_some_and(|at| now.since(at) < HEARD_RECENTLY_MS);
+        let heard = |peer: &Peer| peer.is_heard_recently(now);
         let others = self.peers.iter().filter(|(at, peer)| **at != address && heard(peer));
         let before = others.filter(|(at, _)| rank(at) < rank(&own_address)).count();
         let Some(peer) = self.peers.get_mut(&address).filter(|_| before < DEREGISTERING_ENTRIES)
@@ -256,7 +275,7 @@
         let (mut others, mut heard) = (0, 0);
         for peer in self.peers.values().filter(has_share) {
             others += 1;
-            let recent = peer.heard_at.is_some_and(|at| now.since(at) < HEARD_RECENTLY_MS);
+            let recent = peer.is_heard_recently(now);
             heard += u32::from(recent);
         }
         PeerCounts { entries: others + 1, heard: heard + 1 }
--- a/src/replicas/directory.rs
+++ b/src/replicas/directory.rs
@@ -5,17 +5,10 @@
 use super::cold_limits::RecentSends;
 use super::{
     Announcement, AnswerCounts, ChangeOutcome, ColdLimits, EndpointChange, Evacuations, Health,
-    SenderQuota,
+    ListOutage, SenderQuota,
 };
 use crate::prelude::*;
 
-/// How long after an outage of the endpoint list an endpoint whose record has lapsed stays in use.
-/// Records lapse during an outage because endpoints cannot renew them. Running endpoints are listed
-/// again about two seconds after the list has become available, so removing them at once would
-/// leave no endpoint at all. Counted from the end of the outage: an endpoint that shuts down soon
-/// after it must not stay in use for longer than one that shuts down at another time.
-const LAPSE_GRACE_MS: u64 = 2_200;
-
 new_key_type! {
     /// Key of an endpoint in the directory.
     pub struct ReplicaKey;
@@ -81,7 +74,7 @@
     by_id: HashMap<Arc<str>, ReplicaKey>,
     by_hash: HashMap<u64, ReplicaKey>,
     by_service: HashMap<Arc<str>, Vec<ReplicaKey>>,
-    list_recovered_at: Option<TimeMs>,
+    list_outage: ListOutage,
     evacuations: Evacuations,
     cold_limits: HashMap<Arc<str>, ColdLimits>,
     sender_quota: SenderQuota,
@@ -106,9 +99,16 @@
         }
     }
 
-    /// Records that the list can be read again after an outage.
-    pub fn record_list_recovery(&mut self, now: TimeMs) {
-        self.list_recovered_at = Some(now);
+    /// Records a failed read of the list. `is_general` tells whether the store is unreachable for
+    /// most entries rather than for this one only.
+    pub fn record_list_failure(&mut self, is_general: bool) {
+        self.list_outage.record_failure(is_general);
+    }
+
+    /// Records a successful read of the list that began at `read_at`, before its changes are
+    /// applied.
+    pub fn record_list_read(&mut self, now: TimeMs, read_at: TimeMs) {
+        self.list_outage.record_read(now, read_at);
     }
 
     /// Replaces the evacuated failure domains by those at position `as_of` of the operator's log,
@@ -227,12 +227,12 @@
         let Some(key) = self.by_id.get(id).copied() else {
             return ChangeOutcome::Unknown;
         };
-        match self.list_recovered_at.map(|recovered_at| recovered_at.plus(LAPSE_GRACE_MS)) {
-            Some(remove_at) if now < remove_at => {
+        match self.list_outage.lapse_grace(now) {
+            Some(remove_at) => {
                 self.replicas[key].remove_at = Some(remove_at);
                 ChangeOutcome::Lapsed { keep_ms: remove_at.since(now) }
             }
-            _ => {
+            None => {
                 self.remove(key);
                 ChangeOutcome::Removed
             }
--- a/src/replicas/mod.rs
+++ b/src/replicas/mod.rs
@@ -6,6 +6,7 @@
 mod directory;
 mod evacuations;
 mod health;
+mod list_outage;
 mod placement;
 mod rendezvous;
 mod topology;
@@ -15,6 +16,7 @@
 pub use directory::{Directory, Replica, ReplicaKey};
 pub use evacuations::Evacuations;
 pub use health::{AnswerCounts, Health};
+pub use list_outage::ListOutage;
 pub use placement::{Placement, PlacementRequest};
 pub use topology::Topology;
 
--- a/src/replicas/tests/directory.rs
+++ b/src/replicas/tests/directory.rs
@@ -1,3 +1,5 @@
+use test_case::test_case;
+
 use super::*;
 
 #[test]
@@ -30,6 +32,13 @@
     assert!(directory.find("r").is_none());
 }
 
+/// Ends an outage of the store for all entries, in which the list was not read for `unread_ms`.
+fn end_outage(directory: &mut Directory, ended_at: u64, unread_ms: u64) {
+    directory.record_list_read(TimeMs(ended_at - unread_ms), TimeMs(ended_at - unread_ms));
+    directory.record_list_failure(true);
+    directory.record_list_read(TimeMs(ended_at), TimeMs(ended_at));
+}
+
 // When the endpoint list returns after an outage, all records have lapsed because endpoints could
 // not renew them. Removing the endpoints at once would refuse all requests for two seconds although
 // every endpoint is running.
@@ -37,16 +46,16 @@
 fn endpoints_lapsed_in_a_list_outage_stay_for_the_grace_period() {
     let mut directory =
         directory_with(&[("r", announcement("s", 1, 5, 9)), ("q", announcement("s", 2, 5, 9))]);
-    directory.record_list_recovery(TimeMs(1_000));
-    directory.apply(TimeMs(1_100), EndpointChange::Removed("r".into()));
-    directory.apply(TimeMs(1_100), EndpointChange::Removed("q".into()));
+    end_outage(&mut directory, 5_000, 4_000);
+    directory.apply(TimeMs(5_100), EndpointChange::Removed("r".into()));
+    directory.apply(TimeMs(5_100), EndpointChange::Removed("q".into()));
     directory.apply(
-        TimeMs(2_000),
+        TimeMs(6_000),
         EndpointChange::Announcement("r".into(), announcement("s", 1, 5, 10)),
     );
-    directory.remove_expired(TimeMs(3_200));
+    directory.remove_expired(TimeMs(7_000));
     assert_eq!(directory.of_service("s").count(), 2);
-    directory.remove_expired(TimeMs(3_400));
+    directory.remove_expired(TimeMs(7_100));
     assert!(directory.find("r").is_some());
     assert!(directory.find("q").is_none());
 }
@@ -57,8 +66,24 @@
 #[test]
 fn the_grace_period_is_counted_from_the_end_of_the_outage() {
     let mut directory = directory_with(&[("r", announcement("s", 1, 5, 9))]);
-    directory.record_list_recovery(TimeMs(1_000));
-    directory.apply(TimeMs(1_900), EndpointChange::Removed("r".into()));
-    directory.remove_expired(TimeMs(3_300));
+    end_outage(&mut directory, 5_000, 4_000);
+    directory.apply(TimeMs(5_900), EndpointChange::Removed("r".into()));
+    directory.remove_expired(TimeMs(7_100));
     assert!(directory.find("r").is_none());
 }
+
+// Removals were taken for lapses after any failed read, and endpoints that had left got requests
+// for up to 3.7 s.
+#[test_case(4_000, false; "this entry alone failed to read it")]
+#[test_case(1_400, true; "too short for a record to lapse")]
+fn a_removal_after_failed_reads_without_a_long_outage_counts_at_once(
+    unread_ms: u64,
+    is_general: bool,
+) {
+    let mut directory = directory_with(&[("r", announcement("s", 1, 5, 9))]);
+    directory.record_list_read(TimeMs(1_000), TimeMs(1_000));
+    directory.record_list_failure(is_general);
+    directory.record_list_read(TimeMs(1_000 + unread_ms), TimeMs(1_000 + unread_ms));
+    let removed = EndpointChange::Removed("r".into());
+    assert_eq!(directory.apply(TimeMs(1_100 + unread_ms), removed), ChangeOutcome::Removed);
+}
