A request is withheld from an endpoint that leaves after it was chosen

A request that waited for a connection was sent although its endpoint had begun to drain meanwhile; the check before sending knew evacuations and cold limits only. A lapsed endpoint stayed in use until the next read of the list after its grace had ended: up to 400 ms, and longer while reads failed. Change: may_send, asked at the choice and before sending, knows both; health alone decides is_usable. Before: a_request_is_withheld_... failed in its first case (the request was sent); the second case (a removed record) passed already. a_lapsed_endpoint_gets_no_requests_after_the_grace_period is new with the check. After: 183 tests of the library pass.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -158,7 +158,7 @@
     Responded(Box<EndpointResponse>),
     /// The endpoint states that it has not run the request.
     NotRun,
-    /// Nothing was sent: since the endpoint was chosen, it was removed, its failure domain was
+    /// Nothing was sent: since the endpoint was chosen, it has left, its failure domain was
     /// evacuated, or this entry's limit for it while it is cold was used up.
     Withheld,
     /// Nothing was sent: the connection failed, the deadline has passed, or the endpoint is gone.
@@ -195,8 +195,9 @@
     let Some(request) = build_request(gateway, endpoint_request, &id, last_event) else {
         return AttemptOutcome::NeverSent { stale_connection: false };
     };
-    // Opening the connection may have taken long: meanwhile, the endpoint's failure domain may have
-    // been evacuated, or other requests may have used up the limit of a cold endpoint.
+    // Opening the connection may have taken long: meanwhile, the endpoint may have begun to shut
+    // down, its failure domain may have been evacuated, or other requests may have used up the
+    // limit of a cold endpoint.
     if !gateway.directory.borrow().may_send(gateway.now(), endpoint) {
         gateway.connections.put_back(gateway.now(), connection);
         return AttemptOutcome::Withheld;
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -1,3 +1,4 @@
+mod attempts;
 mod endpoint_list;
 mod fakes;
 
--- a/src/replicas/directory.rs
+++ b/src/replicas/directory.rs
@@ -46,10 +46,15 @@
         self.health.answers_to_share(now)
     }
 
-    /// Whether it may receive new requests, judged by its announcement and health alone.
+    /// Whether its health allows a new request.
     pub fn is_usable(&self, now: TimeMs) -> bool {
         let is_busy_on_probation = self.health.is_on_probation() && self.in_flight > 0;
-        !self.announcement.draining && !self.health.is_ejected(now) && !is_busy_on_probation
+        !self.health.is_ejected(now) && !is_busy_on_probation
+    }
+
+    /// Whether it is shutting down, or its record has lapsed and it was not listed again in time.
+    fn has_left(&self, now: TimeMs) -> bool {
+        self.announcement.draining || self.remove_at.is_some_and(|at| now > at)
     }
 
     /// Whether it has recently started or lost its caches.
@@ -140,11 +145,13 @@
         self.sender_quota.update_others(now.0, others);
     }
 
-    /// Whether an endpoint is outside the evacuated failure domains and, if it is cold, this
-    /// entry's quota for it is not used up.
+    /// Whether an endpoint has not left, is outside the evacuated failure domains and, if it is
+    /// cold, this entry's quota for it is not used up.
     pub fn may_send(&self, now: TimeMs, key: ReplicaKey) -> bool {
         self.replicas.get(key).is_some_and(|replica| {
-            !self.is_evacuated(replica) && self.within_cold_limits(now, replica)
+            !replica.has_left(now)
+                && !self.is_evacuated(replica)
+                && self.within_cold_limits(now, replica)
         })
     }
 
--- a/src/replicas/placement.rs
+++ b/src/replicas/placement.rs
@@ -104,11 +104,10 @@
             if !directory.may_send(now, key) || !self.is_allowed(request, replica) {
                 continue;
             }
-            active += usize::from(!replica.announcement.draining);
+            active += 1;
             match replica.is_usable(now) {
                 true => usable.push((key, replica)),
-                false if !replica.announcement.draining => ejected.push((key, replica)),
-                false => {}
+                false => ejected.push((key, replica)),
             }
         }
         // If most endpoints seem to fail, the fault probably lies elsewhere: use them all.
--- a/src/replicas/tests/directory.rs
+++ b/src/replicas/tests/directory.rs
@@ -87,3 +87,14 @@
     let removed = EndpointChange::Removed("r".into());
     assert_eq!(directory.apply(TimeMs(1_100 + unread_ms), removed), ChangeOutcome::Removed);
 }
+
+// Lapsed endpoints are removed only with the next read of the list, which may take long or fail.
+#[test]
+fn a_lapsed_endpoint_gets_no_requests_after_the_grace_period() {
+    let mut directory = directory_with(&[("r", announcement("s", 1, 5, 9))]);
+    end_outage(&mut directory, 5_000, 4_000);
+    directory.apply(TimeMs(5_100), EndpointChange::Removed("r".into()));
+    let key = directory.find("r").expect("it is kept");
+    assert!(directory.may_send(TimeMs(6_900), key));
+    assert!(!directory.may_send(TimeMs(7_100), key));
+}
