A call to the store without an answer closes the idle connections beside it

Change: a call dropped before its answer closes the pool's idle connections to the store, so that the next call opens a new one. Test: a_call_without_an_answer_closes_the_idle_connections_to_its_server (the type is new with it; before, the connections stayed).

--- a/src/http/connections.rs
+++ b/src/http/connections.rs
@@ -127,6 +127,11 @@
         Some(pooled.iter().all(|connection| connection.sender.is_closed()))
     }
 
+    /// Closes the idle connections to `address`.
+    pub fn close_idle(&self, address: SocketAddr) {
+        self.idle.borrow_mut().remove(&address);
+    }
+
     /// Closes connections that have been idle for too long, and drops those already closed.
     pub fn remove_expired(&self, now: TimeMs) {
         self.idle.borrow_mut().retain(|_, pooled| {
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -4,6 +4,7 @@
 mod client;
 mod connections;
 mod line_reader;
+mod pending_call;
 mod request_body;
 mod server;
 
@@ -11,5 +12,9 @@
 pub use client::{CallError, Client};
 pub use connections::{ConnectError, Connection, ConnectionPool, set_socket_options};
 pub use line_reader::LineReader;
+pub use pending_call::PendingCall;
 pub use request_body::{BodyGate, BodyGateClosed, RequestBody};
 pub use server::{RunningServer, ServerLimits, serve};
+
+#[cfg(test)]
+mod tests;
