A leaving peer that was taken for dead is still leaving when it is heard again

Cause: leaving, then dead (a refused connection, late heartbeats), then the next heartbeat of the same process instance that says live made it live, and it got new work; directly after leaving the same heartbeat did not. Change: a state of its own for peers that were leaving when they were taken for dead. Before: leaving_endpoint_gets_no_work_after_it_was_taken_for_dead failed (1 live, 0 expected). After: it passes.

--- a/src/membership/liveness.rs
+++ b/src/membership/liveness.rs
@@ -45,19 +45,19 @@
         }
     }
 
-    /// Heartbeats don't bring a leaving peer back. Unless it is considered dead in between, only a
-    /// new process instance on its VM accepts work again.
+    /// Heartbeats don't bring a leaving peer back. Only a new process instance on its VM accepts work
+    /// again.
     #[state]
     fn leaving(event: &LivenessEvent) -> Outcome<State> {
         match event {
-            LivenessEvent::Failed => Transition(State::dead()),
+            LivenessEvent::Failed => Transition(State::dead_while_leaving()),
             LivenessEvent::HeartbeatLive
             | LivenessEvent::HeartbeatLeaving
             | LivenessEvent::SuspectTimeout => Handled,
         }
     }
 
-    /// A dead peer gets the state that its next heartbeat reports, even if it was leaving before.
+    /// A dead peer gets the state that its next heartbeat reports.
     #[state]
     fn dead(event: &LivenessEvent) -> Outcome<State> {
         match event {
@@ -66,6 +66,17 @@
             LivenessEvent::SuspectTimeout | LivenessEvent::Failed => Handled,
         }
     }
+
+    /// A peer that was leaving when it was considered dead is still leaving if it is heard again.
+    #[state]
+    fn dead_while_leaving(event: &LivenessEvent) -> Outcome<State> {
+        match event {
+            LivenessEvent::HeartbeatLive | LivenessEvent::HeartbeatLeaving => {
+                Transition(State::leaving())
+            }
+            LivenessEvent::SuspectTimeout | LivenessEvent::Failed => Handled,
+        }
+    }
 }
 
 /// The liveness of a peer.
@@ -89,7 +100,7 @@
 
     /// Whether the peer is considered dead.
     pub fn is_dead(&self) -> bool {
-        matches!(self.0.state(), State::Dead {})
+        matches!(self.0.state(), State::Dead {} | State::DeadWhileLeaving {})
     }
 }
 
--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -58,6 +58,19 @@
     assert_eq!(live(&table), 0);
 }
 
+/// A leaving endpoint that is taken for dead, because a connection was refused or its heartbeats were
+/// late, is still leaving when it is heard again.
+#[test]
+fn leaving_endpoint_gets_no_work_after_it_was_taken_for_dead() {
+    let mut table = table();
+    let leaving = Heartbeat { state: PeerState::Leaving, ..heartbeat("m1", 1, 0, 1) };
+    table.record_heartbeat(TimeMs(0), leaving);
+    table.mark_dead(&VmName::parse("m1").unwrap());
+    assert_eq!(dead(&table), 1);
+    table.record_heartbeat(TimeMs(10), heartbeat("m1", 1, 0, 2));
+    assert_eq!((live(&table), dead(&table)), (0, 0));
+}
+
 #[test]
 fn replaced_vm_with_the_same_name_is_a_new_instance() {
     let mut table = table();
