A VM taken off the platform's list while leaving gets no new work

Cause: the table took the absence of a VM from the list for 'not leaving', so that one listed as leaving got work again as soon as it was taken off the list, as long as its process sent heartbeats. Change: a peer that is no longer listed keeps its state. Before: endpoint_taken_off_the_list_while_leaving_gets_no_new_work failed (1 live, 0 expected). After: it passes.

--- a/src/membership/table.rs
+++ b/src/membership/table.rs
@@ -128,10 +128,12 @@
         self.update_listed_leaving();
     }
 
+    /// Updates which peers are listed as leaving. One that is no longer listed keeps its state: if it
+    /// was leaving, the platform has removed its VM or is about to.
     fn update_listed_leaving(&mut self) {
         for peer in self.peers.values_mut() {
             let listed = self.vm_list.vms.iter().find(|vm| vm.vm == peer.heartbeat.vm.as_str());
-            peer.listed_leaving = listed.is_some_and(|vm| vm.is_leaving());
+            peer.listed_leaving = listed.map_or(peer.listed_leaving, |vm| vm.is_leaving());
         }
     }
 
--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -81,19 +81,35 @@
     assert_eq!(peer.heartbeat.instance, Instance(2));
 }
 
+/// The list's record of the VM m1 in a state.
+fn listed(state: &str) -> ListedVm {
+    ListedVm {
+        vm: "m1".to_string(),
+        role: "endpoint".to_string(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        state: state.to_string(),
+    }
+}
+
 #[test]
 fn endpoint_listed_as_leaving_gets_no_new_work() {
     let mut table = table();
     table.record_heartbeat(TimeMs(0), heartbeat("m1", 1, 0, 1));
-    let address = "127.0.0.1:1".parse().unwrap();
-    let vm = ListedVm {
-        vm: "m1".to_string(),
-        role: "endpoint".to_string(),
-        address,
-        state: "leaving".to_string(),
-    };
-    table.set_vm_list(VmList { vms: vec![vm] });
+    table.set_vm_list(VmList { vms: vec![listed("leaving")] });
+    assert_eq!(live(&table), 0);
+}
+
+/// A VM is listed as leaving and then taken off the list while its process still sends heartbeats.
+/// Only a process that was never listed as leaving counts as new and not listed yet.
+#[test]
+fn endpoint_taken_off_the_list_while_leaving_gets_no_new_work() {
+    let mut table = table();
+    table.record_heartbeat(TimeMs(0), heartbeat("m1", 1, 0, 1));
+    table.set_vm_list(VmList { vms: vec![listed("leaving")] });
+    table.set_vm_list(VmList::default());
     assert_eq!(live(&table), 0);
+    table.set_vm_list(VmList { vms: vec![listed("live")] });
+    assert_eq!(live(&table), 1, "the platform keeps the VM after all");
 }
 
 #[test]
