An entry that hears no other any more takes itself for cut off, also after its peers are forgotten

What callers saw: an entry cut off from all others and the store let requests wait for the store, for 0.4 of their time, from 1.5 s after the cut on; docs/OPERATIONS.md says that it refuses at once, as it did before then. Cause: after 1.5 s of silence peers no longer counted as known, and 'no entry known' was taken for 'no other evidence than one's own'. Change: only an entry that never heard another decides by itself; one that hears none of those it heard before is cut off. Before: an_entry_distinguishes_its_own_disconnection_from_a_store_outage, with one assertion more at 2 s, failed. After: it passes.

--- a/src/gateway/endpoint_feed.rs
+++ b/src/gateway/endpoint_feed.rs
@@ -70,7 +70,7 @@
 /// Records the last of `failed_reads` failed reads in a row.
 fn record_failure(gateway: &Gateway, fault: &StoreError, failed_reads: u32) {
     gateway.reachability.record_failure(gateway.now(), fault);
-    let is_general = gateway.peers.borrow().confirm_store_outage(gateway.now());
+    let is_general = gateway.peers.borrow().store_unreachable_for_most(gateway.now());
     gateway.directory.borrow_mut().record_list_failure(is_general);
     if failed_reads == 1 {
         log::warn!(fault:display;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -163,31 +163,17 @@
     }
 
     /// Whether the store is unreachable for at least half of the entries heard recently. If these
-    /// are fewer than half of those known, the answer is `false`: then this entry itself is cut
-    /// off. If no other entry is known, it is `true`: none could serve the callers instead.
+    /// are fewer than half of those heard in the last seconds, the answer is `false`: then this
+    /// entry itself is cut off. If no other entry was ever heard, it is `true`: there is no other
+    /// evidence, and none could serve the callers instead.
     pub(super) fn store_unreachable_for_most(&self, now: TimeMs) -> bool {
-        let alive = self.peers.values().filter(|peer| peer.heard_at.is_some() && !peer.leaving);
-        let (mut known, mut heard, mut unreachable) = (0, 0, 0);
-        for peer in alive {
-            let recent = peer.is_heard_recently(now);
-            known += 1;
-            heard += usize::from(recent);
-            unreachable += usize::from(recent && peer.store_unreachable);
-        }
-        heard * 2 >= known && unreachable * 2 >= heard
-    }
-
-    /// Whether the other entries confirm an outage of the store: it is unreachable for at least half
-    /// of those heard recently. If none of them is heard any more, this entry itself is cut off and
-    /// the answer is `false`. If none was ever heard, it is `true`: there is no other evidence.
-    pub(super) fn confirm_store_outage(&self, now: TimeMs) -> bool {
-        let mut known = self.peers.values().filter(|peer| peer.instance != 0).peekable();
-        if known.peek().is_none() {
+        if self.peers.values().all(|peer| peer.instance == 0) {
             return true;
         }
-        let heard: Vec<_> = known.filter(|peer| peer.is_heard_recently(now)).collect();
+        let alive: Vec<_> = self.peers.values().filter(|peer| peer.heard_at.is_some()).collect();
+        let heard: Vec<_> = alive.iter().filter(|peer| peer.is_heard_recently(now)).collect();
         let unreachable = heard.iter().filter(|peer| peer.store_unreachable).count();
-        !heard.is_empty() && unreachable * 2 >= heard.len()
+        !heard.is_empty() && heard.len() * 2 >= alive.len() && unreachable * 2 >= heard.len()
     }
 
     /// The region of an entry, if known.
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -253,6 +253,11 @@
         !peers.store_unreachable_for_most(TimeMs(900)),
         "no entry was heard recently: this one is cut off itself"
     );
+    peers.take_silent(TimeMs(2_000));
+    assert!(
+        !peers.store_unreachable_for_most(TimeMs(2_000)),
+        "the others are silent for longer, but were heard before"
+    );
 }
 
 // An entry that can't reach the store when a failure domain is evacuated does not read the
