--- a/soak/src/bin/trefoil-soak.rs
+++ b/soak/src/bin/trefoil-soak.rs
@@ -1,25 +1,25 @@
-//! Plays programs over real gateways under random faults, and checks what was promised.
+//! Runs programs over real gateways under random faults, and checks the guarantees.
 
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 
 use getopts::Options;
-use trefoil_soak::{Checks, Faults, Report, Turn, World, WorldSettings, play_programs};
+use trefoil_soak::{Checks, Faults, Report, Turn, World, WorldSettings, run_programs};
 
-/// Tries of a program's last turn after the faults.
-const LAST_TRIES: usize = 60;
+/// Maximum number of attempts to continue a program after the faults.
+const MAX_CONTINUE_ATTEMPTS: usize = 60;
 
-/// Pause between two of them.
-const LAST_PAUSE: Duration = Duration::from_millis(100);
+/// Pause between two of these attempts.
+const CONTINUE_PAUSE: Duration = Duration::from_millis(100);
 
 fn main() -> ExitCode {
     let mut options = Options::new();
     options.optopt("", "seed", "first seed [default: 1]", "N");
-    options.optopt("", "seeds", "seeds in a row [default: 1]", "N");
+    options.optopt("", "seeds", "number of consecutive seeds [default: 1]", "N");
     options.optopt("", "seconds", "length of each run under faults [default: 8]", "S");
-    options.optopt("", "gateways", "gateways [default: 4]", "N");
-    options.optopt("", "lines", "lines of programs at once [default: 12]", "N");
+    options.optopt("", "gateways", "number of gateways [default: 4]", "N");
+    options.optopt("", "lines", "number of programs running at once [default: 12]", "N");
     let args: Vec<String> = std::env::args().skip(1).collect();
     let flags = match options.parse(&args) {
         Ok(flags) => flags,
@@ -31,8 +31,8 @@
     let number = |name: &str, default: u64| flags.opt_get_default(name, default);
     let numbers = [("seed", 1), ("seeds", 1), ("seconds", 8), ("gateways", 4), ("lines", 12)]
         .map(|(name, default)| number(name, default));
-    let [Ok(seed), Ok(seeds), Ok(seconds), Ok(gateways), Ok(lines)] = numbers else {
-        eprintln!("each flag takes a whole number");
+    let [Ok(seed), Ok(seeds), Ok(seconds), Ok(gateways), Ok(workers)] = numbers else {
+        eprintln!("the value of each flag must be a whole number");
         return ExitCode::from(2);
     };
     let runtime = match tokio::runtime::Runtime::new() {
@@ -44,7 +44,7 @@
     };
     let mut failed = 0_u32;
     for seed in seed..seed + seeds {
-        match runtime.block_on(soak(seed, seconds, gateways as usize, lines)) {
+        match runtime.block_on(soak(seed, seconds, gateways as usize, workers)) {
             Ok(true) => {}
             Ok(false) => failed += 1,
             Err(fault) => {
@@ -61,53 +61,60 @@
     Ok(std::env::current_exe()?.with_file_name("trefoilproxyd-platform"))
 }
 
-async fn soak(seed: u64, seconds: u64, gateways: usize, lines: u64) -> std::io::Result<bool> {
+async fn soak(seed: u64, seconds: u64, gateways: usize, workers: u64) -> std::io::Result<bool> {
     let settings = WorldSettings { program: program()?, gateways, revoke_ms: 5_000 };
     let mut world = World::start(&settings).await?;
     let until = Instant::now() + Duration::from_secs(seconds);
     let entries: Vec<_> = world.gateways.iter().map(|gateway| gateway.callers).collect();
     let caller = world.caller.clone();
-    let playing =
-        tokio::spawn(async move { play_programs(&caller, &entries, seed, lines, until).await });
+    let programs =
+        tokio::spawn(async move { run_programs(&caller, &entries, seed, workers, until).await });
     let mut faults = Faults::open(seed);
-    faults.play(&mut world, until).await?;
-    let report = playing.await.map_err(std::io::Error::other)?;
-    let lost = go_on(&world, &report).await;
+    faults.run(&mut world, until).await?;
+    let report = programs.await.map_err(std::io::Error::other)?;
+    let lost = continue_programs(&world, &report).await;
     let runs = world.journal.runs();
-    let broken = Checks::open(&report, &runs).broken();
-    let served = report.asked.iter().filter(|asked| asked.answer.is_served()).count();
+    let violations = Checks::open(&report, &runs).violations();
+    let served = report.requests.iter().filter(|sent| sent.answer.is_served()).count();
     println!(
         "seed {seed}: {} faults, {} requests, {served} served, {} programs went on, {} broken",
-        faults.done.len(),
-        report.asked.len(),
-        report.last.len() - lost.len(),
-        broken.len() + lost.len(),
+        faults.injected.len(),
+        report.requests.len(),
+        report.last_turns.len() - lost.len(),
+        violations.len() + lost.len(),
     );
-    broken.iter().for_each(|broken| println!("  {broken}"));
+    violations.iter().for_each(|violation| println!("  {violation}"));
     lost.iter().for_each(|program| println!("  a turn seen to end is kept: {program}"));
-    if !broken.is_empty() || !lost.is_empty() {
-        println!("  faults: {:?}", faults.done);
+    if !violations.is_empty() || !lost.is_empty() {
+        println!("  faults: {:?}", faults.injected);
         keep_logs(seed, &world)?;
     }
-    Ok(broken.is_empty() && lost.is_empty())
+    Ok(violations.is_empty() && lost.is_empty())
 }
 
-/// Goes on with each program after the faults; those that can't go on, or get a wrong history.
-async fn go_on(world: &World, report: &Report) -> Vec<String> {
+/// Continues each program after the faults. Returns those that can't be continued, or with a wrong
+/// history.
+async fn continue_programs(world: &World, report: &Report) -> Vec<String> {
     let mut lost = Vec::new();
-    for (number, (program, previous, said)) in report.last.iter().enumerate() {
-        if !goes_on(world, number, program, previous, said).await {
+    for (number, (program, previous, history)) in report.last_turns.iter().enumerate() {
+        if !can_continue(world, number, program, previous, history).await {
             lost.push(format!("{program} after {previous}"));
         }
     }
     lost
 }
 
-async fn goes_on(world: &World, number: usize, program: &str, previous: &str, said: &str) -> bool {
-    for attempt in 0..LAST_TRIES {
+async fn can_continue(
+    world: &World,
+    number: usize,
+    program: &str,
+    previous: &str,
+    history: &str,
+) -> bool {
+    for attempt in 0..MAX_CONTINUE_ATTEMPTS {
         let request = format!("last-{program}-{attempt}");
         let input = format!("say {request};");
-        let prompt = format!("{said}{input}");
+        let prompt = format!("{history}{input}");
         let turn = Turn {
             request: request.clone(),
             program: format!("last-{program}"),
@@ -125,7 +132,7 @@
         if answer.status == Some(404) {
             return false;
         }
-        tokio::time::sleep(LAST_PAUSE).await;
+        tokio::time::sleep(CONTINUE_PAUSE).await;
     }
     false
 }
--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -9,51 +9,51 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
-/// How long a caller waits.
-const WAIT_MS: u64 = 3_000;
+/// Timeout of a request, as its caller states it.
+const TIMEOUT_MS: u64 = 3_000;
 
-/// The most tokens of one turn.
-pub(crate) const MOST_TOKENS: u64 = 60;
+/// Maximum number of output tokens of a turn.
+pub(crate) const MAX_TURN_TOKENS: u64 = 60;
 
-/// What becomes of a turn's history, and of its stream.
+/// Whether the history of a turn is kept, and whether its stream can be resumed.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum TurnKind {
-    /// The system keeps what was said; a broken stream is lost.
+    /// The history is kept; a broken stream is not resumed.
     #[default]
     Kept,
-    /// Nothing is kept but the program's account; a broken stream may go on elsewhere.
+    /// Only the program's token account is kept; a broken stream may be resumed at another endpoint.
     Resumable,
 }
 
-/// A turn to ask for.
+/// A turn to be requested.
 #[derive(Debug, Clone, Default)]
 pub struct Turn {
-    /// On which route.
+    /// Decides the route.
     pub kind: TurnKind,
-    /// Its request id.
+    /// Its request ID.
     pub request: String,
-    /// Its program.
+    /// The ID of its program.
     pub program: String,
-    /// The turn before it.
+    /// The request ID of the preceding turn.
     pub previous: Option<String>,
-    /// What is new in it.
+    /// Its own input, without the history.
     pub input: String,
-    /// The program's budget.
+    /// The token budget of the program.
     pub budget: u64,
 }
 
-/// What a caller got.
+/// The response that a caller received.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Answer {
-    /// The status; none if there was no answer.
+    /// The status; `None` if there was no response.
     pub status: Option<u16>,
-    /// When to come back, if the answer says so.
+    /// The value of `Retry-After`, if present.
     pub retry_after_ms: Option<u64>,
-    /// How long an unused connection is kept, if the answer says so.
+    /// The idle timeout of the connection, if stated in `Keep-Alive`.
     pub keep_alive_ms: Option<u64>,
-    /// Whether the body came to its end.
+    /// Whether the body was received completely.
     pub whole: bool,
-    /// The bytes of the body that came.
+    /// The received bytes of the body.
     pub body: Vec<u8>,
 }
 
@@ -66,23 +66,23 @@
         body: Vec::new(),
     };
 
-    /// Whether it is a success, whole.
+    /// Whether it is a complete response with status 200.
     pub fn is_served(&self) -> bool {
         self.status == Some(200) && self.whole
     }
 
-    /// Whether it promises that the request has not run and never will.
-    pub fn promises(&self) -> bool {
+    /// Whether its status guarantees that the request has not run and never will.
+    pub fn guarantees_not_run(&self) -> bool {
         matches!(self.status, Some(402 | 408 | 421 | 429 | 503))
     }
 
-    /// Events that came, also of an answer that broke off.
+    /// The number of events received, also in an incomplete response.
     pub fn events(&self) -> u64 {
         self.body.windows(2).filter(|pair| pair == b"\n\n").count() as u64
     }
 }
 
-/// A caller with a key.
+/// A caller with an API key.
 #[derive(Debug, Clone)]
 pub struct Caller {
     /// Its key.
@@ -90,7 +90,7 @@
 }
 
 impl Caller {
-    /// Asks an entry for a turn.
+    /// Requests a turn from an entry.
     pub async fn turn(&self, entry: SocketAddr, turn: &Turn) -> Answer {
         let path = match turn.kind {
             TurnKind::Kept => "/turns/1",
@@ -100,20 +100,20 @@
             .request(Method::POST, path, &turn.request)
             .header("trefoilproxy-program-id", &turn.program)
             .header("trefoilproxy-token-budget", turn.budget)
-            .header("trefoilproxy-token-count", format!("10,{MOST_TOKENS}"));
+            .header("trefoilproxy-token-count", format!("10,{MAX_TURN_TOKENS}"));
         if let Some(previous) = &turn.previous {
             request = request.header("trefoilproxy-previous-turn", previous);
         }
         send(entry, request.body(Full::new(Bytes::from(turn.input.clone())))).await
     }
 
-    /// Calls a tool that may be called again.
+    /// Calls an idempotent tool.
     pub async fn look_up(&self, entry: SocketAddr, request: &str) -> Answer {
         let request = self.request(Method::GET, "/lookups/1", request);
         send(entry, request.body(Full::default())).await
     }
 
-    /// Calls a tool that must not run twice.
+    /// Calls a tool that must run at most once.
     pub async fn act(&self, entry: SocketAddr, request: &str) -> Answer {
         let id = request.to_string();
         let request = self.request(Method::POST, "/actions/1", request);
@@ -127,7 +127,7 @@
             .header("host", "soak.example")
             .header("authorization", format!("Bearer {}", self.key))
             .header("trefoilproxy-request-id", request)
-            .header("trefoilproxy-deadline-ms", WAIT_MS)
+            .header("trefoilproxy-deadline-ms", TIMEOUT_MS)
     }
 }
 
@@ -138,7 +138,7 @@
     let Ok(request) = request else {
         return Answer::NONE;
     };
-    let limit = Duration::from_millis(WAIT_MS + 1_000);
+    let limit = Duration::from_millis(TIMEOUT_MS + 1_000);
     tokio::time::timeout(limit, exchange(entry, request)).await.unwrap_or(Answer::NONE)
 }
 
@@ -171,7 +171,7 @@
     Answer { status, retry_after_ms, keep_alive_ms, whole, body: received }
 }
 
-/// The seconds behind `label` in a header, in milliseconds.
+/// The value in a header after `label`, converted from seconds to milliseconds.
 fn seconds(response: &Response<Incoming>, header: &str, label: &str) -> Option<u64> {
     let value = response.headers().get(header)?.to_str().ok()?;
     let seconds = value.strip_prefix(label)?.parse::<f64>().ok()?;
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -1,37 +1,37 @@
 use std::collections::HashMap;
 use std::fmt;
 
-use crate::caller::MOST_TOKENS;
+use crate::caller::MAX_TURN_TOKENS;
 use crate::endpoint::output_of;
 use crate::journal::Run;
-use crate::program::{Asked, Kind, Report};
+use crate::program::{Report, RequestKind, SentRequest};
 
-/// Tokens that an event stands for, as the configuration says.
+/// Number of tokens per event, as in the configuration of the service.
 const TOKENS_PER_EVENT: u64 = 20;
 
-/// A promise that was broken.
+/// A violated guarantee.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Broken {
-    /// Which.
-    pub promise: &'static str,
-    /// What was seen.
+pub struct Violation {
+    /// The guarantee.
+    pub guarantee: &'static str,
+    /// What was observed.
     pub seen: String,
 }
 
-impl fmt::Display for Broken {
+impl fmt::Display for Violation {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}: {}", self.promise, self.seen)
+        write!(f, "{}: {}", self.guarantee, self.seen)
     }
 }
 
-/// Checks the promises from what callers and endpoints saw.
+/// Checks the guarantees against what callers and endpoints observed.
 pub struct Checks<'a> {
     report: &'a Report,
     runs: HashMap<&'a str, Vec<&'a Run>>,
 }
 
 impl<'a> Checks<'a> {
-    /// Of one run of programs.
+    /// Checks one run of programs.
     pub fn open(report: &'a Report, runs: &'a [Run]) -> Checks<'a> {
         let mut by_request: HashMap<&str, Vec<&Run>> = HashMap::new();
         for run in runs {
@@ -40,36 +40,39 @@
         Checks { report, runs: by_request }
     }
 
-    /// All promises that were broken.
-    pub fn broken(&self) -> Vec<Broken> {
-        let requests = self.report.asked.iter().flat_map(|asked| self.of_request(asked));
+    /// All violations.
+    pub fn violations(&self) -> Vec<Violation> {
+        let requests = self.report.requests.iter().flat_map(|sent| self.of_request(sent));
         requests.chain(self.budgets()).collect()
     }
 
-    fn of_request(&self, asked: &Asked) -> Vec<Broken> {
-        let runs = self.runs.get(asked.request.as_str()).map_or(&[][..], Vec::as_slice);
-        let answer = &asked.answer;
-        let turn = matches!(asked.kind, Kind::Turn | Kind::Ask);
-        let once = matches!(asked.kind, Kind::Turn | Kind::Action);
+    fn of_request(&self, sent: &SentRequest) -> Vec<Violation> {
+        let runs = self.runs.get(sent.request.as_str()).map_or(&[][..], Vec::as_slice);
+        let answer = &sent.answer;
+        let turn = matches!(sent.kind, RequestKind::Turn | RequestKind::ResumableTurn);
+        let once = matches!(sent.kind, RequestKind::Turn | RequestKind::Action);
         let body = String::from_utf8_lossy(&answer.body);
         let served = answer.is_served();
         let checks = [
             ("at most one run", once && runs.len() > 1),
-            ("a refusal that says not run is true", answer.promises() && !runs.is_empty()),
+            (
+                "a refusal that says not run is true",
+                answer.guarantees_not_run() && !runs.is_empty(),
+            ),
             ("a success has run", served && runs.is_empty()),
             (
                 "no turn is denied that was seen to end",
-                asked.continues && answer.status == Some(404),
+                sent.continues && answer.status == Some(404),
             ),
             ("a key in force is known", answer.status == Some(401)),
-            ("answers are the request's own", served && !body.contains(&asked.request)),
+            ("answers are the request's own", served && !body.contains(&sent.request)),
             (
                 "streams are whole and in order",
-                turn && served && data(&body) != output_of(&asked.request),
+                turn && served && data(&body) != output_of(&sent.request),
             ),
             (
                 "an endpoint gets the whole history",
-                turn && runs.iter().any(|r| r.body != asked.prompt.as_bytes()),
+                turn && runs.iter().any(|r| r.body != sent.prompt.as_bytes()),
             ),
             (
                 "the key's workspace, and no key",
@@ -77,20 +80,22 @@
             ),
         ];
         let broken = checks.into_iter().filter(|(_, broken)| *broken);
-        let seen = || format!("{} {:?} {:?} {runs:?}", asked.request, answer.status, asked.prompt);
-        broken.map(|(promise, _)| Broken { promise, seen: seen() }).collect()
+        let seen = || format!("{} {:?} {:?} {runs:?}", sent.request, answer.status, sent.prompt);
+        broken.map(|(guarantee, _)| Violation { guarantee, seen: seen() }).collect()
     }
 
-    fn budgets(&self) -> Vec<Broken> {
+    fn budgets(&self) -> Vec<Violation> {
         let mut tokens: HashMap<&str, u64> = HashMap::new();
-        let turn = |asked: &&Asked| matches!(asked.kind, Kind::Turn | Kind::Ask);
-        for asked in self.report.asked.iter().filter(turn) {
-            *tokens.entry(&asked.program).or_default() += asked.answer.events() * TOKENS_PER_EVENT;
+        let turn = |sent: &&SentRequest| {
+            matches!(sent.kind, RequestKind::Turn | RequestKind::ResumableTurn)
+        };
+        for sent in self.report.requests.iter().filter(turn) {
+            *tokens.entry(&sent.program).or_default() += sent.answer.events() * TOKENS_PER_EVENT;
         }
-        let most = self.report.budget + MOST_TOKENS;
+        let most = self.report.budget + MAX_TURN_TOKENS;
         let over = tokens.into_iter().filter(|(_, tokens)| *tokens > most);
-        let broken = |(program, tokens): (&str, u64)| Broken {
-            promise: "a program keeps to its budget",
+        let broken = |(program, tokens): (&str, u64)| Violation {
+            guarantee: "a program keeps to its budget",
             seen: format!("{program} got {tokens} tokens"),
         };
         over.map(broken).collect()
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -14,56 +14,56 @@
 use crate::journal::{Journal, Run};
 use crate::platform_store::PlatformStore;
 
-/// Events of each stream.
+/// Number of events of each stream.
 pub(crate) const EVENTS: u64 = 3;
 
 /// Pause between the events of a stream.
 const EVENT_PAUSE: Duration = Duration::from_millis(4);
 
-/// Pause between two entries in the endpoints' list.
-const BEAT: Duration = Duration::from_millis(300);
+/// Interval at which an endpoint renews its record in the endpoint list.
+const RENEWAL_INTERVAL: Duration = Duration::from_millis(300);
 
-/// A silent endpoint says nothing for this long: longer than any caller waits.
+/// How long a silent endpoint sends nothing: longer than any caller waits.
 const SILENCE: Duration = Duration::from_secs(10);
 
-/// What an endpoint serves.
+/// The kind of requests that an endpoint serves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EndpointKind {
-    /// Turns, as streams of events.
+    /// Turns, answered with event streams.
     Engine,
-    /// Calls of tools.
+    /// Tool calls.
     Tool,
 }
 
-/// What is wrong with an endpoint.
+/// A fault of an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EndpointFault {
     /// Nothing.
     None,
-    /// It breaks one in so many answers off after the run.
+    /// Breaks off one in this many responses after running the request.
     BreaksOneIn(u64),
-    /// It answers one in so many requests with a fault of its own, after the run.
+    /// Answers one in this many requests with status 500 after running it.
     FailsOneIn(u64),
-    /// It runs requests and says nothing.
+    /// Runs requests and does not respond.
     Silent,
-    /// It breaks the first run of each request off after so many bytes of its events.
+    /// Breaks off the first run of each request after this many bytes of its events.
     CutsFirstRunAfter(usize),
-    /// It says nothing more after the first event of the first run of each request.
+    /// Sends nothing after the first event of the first run of each request.
     StallsFirstRun,
 }
 
-/// An endpoint on the platform. It stops when the handle is dropped.
+/// An endpoint that is registered in the endpoint list. It stops when the handle is dropped.
 pub struct PlatformEndpoint {
-    /// Its id.
+    /// Its ID.
     pub id: String,
     store: PlatformStore,
     state: Arc<State>,
     running: Running,
-    beating: tokio::task::JoinHandle<()>,
+    renewal: tokio::task::JoinHandle<()>,
 }
 
 struct State {
-    /// Its id, which changes when its address is given to another.
+    /// Its ID, which changes when its address is reused by another endpoint.
     id: Mutex<String>,
     kind: EndpointKind,
     journal: Arc<Journal>,
@@ -72,7 +72,7 @@
 }
 
 impl PlatformEndpoint {
-    /// Starts an endpoint, which enters itself in the store's list.
+    /// Starts an endpoint, which registers itself in the endpoint list.
     pub async fn spawn(
         id: &str,
         service: &str,
@@ -93,28 +93,29 @@
             async move { state.answer(request).await }
         })
         .await?;
-        let beating = beat(store.clone(), id.to_string(), service, running.address, "ready");
-        Ok(PlatformEndpoint { id: id.to_string(), store, state, running, beating })
+        let renewal =
+            keep_registered(store.clone(), id.to_string(), service, running.address, "ready");
+        Ok(PlatformEndpoint { id: id.to_string(), store, state, running, renewal })
     }
 
-    /// It says that it is leaving, and goes on serving what reaches it.
+    /// Announces that the endpoint is draining. It continues to serve the requests that it receives.
     pub fn drain(&mut self, service: &str) {
-        self.beating.abort();
+        self.renewal.abort();
         let (store, address) = (self.store.clone(), self.running.address);
-        self.beating = beat(store, self.id.clone(), service, address, "draining");
+        self.renewal = keep_registered(store, self.id.clone(), service, address, "draining");
     }
 
-    /// It is gone without a word, and its address belongs to an endpoint of another service, which
-    /// enters itself in the list; the old entry stays there.
+    /// Replaces the endpoint, without notice, by one of another service at the same address. The new
+    /// one registers itself; the old record stays in the list.
     pub fn replace(&mut self, id: &str, service: &str) {
-        self.beating.abort();
+        self.renewal.abort();
         *self.state.id.lock().expect("not poisoned") = id.to_string();
         self.id = id.to_string();
         let (store, address) = (self.store.clone(), self.running.address);
-        self.beating = beat(store, id.to_string(), service, address, "ready");
+        self.renewal = keep_registered(store, id.to_string(), service, address, "ready");
     }
 
-    /// From now on, this is wrong with it.
+    /// Sets the endpoint's fault.
     pub fn set_fault(&self, fault: EndpointFault) {
         *self.state.fault.lock().expect("not poisoned") = fault;
     }
@@ -122,7 +123,7 @@
 
 impl Drop for PlatformEndpoint {
     fn drop(&mut self) {
-        self.beating.abort();
+        self.renewal.abort();
     }
 }
 
@@ -141,7 +142,7 @@
             return answer(StatusCode::BAD_REQUEST, &HeaderMap::new(), whole("cut"));
         };
         let request = text("trefoilproxy-request-id");
-        self.journal.ran(Run {
+        self.journal.record(Run {
             request: request.clone(),
             endpoint: id,
             workspace: text("trefoilproxy-tenant"),
@@ -196,8 +197,8 @@
     if id.ends_with("-2") { "b" } else { "a" }
 }
 
-/// Keeps an endpoint's entry in the list.
-fn beat(
+/// Registers an endpoint in the list, and renews the record.
+fn keep_registered(
     store: PlatformStore,
     id: String,
     service: &str,
@@ -206,34 +207,34 @@
 ) -> tokio::task::JoinHandle<()> {
     let service = service.to_string();
     tokio::spawn(async move {
-        // Later states of one life have higher numbers.
+        // Within one process instance, later states have higher sequence numbers.
         let first = if state == "ready" { 0_u64 } else { 1 << 32 };
         for sequence in first.. {
             let entry = json!({"service": service, "address": address, "zone": failure_domain(&id),
                 "version": "v1", "slots": 8, "state": state, "coldLeftMs": 0,
                 "seqNo": sequence, "born": 1});
             store.put("keyed.servers", &id, Some(entry));
-            tokio::time::sleep(BEAT).await;
+            tokio::time::sleep(RENEWAL_INTERVAL).await;
         }
     })
 }
 
-/// The data of a turn's events, as its successor's prompt holds them.
+/// The data of a turn's events, as they appear in the prompt of the next turn.
 pub(crate) fn output_of(request: &str) -> String {
     (0..EVENTS).map(|event| format!("{request}-{event}\n")).collect()
 }
 
-/// How a stream of events ends.
+/// How an event stream ends.
 #[derive(Debug, Clone, Copy)]
 enum Ending {
     Whole,
-    /// The connection breaks after so many bytes.
+    /// The connection breaks after this many bytes.
     CutAfter(usize),
-    /// Nothing comes after the first event.
+    /// Nothing is sent after the first event.
     StalledAfterOne,
 }
 
-/// An event as it stands on the wire.
+/// An event in wire format.
 pub(crate) fn event_text(request: &str, event: u64) -> String {
     format!("id: {event}\ndata: {request}-{event}\n\n")
 }
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -8,68 +8,69 @@
 use crate::proxy::LinkFault;
 use crate::world::World;
 
-/// A fault lasts this long at most.
-const LASTS_MOST_MS: u64 = 1_500;
+/// Maximum duration of a fault.
+const MAX_FAULT_MS: u64 = 1_500;
 
-/// Pause between the beginnings of two faults, at most.
-const PAUSE_MOST_MS: u64 = 500;
+/// Maximum pause between the starts of two faults.
+const MAX_PAUSE_MS: u64 = 500;
 
+/// How a fault is ended. The number is that of the gateway, link or endpoint.
 #[derive(Debug, Clone, Copy)]
-enum Ends {
-    Start(usize),
-    Continue(usize),
+enum Recovery {
+    Restart(usize),
+    Resume(usize),
     Link(usize),
     Store,
     Endpoint(usize),
 }
 
-/// Brings faults about in series that overlap, chosen by a seed.
+/// Injects random faults that may overlap. The seed determines which, when and for how long.
 pub struct Faults {
     random: StdRng,
-    ends: Vec<(Instant, Ends)>,
-    /// What was done, for the report of a failure.
-    pub done: Vec<String>,
+    recoveries: Vec<(Instant, Recovery)>,
+    /// Descriptions of the faults so far, for failure reports.
+    pub injected: Vec<String>,
 }
 
 impl Faults {
-    /// The series of a seed.
+    /// The faults of a seed.
     pub fn open(seed: u64) -> Faults {
-        Faults { random: StdRng::seed_from_u64(seed), ends: Vec::new(), done: Vec::new() }
+        Faults { random: StdRng::seed_from_u64(seed), recoveries: Vec::new(), injected: Vec::new() }
     }
 
-    /// Brings faults about until `until`, then ends all that last.
-    pub async fn play(&mut self, world: &mut World, until: Instant) -> std::io::Result<()> {
+    /// Injects faults until `until`, then ends all that still last.
+    pub async fn run(&mut self, world: &mut World, until: Instant) -> std::io::Result<()> {
         while Instant::now() < until {
-            self.begin(world)?;
-            let pause = Duration::from_millis(self.random.random_range(20..PAUSE_MOST_MS));
+            self.inject_next(world)?;
+            let pause = Duration::from_millis(self.random.random_range(20..MAX_PAUSE_MS));
             let next = Instant::now() + pause;
             while Instant::now() < next {
                 tokio::time::sleep(Duration::from_millis(10)).await;
-                self.end_due(world, Instant::now()).await?;
+                self.end_expired(world, Instant::now()).await?;
             }
         }
-        let all = Instant::now() + Duration::from_millis(2 * LASTS_MOST_MS);
-        self.end_due(world, all).await
+        let all = Instant::now() + Duration::from_millis(2 * MAX_FAULT_MS);
+        self.end_expired(world, all).await
     }
 
-    fn begin(&mut self, world: &mut World) -> std::io::Result<()> {
-        let lasts = Duration::from_millis(self.random.random_range(50..LASTS_MOST_MS));
+    fn inject_next(&mut self, world: &mut World) -> std::io::Result<()> {
+        let lasts = Duration::from_millis(self.random.random_range(50..MAX_FAULT_MS));
         let ends_at = Instant::now() + lasts;
         let at = self.random.random_range(0..world.gateways.len());
         let chosen = self.random.random_range(0..10_u32);
-        self.done.push(format!("{chosen} on {at} for {} ms", lasts.as_millis()));
-        let ends = match chosen {
+        self.injected.push(format!("{chosen} on {at} for {} ms", lasts.as_millis()));
+        let recovery = match chosen {
             0 => {
                 world.gateways[at].kill()?;
-                Ends::Start(at)
+                Recovery::Restart(at)
             }
             1 => {
                 world.gateways[at].signal("TERM")?;
-                Ends::Start(at)
+                Recovery::Restart(at)
             }
             2 => {
                 world.gateways[at].signal("STOP")?;
-                Ends::Continue(at)
+                Recovery::Resume(at)
             }
             3 => {
                 world.gateways[at].signal("HUP")?;
@@ -79,12 +80,12 @@
                 let faults = [
                     LinkFault::Delayed(20),
                     LinkFault::Reset,
-                    LinkFault::CutForth,
-                    LinkFault::CutBack,
+                    LinkFault::BlockedToServer,
+                    LinkFault::BlockedToClient,
                     LinkFault::Silent,
                 ];
-                world.links[at].set(faults[self.random.random_range(0..faults.len())]);
-                Ends::Link(at)
+                world.links[at].set_fault(faults[self.random.random_range(0..faults.len())]);
+                Recovery::Link(at)
             }
             6 => {
                 let faults = [
@@ -94,10 +95,10 @@
                     StoreFault::Slow(60),
                 ];
                 world.store.set_fault(faults[self.random.random_range(0..faults.len())]);
-                Ends::Store
+                Recovery::Store
             }
             7 => {
-                world.store.deal_anew();
+                world.store.reassign_shards();
                 return Ok(());
             }
             8 => {
@@ -109,34 +110,34 @@
                 ];
                 let fault = faults[self.random.random_range(0..faults.len())];
                 world.endpoints[endpoint].set_fault(fault);
-                Ends::Endpoint(endpoint)
+                Recovery::Endpoint(endpoint)
             }
             _ => {
                 world.configure(&["secret-key-in-force"], &["other-key"]);
                 return Ok(());
             }
         };
-        self.ends.push((ends_at, ends));
+        self.recoveries.push((ends_at, recovery));
         Ok(())
     }
 
-    async fn end_due(&mut self, world: &mut World, now: Instant) -> std::io::Result<()> {
-        let (due, later) = self.ends.drain(..).partition(|(at, _)| *at <= now);
-        self.ends = later;
-        let due: Vec<(Instant, Ends)> = due;
-        for (_, ends) in due {
-            match ends {
-                Ends::Start(at) => {
-                    // A stopped process takes no other signal until it goes on.
+    async fn end_expired(&mut self, world: &mut World, now: Instant) -> std::io::Result<()> {
+        let (due, later) = self.recoveries.drain(..).partition(|(at, _)| *at <= now);
+        self.recoveries = later;
+        let due: Vec<(Instant, Recovery)> = due;
+        for (_, recovery) in due {
+            match recovery {
+                Recovery::Restart(at) => {
+                    // A process stopped by SIGSTOP handles no signal but SIGKILL.
                     world.gateways[at].kill()?;
                     world.gateways[at].start()?;
                 }
-                Ends::Continue(at) => {
+                Recovery::Resume(at) => {
                     world.gateways[at].signal("CONT")?;
                 }
-                Ends::Link(at) => world.links[at].set(LinkFault::None),
-                Ends::Store => world.store.set_fault(StoreFault::None),
-                Ends::Endpoint(at) => world.endpoints[at].set_fault(EndpointFault::None),
+                Recovery::Link(at) => world.links[at].set_fault(LinkFault::None),
+                Recovery::Store => world.store.set_fault(StoreFault::None),
+                Recovery::Endpoint(at) => world.endpoints[at].set_fault(EndpointFault::None),
             }
         }
         Ok(())
--- a/soak/src/gateways.rs
+++ b/soak/src/gateways.rs
@@ -8,26 +8,27 @@
 
 use serde_json::json;
 
-/// Lines of a process's log that are kept for a report of a failure.
-const LINES_KEPT: usize = 20_000;
+/// Maximum number of log lines kept per gateway for failure reports.
+const MAX_KEPT_LINES: usize = 20_000;
 
-/// The first of the ports for listeners, and how many there are. The system gives none of them to
-/// outgoing connections, which would take a port between its choice and its use, or while its process
-/// is down.
+/// The lowest port for listeners. The range is below that of the system's ephemeral ports: an outgoing
+/// connection could otherwise take a port before its process listens on it, or while it restarts.
 const FIRST_PORT: u32 = 10_000;
+
+/// Number of ports in the range.
 const PORTS: u32 = 20_000;
 
-/// Held while a port is tried and while a process is started: a process that is being started holds
-/// its parent's open ports for a moment, and whoever is to listen there finds them taken.
-static STARTING: Mutex<()> = Mutex::new(());
+/// Held while a port is probed and while a process is spawned. A child inherits its parent's sockets
+/// until it executes its program, so a port that is being probed would appear to be in use.
+static SPAWN_LOCK: Mutex<()> = Mutex::new(());
 
-/// A port on loopback that nobody listens on, each time another.
+/// Returns a loopback port on which nothing listens, a different one on each call.
 ///
 /// # Errors
-/// If all are taken.
+/// If all ports of the range are in use.
 pub fn free_port() -> std::io::Result<u16> {
     static NEXT: AtomicU32 = AtomicU32::new(0);
-    let _alone = STARTING.lock().expect("not poisoned");
+    let _guard = SPAWN_LOCK.lock().expect("not poisoned");
     for _ in 0..PORTS {
         let offset =
             std::process::id().wrapping_mul(101).wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
@@ -36,14 +37,14 @@
             return Ok(port);
         }
     }
-    Err(std::io::Error::other("no port is free"))
+    Err(std::io::Error::other("all listener ports are in use"))
 }
 
-/// A gateway in a process of its own. It is killed when the handle is dropped.
+/// A gateway process. It is killed when the handle is dropped.
 pub struct Gateway {
     /// The name of its VM.
     pub name: String,
-    /// Where it takes callers' requests.
+    /// Address for callers' requests.
     pub callers: SocketAddr,
     program: PathBuf,
     settings: PathBuf,
@@ -52,7 +53,8 @@
 }
 
 impl Gateway {
-    /// Starts a gateway that meets the store at `store`, with these bounds.
+    /// Writes a settings file and starts a gateway with it. `store` is the address of the store,
+    /// `parts` its number of partitions.
     pub fn spawn(
         name: &str,
         program: &Path,
@@ -83,9 +85,9 @@
         Ok(gateway)
     }
 
-    /// Starts the process again, with the settings that it had.
+    /// Starts the process, again with the same settings if it ran before.
     pub fn start(&mut self) -> std::io::Result<()> {
-        let _alone = STARTING.lock().expect("not poisoned");
+        let _guard = SPAWN_LOCK.lock().expect("not poisoned");
         let mut child = Command::new(&self.program)
             .env("TREFOILPROXY_BOOT", &self.settings)
             .stdin(Stdio::null())
@@ -98,8 +100,7 @@
         Ok(())
     }
 
-    /// Sends the process a signal, as `kill` names it; nothing if it does not run. (As the id of a
-    /// process, zero means the whole group of the sender.)
+    /// Sends the process a signal, named as for `kill`. Does nothing if the process does not run.
     pub fn signal(&self, signal: &str) -> std::io::Result<()> {
         let Some(child) = &self.child else {
             return Ok(());
@@ -117,8 +118,8 @@
         Ok(())
     }
 
-    /// Waits until the process has ended by itself, up to a limit.
-    pub fn wait_end(&mut self, limit: Duration) -> std::io::Result<Option<ExitStatus>> {
+    /// Waits until the process exits by itself. Returns `None` if it still runs after `limit`.
+    pub fn wait_for_exit(&mut self, limit: Duration) -> std::io::Result<Option<ExitStatus>> {
         let started = Instant::now();
         while let Some(child) = &mut self.child {
             if let Some(status) = child.try_wait()? {
@@ -133,7 +134,7 @@
         Ok(None)
     }
 
-    /// What it has written, in all its lives.
+    /// The log lines of all process instances so far.
     pub fn lines(&self) -> Vec<String> {
         self.lines.lock().expect("not poisoned").clone()
     }
@@ -142,7 +143,7 @@
 impl Drop for Gateway {
     fn drop(&mut self) {
         if let Err(fault) = self.kill().and_then(|()| std::fs::remove_file(&self.settings)) {
-            eprintln!("{}: {fault}", self.name);
+            eprintln!("cannot clean up after gateway {}: {fault}", self.name);
         }
     }
 }
@@ -152,7 +153,7 @@
     std::thread::spawn(move || {
         for line in lines.into_iter().flat_map(BufRead::lines).map_while(Result::ok) {
             let mut kept = kept.lock().expect("not poisoned");
-            if kept.len() < LINES_KEPT {
+            if kept.len() < MAX_KEPT_LINES {
                 kept.push(line);
             }
         }
--- a/soak/src/journal.rs
+++ b/soak/src/journal.rs
@@ -2,34 +2,34 @@
 use std::sync::Mutex;
 use std::time::Instant;
 
-/// One request that an endpoint began to run.
+/// A run of a request at an endpoint.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Run {
-    /// The request's id.
+    /// The request's ID.
     pub request: String,
-    /// The endpoint.
+    /// The ID of the endpoint.
     pub endpoint: String,
-    /// The workspace that it was told.
+    /// The workspace stated to the endpoint.
     pub workspace: String,
-    /// The body that it got.
+    /// The body that the endpoint received.
     pub body: Vec<u8>,
-    /// Whether it came with a key.
+    /// Whether the request carried an API key.
     pub had_key: bool,
-    /// How long its caller still waited, as the endpoint was told.
+    /// The time left until the deadline, as stated to the endpoint.
     pub left_ms: Option<u64>,
-    /// When it began.
+    /// When the run began.
     pub at: Instant,
 }
 
-/// All that endpoints have run.
+/// Records all runs at all endpoints.
 #[derive(Debug, Default)]
 pub struct Journal {
     runs: Mutex<Vec<Run>>,
 }
 
 impl Journal {
-    /// A request begins to run.
-    pub fn ran(&self, run: Run) {
+    /// Records the start of a run.
+    pub fn record(&self, run: Run) {
         self.runs.lock().expect("not poisoned").push(run);
     }
 
@@ -38,7 +38,7 @@
         self.runs.lock().expect("not poisoned").clone()
     }
 
-    /// How often each request has run.
+    /// The number of runs of each request.
     pub fn counts(&self) -> HashMap<String, usize> {
         let mut counts = HashMap::new();
         for run in self.runs() {
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -1,5 +1,5 @@
-//! Stand-ins of the platform (store, endpoints, operator, callers), the real gateways as processes
-//! beside them, faults from outside, and checks of what callers and endpoints saw.
+//! Fault soak: runs real gateway processes against stand-ins for the platform (store, endpoints,
+//! operator, callers), injects faults, and checks what callers and endpoints observed.
 
 mod caller;
 mod checks;
@@ -14,12 +14,12 @@
 mod world;
 
 pub use caller::{Answer, Caller, Turn, TurnKind};
-pub use checks::{Broken, Checks};
+pub use checks::{Checks, Violation};
 pub use endpoint::{EndpointFault, EndpointKind, PlatformEndpoint};
 pub use faults::Faults;
 pub use gateways::{Gateway, free_port};
 pub use journal::{Journal, Run};
 pub use platform_store::{PlatformStore, StoreFault};
-pub use program::{Asked, Kind, Report, play_programs};
+pub use program::{Report, RequestKind, SentRequest, run_programs};
 pub use proxy::{LinkFault, Proxy};
 pub use world::{World, WorldSettings};
--- a/soak/src/platform_store.rs
+++ b/soak/src/platform_store.rs
@@ -14,24 +14,24 @@
 
 use crate::store_state::{Appended, Group, Partition, Producer};
 
-/// Partitions of the shards' topic.
+/// Number of partitions of the turns' topic, and so of shards.
 pub(crate) const PARTS: usize = 6;
 
-/// A silent call is held for this long: longer than any client waits.
+/// How long a call without an answer is held: longer than any client waits.
 const SILENCE: Duration = Duration::from_secs(10);
 
-/// What is wrong with the store.
+/// A fault of the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StoreFault {
     /// Nothing.
     None,
-    /// It refuses every call.
+    /// Refuses all calls with status 503.
     Down,
-    /// It answers nobody and does nothing.
+    /// Executes and answers no call.
     Silent,
-    /// Of so many writes, one is done and not answered.
+    /// Executes one in this many appends without answering it.
     LosesAnswers(u64),
-    /// It answers after so many milliseconds.
+    /// Delays all calls by this many milliseconds.
     Slow(u64),
 }
 
@@ -42,14 +42,14 @@
     writes: u64,
 }
 
-/// The platform's store, in memory. It loses nothing that it has acknowledged.
+/// An in-memory stand-in for the platform's store. It loses nothing that it has acknowledged.
 #[derive(Clone)]
 pub struct PlatformStore {
     state: Arc<Mutex<State>>,
 }
 
 impl PlatformStore {
-    /// Starts to serve on `address`.
+    /// Starts serving on `address`.
     pub async fn bind(address: SocketAddr) -> std::io::Result<(PlatformStore, Running)> {
         let state = State {
             partitions: HashMap::new(),
@@ -71,12 +71,12 @@
         self.state.lock().expect("not poisoned")
     }
 
-    /// From now on, this is wrong with it.
+    /// Sets the store's fault.
     pub fn set_fault(&self, fault: StoreFault) {
         self.lock().fault = fault;
     }
 
-    /// Writes a record as the operator or an endpoint does.
+    /// Writes a record, as the operator or an endpoint does; without a value, deletes the key.
     pub fn put(&self, topic: &str, key: &str, value: Option<Value>) {
         let value = value.map(|value| value.to_string().into_bytes());
         let mut state = self.lock();
@@ -84,9 +84,9 @@
         partition.append(vec![(key.to_string(), value)], None);
     }
 
-    /// Deals all shards anew, without any request.
-    pub fn deal_anew(&self) {
-        self.lock().groups.values_mut().for_each(Group::deal);
+    /// Reassigns all shards without a request of a member.
+    pub fn reassign_shards(&self) {
+        self.lock().groups.values_mut().for_each(Group::reassign);
     }
 
     async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
--- a/soak/src/program.rs
+++ b/soak/src/program.rs
@@ -6,85 +6,85 @@
 
 use crate::caller::{Answer, Caller, Turn, TurnKind};
 
-/// Pause of a program between its requests.
+/// Pause between two requests of a program.
 const PAUSE: Duration = Duration::from_millis(30);
 
-/// A program's budget: some of the longer ones spend it.
+/// Token budget of a program. Some of the longer programs use it up.
 const BUDGET: u64 = 600;
 
-/// One line in so many plays programs whose history is not kept.
-const ASKS_ONE_LINE_IN: u64 = 3;
+/// One in this many workers runs programs whose history is not kept.
+const RESUMABLE_WORKER_INTERVAL: u64 = 3;
 
-/// What was asked for.
+/// The kind of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Kind {
+pub enum RequestKind {
     /// A turn of a program whose history is kept.
     Turn,
-    /// A turn of a program whose streams may go on elsewhere.
-    Ask,
-    /// A call that may run twice.
+    /// A turn of a program whose streams may be resumed at another endpoint.
+    ResumableTurn,
+    /// An idempotent tool call.
     Lookup,
-    /// A call that must not.
+    /// A tool call that must run at most once.
     Action,
 }
 
-/// A request and its answer.
+/// A request and its response.
 #[derive(Debug, Clone)]
-pub struct Asked {
-    /// Its id.
+pub struct SentRequest {
+    /// Its ID.
     pub request: String,
-    /// What it was.
-    pub kind: Kind,
-    /// Its program, for turns.
+    /// Its kind.
+    pub kind: RequestKind,
+    /// The ID of its program.
     pub program: String,
-    /// The prompt that an endpoint should have got.
+    /// The prompt that the endpoint must receive, including the history.
     pub prompt: String,
-    /// Whether the turn before it had been seen to end.
+    /// Whether it continues a turn whose end its caller has received.
     pub continues: bool,
     /// When it was sent.
     pub sent: Instant,
-    /// The answer.
+    /// The response.
     pub answer: Answer,
 }
 
-/// All that the programs of a run asked for.
+/// All requests of the programs of a run.
 #[derive(Debug, Default)]
 pub struct Report {
-    /// The requests, in the order of each program.
-    pub asked: Vec<Asked>,
-    /// Each program's budget.
+    /// The requests; those of one program are in order.
+    pub requests: Vec<SentRequest>,
+    /// The token budget of each program.
     pub budget: u64,
-    /// Each program's last turn whose end was seen, with its whole history.
-    pub last: Vec<(String, String, String)>,
+    /// For each program, its ID, and the request ID and history of its last complete turn.
+    pub last_turns: Vec<(String, String, String)>,
 }
 
-/// Plays programs one after the other, in several lines at once, until `until`.
-pub async fn play_programs(
+/// Runs programs until `until`: several workers at once, each with one program after the other.
+pub async fn run_programs(
     caller: &Caller,
     entries: &[SocketAddr],
     seed: u64,
-    lines: u64,
+    workers: u64,
     until: Instant,
 ) -> Report {
-    let playing = (0..lines).map(|line| {
+    let playing = (0..workers).map(|worker| {
         let (caller, entries) = (caller.clone(), entries.to_vec());
-        let random = StdRng::seed_from_u64(seed.wrapping_mul(1_000).wrapping_add(line));
-        tokio::spawn(play_line(caller, entries, random, line, until))
+        let random = StdRng::seed_from_u64(seed.wrapping_mul(1_000).wrapping_add(worker));
+        tokio::spawn(run_worker(caller, entries, random, worker, until))
     });
     let mut whole = Report { budget: BUDGET, ..Report::default() };
     for playing in playing.collect::<Vec<_>>() {
-        let report = playing.await.expect("a line of programs does not panic");
-        whole.asked.extend(report.asked);
-        whole.last.extend(report.last);
+        let report = playing.await.expect("a worker does not panic");
+        whole.requests.extend(report.requests);
+        whole.last_turns.extend(report.last_turns);
     }
     whole
 }
 
-async fn play_line(
+async fn run_worker(
     caller: Caller,
     entries: Vec<SocketAddr>,
     mut random: StdRng,
-    line: u64,
+    worker: u64,
     until: Instant,
 ) -> Report {
     let mut report = Report::default();
@@ -92,29 +92,34 @@
         if Instant::now() >= until {
             break;
         }
-        let program = format!("p{line}-{number}");
-        let turns = match line % ASKS_ONE_LINE_IN {
-            0 => Kind::Ask,
-            _ => Kind::Turn,
+        let program = format!("p{worker}-{number}");
+        let turns = match worker % RESUMABLE_WORKER_INTERVAL {
+            0 => RequestKind::ResumableTurn,
+            _ => RequestKind::Turn,
         };
-        let line = Line { caller: &caller, entries: &entries, turns, until };
-        play_program(line, &mut random, &program, &mut report).await;
+        let worker_settings = WorkerSettings { caller: &caller, entries: &entries, turns, until };
+        run_program(worker_settings, &mut random, &program, &mut report).await;
     }
     report
 }
 
-/// What the programs of a line share.
-struct Line<'a> {
+/// What the programs of a worker have in common.
+struct WorkerSettings<'a> {
     caller: &'a Caller,
     entries: &'a [SocketAddr],
-    /// Which kind of turns they ask for.
-    turns: Kind,
+    /// The kind of their turns.
+    turns: RequestKind,
     until: Instant,
 }
 
-async fn play_program(line: Line<'_>, random: &mut StdRng, program: &str, report: &mut Report) {
-    let Line { caller, entries, turns, until } = line;
-    let (mut previous, mut said): (Option<String>, String) = (None, String::new());
+async fn run_program(
+    settings: WorkerSettings<'_>,
+    random: &mut StdRng,
+    program: &str,
+    report: &mut Report,
+) {
+    let WorkerSettings { caller, entries, turns, until } = settings;
+    let (mut previous, mut history): (Option<String>, String) = (None, String::new());
     for step in 0..random.random_range(2..14_u32) {
         if Instant::now() >= until {
             break;
@@ -122,36 +127,44 @@
         let entry = entries[random.random_range(0..entries.len())];
         let request = format!("{program}-{step}");
         let kind = match random.random_range(0..4_u32) {
-            0 => Kind::Lookup,
-            1 => Kind::Action,
+            0 => RequestKind::Lookup,
+            1 => RequestKind::Action,
             _ => turns,
         };
         let input = format!("say {request};");
-        let prompt = format!("{said}{input}");
+        let prompt = format!("{history}{input}");
         let sent = Instant::now();
         let answer = match kind {
-            Kind::Lookup => caller.look_up(entry, &request).await,
-            Kind::Action => caller.act(entry, &request).await,
-            Kind::Turn | Kind::Ask => {
+            RequestKind::Lookup => caller.look_up(entry, &request).await,
+            RequestKind::Action => caller.act(entry, &request).await,
+            RequestKind::Turn | RequestKind::ResumableTurn => {
                 let (request, program) = (request.clone(), program.to_string());
                 let (previous, budget) = (previous.clone(), BUDGET);
                 let kind = match kind {
-                    Kind::Ask => TurnKind::Resumable,
+                    RequestKind::ResumableTurn => TurnKind::Resumable,
                     _ => TurnKind::Kept,
                 };
                 caller.turn(entry, &Turn { kind, request, program, previous, input, budget }).await
             }
         };
         let continues = previous.is_some();
-        if kind == Kind::Turn && answer.is_served() {
-            said = format!("{prompt}{}", crate::endpoint::output_of(&request));
+        if kind == RequestKind::Turn && answer.is_served() {
+            history = format!("{prompt}{}", crate::endpoint::output_of(&request));
             previous = Some(request.clone());
         }
         let program = program.to_string();
-        report.asked.push(Asked { request, kind, program, prompt, continues, sent, answer });
+        report.requests.push(SentRequest {
+            request,
+            kind,
+            program,
+            prompt,
+            continues,
+            sent,
+            answer,
+        });
         tokio::time::sleep(PAUSE).await;
     }
     if let Some(previous) = previous {
-        report.last.push((program.to_string(), previous, said));
+        report.last_turns.push((program.to_string(), previous, history));
     }
 }
--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -6,29 +6,29 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 
-/// Pause between two looks at a held link.
-const LOOK: Duration = Duration::from_millis(5);
+/// Interval at which a blocked link checks whether it is still blocked.
+const BLOCKED_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
-/// What a link does to the bytes on it.
+/// A fault of a link.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LinkFault {
-    /// Passes them on.
+    /// Bytes are passed on.
     None,
-    /// Passes each piece on after so many milliseconds.
+    /// Each chunk is passed on after this many milliseconds.
     Delayed(u64),
-    /// Ends each connection that carries any.
+    /// A connection is closed as soon as it carries bytes.
     Reset,
-    /// Holds those towards the server; answers still pass.
-    CutForth,
-    /// Holds those towards the client; requests still pass.
-    CutBack,
-    /// Holds all of them, and new connections too.
+    /// Bytes to the server are held back; responses still pass.
+    BlockedToServer,
+    /// Bytes to the client are held back; requests still pass.
+    BlockedToClient,
+    /// All bytes are held back, on new connections too.
     Silent,
 }
 
-/// A loopback proxy in front of one address, whose link can be harmed while it runs.
+/// A loopback proxy in front of a server, which can inject link faults.
 pub struct Proxy {
-    /// Where it listens.
+    /// The address on which it listens.
     pub address: SocketAddr,
     fault: Arc<Mutex<LinkFault>>,
     task: tokio::task::JoinHandle<()>,
@@ -43,14 +43,14 @@
         let link = fault.clone();
         let task = tokio::spawn(async move {
             while let Ok((client, _)) = listener.accept().await {
-                tokio::spawn(carry(client, target, link.clone()));
+                tokio::spawn(relay(client, target, link.clone()));
             }
         });
         Ok(Proxy { address, fault, task })
     }
 
-    /// From now on, the link does this.
-    pub fn set(&self, fault: LinkFault) {
+    /// Sets the link's fault.
+    pub fn set_fault(&self, fault: LinkFault) {
         *self.fault.lock().expect("not poisoned") = fault;
     }
 }
@@ -61,23 +61,23 @@
     }
 }
 
-async fn carry(client: TcpStream, target: SocketAddr, link: Arc<Mutex<LinkFault>>) {
+async fn relay(client: TcpStream, target: SocketAddr, link: Arc<Mutex<LinkFault>>) {
     let Ok(server) = TcpStream::connect(target).await else {
         return;
     };
     let (client_in, client_out) = client.into_split();
     let (server_in, server_out) = server.into_split();
     tokio::select! {
-        () = pass(client_in, server_out, link.clone(), LinkFault::CutForth) => {}
-        () = pass(server_in, client_out, link, LinkFault::CutBack) => {}
+        () = copy(client_in, server_out, link.clone(), LinkFault::BlockedToServer) => {}
+        () = copy(server_in, client_out, link, LinkFault::BlockedToClient) => {}
     }
 }
 
-async fn pass(
+async fn copy(
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     link: Arc<Mutex<LinkFault>>,
-    holds: LinkFault,
+    blocking: LinkFault,
 ) {
     let mut buffer = vec![0; 16 * 1024];
     while let Ok(length @ 1..) = from.read(&mut buffer).await {
@@ -86,11 +86,14 @@
             match fault {
                 LinkFault::Reset => return,
                 LinkFault::Delayed(ms) => tokio::time::sleep(Duration::from_millis(ms)).await,
-                fault if fault == holds || fault == LinkFault::Silent => {
-                    tokio::time::sleep(LOOK).await;
+                fault if fault == blocking || fault == LinkFault::Silent => {
+                    tokio::time::sleep(BLOCKED_POLL_INTERVAL).await;
                     continue;
                 }
-                LinkFault::None | LinkFault::CutForth | LinkFault::CutBack | LinkFault::Silent => {}
+                LinkFault::None
+                | LinkFault::BlockedToServer
+                | LinkFault::BlockedToClient
+                | LinkFault::Silent => {}
             }
             break;
         }
--- a/soak/src/store_state.rs
+++ b/soak/src/store_state.rs
@@ -1,21 +1,21 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
-/// Answers of a producer that are repeated when it repeats their calls.
-const ANSWERS_KEPT: usize = 5;
+/// Number of a producer's latest appends whose repeats get the first answer again.
+const MAX_REPEATABLE_APPENDS: usize = 5;
 
-/// What became of an append.
+/// The outcome of an append.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Appended {
-    /// It is done: the offset of the first record, and the end behind the last.
+    /// Stored: the offset of the first record, and the offset after the last one.
     Done(u64, u64),
-    /// A later epoch was seen.
+    /// Rejected: the partition has seen a later epoch.
     Fenced,
-    /// Another sequence number is due.
+    /// Rejected: this sequence number is the next one.
     OutOfSequence(u64),
 }
 
-/// Who appends, if it says so.
+/// The producer of an append, if stated.
 #[derive(Debug, Clone)]
 pub(crate) struct Producer {
     pub(crate) name: String,
@@ -23,8 +23,9 @@
     pub(crate) sequence: u64,
 }
 
+/// What a partition remembers of a producer.
 #[derive(Debug, Default)]
-struct Known {
+struct ProducerState {
     epoch: u64,
     last: Option<u64>,
     answers: VecDeque<(u64, Appended)>,
@@ -33,9 +34,9 @@
 /// One partition of a keyed topic.
 #[derive(Debug, Default)]
 pub(crate) struct Partition {
-    /// Keys and values by offset; without a value, the key is dropped.
+    /// Keys and values by offset; a record without a value deletes its key.
     pub(crate) records: Vec<(String, Option<Vec<u8>>)>,
-    producers: HashMap<String, Known>,
+    producers: HashMap<String, ProducerState>,
 }
 
 impl Partition {
@@ -52,7 +53,7 @@
             return Appended::Fenced;
         }
         if producer.epoch > known.epoch {
-            *known = Known { epoch: producer.epoch, ..Known::default() };
+            *known = ProducerState { epoch: producer.epoch, ..ProducerState::default() };
         }
         if records.is_empty() {
             return self.add(records);
@@ -67,7 +68,7 @@
         if let Some(known) = self.producers.get_mut(&producer.name) {
             known.last = Some(producer.sequence);
             known.answers.push_back((producer.sequence, answer));
-            if known.answers.len() > ANSWERS_KEPT {
+            if known.answers.len() > MAX_REPEATABLE_APPENDS {
                 known.answers.pop_front();
             }
         }
@@ -93,19 +94,19 @@
     }
 }
 
-/// A group that deals partitions evenly. One that was dealt to another stays with its holder until
-/// the holder has shown the new generation, has left, or has fallen silent.
+/// A group that distributes partitions evenly among its members. A partition that is reassigned stays
+/// with its holder until that member joins with the new generation, leaves, or expires.
 #[derive(Debug, Default)]
 pub(crate) struct Group {
     pub(crate) generation: u64,
     members: BTreeMap<String, Instant>,
     holders: Vec<Option<String>>,
-    dealt: Vec<Option<String>>,
+    assigned: Vec<Option<String>>,
 }
 
 impl Group {
     pub(crate) fn open(parts: usize) -> Group {
-        Group { holders: vec![None; parts], dealt: vec![None; parts], ..Group::default() }
+        Group { holders: vec![None; parts], assigned: vec![None; parts], ..Group::default() }
     }
 
     pub(crate) fn join(&mut self, member: &str, generation: u64, ttl: Duration) -> Vec<u32> {
@@ -114,10 +115,10 @@
         self.members.retain(|name, seen| name == member || now.duration_since(*seen) < ttl);
         let known = self.members.insert(member.to_string(), now).is_some();
         if !known || self.members.len() != before {
-            self.deal();
+            self.reassign();
         }
         for part in 0..self.holders.len() {
-            let mine = self.dealt[part].as_deref() == Some(member);
+            let mine = self.assigned[part].as_deref() == Some(member);
             if self.holders[part].as_deref() == Some(member)
                 && !mine
                 && generation >= self.generation
@@ -130,25 +131,25 @@
         }
         let held = (0..self.holders.len()).filter(|part| {
             let mine = |name: &Option<String>| name.as_deref() == Some(member);
-            mine(&self.holders[*part]) && mine(&self.dealt[*part])
+            mine(&self.holders[*part]) && mine(&self.assigned[*part])
         });
         held.map(|part| part as u32).collect()
     }
 
     pub(crate) fn leave(&mut self, member: &str) {
         if self.members.remove(member).is_some() {
-            self.deal();
+            self.reassign();
         }
     }
 
-    /// Deals all partitions anew.
-    pub(crate) fn deal(&mut self) {
+    /// Reassigns all partitions.
+    pub(crate) fn reassign(&mut self) {
         self.generation += 1;
         let members: Vec<&String> = self.members.keys().collect();
         let turn = self.generation as usize;
-        for part in 0..self.dealt.len() {
+        for part in 0..self.assigned.len() {
             let chosen = members.get((part + turn) % members.len().max(1));
-            self.dealt[part] = chosen.map(|name| name.to_string());
+            self.assigned[part] = chosen.map(|name| name.to_string());
             let alive = self.holders[part].as_ref().is_some_and(|h| self.members.contains_key(h));
             if !alive {
                 self.holders[part] = None;
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -13,42 +13,45 @@
 use crate::platform_store::{PARTS, PlatformStore};
 use crate::proxy::Proxy;
 
-/// How long a world may take until all its gateways serve turns.
+/// Time limit until all gateways of a new world serve turns.
 const START_LIMIT: Duration = Duration::from_secs(20);
 
-/// How large a world is.
+/// Settings of a world.
 #[derive(Debug, Clone)]
 pub struct WorldSettings {
-    /// The gateways' program.
+    /// Path of the gateway executable.
     pub program: PathBuf,
-    /// Gateways.
+    /// Number of gateways.
     pub gateways: usize,
-    /// A withdrawn key must not be served later than this.
+    /// Time after which a withdrawn key must no longer be served.
     pub revoke_ms: u64,
 }
 
-/// The platform's stand-ins with real gateways.
+/// Real gateway processes and the stand-ins for the platform that they run on.
 pub struct World {
     /// The store.
     pub store: PlatformStore,
-    /// The gateways; each meets the store through a proxy of its own.
+    /// The gateways, each connected to the store through its own proxy.
     pub gateways: Vec<Gateway>,
-    /// The links between the gateways and the store.
+    /// The proxies between the gateways and the store, in the order of the gateways.
     pub links: Vec<Proxy>,
     /// The endpoints.
     pub endpoints: Vec<PlatformEndpoint>,
-    /// What endpoints have run.
+    /// All requests that endpoints have run.
     pub journal: Arc<Journal>,
-    /// A caller whose key is in force.
+    /// A caller with a valid key.
     pub caller: Caller,
-    /// The workspaces' rate and burst, in the next configuration.
+    /// Rate per second and burst of each workspace, from the next configuration on.
     pub rate_per_s: u64,
     version: u64,
     _running: Running,
 }
 
 impl World {
-    /// Starts everything and waits until each gateway serves turns.
+    /// Starts all processes and waits until each gateway serves turns.
+    ///
+    /// # Errors
+    /// If a process can't be started, or a gateway serves no turns within the time limit.
     pub async fn start(settings: &WorldSettings) -> std::io::Result<World> {
         let (store, running) = PlatformStore::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
         let journal = Arc::new(Journal::default());
@@ -92,7 +95,7 @@
         Ok(world)
     }
 
-    /// Publishes a configuration in which two workspaces hold these keys.
+    /// Publishes a configuration in which the two workspaces have these keys.
     pub fn configure(&mut self, keys: &[&str], other_keys: &[&str]) {
         self.version += 1;
         let rate = self.rate_per_s;
@@ -127,7 +130,7 @@
         );
     }
 
-    /// The address of a gateway, counted round.
+    /// The address of a gateway; numbers beyond the last one start again from the first.
     pub fn entry(&self, number: usize) -> SocketAddr {
         self.gateways[number % self.gateways.len()].callers
     }
@@ -142,7 +145,7 @@
                 if started.elapsed() > START_LIMIT {
                     let lines = gateway.lines().join("\n");
                     return Err(std::io::Error::other(format!(
-                        "{} serves nothing: {lines}",
+                        "{} serves no turns after {START_LIMIT:?}; its log: {lines}",
                         gateway.name
                     )));
                 }
--- a/soak/tests/asks.rs
+++ b/soak/tests/asks.rs
@@ -1,4 +1,4 @@
-//! Turns whose history is not kept, over real gateways: their budgets, and streams that go on elsewhere.
+//! Turns whose history is not kept, on real gateways: token budgets and the resumption of streams.
 
 mod common;
 
@@ -6,11 +6,11 @@
 
 use common::{ask, data, output, turn, world};
 
-/// Tokens of the three events of an answer.
+/// Number of tokens of a response, which has three events.
 const ANSWER_TOKENS: u64 = 60;
 
-// An endpoint breaks an answer off, at each byte of its events in turn. The caller of a stream that may
-// be resumed sees every event once, under one head; what came of the event that was cut is not passed on.
+// An endpoint breaks off a response at each byte of its events in turn. The caller of a resumable stream
+// must receive each event once, in one response, and no part of an incomplete event.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_that_breaks_at_any_byte_goes_on_at_another_endpoint() {
     let world = world(2).await;
@@ -26,7 +26,8 @@
     assert!(counts.iter().filter(|(id, _)| id.starts_with("cut-")).all(|(_, runs)| *runs <= 2));
 }
 
-// The same for turns that must run once: the answer breaks off, and no second run begins.
+// An endpoint breaks off the response to a turn that must run at most once: the caller's response must
+// break off too, without a second run.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_that_may_not_be_resumed_breaks_off_and_runs_once() {
     let world = world(1).await;
@@ -35,13 +36,13 @@
         let id = format!("cut-{bytes:02}");
         let answer = world.caller.turn(world.entry(0), &turn(&id, &id, None)).await;
         assert!(!answer.is_served(), "{id}: {answer:?}");
-        assert!(!answer.promises(), "{id}: {answer:?}");
+        assert!(!answer.guarantees_not_run(), "{id}: {answer:?}");
         assert_eq!(world.journal.counts()[&id], 1);
     }
 }
 
-// An endpoint stalls in the middle of an answer, and its connection stands. Its caller would leave after
-// two seconds; another endpoint goes on instead.
+// An endpoint stalls in the middle of a response while its connection stays open. The caller would give
+// up after two seconds unless another endpoint resumes the stream.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_that_stalls_goes_on_at_another_endpoint() {
     let world = world(1).await;
@@ -51,8 +52,8 @@
     assert_eq!(data(&answer), output("stall"));
 }
 
-// A program loops through all entries without a history. Each turn passes through another entry, and no
-// entry alone sees more than a few; the account is with one owner, which stops it.
+// A program without history loops endlessly, with each turn through another entry. No entry sees more
+// than a few of its turns, but the one owner of its token account must stop it.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_program_without_history_is_stopped_at_its_budget() {
     let world = world(3).await;
@@ -68,7 +69,7 @@
     assert_eq!(refused, 7);
 }
 
-// Its turns come all at once, as those of sub-agents do.
+// The turns of a program arrive concurrently, as those of sub-agents do.
 #[tokio::test(flavor = "multi_thread")]
 async fn turns_at_once_share_one_budget() {
     let world = world(3).await;
@@ -85,8 +86,8 @@
     assert!(tokens <= budget + ANSWER_TOKENS, "{tokens}");
 }
 
-// A program is stopped for its budget; then all processes die at once. It returns, and is still stopped:
-// the account lies in the store.
+// A program has used up its budget, and then all processes are killed at once. It must still be refused
+// afterwards: its account is in the store.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_program_that_was_stopped_stays_stopped_though_all_entries_died() {
     let mut world = world(2).await;
@@ -104,8 +105,8 @@
     }
 }
 
-// Owners die and are cut off from the store in the middle of a program, and the store loses answers.
-// What a dead owner may have handed out counts as spent.
+// During a program, owners are killed or cut off from the store, and the store loses answers. Tokens that
+// a dead owner may have delivered must count as used.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_budget_without_history_holds_through_lost_owners_and_answers() {
     let mut world = world(3).await;
@@ -118,10 +119,10 @@
                 world.gateways[victim].start().expect("started");
             }
             5 => world.store.set_fault(StoreFault::LosesAnswers(3)),
-            7 => world.links[number / 10 % 3].set(LinkFault::Silent),
+            7 => world.links[number / 10 % 3].set_fault(LinkFault::Silent),
             9 => {
                 world.store.set_fault(StoreFault::None);
-                world.links.iter().for_each(|link| link.set(LinkFault::None));
+                world.links.iter().for_each(|link| link.set_fault(LinkFault::None));
             }
             _ => {}
         }
@@ -132,7 +133,8 @@
     assert!(tokens > 0);
 }
 
-// The store is away. Turns that can't be charged hand out no token, and callers are told in time.
+// During an outage of the store, turns can't be charged: they must deliver no tokens, and callers must be
+// refused in time.
 #[tokio::test(flavor = "multi_thread")]
 async fn no_token_passes_that_can_not_be_charged() {
     let world = world(1).await;
--- a/soak/tests/callers.rs
+++ b/soak/tests/callers.rs
@@ -1,4 +1,4 @@
-//! What callers may rely on at the door of real gateways.
+//! Guarantees to callers, on real gateways.
 
 mod common;
 
@@ -10,17 +10,18 @@
 
 use common::{REVOKE_MS, turn, world};
 
-/// The caller's key was withdrawn longer ago than it may be served, and the first entry could not learn of it.
+/// A world in which the caller's key was withdrawn longer ago than it may be served, while the first
+/// entry could not reach the store.
 async fn key_withdrawn_out_of_reach(gateways: usize) -> World {
     let mut world = world(gateways).await;
-    world.links[0].set(LinkFault::Silent);
+    world.links[0].set_fault(LinkFault::Silent);
     world.configure(&["a-new-key"], &["other-key"]);
     tokio::time::sleep(Duration::from_millis(REVOKE_MS + 100)).await;
     world
 }
 
-// A key is withdrawn while the store is out of reach of the only entry. It can't know; it must stop to
-// serve keys by itself before the bound, and must not call the key unknown on its own.
+// A key is withdrawn while the only entry can't reach the store. The entry must stop serving any key
+// before the bound, and must not answer that the key is unknown.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_withdrawn_key_runs_nothing_at_an_entry_that_cannot_know() {
     let world = key_withdrawn_out_of_reach(1).await;
@@ -29,7 +30,8 @@
     assert!(!world.journal.counts().keys().any(|id| id.starts_with("late-")));
 }
 
-// The same while another entry knows: it decides in place of the one that can't, on either key.
+// A key is withdrawn while one of two entries can't reach the store: the other one must decide on the
+// requests of both.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_entry_that_cannot_know_has_another_decide_on_keys() {
     let world = key_withdrawn_out_of_reach(2).await;
@@ -43,8 +45,8 @@
     assert!(!world.journal.counts().keys().any(|id| id.starts_with("late-")));
 }
 
-// An entry is stopped while callers keep sending to it. Each request is answered, by it or by the
-// owner that has taken its shards over, and its process ends by itself.
+// An entry is stopped with SIGTERM while callers keep sending to it. Each request must be answered, by
+// it or by the next owner of its shards, and the process must exit by itself.
 #[tokio::test(flavor = "multi_thread")]
 async fn stopping_an_entry_loses_no_request() {
     let mut world = world(2).await;
@@ -64,13 +66,13 @@
     assert_eq!(cut.count(), 0);
     let unknown = answers.iter().filter(|answer| matches!(answer.status, Some(502 | 504)));
     assert_eq!(unknown.count(), 0);
-    let status = world.gateways[0].wait_end(Duration::from_secs(6)).expect("waited");
+    let status = world.gateways[0].wait_for_exit(Duration::from_secs(6)).expect("waited");
     assert!(status.is_some_and(|status| status.success()));
 }
 
-// An entry is stopped while callers keep opening connections to it until it is gone. A request that
-// was read in the last moment was sent to an endpoint and cut by the end of the process: its caller
-// got no answer though it had run.
+// An entry is stopped while callers open connections to it until it has exited. A request read at the
+// last moment was sent to an endpoint, and its response was cut off when the process exited: the caller
+// got no answer although the request had run.
 #[tokio::test(flavor = "multi_thread")]
 async fn what_is_read_in_the_last_moment_is_answered() {
     let mut world = world(1).await;
@@ -94,7 +96,7 @@
     });
     let callers: Vec<_> = callers.collect();
     world.gateways[0].signal("TERM").expect("sent");
-    let status = world.gateways[0].wait_end(Duration::from_secs(6)).expect("waited");
+    let status = world.gateways[0].wait_for_exit(Duration::from_secs(6)).expect("waited");
     assert!(status.is_some_and(|status| status.success()));
     let mut unanswered = Vec::new();
     for caller in callers {
@@ -105,8 +107,8 @@
     assert!(cut.is_empty(), "ran and not answered: {cut:?}");
 }
 
-// One workspace floods all entries, while one of them is killed and starts again. The rate holds over
-// all entries in any window, and the others go on.
+// One workspace floods all entries while one of them is killed and restarted. Its rate must hold over all
+// entries in any window, and other workspaces must still be served.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_rate_holds_over_all_entries_through_the_death_of_one() {
     const RATE_PER_S: u64 = 40;
@@ -143,7 +145,7 @@
     assert!(most >= RATE_PER_S, "{most}");
 }
 
-// A request that names its length twice, once as chunks, could carry a second one inside it.
+// A request with both a length and chunked encoding could smuggle a second request inside its body.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_inside_another_never_runs() {
     let world = world(1).await;
@@ -165,7 +167,7 @@
     assert!(world.caller.look_up(world.entry(0), "after").await.is_served());
 }
 
-// A head larger than any configuration allows is refused, and costs other callers nothing.
+// A request head larger than any configuration allows must be refused without affecting other callers.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_oversized_head_is_refused() {
     let world = world(1).await;
@@ -179,9 +181,9 @@
     assert!(world.caller.look_up(world.entry(0), "after").await.is_served());
 }
 
-// A caller opens a connection for each call that it makes at once, and uses most of them once. Kept for a
-// minute each, they took most of an entry's memory; callers are told how long theirs is kept, and one
-// that keeps to it never meets a connection that closes as it sends.
+// Callers open a connection for each concurrent call and use most of them once. Kept open for a minute
+// each, they used most of an entry's memory. Callers are told the idle timeout, so that none sends on a
+// connection that is about to be closed.
 #[tokio::test(flavor = "multi_thread")]
 async fn callers_are_told_how_long_an_unused_connection_is_kept() {
     let world = world(1).await;
--- a/soak/tests/common/mod.rs
+++ b/soak/tests/common/mod.rs
@@ -1,6 +1,6 @@
-//! What the tests over real gateways share.
+//! Helpers for the tests with real gateways.
 
-// Each file of tests uses a part of it.
+// Each test file uses only some of them.
 #![allow(dead_code)]
 
 use std::path::PathBuf;
@@ -8,11 +8,11 @@
 
 use trefoil_soak::{Answer, Turn, TurnKind, World, WorldSettings};
 
-/// A withdrawn key must not be served later than this.
+/// Time after which a withdrawn key must no longer be served.
 pub const REVOKE_MS: u64 = 2_000;
 
 fn program() -> PathBuf {
-    // Tests lie in target/PROFILE/deps, programs beside that folder.
+    // Test executables are in target/PROFILE/deps, programs in its parent directory.
     let test = std::env::current_exe().expect("a running test has a path");
     test.parent().and_then(|deps| deps.parent()).expect("deps").join("trefoilproxyd-platform")
 }
@@ -33,12 +33,12 @@
     }
 }
 
-/// A turn whose history is not kept, and whose stream may go on elsewhere.
+/// A turn whose history is not kept and whose stream may be resumed at another endpoint.
 pub fn ask(request: &str, program: &str) -> Turn {
     Turn { kind: TurnKind::Resumable, ..turn(request, program, None) }
 }
 
-/// The data of the events that came.
+/// The data of the events received.
 pub fn data(answer: &Answer) -> String {
     let body = String::from_utf8_lossy(&answer.body);
     let lines = body.lines().filter_map(|line| line.strip_prefix("data: "));
@@ -55,7 +55,7 @@
     String::from_utf8(run.body.clone()).expect("text")
 }
 
-/// Asks until it is served, with a new id each time, as callers do.
+/// Requests a turn until it is served, each time with a new ID, as callers do.
 pub async fn served(world: &World, entry: usize, mut asked: Turn) -> String {
     let first = asked.request.clone();
     for attempt in 0..40 {
--- a/soak/tests/endpoints.rs
+++ b/soak/tests/endpoints.rs
@@ -1,4 +1,4 @@
-//! Endpoints that fail, leave or are replaced, under real gateways.
+//! Endpoints that fail, leave or are replaced, with real gateways.
 
 mod common;
 
@@ -8,11 +8,11 @@
 
 use common::{served, turn, world};
 
-/// An endpoint that leaves gets nothing new after this.
+/// Time after which a draining endpoint must get no new requests.
 const DRAIN_MS: u64 = 2_000;
 
-// An endpoint runs an action and its answer is lost. The caller is told that the outcome is unknown;
-// a second run would pay twice. A lookup is simply asked again at another endpoint.
+// An endpoint runs a request and its response is lost. An action must not run again, and its caller must
+// be told that the outcome is unknown; a lookup is repeated at another endpoint.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_lost_answer_repeats_lookups_and_never_actions() {
     let world = world(1).await;
@@ -29,9 +29,9 @@
     assert!(acts.clone().all(|(_, runs)| *runs == 1), "{:?}", acts.collect::<Vec<_>>());
 }
 
-// The store is away for longer than callers wait. Turns run, and their first tokens wait for the store
-// until their callers leave. That is not the endpoints' silence: counted against them, sound endpoints
-// were left out just when the store was back.
+// During an outage of the store that is longer than callers wait, the first tokens of turns wait for the
+// store until their callers disconnect. This was counted as silence of the endpoints, and healthy ones
+// were ejected when the store was reachable again.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_outage_of_the_store_is_not_the_endpoints_silence() {
     let world = world(1).await;
@@ -46,22 +46,21 @@
         })
     });
     for asked in turns.collect::<Vec<_>>() {
-        assert!(!asked.await.expect("no panic"), "no turn may end while the store is away");
+        assert!(!asked.await.expect("no panic"), "no turn may end while the store is unreachable");
     }
     world.store.set_fault(StoreFault::None);
     served(&world, 0, turn("after", "after", None)).await;
-    // Lines are written a few times a second.
+    // Log lines are flushed a few times per second.
     tokio::time::sleep(Duration::from_millis(500)).await;
     let lines = world.gateways[0].lines();
     let blamed: Vec<_> = lines.iter().filter(|line| line.contains("endpoint is silent")).collect();
     assert!(blamed.is_empty(), "{blamed:?}");
 }
 
-// One of the endpoints of each service says nothing, and its entry in the list is sound. Callers of
-// lookups are served by another endpoint; callers of turns lose those that reach it until it is left
-// out, and no more, though no connection ever breaks.
+// One endpoint of each service does not respond while its record in the list is valid. Lookups must be
+// served by another endpoint; turns may be lost only until it is ejected, although no connection fails.
 #[tokio::test(flavor = "multi_thread")]
-async fn a_silent_endpoint_is_left_out() {
+async fn a_silent_endpoint_is_ejected() {
     let world = world(1).await;
     let silent: Vec<_> = ["llm", "desk"]
         .iter()
@@ -80,10 +79,10 @@
     assert!(lost <= 6, "{lost}");
 }
 
-// An endpoint answers every request with a fault of its own. Lookups are served by another, and turns
-// no longer reach it after a few.
+// An endpoint answers every request with status 500. Lookups must be served by another endpoint, and
+// turns must no longer be sent to it after a few failures.
 #[tokio::test(flavor = "multi_thread")]
-async fn an_endpoint_that_answers_with_faults_is_left_out() {
+async fn an_endpoint_that_answers_with_errors_is_ejected() {
     let world = world(1).await;
     for service in ["llm", "desk"] {
         let faulty = world.endpoints.iter().find(|e| e.id.starts_with(service));
@@ -100,10 +99,10 @@
     assert!(failed <= 8, "{failed}");
 }
 
-// An endpoint says that it is leaving. Requests that reach it later than the platform allows are cut
-// when it ends, so that from then on none may.
+// An endpoint announces that it is draining. Requests sent to it after the platform's bound would be cut
+// off when it exits.
 #[tokio::test(flavor = "multi_thread")]
-async fn an_endpoint_that_leaves_gets_nothing_new() {
+async fn a_draining_endpoint_gets_no_new_requests() {
     let mut world = world(2).await;
     let at = world.endpoints.iter().position(|e| e.id.starts_with("desk")).expect("one");
     let leaving = world.endpoints[at].id.clone();
@@ -119,8 +118,8 @@
     assert_eq!(late.count(), 0);
 }
 
-// An endpoint dies, and its address is given to one of another service while its entry is still in the
-// list. Turns must not run at a service that their route does not name, and lookups are served there.
+// An endpoint exits, and its address is reused by one of another service while its own record is still
+// listed. Turns must not run at the other service, whose lookups must be served.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_reused_address_runs_nothing_of_the_old_service() {
     let mut world = world(2).await;
--- a/soak/tests/outages.rs
+++ b/soak/tests/outages.rs
@@ -1,4 +1,4 @@
-//! Outages of the store, as callers who come back a few times live through them.
+//! Outages of the store, as seen by callers that retry a few times.
 
 mod common;
 
@@ -10,23 +10,23 @@
 
 use common::{REVOKE_MS, ask, turn, world};
 
-/// A caller of a stream leaves if nothing comes for this long.
+/// Time without data after which the caller of a stream disconnects.
 const GAP: Duration = Duration::from_secs(2);
 
-/// How long a caller waits in all for one try.
+/// Timeout of one attempt of a caller.
 const TRY_MS: u64 = 3_000;
 
-/// Tries of a turn.
+/// Number of attempts of a caller for one turn.
 const TRIES: usize = 3;
 
-/// Gateways write their logs within this time.
+/// Time within which gateways flush their logs.
 const LOGS_WAIT: Duration = Duration::from_millis(1_000);
 
-/// Pause between two tries.
+/// Pause between two attempts.
 const TRY_PAUSE: Duration = Duration::from_millis(250);
 
-/// Asks as callers do: each try comes back once after a refusal, heeding at most a third of what is left
-/// of its time, and a turn is tried three times.
+/// Requests a turn as callers do: up to three attempts, each of which retries once after a refusal, after
+/// at most a third of the time that it has left.
 async fn serves(world: &World, caller: Caller, entry: usize, asked: Turn) -> bool {
     let mut number = 0;
     for at in 0..TRIES {
@@ -44,7 +44,9 @@
                 return true;
             }
             left_ms = left_ms.saturating_sub(started.elapsed().as_millis() as u64);
-            let Some(retry_after_ms) = answer.retry_after_ms.filter(|_| answer.promises()) else {
+            let Some(retry_after_ms) =
+                answer.retry_after_ms.filter(|_| answer.guarantees_not_run())
+            else {
                 break;
             };
             let pause_ms = retry_after_ms.min(left_ms / 3);
@@ -58,9 +60,9 @@
     false
 }
 
-// The store refuses all calls for seven seconds, longer than a configuration may go unconfirmed. Each
-// program has three tries of its turn; refused at once each time, or left without a first event until
-// its caller had gone, it was over before the store was back.
+// The store refuses all calls for seven seconds, longer than a configuration may stay unconfirmed. Each
+// caller attempts its turn three times. When each attempt was refused at once, or got no first event
+// until its caller disconnected, the program was lost before the store was reachable again.
 #[tokio::test(flavor = "multi_thread")]
 async fn programs_outlast_an_outage_of_the_store() {
     let world = std::sync::Arc::new(world(2).await);
@@ -81,7 +83,7 @@
     }
 }
 
-/// Lines of all gateways' logs with this message about a request.
+/// Number of log lines of all gateways with this message about a request.
 fn lines_about(world: &World, request: &str, message: &str) -> usize {
     let request = format!("\"request\":\"{request}\"");
     let message = format!("\"msg\":\"{message}\"");
@@ -89,12 +91,12 @@
     lines.filter(|line| line.contains(&request) && line.contains(&message)).count()
 }
 
-// One of three entries loses the store for longer than a configuration may go unconfirmed, and its callers
-// stay with it. It refused each of their requests, though the two others could have served them.
+// One of three entries can't reach the store for longer than a configuration may stay unconfirmed, and
+// its callers stay connected to it. It refused their requests although the other two could serve them.
 #[tokio::test(flavor = "multi_thread")]
 async fn callers_of_an_entry_that_alone_has_lost_the_store_are_served() {
     let world = world(3).await;
-    world.links[0].set(LinkFault::Silent);
+    world.links[0].set_fault(LinkFault::Silent);
     tokio::time::sleep(Duration::from_millis(REVOKE_MS + 500)).await;
     let mut previous: Option<String> = None;
     for number in 0..6 {
@@ -114,13 +116,13 @@
     assert!(world.journal.counts().values().all(|runs| *runs == 1));
 }
 
-// A caller takes a second to send its body to an entry that has lost the store. The entry that decides in its
-// place gave the endpoint the caller's whole time once more.
+// A caller takes a second to send its body to an entry that can't reach the store. The entry to which the
+// request was relayed gave the endpoint the caller's full timeout again.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_relayed_request_keeps_to_its_callers_time() {
     const BODY_TAKES: Duration = Duration::from_millis(1_000);
     let world = world(2).await;
-    world.links[0].set(LinkFault::Silent);
+    world.links[0].set_fault(LinkFault::Silent);
     tokio::time::sleep(Duration::from_millis(REVOKE_MS + 500)).await;
     let head = format!(
         "POST /actions/1 HTTP/1.1\r\nhost: soak.example\r\nauthorization: Bearer {}\r\n\
@@ -139,8 +141,8 @@
     assert!(left_ms <= TRY_MS - BODY_TAKES.as_millis() as u64, "{left_ms}");
 }
 
-// The store is away, and callers are refused for want of a confirmed configuration. Each refusal was charged to
-// their workspace's rate, so that they were refused for seconds more once the store was back.
+// During an outage of the store, callers are refused because the configuration is unconfirmed. Each of these
+// refusals was charged to the workspace's rate, so that callers were refused for seconds afterwards.
 #[tokio::test(flavor = "multi_thread")]
 async fn what_is_refused_in_an_outage_costs_no_rate() {
     const RATE_PER_S: u64 = 10;
@@ -148,7 +150,7 @@
     world.rate_per_s = RATE_PER_S;
     world.configure(&["secret-key-in-force"], &["other-key"]);
     tokio::time::sleep(Duration::from_millis(1_500)).await;
-    world.links[0].set(LinkFault::Silent);
+    world.links[0].set_fault(LinkFault::Silent);
     tokio::time::sleep(Duration::from_millis(REVOKE_MS + 100)).await;
     let asking = (0..10 * RATE_PER_S).map(|number| {
         let (caller, entry) = (world.caller.clone(), world.entry(0));
@@ -157,7 +159,7 @@
     for asked in asking.collect::<Vec<_>>() {
         assert_eq!(asked.await.expect("no panic").status, Some(503));
     }
-    world.links[0].set(LinkFault::None);
+    world.links[0].set_fault(LinkFault::None);
     tokio::time::sleep(Duration::from_millis(1_500)).await;
     let answer = world.caller.look_up(world.entry(0), "after").await;
     assert!(answer.is_served(), "{answer:?}");
--- a/soak/tests/places.rs
+++ b/soak/tests/places.rs
@@ -1,4 +1,4 @@
-//! Failure domains that are evacuated, under real gateways.
+//! Evacuated failure domains, with real gateways.
 
 mod common;
 
@@ -9,7 +9,7 @@
 
 use common::{served, turn, world};
 
-/// Longer than entries take to learn what the operator wrote.
+/// Time within which all entries have read an instruction of the operator.
 const LEARNT: Duration = Duration::from_millis(1_500);
 
 async fn call_all(world: &World, name: &str) -> u32 {
@@ -23,14 +23,14 @@
     count
 }
 
-/// Endpoints that began to run something of this name.
+/// The endpoints that have run requests with this name.
 fn ran_at(world: &World, name: &str) -> Vec<String> {
     let runs = world.journal.runs();
     runs.into_iter().filter(|r| r.request.starts_with(name)).map(|r| r.endpoint).collect()
 }
 
-// An operator evacuates a failure domain. Its endpoints stay listed and sound, and nothing may reach them
-// until it is taken back; where all are evacuated, callers are refused at once.
+// An operator evacuates a failure domain, whose endpoints stay listed and healthy. They must get no
+// requests until the domain is restored. If all domains are evacuated, callers must be refused at once.
 #[tokio::test(flavor = "multi_thread")]
 async fn nothing_reaches_an_evacuated_domain() {
     let world = world(2).await;
@@ -54,7 +54,7 @@
     assert!(ran_at(&world, "back").iter().any(|endpoint| !elsewhere(endpoint)));
 }
 
-// An entry is started while a failure domain is evacuated: it reads all that is in force, and not only news.
+// An entry that starts during an evacuation must read the instructions in force, not only new ones.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_entry_that_starts_knows_what_is_evacuated() {
     let mut world = world(1).await;
--- a/soak/tests/turns.rs
+++ b/soak/tests/turns.rs
@@ -1,4 +1,4 @@
-//! Turns and their histories over real gateways, and the owners of their shards.
+//! Turns with history and the owners of their shards, on real gateways.
 
 mod common;
 
@@ -41,16 +41,16 @@
     assert_eq!(foreign.status, Some(404));
 }
 
-// A caller goes on from a turn of another program while the shards change their owners. The turn is
-// kept, but the store is slow, and the search for it meets shards that nobody serves for a moment.
-// Refused for that, the caller would lose a turn that is found a little later.
+// A caller continues a turn of another program while shards are reassigned and the store is slow. The
+// lookup finds some shards without an owner for a moment. If the request were refused for that, the
+// caller would lose a turn that is still stored.
 #[tokio::test(flavor = "multi_thread")]
-async fn a_turn_of_another_program_is_found_while_shards_are_dealt_anew() {
+async fn a_turn_of_another_program_is_found_while_shards_are_reassigned() {
     let world = world(3).await;
     assert!(world.caller.turn(world.entry(0), &turn("t0", "p", None)).await.is_served());
     world.store.set_fault(StoreFault::Slow(60));
     for number in 0..8 {
-        world.store.deal_anew();
+        world.store.reassign_shards();
         tokio::time::sleep(Duration::from_millis(number as u64 * 60)).await;
         let asked = turn(&format!("n{number}"), &format!("another-{number}"), Some("t0"));
         let answer = world.caller.turn(world.entry(number), &asked).await;
@@ -58,10 +58,10 @@
     }
 }
 
-// A caller sees the end of a turn, and all processes are killed at that moment. They start again and
-// the caller goes on: the turn must be known, since its end was passed on only once it was recorded.
+// All processes are killed at the moment at which a caller receives the end of a turn. After their restart
+// the turn must be known: its end is passed on only after the turn is durable.
 #[tokio::test(flavor = "multi_thread")]
-async fn a_turn_whose_end_was_seen_outlives_all_processes() {
+async fn a_completed_turn_survives_the_death_of_all_processes() {
     let mut world = world(3).await;
     assert!(world.caller.turn(world.entry(0), &turn("t0", "p", None)).await.is_served());
     for gateway in &mut world.gateways {
@@ -74,11 +74,12 @@
     assert_eq!(prompt_of(&world, &next), format!("say t0;{}say t1;", output("t0")));
 }
 
-// A process starts again while the store is away, so that it can't sign its earlier life off, and is
-// dealt its shards under the epoch that it had. Its first batches bore the numbers of the earlier life's,
-// and the store took them for repeats: turns were acknowledged, seen to end, and never stored.
+// A process restarts while the store is unreachable, so that it can't deregister its earlier process
+// instance, and is assigned its shards under the same epoch. Its first batches had the sequence numbers
+// of the earlier instance's, and the store took them for repeats: turns were acknowledged and completed
+// but never stored.
 #[tokio::test(flavor = "multi_thread")]
-async fn a_life_that_is_taken_for_the_earlier_one_loses_no_turn() {
+async fn a_process_instance_taken_for_the_earlier_one_loses_no_turn() {
     let mut world = world(1).await;
     world.gateways[0].kill().expect("killed");
     world.gateways[0].start().expect("started");
@@ -95,10 +96,10 @@
     assert_eq!(prompt_of(&world, &next), format!("say t1;{}say t2;", output(&kept)));
 }
 
-// The store does appends and loses their answers. An owner that wrote them again under another number
-// would record turns twice; one that gave up would lose turns that are recorded.
+// The store executes appends and loses the answers. An owner that repeated them under another sequence
+// number would record turns twice; one that gave up would lose turns that are stored.
 #[tokio::test(flavor = "multi_thread")]
-async fn turns_end_though_the_store_loses_answers() {
+async fn turns_complete_although_the_store_loses_answers() {
     let world = world(2).await;
     world.store.set_fault(StoreFault::LosesAnswers(3));
     let mut previous = None;
@@ -108,47 +109,47 @@
     }
 }
 
-// One entry is cut off from the store while it owns the program's shard. Its turns can't be recorded,
-// so none may end there; another entry takes the shard over and knows all turns that ended.
+// The owner of a program's shard is cut off from the store. Its turns can't be recorded, so none may
+// complete there; another entry must take over the shard with all completed turns.
 #[tokio::test(flavor = "multi_thread")]
 async fn shards_move_on_from_an_entry_that_is_cut_off_from_the_store() {
     let world = world(3).await;
     assert!(world.caller.turn(world.entry(0), &turn("t0", "p", None)).await.is_served());
-    world.links[0].set(LinkFault::Silent);
+    world.links[0].set_fault(LinkFault::Silent);
     let mut previous = "t0".to_string();
     for number in 1..4 {
         previous = served(&world, 1, turn(&format!("t{number}"), "p", Some(&previous))).await;
     }
-    world.links[0].set(LinkFault::None);
+    world.links[0].set_fault(LinkFault::None);
     let last = served(&world, 0, turn("t4", "p", Some(&previous))).await;
     assert_eq!(prompt_of(&world, &last).matches("say t").count(), 5);
 }
 
-// An owner is cut off from the store alone while turns of its programs come. It runs them and can't
-// record them; waiting for its membership to lapse cost callers their turns. The others see that the
-// store is sound, take its shards over, and record what it has run: no caller has to ask again.
+// An owner alone is cut off from the store while it runs turns that it can't record. When its shards were
+// reassigned only after its membership had expired, callers lost these turns. The other entries must take
+// over its shards and record the turns, without a retry by the callers.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_owner_cut_off_from_the_store_costs_no_turn() {
     let world = world(3).await;
     tokio::time::sleep(Duration::from_millis(1_000)).await;
     for victim in 0..3 {
-        world.links[victim].set(LinkFault::Silent);
+        world.links[victim].set_fault(LinkFault::Silent);
         for number in 0..12 {
             let id = format!("cut-{victim}-{number}");
             let answer = world.caller.turn(world.entry(victim + 1), &turn(&id, &id, None)).await;
             assert!(answer.is_served(), "{id}: {answer:?}");
         }
-        world.links[victim].set(LinkFault::None);
+        world.links[victim].set_fault(LinkFault::None);
         tokio::time::sleep(Duration::from_millis(1_500)).await;
     }
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn shards_dealt_anew_lose_no_turn() {
+async fn reassigned_shards_lose_no_turn() {
     let world = world(3).await;
     let mut previous = None;
     for number in 0..6 {
-        world.store.deal_anew();
+        world.store.reassign_shards();
         let asked = turn(&format!("t{number}"), "p", previous.as_deref());
         previous = Some(served(&world, number, asked).await);
     }
@@ -156,8 +157,8 @@
     assert_eq!(prompt_of(&world, &last).matches("say t").count(), 6);
 }
 
-// The owner dies in the middle of a program. What it may have handed out counts as spent, so that the
-// program's turns hand out no more than its budget and one turn.
+// Owners are killed in the middle of a program. Tokens that they may have delivered must count as used, so
+// that the program gets at most its budget plus the tokens of one turn.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_budget_holds_through_the_death_of_owners() {
     let mut world = world(2).await;
@@ -178,9 +179,9 @@
     assert!(refused > 0);
 }
 
-// An owner stands still while turns of its programs come through other entries. The connections to it
-// stand and take bytes, so that a turn sent to it may run whenever it wakes, and could go nowhere
-// else. It gets the head only; the turn goes to its shard's next owner, and runs once.
+// An owner is frozen while other entries forward turns to it. Connections to it still accept bytes, so a
+// complete turn could run when it resumes, and could not be sent elsewhere. It must get only the head, and
+// the turn must run once, at the shard's next owner.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_frozen_owner_costs_no_turn() {
     let world = world(3).await;
