Base of load control: what is under it, ranks, mechanisms, room for load reports in gossip

Cause: the parts for load meet in the catalog, the mechanisms and the gossip datagram, and are built side by side. Change: a streaming route with one attempt is under load control; Rank (workspace first, then route); a LoadReport may follow the GossipMessage in a datagram, whose decoders so far ignore trailing bytes. Nothing fills it yet.

--- a/src/catalog/configuration.rs
+++ b/src/catalog/configuration.rs
@@ -1,4 +1,4 @@
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::fmt;
 
 use super::{Limits, Route, Service, Workspace};
@@ -57,6 +57,8 @@
     workspaces: Vec<Arc<Workspace>>,
     keys: HashMap<Digest, Arc<Workspace>>,
     limits: Limits,
+    /// The services that a route under load control leads to.
+    load_controlled: HashSet<Arc<str>>,
 }
 
 impl Catalog {
@@ -76,6 +78,12 @@
     }
 
     fn index(configuration: Configuration) -> Catalog {
+        let load_controlled = configuration
+            .routes
+            .iter()
+            .filter(|route| route.is_load_controlled())
+            .flat_map(|route| route.backends.iter().map(|backend| backend.service.clone()))
+            .collect();
         let mut routes: HashMap<Arc<str>, Vec<Arc<Route>>> = HashMap::new();
         for route in configuration.routes {
             routes.entry(route.host.clone()).or_default().push(Arc::new(route));
@@ -92,7 +100,7 @@
         }
         let services = configuration.services.into_iter().collect();
         let (version, limits) = (configuration.version, configuration.limits);
-        Catalog { version, routes, services, workspaces, keys, limits }
+        Catalog { version, routes, services, workspaces, keys, limits, load_controlled }
     }
 
     /// The version of the configuration.
@@ -121,6 +129,11 @@
         self.services.get(name)
     }
 
+    /// The services under load control: those that a route under load control leads to.
+    pub fn load_controlled(&self) -> &HashSet<Arc<str>> {
+        &self.load_controlled
+    }
+
     /// Whether a service with this name is configured.
     pub fn has_service(&self, name: &str) -> bool {
         self.services.contains_key(name)
--- a/src/catalog/route.rs
+++ b/src/catalog/route.rs
@@ -71,6 +71,12 @@
 }
 
 impl Route {
+    /// Whether the route is under load control: a stream with a single attempt. A second attempt
+    /// can't correct a bad choice there, so the choice has to be good before anything is sent.
+    pub fn is_load_controlled(&self) -> bool {
+        self.repeat.is_stream() && self.attempts == 1
+    }
+
     /// The service for a request with this affinity hash; the same hash always gives the same
     /// service.
     pub fn service(&self, hash: u64) -> Option<&Arc<str>> {
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -7,7 +7,8 @@
 use super::PeerRecord;
 use super::call_store::{STORE_CALL_TIMEOUT_MS, call_store};
 use super::forward::deregister;
-use super::message::{EvacuationState, GossipMessage, rotating_slice};
+use super::load_reports::{apply_load_report, compose_load_report};
+use super::message::{EvacuationState, GossipMessage, LoadReport, rotating_slice};
 use super::owned_shard::Stage;
 use super::rates::{RowSelection, SenderAge};
 use super::shard_table::Owner;
@@ -179,7 +180,10 @@
     while rows > 0 {
         let gossip = compose(gateway, instance, round, rows);
         match postcard::to_allocvec(&gossip) {
-            Ok(bytes) if bytes.len() <= MAX_DATAGRAM_BYTES => return Some((gossip, bytes)),
+            Ok(bytes) if bytes.len() <= MAX_DATAGRAM_BYTES => {
+                let bytes = append_load_report(gateway, bytes, round);
+                return Some((gossip, bytes));
+            }
             Ok(_) => rows /= 2,
             Err(fault) => {
                 log::error!(fault:display; "encoding a gossip message failed; sending nothing");
@@ -191,6 +195,19 @@
     None
 }
 
+/// Appends the load report of this round to an encoded message, if there is one and it fits.
+fn append_load_report(gateway: &Gateway, mut message: Vec<u8>, round: usize) -> Vec<u8> {
+    let Some(report) = compose_load_report(gateway, round) else {
+        return message;
+    };
+    match postcard::to_allocvec(&report) {
+        Ok(bytes) if message.len() + bytes.len() <= MAX_DATAGRAM_BYTES => message.extend(bytes),
+        Ok(bytes) => log::debug!(bytes = bytes.len(); "load report does not fit; left out"),
+        Err(fault) => log::error!(fault:display; "encoding a load report failed; left out"),
+    }
+    message
+}
+
 async fn send_to_peers(gateway: &Gateway, socket: &UdpSocket, bytes: &[u8]) {
     let addresses = gateway.peers.borrow().addresses();
     for address in addresses {
@@ -205,8 +222,13 @@
     let mut buffer = vec![0; 2 * MAX_DATAGRAM_BYTES];
     loop {
         match socket.recv_from(&mut buffer).await {
-            Ok((length, from)) => match postcard::from_bytes::<GossipMessage>(&buffer[..length]) {
-                Ok(gossip) => apply_message(&gateway, from, &gossip),
+            Ok((length, from)) => match decode(&buffer[..length]) {
+                Ok((gossip, report)) => {
+                    apply_message(&gateway, from, &gossip);
+                    if let Some(report) = report {
+                        apply_load_report(&gateway, gossip.instance, &report);
+                    }
+                }
                 Err(fault) => {
                     log::warn!(from:display, fault:display;
                         "discarding an undecodable gossip message")
@@ -220,6 +242,17 @@
     }
 }
 
+/// Decodes a datagram: a message and, if the sender has a service under load control, a load
+/// report.
+fn decode(datagram: &[u8]) -> Result<(GossipMessage, Option<LoadReport>), postcard::Error> {
+    let (gossip, rest) = postcard::take_from_bytes(datagram)?;
+    let report = match rest {
+        [] => None,
+        rest => Some(postcard::from_bytes(rest)?),
+    };
+    Ok((gossip, report))
+}
+
 /// Updates what this entry knows of the others from a message of one of them.
 pub(super) fn apply_message(gateway: &Rc<Gateway>, from: SocketAddr, gossip: &GossipMessage) {
     let now = gateway.now();
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -46,6 +46,53 @@
     rows
 }
 
+/// What an entry tells the others of the endpoints of services under load control. Follows the
+/// [`GossipMessage`] in the same datagram, whose decoders ignore trailing bytes; nothing follows
+/// if no service is under load control.
+#[wire]
+#[derive(Default)]
+pub(super) struct LoadReport {
+    /// What the sender has measured of endpoints since its start.
+    pub(super) paces: Vec<PaceRow>,
+    /// The newest reports of the endpoints that the sender polls.
+    pub(super) endpoints: Vec<EndpointRow>,
+}
+
+impl LoadReport {
+    /// Whether there is nothing to tell.
+    pub(super) fn is_empty(&self) -> bool {
+        self.paces.is_empty() && self.endpoints.is_empty()
+    }
+}
+
+/// The totals of the sender's measurements of one endpoint. They are absolute, like all gossip.
+#[wire]
+pub(super) struct PaceRow {
+    /// The hash of the endpoint.
+    pub(super) endpoint: u64,
+    /// Events whose time was measured.
+    pub(super) events: u64,
+    /// The time that they took together.
+    pub(super) events_ms: u64,
+}
+
+/// What an endpoint has last reported of itself.
+#[wire]
+pub(super) struct EndpointRow {
+    /// The hash of the endpoint.
+    pub(super) endpoint: u64,
+    /// Age of the report when the message was sent.
+    pub(super) age_ms: u64,
+    /// Requests that it runs.
+    pub(super) running: u32,
+    /// Requests that wait in its queue.
+    pub(super) waiting: u32,
+    /// Tokens of its memory that are in use and cannot be evicted.
+    pub(super) used_tokens: u64,
+    /// Tokens that its memory holds.
+    pub(super) total_tokens: u64,
+}
+
 /// The evacuations that an entry knows of.
 #[wire]
 #[derive(Default)]
--- a/src/gateway/request_types.rs
+++ b/src/gateway/request_types.rs
@@ -61,6 +61,14 @@
     pub object: Option<u64>,
 }
 
+impl RoutingDecision {
+    /// Whether the request came on a route under load control; see
+    /// [`crate::catalog::Route::is_load_controlled`].
+    pub fn is_load_controlled(&self) -> bool {
+        self.repeat.is_stream() && self.attempts == 1
+    }
+}
+
 /// Why a request is not answered by an endpoint.
 #[value]
 #[derive(Copy, Hash)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod http;
 pub mod ids;
 pub mod link;
+pub mod load;
 pub mod logstore;
 pub mod mechanisms;
 pub mod membership;
--- /dev/null
+++ b/src/load/mod.rs
@@ -0,0 +1,15 @@
+//! Decisions under load for services whose callers compete for capacity: whether a program may
+//! start, in which order refused programs return, and how fast each endpoint is.
+//!
+//! None of them has a network or a clock of its own. The gateway asks them and acts on the answers;
+//! they apply only to routes under load control, see
+//! [`crate::catalog::Route::is_load_controlled`].
+
+mod capacity;
+mod rank;
+
+pub use capacity::ServiceLoad;
+pub use rank::Rank;
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/load/tests.rs
@@ -0,0 +1,1 @@
+mod rank;
--- a/src/mechanisms.rs
+++ b/src/mechanisms.rs
@@ -31,11 +31,19 @@
     ProgramAdmission,
     /// An entry that is cut off from the store relays requests to entries that are not.
     Relaying,
+    /// Programs on routes under load control start only if their service has capacity for them.
+    LoadAdmission,
+    /// Endpoints of services under load control are chosen by learned paces.
+    LearnedPace,
+    /// The endpoints of services under load control are polled for their load.
+    EndpointReports,
+    /// What an entry buffers for slow readers is limited.
+    ReaderLimits,
 }
 
 impl Mechanism {
     /// All mechanisms, with the names that `--without` takes.
-    pub const ALL: [(Mechanism, &'static str); 12] = [
+    pub const ALL: [(Mechanism, &'static str); 16] = [
         (Mechanism::Resumption, "resumption"),
         (Mechanism::StoreWait, "waiting"),
         (Mechanism::FastReassignment, "settling"),
@@ -48,6 +56,10 @@
         (Mechanism::PeerDeregistration, "relief"),
         (Mechanism::ProgramAdmission, "whole-programs"),
         (Mechanism::Relaying, "relaying"),
+        (Mechanism::LoadAdmission, "load-admission"),
+        (Mechanism::LearnedPace, "learned-pace"),
+        (Mechanism::EndpointReports, "endpoint-reports"),
+        (Mechanism::ReaderLimits, "reader-limits"),
     ];
 }
 
