Programs are admitted by capacity at the owner of their shard

Cause: in a surge every first turn was sent to engines that were full; late programs kept the slots taken long after it, and the less urgent kind took the room of the more urgent one. Change: a first turn on a route under load control starts only if its rank has room; room is handed out by owner's share and message interval, less urgent ranks leave a part of the slots, refused programs keep places and a time.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 mod forward;
 mod gossip;
 mod handoff;
+mod load_admission;
 mod load_reports;
 mod membership;
 mod message;
--- a/src/gateway/rates.rs
+++ b/src/gateway/rates.rs
@@ -17,6 +17,10 @@
 /// workspace that appears in its messages only later has been admitting requests only since then.
 const FULL_CYCLE_MS: u64 = 1_500;
 
+/// A workspace is over its share above this multiple of the mean use of the contracted rates.
+/// Workspaces of usual size differ by less from one window to the next.
+const OVER_SHARE_FACTOR: f64 = 1.5;
+
 /// For how long the sender of a peer message has been known and running.
 #[key]
 pub(super) struct SenderAge {
@@ -122,6 +126,16 @@
             .map_or((0.0, 0.0), |tracked| tracked.window.used())
     }
 
+    /// Whether a workspace uses more than its share: more of its contracted rate than all
+    /// workspaces together use of theirs, by [`OVER_SHARE_FACTOR`].
+    pub(super) fn is_over_share(&self, workspace: &str) -> bool {
+        let (own_used, own_limit) = self.used(workspace);
+        let all = self.windows.values().map(|tracked| tracked.window.used());
+        let (used, limit) =
+            all.fold((0.0, 0.0), |sum, (used, limit)| (sum.0 + used, sum.1 + limit));
+        own_used * limit > used * own_limit * OVER_SHARE_FACTOR
+    }
+
     /// This entry's counts for a message to the others: those changed recently, and a part of the
     /// rest in turn. Entries that have just started need all of them, with what all entries
     /// together have admitted in each window.
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -12,6 +12,7 @@
     ForwardTarget, ForwardedRequest, MAX_FORWARDED_BYTES, NOT_RUN_HEADER, OwnerResult,
     RELAYED_HEADER, ROUTING_HEADER, forward_to_owner, not_owner_response,
 };
+use super::load_admission::admit_program;
 use super::observe::{self, RequestSummary};
 use super::owned_shard::{OwnedShard, Stage};
 use super::read_body::read_body;
@@ -21,6 +22,7 @@
 use super::wait_until::wait_until;
 use super::{Refusal, RequestHead, ResponseBody, RoutingDecision};
 use crate::catalog::{Catalog, RepeatPolicy, Route, Workspace};
+use crate::load::Rank;
 use crate::mechanisms::{Mechanism, Mechanisms};
 use crate::prelude::*;
 use crate::turns::{ProgramKey, TurnKey};
@@ -189,7 +191,11 @@
     // All requests of a program on this route go to the same service.
     let program_hash = ProgramKey::of(&route.prefix, program).hash();
     let service = route.service(program_hash).ok_or(Refusal::NoRoute)?;
-    let priority = workspace.and_then(|w| w.priority).unwrap_or(route.priority);
+    let workspace_priority = workspace.and_then(|w| w.priority);
+    let priority = match route.is_load_controlled() {
+        true => Rank::of(workspace_priority, route.priority).number(),
+        false => workspace_priority.unwrap_or(route.priority),
+    };
     let repeat = match route.repeat {
         RepeatPolicy::ResumableStream if !mechanisms.is_enabled(Mechanism::Resumption) => {
             RepeatPolicy::Stream
@@ -287,7 +293,11 @@
     let shard = admitted.program_key().shard(gateway.shards.count());
     match forward_to_owner(gateway, shard, &admitted.forwarded_request()).await? {
         OwnerResult::Responded(response) => Ok(response),
-        OwnerResult::Local(shard) => serve_owned_turn(gateway, shard, admitted).await,
+        OwnerResult::Local(shard) => {
+            let (request_head, routing) = (admitted.request_head, &admitted.routing);
+            admit_program(gateway, &shard, admitted.program_key(), request_head, routing).await?;
+            serve_owned_turn(gateway, shard, admitted).await
+        }
     }
 }
 
@@ -330,6 +340,10 @@
     let Some(shard) = gateway.shards.owned(shard).filter(|s| s.stage() == Stage::Serving) else {
         return not_owner_response();
     };
+    let program = program_key(&request_head, &routing);
+    if let Err(refusal) = admit_program(gateway, &shard, program, &request_head, &routing).await {
+        return not_run_response(gateway, &request_head.request, refusal);
+    }
     let body = match read_body(body, MAX_FORWARDED_BYTES).await {
         Ok(body) => body,
         Err(refusal) => return refusal_response(gateway, Some(&request_head.request), refusal),
@@ -337,16 +351,20 @@
     let deadline = arrived.plus(routing.left_ms);
     let admitted = AdmittedRequest { head, request_head: &request_head, routing, body, deadline };
     let served = serve_owned_turn(gateway, shard, admitted).await;
-    let served = served.unwrap_or_else(|refusal| {
-        let mut refused = refusal_response(gateway, Some(&request_head.request), refusal);
-        if refusal.guarantees_not_run() {
-            refused.headers_mut().insert(NOT_RUN_HEADER, HeaderValue::from_static("1"));
-        }
-        refused
-    });
+    let served =
+        served.unwrap_or_else(|refusal| not_run_response(gateway, &request_head.request, refusal));
     served.map(|body| body.with_running_guard(running))
 }
 
+/// Refuses a forwarded turn, and tells the entry that forwarded it whether it has certainly not run.
+fn not_run_response(gateway: &Gateway, request: &str, refusal: Refusal) -> Response<ResponseBody> {
+    let mut refused = refusal_response(gateway, Some(request), refusal);
+    if refusal.guarantees_not_run() {
+        refused.headers_mut().insert(NOT_RUN_HEADER, HeaderValue::from_static("1"));
+    }
+    refused
+}
+
 /// Decodes the value of [`ROUTING_HEADER`].
 fn decode_routing(hex_text: &[u8]) -> Option<RoutingDecision> {
     postcard::from_bytes(&hex::decode(hex_text).ok()?).ok()
--- a/src/gateway/shard_table.rs
+++ b/src/gateway/shard_table.rs
@@ -5,7 +5,7 @@
 
 use tokio::sync::Notify;
 
-use super::owned_shard::OwnedShard;
+use super::owned_shard::{OwnedShard, Stage};
 use crate::prelude::*;
 
 /// The entry that owns a shard, and the epoch under which it does.
@@ -62,6 +62,12 @@
         self.local.borrow().values().cloned().collect()
     }
 
+    /// The number of shards that this process serves.
+    pub(super) fn serving_count(&self) -> u32 {
+        let local = self.local.borrow();
+        local.values().filter(|shard| shard.stage() == Stage::Serving).count() as u32
+    }
+
     /// Adds a shard that this process owns under a new epoch.
     pub(super) fn insert_owned(&self, shard: Rc<OwnedShard>) {
         self.local.borrow_mut().insert(shard.number, shard);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -1,4 +1,5 @@
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -15,6 +16,7 @@
 use super::{GatewaySettings, Protocol, Store};
 use crate::catalog::Regions;
 use crate::http::ConnectionPool;
+use crate::load::{ProgramAdmission, ServiceLoad};
 use crate::mechanisms::Mechanism;
 use crate::prelude::*;
 use crate::replicas::{Directory, Placement, PlacementRequest, ReplicaKey};
@@ -32,6 +34,8 @@
     pub(super) placement: RefCell<Placement>,
     pub(super) connections: Rc<ConnectionPool>,
     pub(super) rates: RefCell<RateLimiter>,
+    /// The admission of programs, by service under load control.
+    pub(super) program_admissions: RefCell<HashMap<Arc<str>, ProgramAdmission>>,
     pub(super) suspects: RefCell<Suspects>,
     pub(super) shards: ShardTable,
     pub(super) peers: RefCell<Peers>,
@@ -74,6 +78,7 @@
             placement: RefCell::new(placement),
             connections: Rc::default(),
             rates: RefCell::new(RateLimiter::open(settings.bounds.rate_window_ms)),
+            program_admissions: RefCell::default(),
             suspects: RefCell::default(),
             shards,
             peers: RefCell::default(),
@@ -109,6 +114,26 @@
         self.placement.borrow_mut().choose(now, &self.directory.borrow(), want, connected)
     }
 
+    /// The capacity of a service and the work in hand at it.
+    pub(super) fn service_load(&self, service: &str) -> ServiceLoad {
+        let now = self.now();
+        let directory = self.directory.borrow();
+        let usable = directory
+            .of_service(service)
+            .filter(|(key, replica)| directory.may_send(now, *key) && replica.is_usable(now));
+        let mut load = ServiceLoad {
+            share: f64::from(self.shards.serving_count()) / f64::from(self.shards.count().max(1)),
+            hears_half: self.peers.borrow().peer_counts(now).hears_half(),
+            ..ServiceLoad::default()
+        };
+        for (_, replica) in usable {
+            load.slots += replica.announcement.slots;
+            load.in_flight += replica.load();
+            load.own_in_flight += replica.in_flight;
+        }
+        load
+    }
+
     pub(super) fn is_enabled(&self, mechanism: Mechanism) -> bool {
         self.settings.mechanisms.is_enabled(mechanism)
     }
--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -5,10 +5,14 @@
 //! they apply only to routes under load control, see
 //! [`crate::catalog::Route::is_load_controlled`].
 
+mod admission;
 mod capacity;
+mod line;
 mod rank;
 
+pub use admission::{Candidate, Decision, ProgramAdmission};
 pub use capacity::ServiceLoad;
+pub use line::{Place, WaitingList};
 pub use rank::Rank;
 
 #[cfg(test)]
--- a/src/load/rank.rs
+++ b/src/load/rank.rs
@@ -13,6 +13,9 @@
 pub struct Rank(u8);
 
 impl Rank {
+    /// The number of ranks.
+    pub const COUNT: usize = MAX_RANK as usize + 1;
+
     /// The rank of a request on a route with priority `route` of a workspace with priority
     /// `workspace`, if it has one.
     pub fn of(workspace: Option<u8>, route: u8) -> Rank {
@@ -26,6 +29,11 @@
         Rank(number.min(MAX_RANK))
     }
 
+    /// The index of the rank in an array of [`Rank::COUNT`] elements.
+    pub fn index(self) -> usize {
+        usize::from(self.0)
+    }
+
     /// The number, from 0 to 9.
     pub fn number(self) -> u8 {
         self.0
--- a/src/load/tests.rs
+++ b/src/load/tests.rs
@@ -1,1 +1,2 @@
+mod admission;
 mod rank;
--- /dev/null
+++ b/src/load/tests/admission.rs
@@ -0,0 +1,170 @@
+use test_case::test_case;
+
+use crate::load::{Candidate, Decision, ProgramAdmission, Rank, ServiceLoad};
+use crate::prelude::*;
+
+const SLOTS: u32 = 240;
+
+/// Programs under load take all of a slot for this long.
+const PROGRAM_MS: u64 = 1_000;
+
+fn candidate(program: u64, rank: u8) -> Candidate {
+    let rank = Rank::from_number(rank);
+    Candidate { program, rank, over_share: false, max_wait_ms: 0, max_retry_ms: 1_000 }
+}
+
+fn load(in_flight: u32) -> ServiceLoad {
+    let (slots, share) = (SLOTS, 1.0 / 24.0);
+    ServiceLoad { slots, in_flight, own_in_flight: in_flight / 24, share, hears_half: true }
+}
+
+fn is_admitted(decision: Decision) -> bool {
+    matches!(decision, Decision::Admitted { .. })
+}
+
+/// What became of the programs of a surge at one owner of all shards, by rank.
+#[derive(Default)]
+struct Surge {
+    most_in_flight: usize,
+    asked: [u32; 2],
+    admitted: [u32; 2],
+    running_until: Vec<u64>,
+}
+
+impl Surge {
+    /// Programs of two ranks ask every `every_ms`; those refused come back once when told.
+    fn run(every_ms: [u64; 2], until_ms: u64) -> Surge {
+        let mut admission = ProgramAdmission::open(TimeMs(0));
+        let (mut surge, mut back, mut next) = (Surge::default(), Vec::new(), 0);
+        for now in 1..until_ms {
+            surge.running_until.retain(|until| *until > now);
+            let (due, later) = back.into_iter().partition(|(at, _, _)| *at <= now);
+            back = later;
+            let mut asking: Vec<(u64, u64, u8)> = due;
+            for rank in [0, 1] {
+                if now % every_ms[usize::from(rank)] == 0 {
+                    next += 1;
+                    surge.asked[usize::from(rank)] += 1;
+                    asking.push((now, next, rank));
+                }
+            }
+            for (_, program, rank) in asking {
+                let in_flight = surge.running_until.len() as u32;
+                let load = ServiceLoad { share: 1.0, own_in_flight: in_flight, ..load(in_flight) };
+                match admission.decide(TimeMs(now), &candidate(program, rank), &load) {
+                    Decision::Admitted { .. } => {
+                        surge.admitted[usize::from(rank)] += 1;
+                        surge.running_until.push(now + PROGRAM_MS);
+                    }
+                    Decision::Refused { retry_after_ms, .. } => {
+                        back.push((now + retry_after_ms, program, rank));
+                    }
+                    Decision::Held { .. } => unreachable!("nothing may be held"),
+                }
+            }
+            surge.most_in_flight = surge.most_in_flight.max(surge.running_until.len());
+        }
+        surge
+    }
+}
+
+// A surge of twice or four times what the slots carry: all programs were late, also after it.
+#[test_case([4, 4]; "twice the capacity")]
+#[test_case([2, 2]; "four times the capacity")]
+fn a_surge_fills_the_slots_and_no_more(every_ms: [u64; 2]) {
+    let surge = Surge::run(every_ms, 6_000);
+    assert!(surge.most_in_flight <= SLOTS as usize * 11 / 10, "{}", surge.most_in_flight);
+    assert!(surge.running_until.len() >= SLOTS as usize * 8 / 10, "{}", surge.running_until.len());
+}
+
+// Callers of the less urgent rank took the capacity of the more urgent one.
+#[test]
+fn a_burst_of_a_less_urgent_rank_leaves_the_more_urgent_one_its_room() {
+    let surge = Surge::run([10, 2], 6_000);
+    assert!(surge.admitted[0] * 100 >= surge.asked[0] * 95, "{:?}", surge.admitted);
+}
+
+// A steady stream of urgent programs refused all others forever.
+#[test]
+fn no_rank_starves() {
+    let surge = Surge::run([3, 20], 10_000);
+    assert!(surge.admitted[1] * 4 >= surge.asked[1], "{:?} of {:?}", surge.admitted, surge.asked);
+}
+
+// Programs were refused while endpoints were free, after counts had fallen.
+#[test_case(0)]
+#[test_case(119)]
+fn nothing_is_refused_below_half_of_the_slots(in_flight: u32) {
+    let mut admission = ProgramAdmission::open(TimeMs(0));
+    let decisions =
+        (1..500).map(|p| admission.decide(TimeMs(1), &candidate(p, 9), &load(in_flight)));
+    assert!(decisions.map(is_admitted).all(|admitted| admitted));
+}
+
+// All owners saw the same free slots at once, and together filled them many times over.
+#[test]
+fn an_owner_takes_its_share_of_the_free_slots_between_two_messages() {
+    let mut admission = ProgramAdmission::open(TimeMs(0));
+    let decisions =
+        (0..200).map(|p| admission.decide(TimeMs(1_000 + p), &candidate(p, 0), &load(192)));
+    let admitted = decisions.filter(|decision| is_admitted(*decision)).count();
+    assert!((2..=5).contains(&admitted), "{admitted}");
+}
+
+// An entry that is cut off saw no load of the others and admitted as if all slots were its own.
+#[test]
+fn an_owner_that_hears_too_few_entries_keeps_to_its_share_of_the_slots() {
+    let mut admission = ProgramAdmission::open(TimeMs(0));
+    let alone = |own| ServiceLoad { own_in_flight: own, hears_half: false, ..load(130) };
+    assert!(is_admitted(admission.decide(TimeMs(1), &candidate(1, 0), &alone(9))));
+    assert!(!is_admitted(admission.decide(TimeMs(1), &candidate(2, 0), &alone(10))));
+}
+
+// Newcomers took the room that returning programs had been told of, which were refused again.
+#[test]
+fn a_program_that_returns_in_time_goes_before_newcomers() {
+    let mut admission = ProgramAdmission::open(TimeMs(0));
+    for program in 0..3 {
+        admission.decide(TimeMs(1), &candidate(program, 0), &load(SLOTS));
+    }
+    let Decision::Refused { retry_after_ms, place } =
+        admission.decide(TimeMs(2), &candidate(7, 0), &load(SLOTS))
+    else {
+        panic!("no slot is free");
+    };
+    assert!(place >= 1 && (100..=1_000).contains(&retry_after_ms), "{place} {retry_after_ms}");
+    let back = TimeMs(2 + retry_after_ms);
+    let newcomer = admission.decide(back, &candidate(8, 0), &load(SLOTS - 10));
+    let returned = admission.decide(back, &candidate(7, 0), &load(SLOTS - 10));
+    assert!(!is_admitted(newcomer) && matches!(returned, Decision::Admitted { place: Some(_) }));
+}
+
+// Programs that never came back kept their room for good.
+#[test]
+fn programs_that_do_not_return_lose_their_places() {
+    let mut admission = ProgramAdmission::open(TimeMs(0));
+    for program in 0..50 {
+        admission.decide(TimeMs(1), &candidate(program, 0), &load(SLOTS));
+    }
+    let later = admission.decide(TimeMs(5_000), &candidate(99, 0), &load(SLOTS - 30));
+    assert!(is_admitted(later));
+}
+
+// A workspace that sends many times its usual took the room of the others.
+#[test]
+fn a_workspace_over_its_share_goes_behind_the_others_of_its_rank() {
+    let mut admission = ProgramAdmission::open(TimeMs(0));
+    let hot = Candidate { over_share: true, ..candidate(1, 0) };
+    let refused = |admission: &mut ProgramAdmission, candidate| match admission.decide(
+        TimeMs(1),
+        candidate,
+        &load(SLOTS),
+    ) {
+        Decision::Refused { place, .. } => place,
+        other => panic!("{other:?}"),
+    };
+    admission.decide(TimeMs(1), &candidate(0, 0), &load(SLOTS));
+    refused(&mut admission, &hot);
+    let (usual, hot) = (candidate(2, 0), Candidate { program: 3, ..hot });
+    assert!(refused(&mut admission, &usual) < refused(&mut admission, &hot));
+}
--- a/src/quota/shared_window.rs
+++ b/src/quota/shared_window.rs
@@ -47,7 +47,7 @@
 
 impl PeerCounts {
     /// Whether messages arrive from at least half of the entries, which is enough to rely on them.
-    fn hears_half(self) -> bool {
+    pub fn hears_half(self) -> bool {
         self.heard * 2 >= self.entries
     }
 
--- a/src/turns/ledger.rs
+++ b/src/turns/ledger.rs
@@ -97,6 +97,12 @@
         Ok(())
     }
 
+    /// Whether a program has begun: its account exists from its first turn on, and is kept in the
+    /// log for the next owners.
+    pub fn has_account(&self, key: ProgramKey) -> bool {
+        self.accounts.contains_key(&key)
+    }
+
     /// The completed turn with this key, if it is in the ledger.
     pub fn turn(&self, key: TurnKey) -> Option<&Turn> {
         self.turns.get(&key)
