Learned paces: endpoints under load control are chosen by measured time to completion

Cause: the choice of an endpoint uses a prefill rate, a wait and a slowdown that are constants of one site, and takes all endpoints for equally fast. Where a third takes 1.7 times as long, it gets a third of the turns. Ruled out: a plain mean per endpoint, which mixes speed and load; paces and service times without a common scale, which could drift apart as only their product is measured; times taken when chunks are passed on, which hold the waits for callers and the store. Change: PaceTable (fits per service, pace per endpoint) fed by completed streams and by totals that entries gossip; used by Placement for services under load control only, with two ways against herding (--endpoint-choice all|sampled). Measured in unit tests: 24 entries that send three rounds to 24 endpoints, of which 16 are fast, each round by outdated counts (mean load 3): busiest endpoint 24 with `all`, 10 with `sampled`. Slow endpoints (1.7 times) get none of 96 turns while 96 fast slots are free, and their slots are full at 192 turns; they are used once about three turns wait at each fast endpoint.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -9,6 +9,7 @@
 use super::state::Gateway;
 use super::{ResponseKind, RoutingDecision};
 use crate::http::{ConnectError, Connection, RequestBody};
+use crate::load::Work;
 use crate::prelude::*;
 use crate::replicas::ReplicaKey;
 
@@ -48,6 +49,9 @@
     gateway: Rc<Gateway>,
     pub(super) endpoint: ReplicaKey,
     pub(super) endpoint_id: Arc<str>,
+    pub(super) sent_at: TimeMs,
+    /// What decides how long the endpoint takes, if its service is under load control.
+    pub(super) work: Option<Work>,
     connection: Option<Connection>,
     /// Since when the request has been waiting for the endpoint; none while it waits for its caller
     /// or for the store.
@@ -64,13 +68,17 @@
         endpoint: ReplicaKey,
         id: Arc<str>,
     ) -> InFlightGuard {
-        gateway.directory.borrow_mut().record_sent(gateway.now(), endpoint);
+        let now = gateway.now();
+        let work = gateway.work_to_measure(endpoint_request, endpoint);
+        gateway.directory.borrow_mut().record_sent(now, endpoint);
         InFlightGuard {
             gateway: gateway.clone(),
             endpoint,
             endpoint_id: id,
+            sent_at: now,
+            work,
             connection: None,
-            waiting_since: Cell::new(Some(gateway.now())),
+            waiting_since: Cell::new(Some(now)),
             silent_after_ms: (SILENCE_TARGET_FACTOR * endpoint_request.routing.target_ms)
                 .max(MIN_SILENCE_MS),
             outcome_recorded: Cell::new(false),
--- a/src/gateway/endpoint_feed.rs
+++ b/src/gateway/endpoint_feed.rs
@@ -51,6 +51,7 @@
             }
         };
         gateway.directory.borrow_mut().remove_expired(gateway.now());
+        gateway.placement.borrow_mut().forget_removed(&gateway.directory.borrow());
         gateway.connections.remove_expired(gateway.now());
         tokio::time::sleep(Duration::from_millis(pause_ms)).await;
     }
--- a/src/gateway/event_stream.rs
+++ b/src/gateway/event_stream.rs
@@ -11,6 +11,7 @@
 use super::attempt::{EndpointRequest, EndpointResponse, InFlightGuard};
 use super::dispatch::Dispatch;
 use super::state::Gateway;
+use super::stream_times::StreamTimes;
 use super::turn::until_deadline;
 use crate::prelude::*;
 use crate::replicas::ReplicaKey;
@@ -38,6 +39,8 @@
     reader: EventReader,
     /// The bytes of an event that is still incomplete.
     partial: Vec<u8>,
+    /// None if the service is not under load control, or the response was resumed.
+    times: Option<StreamTimes>,
 }
 
 /// The response of the current endpoint.
@@ -100,10 +103,17 @@
         if !response.head.status.is_success() {
             return Ok((head, ResponseStart::Failure(Box::new(response))));
         }
-        let source = Some(Source { body: response.body, in_flight: response.in_flight });
-        let (gateway, endpoint_request, partial) =
-            (gateway.clone(), endpoint_request.clone(), Vec::new());
-        let stream = EventStream { gateway, endpoint_request, dispatch, source, reader, partial };
+        let sent_at = response.in_flight.sent_at;
+        let times = response.in_flight.work.map(|work| StreamTimes::open(work, sent_at));
+        let stream = EventStream {
+            gateway: gateway.clone(),
+            endpoint_request: endpoint_request.clone(),
+            dispatch,
+            source: Some(Source { body: response.body, in_flight: response.in_flight }),
+            reader,
+            partial: Vec::new(),
+            times,
+        };
         Ok((head, ResponseStart::Events(Box::new(stream))))
     }
 
@@ -133,6 +143,10 @@
         let Source { in_flight, .. } = self.source?;
         let (endpoint, endpoint_id) = (in_flight.endpoint, in_flight.endpoint_id.clone());
         in_flight.finish(StatusCode::OK);
+        let service = &self.endpoint_request.routing.service;
+        if let Some(sample) = self.times.and_then(|times| times.sample(service)) {
+            self.gateway.record_turn_times(endpoint, &endpoint_id, &sample);
+        }
         self.gateway.clear_suspect(self.endpoint_request.crash_key);
         Some(CompletedResponse { endpoint, endpoint_id, output: self.reader.into_output() })
     }
@@ -146,6 +160,9 @@
     /// if the response may be resumed at another endpoint, the events that are complete.
     fn complete_events(&mut self, chunk: Bytes) -> Option<Bytes> {
         let complete_len = self.reader.push(&chunk);
+        if let Some(times) = &mut self.times {
+            times.record_events(self.reader.events());
+        }
         if !self.endpoint_request.routing.repeat.may_run_again() {
             return Some(chunk);
         }
@@ -165,12 +182,18 @@
     async fn read_chunk(&mut self) -> Result<Option<Bytes>, Fault> {
         let Source { body, in_flight } = self.source.as_mut().ok_or(Fault::Broken)?;
         in_flight.start_silence_timer();
+        if let Some(times) = &mut self.times {
+            times.begin_read(self.gateway.now());
+        }
         let next = until_deadline(&self.gateway, self.endpoint_request.deadline, next_data(body));
         let chunk = match self.dispatch.may_try_another() {
             true => wait_unless_silent(in_flight, next).await,
             false => Some(next.await),
         };
         in_flight.stop_silence_timer();
+        if let Some(times) = &mut self.times {
+            times.end_read(self.gateway.now());
+        }
         match chunk {
             Some(Ok(Ok(chunk))) => Ok(chunk),
             Some(Ok(Err(_))) => Err(Fault::Broken),
@@ -196,6 +219,7 @@
         if fault == Fault::TimedOut || !can_resume || !self.dispatch.may_try_another() {
             return Err(fault.refusal());
         }
+        self.times = None;
         self.partial.clear();
         self.reader.discard_partial_event();
         self.dispatch.resume_after(last_event);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -43,6 +43,7 @@
 mod settings;
 mod shard_table;
 mod state;
+mod stream_times;
 mod suspects;
 mod turn;
 mod wait_until;
--- a/src/gateway/observe.rs
+++ b/src/gateway/observe.rs
@@ -5,6 +5,7 @@
 use super::state::Gateway;
 use super::{Refusal, RequestHead};
 use crate::catalog::{RepeatPolicy, Route};
+use crate::load::PaceChange;
 use crate::prelude::*;
 
 /// Metrics label of requests without a workspace: those refused before their key was known, and
@@ -91,6 +92,7 @@
     gauge!("trefoil_endpoints_cold").set(cold as f64);
     gauge!("trefoil_domains_evacuated").set(evacuated as f64);
     gauge!("trefoil_connections_opened").set(gateway.connections.opened() as f64);
+    update_pace_metrics(gateway);
     if let Some(version) = gateway.endpoint_list.version() {
         let age_ms = gateway.now().since(version.read_at);
         gauge!("trefoil_endpoint_list_age_ms").set(age_ms as f64);
@@ -102,3 +104,26 @@
         gauge!("trefoil_config_version").set(catalog.version() as f64);
     }
 }
+
+/// Sets the metrics of what was measured of services under load control.
+fn update_pace_metrics(gateway: &Gateway) {
+    let placement = gateway.placement.borrow();
+    counter!("trefoil_learned_choices_total").absolute(placement.learned_choices());
+    for times in placement.paces().service_times() {
+        let service = times.service.to_string();
+        gauge!("trefoil_prefill_ms_per_1000_tokens", "service" => service.clone())
+            .set(times.prefill_ms_per_token * 1_000.0);
+        gauge!("trefoil_event_ms", "service" => service).set(times.event_ms);
+    }
+}
+
+/// Counts a completed turn whose times were measured.
+pub(super) fn count_pace_sample(service: &str) {
+    counter!("trefoil_pace_samples_total", "service" => service.to_string()).increment(1);
+}
+
+/// Logs that the pace of an endpoint has changed considerably.
+pub(super) fn record_pace_change(endpoint: &str, service: &str, change: PaceChange) {
+    let (from, to) = (change.from, change.to);
+    log::debug!(endpoint, service, from, to; "pace of an endpoint changed");
+}
--- a/src/gateway/operator_feed.rs
+++ b/src/gateway/operator_feed.rs
@@ -138,6 +138,7 @@
                 rates.open_window(gateway.now(), workspace);
             });
             gateway.directory.borrow_mut().set_cold_limits(cold_limits(gateway, &catalog));
+            gateway.placement.borrow_mut().set_load_controlled(catalog.load_controlled());
             *gateway.active_config.catalog.borrow_mut() = Some(Rc::new(catalog));
         }
         Err(fault) => log::debug!(fault:display; "configuration ignored"),
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -2,7 +2,7 @@
 
 use crate::mechanisms::Mechanisms;
 use crate::prelude::*;
-use crate::replicas::Topology;
+use crate::replicas::{EndpointChoice, Topology};
 
 /// Limits that the operator of a deployment sets.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -41,4 +41,6 @@
     pub bounds: Bounds,
     /// The mechanisms that are switched on.
     pub mechanisms: Mechanisms,
+    /// Which endpoints of services under load control are compared for a request.
+    pub endpoint_choice: EndpointChoice,
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -6,6 +6,7 @@
 
 use super::attempt::EndpointRequest;
 use super::endpoint_list::EndpointListStatus;
+use super::observe::{count_pace_sample, record_pace_change};
 use super::operator_feed::ActiveConfig;
 use super::peers::Peers;
 use super::rates::RateLimiter;
@@ -15,6 +16,7 @@
 use super::{GatewaySettings, Protocol, Store};
 use crate::catalog::Regions;
 use crate::http::ConnectionPool;
+use crate::load::{TurnSample, Work};
 use crate::mechanisms::Mechanism;
 use crate::prelude::*;
 use crate::replicas::{Directory, Placement, PlacementRequest, ReplicaKey};
@@ -61,7 +63,8 @@
     ) -> Rc<Gateway> {
         let shards = ShardTable::open(store.shards());
         let seed = Digest::of(&[settings.name.as_bytes()]).prefix();
-        let placement = Placement::open(settings.topology.clone(), settings.mechanisms);
+        let placement = Placement::open(settings.topology.clone(), settings.mechanisms)
+            .with_endpoint_choice(settings.endpoint_choice, seed);
         let clock = Clock::start();
         Rc::new(Gateway {
             first_sequence: clock.unix().0,
@@ -109,6 +112,32 @@
         self.placement.borrow_mut().choose(now, &self.directory.borrow(), want, connected)
     }
 
+    /// What decides how long an endpoint takes for a request, if its service is under load control
+    /// and the endpoint is known.
+    pub(super) fn work_to_measure(
+        &self,
+        request: &EndpointRequest,
+        endpoint: ReplicaKey,
+    ) -> Option<Work> {
+        let (placement, directory) = (self.placement.borrow(), self.directory.borrow());
+        let is_measured = placement.learns_paces(&request.routing.service);
+        let replica = directory.get(endpoint).filter(|_| is_measured)?;
+        Some(placement.work_at(self.now(), endpoint, replica, &request.parts))
+    }
+
+    /// Records the measured times of a turn that an endpoint has completed.
+    pub(super) fn record_turn_times(&self, endpoint: ReplicaKey, id: &str, sample: &TurnSample) {
+        let is_known = self.directory.borrow().get(endpoint).is_some();
+        let mut placement = self.placement.borrow_mut();
+        if !is_known || !placement.learns_paces(&sample.service) {
+            return;
+        }
+        count_pace_sample(&sample.service);
+        if let Some(change) = placement.paces_mut().record(self.now(), endpoint, sample) {
+            record_pace_change(id, &sample.service, change);
+        }
+    }
+
     pub(super) fn is_enabled(&self, mechanism: Mechanism) -> bool {
         self.settings.mechanisms.is_enabled(mechanism)
     }
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -1,6 +1,8 @@
 mod attempts;
 mod endpoint_list;
 mod fakes;
+mod load_reports;
+mod stream_times;
 
 use std::rc::Rc;
 use std::time::Duration;
--- a/src/gateway/tests/fakes.rs
+++ b/src/gateway/tests/fakes.rs
@@ -13,7 +13,7 @@
     Refusal, RequestContext, RequestHead, ResponseKind, Store, StoreError, StoreFuture,
 };
 use crate::mechanisms::Mechanisms;
-use crate::replicas::{EndpointChange, Topology};
+use crate::replicas::{EndpointChange, EndpointChoice, Topology};
 
 /// What a read of the endpoint list meets instead of an answer.
 #[derive(Debug, Clone, Copy)]
@@ -215,6 +215,7 @@
         metrics: None,
         bounds,
         mechanisms: Mechanisms::default(),
+        endpoint_choice: EndpointChoice::default(),
     };
     Gateway::open(settings, store, Rc::new(NullProtocol))
 }
--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -6,10 +6,17 @@
 //! [`crate::catalog::Route::is_load_controlled`].
 
 mod capacity;
+mod endpoint_pace;
+mod fit;
+mod pace;
+pub(crate) mod prior;
 mod rank;
+mod service_pace;
 
 pub use capacity::ServiceLoad;
+pub use fit::{ForgettingMean, LinePrior, LinearFit};
+pub use pace::{CostMs, PaceChange, PaceTable, PaceTotals, ServiceTimes, TurnSample, Work};
 pub use rank::Rank;
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
--- a/src/replicas/mod.rs
+++ b/src/replicas/mod.rs
@@ -4,6 +4,7 @@
 mod announcement;
 mod cold_limits;
 mod directory;
+mod endpoint_choice;
 mod evacuations;
 mod health;
 mod list_outage;
@@ -14,6 +15,7 @@
 pub use announcement::{Announcement, ChangeOutcome, EndpointChange};
 pub use cold_limits::{ColdLimits, SenderQuota};
 pub use directory::{Directory, Replica, ReplicaKey};
+pub use endpoint_choice::{EndpointChoice, SAMPLED_ENDPOINTS};
 pub use evacuations::Evacuations;
 pub use health::{AnswerCounts, Health};
 pub use list_outage::ListOutage;
--- a/src/replicas/placement.rs
+++ b/src/replicas/placement.rs
@@ -3,23 +3,22 @@
 //! The turns of a program share a growing prompt, and engines slow down as they fill. On an idle
 //! endpoint without the prompt in its cache, a request costs the prefill of the prompt; on a full
 //! endpoint that has it cached, the request waits for about one running request.
+//!
+//! For services under load control, the cost is the time to completion estimated from measurements
+//! of completed turns; for all others, it is computed from constants.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
+use super::endpoint_choice::EndpointSampler;
 use super::rendezvous::rendezvous_weight;
-use super::{Directory, Replica, ReplicaKey, Topology};
+use super::{Directory, EndpointChoice, Replica, ReplicaKey, Topology};
 use crate::catalog::Regions;
+use crate::load::prior::{FULL_BATCH_SLOWDOWN_MS, PREFILL_TOKENS_PER_MS, WAIT_PER_REQUEST_MS};
+use crate::load::{PaceTable, Work};
 use crate::mechanisms::{Mechanism, Mechanisms};
 use crate::prelude::*;
 
-/// Estimated wait at an endpoint without a free slot, for each request in excess of its slots.
-const WAIT_PER_REQUEST_MS: f64 = 10.0;
-
-/// Estimated slowdown by concurrent requests when all slots are taken; proportionally less
-/// otherwise.
-const FULL_BATCH_SLOWDOWN_MS: f64 = 20.0;
-
 /// Round-trip time to another failure domain.
 const CROSS_DOMAIN_RTT_MS: f64 = 4.0;
 
@@ -32,9 +31,6 @@
 /// usually handled the object before.
 const OBJECT_MISS_MS: f64 = 40.0;
 
-/// Prompt tokens that an engine prefills per millisecond.
-const PREFILL_TOKENS_PER_MS: f64 = 168.0;
-
 /// Minimum number of endpoints for the rule that ejected endpoints remain in use if fewer than half
 /// of a service's endpoints, rounded down, would be usable otherwise.
 const MIN_ENDPOINTS_FOR_EJECTION_LIMIT: usize = 2;
@@ -72,18 +68,74 @@
 }
 
 /// Selects endpoints, and keeps track of which prompt parts each of them has cached.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Placement {
     topology: Topology,
     mechanisms: Mechanisms,
     cached: HashMap<(ReplicaKey, u64), CachedPart>,
     rotation: u64,
+    /// The services under load control; always empty without the mechanism `LearnedPace`.
+    load_controlled: HashSet<Arc<str>>,
+    paces: PaceTable,
+    endpoint_choice: EndpointChoice,
+    sampler: EndpointSampler,
+    learned_choices: u64,
 }
 
 impl Placement {
     /// Selects endpoints for an entry whose location is given by `topology`.
     pub fn open(topology: Topology, mechanisms: Mechanisms) -> Placement {
-        Placement { topology, mechanisms, ..Placement::default() }
+        Placement {
+            topology,
+            mechanisms,
+            cached: HashMap::new(),
+            rotation: 0,
+            load_controlled: HashSet::new(),
+            paces: PaceTable::default(),
+            endpoint_choice: EndpointChoice::default(),
+            sampler: EndpointSampler::open(0),
+            learned_choices: 0,
+        }
+    }
+
+    /// Sets which endpoints of services under load control are compared. Entries with different
+    /// seeds draw different ones.
+    pub fn with_endpoint_choice(self, endpoint_choice: EndpointChoice, seed: u64) -> Placement {
+        Placement { endpoint_choice, sampler: EndpointSampler::open(seed), ..self }
+    }
+
+    /// Sets the services under load control. What was measured of those that remain is kept. Has no
+    /// effect if the mechanism `LearnedPace` is disabled.
+    pub fn set_load_controlled(&mut self, services: &HashSet<Arc<str>>) {
+        if self.mechanisms.is_enabled(Mechanism::LearnedPace) {
+            self.load_controlled = services.clone();
+            self.paces.retain(|_| true, |service| services.contains(service));
+        }
+    }
+
+    /// Whether endpoints of the service are chosen by measured performance.
+    pub fn learns_paces(&self, service: &str) -> bool {
+        self.load_controlled.contains(service)
+    }
+
+    /// What was measured of services under load control.
+    pub fn paces(&self) -> &PaceTable {
+        &self.paces
+    }
+
+    /// What was measured of services under load control, to add measurements.
+    pub fn paces_mut(&mut self) -> &mut PaceTable {
+        &mut self.paces
+    }
+
+    /// Drops what was measured of endpoints that are no longer known.
+    pub fn forget_removed(&mut self, directory: &Directory) {
+        self.paces.retain(|key| directory.get(key).is_some(), |_| true);
+    }
+
+    /// The number of endpoints chosen by measured performance so far.
+    pub fn learned_choices(&self) -> u64 {
+        self.learned_choices
     }
 
     /// Returns the usable endpoint with the lowest estimated cost, if there is one. `connected`
@@ -96,6 +148,43 @@
         connected: impl Fn(SocketAddr) -> bool,
     ) -> Option<ReplicaKey> {
         self.rotation = self.rotation.wrapping_add(1);
+        let mut usable = self.usable_endpoints(now, directory, request);
+        let preferred = request.object.and_then(|object| preferred_endpoint(object, &usable));
+        if self.learns_paces(&request.service) {
+            self.learned_choices += u64::from(!usable.is_empty());
+            if self.endpoint_choice == EndpointChoice::Sampled {
+                usable = self.draw_endpoints(now, &usable, request);
+            }
+        }
+        let costs = usable.into_iter().enumerate().map(|(index, (key, replica))| {
+            let same_domain = replica.announcement.failure_domain == self.topology.domain
+                || !self.mechanisms.is_enabled(Mechanism::Locality);
+            let network_ms = if same_domain { 0.0 } else { CROSS_DOMAIN_RTT_MS };
+            let has_connection = connected(replica.announcement.address)
+                || !self.mechanisms.is_enabled(Mechanism::KeptConnections);
+            let connect_ms = if has_connection { 0.0 } else { NEW_CONNECTION_MS };
+            let object_ms = if preferred.is_none_or(|preferred| preferred == key) {
+                0.0
+            } else {
+                OBJECT_MISS_MS
+            };
+            let processing_ms = self.processing_ms(now, key, replica, request);
+            let cost_ms = processing_ms + network_ms + connect_ms + object_ms;
+            // Endpoints of equal cost take turns, so that idle endpoints share the requests.
+            let tie = (index as u64).wrapping_add(self.rotation) % 64;
+            (key, cost_ms, tie)
+        });
+        let best = costs.min_by(|a, b| a.1.total_cmp(&b.1).then(a.2.cmp(&b.2)));
+        best.map(|(key, _, _)| key)
+    }
+
+    /// The endpoints that the request may be sent to.
+    fn usable_endpoints<'a>(
+        &self,
+        now: TimeMs,
+        directory: &'a Directory,
+        request: &PlacementRequest,
+    ) -> Vec<(ReplicaKey, &'a Replica)> {
         let is_eligible = |key: &ReplicaKey| !request.excluded.contains(key);
         let (mut active, mut usable) = (0, Vec::new());
         // Includes endpoints on probation that already have their one request in flight.
@@ -118,32 +207,56 @@
         if usable.is_empty() && request.accepts_ejected {
             usable.extend(ejected.into_iter().filter(|(key, _)| is_eligible(key)));
         }
-        let preferred = request.object.and_then(|object| preferred_endpoint(object, &usable));
-        let costs = usable.into_iter().enumerate().map(|(index, (key, replica))| {
-            let slots = f64::from(replica.announcement.slots.max(1));
-            let load = f64::from(replica.load());
-            let wait_ms = (load + 1.0 - slots).max(0.0) * WAIT_PER_REQUEST_MS;
-            let batch_ms = (load / slots).min(1.0) * FULL_BATCH_SLOWDOWN_MS;
-            let same_domain = replica.announcement.failure_domain == self.topology.domain
-                || !self.mechanisms.is_enabled(Mechanism::Locality);
-            let network_ms = if same_domain { 0.0 } else { CROSS_DOMAIN_RTT_MS };
-            let prefill_ms =
-                self.uncached_tokens(now, key, &request.parts) as f64 / PREFILL_TOKENS_PER_MS;
-            let has_connection = connected(replica.announcement.address)
-                || !self.mechanisms.is_enabled(Mechanism::KeptConnections);
-            let connect_ms = if has_connection { 0.0 } else { NEW_CONNECTION_MS };
-            let object_ms = if preferred.is_none_or(|preferred| preferred == key) {
-                0.0
-            } else {
-                OBJECT_MISS_MS
-            };
-            let cost_ms = wait_ms + batch_ms + network_ms + prefill_ms + connect_ms + object_ms;
-            // Endpoints of equal cost take turns, so that idle endpoints share the requests.
-            let tie = (index as u64).wrapping_add(self.rotation) % 64;
-            (key, cost_ms, tie)
-        });
-        let best = costs.min_by(|a, b| a.1.total_cmp(&b.1).then(a.2.cmp(&b.2)));
-        best.map(|(key, _, _)| key)
+        usable
+    }
+
+    fn draw_endpoints<'a>(
+        &mut self,
+        now: TimeMs,
+        usable: &[(ReplicaKey, &'a Replica)],
+        request: &PlacementRequest,
+    ) -> Vec<(ReplicaKey, &'a Replica)> {
+        let prompt_tokens = prompt_tokens(&request.parts);
+        let cached_tokens: HashMap<_, _> = usable
+            .iter()
+            .map(|(key, _)| (*key, prompt_tokens - self.uncached_tokens(now, *key, &request.parts)))
+            .collect();
+        self.sampler.draw(usable, |(key, _)| cached_tokens[key])
+    }
+
+    /// The estimated time that an endpoint takes for the request, without the network.
+    fn processing_ms(
+        &self,
+        now: TimeMs,
+        key: ReplicaKey,
+        replica: &Replica,
+        request: &PlacementRequest,
+    ) -> f64 {
+        let work = self.work_at(now, key, replica, &request.parts);
+        if self.learns_paces(&request.service) {
+            return self.paces.estimate(now, key, &request.service, &work);
+        }
+        let slots = f64::from(work.slots);
+        let load = f64::from(work.load);
+        let wait_ms = (load + 1.0 - slots).max(0.0) * WAIT_PER_REQUEST_MS;
+        let batch_ms = (load / slots).min(1.0) * FULL_BATCH_SLOWDOWN_MS;
+        let prefill_ms = work.uncached_tokens as f64 / PREFILL_TOKENS_PER_MS;
+        wait_ms + batch_ms + prefill_ms
+    }
+
+    /// What decides how long an endpoint takes for a request with these prompt parts.
+    pub fn work_at(
+        &self,
+        now: TimeMs,
+        key: ReplicaKey,
+        replica: &Replica,
+        parts: &[(u64, u64)],
+    ) -> Work {
+        Work {
+            uncached_tokens: self.uncached_tokens(now, key, parts),
+            load: replica.load(),
+            slots: replica.announcement.slots.max(1),
+        }
     }
 
     /// Whether an endpoint is in a region in which the request may run.
@@ -155,7 +268,6 @@
     /// Prompt tokens that the endpoint would have to prefill. The last part of a program's prompt
     /// grows from turn to turn, and what was cached of it earlier is still valid.
     fn uncached_tokens(&self, now: TimeMs, key: ReplicaKey, parts: &[(u64, u64)]) -> u64 {
-        let total: u64 = parts.iter().map(|(_, tokens)| *tokens).sum();
         let mut cached_total = 0;
         for (part, tokens) in parts {
             let cached = self.cached.get(&(key, *part));
@@ -166,7 +278,7 @@
                 break;
             }
         }
-        total - cached_total
+        prompt_tokens(parts) - cached_total
     }
 
     /// Records that an endpoint has prefilled these prompt parts and holds them in its cache. Has
@@ -188,6 +300,10 @@
     }
 }
 
+fn prompt_tokens(parts: &[(u64, u64)]) -> u64 {
+    parts.iter().map(|(_, tokens)| *tokens).sum()
+}
+
 /// Among the usable endpoints, the preferred one for requests about an object. All entries
 /// determine the same one without communicating, and it changes only if that endpoint becomes
 /// unusable or one that ranks higher becomes usable.
--- a/src/replicas/tests.rs
+++ b/src/replicas/tests.rs
@@ -1,6 +1,7 @@
 mod cold_limits;
 mod directory;
 mod health;
+mod learned_choice;
 mod placement;
 mod topology;
 
