--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -7,13 +7,20 @@
 
 mod admission;
 mod capacity;
+mod endpoint_pace;
+mod fit;
 mod line;
+mod pace;
+pub(crate) mod prior;
 mod rank;
+mod service_pace;
 
 pub use admission::{Candidate, Decision, ProgramAdmission};
 pub use capacity::ServiceLoad;
+pub use fit::{ForgettingMean, LinePrior, LinearFit};
 pub use line::{Place, WaitingList};
+pub use pace::{CostMs, PaceChange, PaceTable, PaceTotals, ServiceTimes, TurnSample, Work};
 pub use rank::Rank;
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
--- a/src/load/tests/admission.rs
+++ b/src/load/tests/admission.rs
@@ -98,7 +98,7 @@
     let mut admission = ProgramAdmission::open(TimeMs(0));
     let decisions =
         (1..500).map(|p| admission.decide(TimeMs(1), &candidate(p, 9), &load(in_flight)));
-    assert!(decisions.map(is_admitted).all(|admitted| admitted));
+    assert!(decisions.into_iter().all(is_admitted));
 }
 
 // All owners saw the same free slots at once, and together filled them many times over.
