Endpoints are drawn from the own failure domain first

Cause: four endpoints drawn from all failure domains moved two thirds of the turns across domains. Change: four of the own domain, one of the others, and the one with the most of the prompt cached.

--- a/src/replicas/placement.rs
+++ b/src/replicas/placement.rs
@@ -221,7 +221,11 @@
             .iter()
             .map(|(key, _)| (*key, prompt_tokens - self.uncached_tokens(now, *key, &request.parts)))
             .collect();
-        self.sampler.draw(usable, |(key, _)| cached_tokens[key])
+        let own_domain = self.topology.domain.clone();
+        let is_near = |(_, replica): &(ReplicaKey, &Replica)| {
+            replica.announcement.failure_domain == own_domain
+        };
+        self.sampler.draw(usable, is_near, |(key, _)| cached_tokens[key])
     }
 
     /// The estimated time that an endpoint takes for the request, without the network.
