--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -130,7 +130,7 @@
         };
         for (_, replica) in usable {
             load.slots += replica.announcement.slots;
-            load.in_flight += replica.load();
+            load.in_flight += replica.load(now);
             load.own_in_flight += replica.in_flight;
         }
         load
