Limit what an entry buffers for slow readers

Cause: up to 32 chunks per streamed response, whole buffered responses and request bodies were kept in memory without a common limit. A caller that did not read also stopped the reading from the endpoint, so its request kept a slot there until the endpoint aborted it.

Change: with `pressure` in the settings' `contracts` and `limits.memoryMb` (and the mechanism `reader-limits`), chunks are counted per entry, workspace and response until they are written to the reader's connection. At a limit, the response with the oldest unread chunk, among those of the workspace that holds the most, is disconnected. The channel then has no bound of its own. Near the entry's limit new requests are refused with Retry-After. Without the settings the channel is as before, and the new metrics are zero.

Ruled out: releasing bytes when they leave the channel (the HTTP implementation takes a large body whole while its connection is blocked); failing only the body (it is not polled while blocked, so the connection is closed as well); request bodies that cost readers their responses; the age since a response first held anything (it would disconnect fast readers of long streams).

Four scratch mutations (no connection closing, no release, body does not fail, newest instead of oldest) each fail a test. The fourth passed at first; the test of one slow reader was made stricter for it.

--- a/src/gateway/buffered.rs
+++ b/src/gateway/buffered.rs
@@ -1,40 +1,43 @@
 use std::rc::Rc;
 
 use http::{Response, StatusCode, response};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Bytes;
 
 use super::attempt::{EndpointRequest, EndpointResponse};
+use super::collect_response::{CollectError, collect_response};
 use super::dispatch::Dispatch;
+use super::reader_limits::Reader;
 use super::state::Gateway;
 use super::{Refusal, ResponseBody};
 
-/// Limit for the body of a buffered response.
-const MAX_RESPONSE_BYTES: usize = 4 << 20;
-
 /// Serves a request whose response is buffered and passed on only when it is complete.
 pub(super) async fn serve_buffered(
     gateway: &Rc<Gateway>,
     endpoint_request: &Rc<EndpointRequest>,
 ) -> Result<Response<ResponseBody>, Refusal> {
+    let reader = open_reader(gateway, endpoint_request);
     let mut dispatch = Dispatch::open(gateway, endpoint_request);
     loop {
         let EndpointResponse { head, body, in_flight } = dispatch.next_response().await?;
         let endpoint = in_flight.endpoint;
         in_flight.start_silence_timer();
-        match Limited::new(body, MAX_RESPONSE_BYTES).collect().await {
+        match collect_response(body, || gateway.now(), reader.as_ref()).await {
             Ok(body) => {
                 in_flight.finish(head.status);
                 gateway.clear_suspect(endpoint_request.crash_key);
                 // Status 500 is the endpoint's own error: another endpoint may succeed.
                 let failed = head.status == StatusCode::INTERNAL_SERVER_ERROR;
                 if !failed || !dispatch.may_try_another() {
-                    return Ok(build_response(head, body.to_bytes()));
+                    return Ok(build_response(head, body, reader));
                 }
                 log::info!(request:% = endpoint_request.request;
                     "endpoint answered with status 500; trying another endpoint");
             }
-            Err(_) => {
+            Err(CollectError::ReaderGone) => {
+                in_flight.abandon();
+                return Err(Refusal::OutcomeUnknown);
+            }
+            Err(CollectError::Broken) => {
                 in_flight.abandon();
                 dispatch.record_broken_attempt(endpoint).await;
                 if !endpoint_request.routing.repeat.may_run_again() {
@@ -45,9 +48,23 @@
     }
 }
 
+/// Registers the response to a request, if slow readers are limited.
+fn open_reader(gateway: &Gateway, endpoint_request: &EndpointRequest) -> Option<Reader> {
+    let EndpointRequest { request, routing, .. } = endpoint_request;
+    gateway.reader_limits.as_ref().map(|limits| limits.open_reader(request, &routing.workspace))
+}
+
 /// Builds the response to the caller from an endpoint's head and complete body.
-pub(super) fn build_response(head: response::Parts, body: Bytes) -> Response<ResponseBody> {
-    let mut response = Response::new(ResponseBody::buffered(body));
+fn build_response(
+    head: response::Parts,
+    body: Bytes,
+    reader: Option<Reader>,
+) -> Response<ResponseBody> {
+    let body = ResponseBody::buffered(body);
+    let mut response = Response::new(match reader {
+        Some(reader) => body.with_reader(reader),
+        None => body,
+    });
     *response.status_mut() = head.status;
     *response.headers_mut() = strip_hop_by_hop_headers(head.headers);
     response
--- /dev/null
+++ b/src/gateway/collect_response.rs
@@ -0,0 +1,59 @@
+//! Reading of a response that is passed on only when it is complete.
+
+use http_body_util::{BodyExt, Limited};
+use hyper::body::{Body, Bytes};
+
+use super::reader_limits::{Counted, Reader, ReaderGone};
+use crate::prelude::*;
+
+/// Limit for the body of a buffered response.
+const MAX_RESPONSE_BYTES: usize = 4 << 20;
+
+/// Why a response is not complete.
+#[value]
+#[derive(Copy)]
+pub(super) enum CollectError {
+    /// The endpoint broke the response off, or it is too long.
+    Broken,
+    /// The response was disconnected by the limits on slow readers.
+    ReaderGone,
+}
+
+/// Reads a response's body. If slow readers are limited, its bytes are counted until they were
+/// written to the reader's connection.
+pub(super) async fn collect_response<B>(
+    body: B,
+    now: impl Fn() -> TimeMs,
+    reader: Option<&Reader>,
+) -> Result<Bytes, CollectError>
+where
+    B: Body<Data = Bytes, Error: Into<Box<dyn std::error::Error + Send + Sync>>> + Unpin,
+{
+    let body = Limited::new(body, MAX_RESPONSE_BYTES);
+    let Some(reader) = reader else {
+        return Ok(body.collect().await.map_err(|_| CollectError::Broken)?.to_bytes());
+    };
+    tokio::select! {
+        collected = collect_counted(body, now, reader) => collected,
+        () = reader.wait_until_disconnected() => Err(CollectError::ReaderGone),
+    }
+}
+
+async fn collect_counted<B>(
+    mut body: B,
+    now: impl Fn() -> TimeMs,
+    reader: &Reader,
+) -> Result<Bytes, CollectError>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    let (mut bytes, mut holds) = (Vec::new(), Vec::new());
+    while let Some(frame) = body.frame().await {
+        if let Ok(chunk) = frame.map_err(|_| CollectError::Broken)?.into_data() {
+            let hold = reader.reserve(now(), chunk.len());
+            holds.push(hold.map_err(|ReaderGone| CollectError::ReaderGone)?);
+            bytes.extend_from_slice(&chunk);
+        }
+    }
+    Ok(Bytes::from_owner(Counted { bytes, _hold: holds }))
+}
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -7,10 +7,11 @@
 
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
 use hyper::body::{Bytes, Incoming};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::oneshot;
 
 use super::buffered::strip_hop_by_hop_headers;
 use super::call_store::{STORE_CALL_TIMEOUT_MS, call_store};
+use super::chunk_channel::{ChunkSender, chunk_channel};
 use super::event_stream::next_data;
 use super::owned_shard::{OwnedShard, Stage};
 use super::state::Gateway;
@@ -54,9 +55,6 @@
 /// Retry delay if the shard has no owner.
 const NO_OWNER_RETRY_MS: u64 = 400;
 
-/// Chunks of a response that are buffered for a slow caller.
-const MAX_BUFFERED_CHUNKS: usize = 32;
-
 /// Which other entry a request is sent to, and who decides on it.
 pub(super) enum ForwardTarget {
     /// The entry owns the program's shard, and serves the request as decided here.
@@ -69,6 +67,8 @@
 pub(super) struct ForwardedRequest {
     /// The request's ID.
     pub(super) request: Arc<str>,
+    /// The workspace for which the response is buffered; empty if it is not known.
+    pub(super) workspace: Arc<str>,
     pub(super) method: Method,
     pub(super) uri: Uri,
     pub(super) headers: HeaderMap,
@@ -235,7 +235,8 @@
         gate.close();
         return Ok(SendOutcome::NotServed);
     }
-    let (chunk_sender, chunk_receiver) = mpsc::channel(MAX_BUFFERED_CHUNKS);
+    let (chunk_sender, body_to_caller) =
+        chunk_channel(gateway.reader_limits.as_ref(), &forwarded.request, &forwarded.workspace);
     let deadline = forwarded.deadline;
     let copy = copy_body(gateway.clone(), deadline, body, chunk_sender);
     let gateway = gateway.clone();
@@ -244,7 +245,7 @@
             gateway.connections.put_back(gateway.now(), connection);
         }
     });
-    let mut response = Response::new(ResponseBody::streaming(chunk_receiver));
+    let mut response = Response::new(body_to_caller);
     *response.status_mut() = head.status;
     *response.headers_mut() = strip_hop_by_hop_headers(head.headers);
     Ok(SendOutcome::Responded(response))
@@ -255,7 +256,7 @@
     gateway: Rc<Gateway>,
     deadline: TimeMs,
     mut body: Incoming,
-    chunk_sender: mpsc::Sender<Option<Bytes>>,
+    chunk_sender: ChunkSender,
 ) -> bool {
     loop {
         let next = tokio::select! {
@@ -266,6 +267,10 @@
             return false;
         };
         let ended = chunk.is_none();
+        let Ok(chunk) = chunk.map(|chunk| chunk_sender.hold(gateway.now(), chunk)).transpose()
+        else {
+            return false;
+        };
         if chunk_sender.send(chunk).await.is_err() {
             return false;
         }
--- a/src/gateway/observe.rs
+++ b/src/gateway/observe.rs
@@ -90,6 +90,7 @@
     let cold = gateway.directory.borrow().all().filter(|(_, r)| r.is_cold(gateway.now())).count();
     gauge!("trefoil_endpoints_cold").set(cold as f64);
     gauge!("trefoil_domains_evacuated").set(evacuated as f64);
+    set_reader_metrics(gateway);
     gauge!("trefoil_connections_opened").set(gateway.connections.opened() as f64);
     if let Some(version) = gateway.endpoint_list.version() {
         let age_ms = gateway.now().since(version.read_at);
@@ -102,3 +103,14 @@
         gauge!("trefoil_config_version").set(catalog.version() as f64);
     }
 }
+
+/// Sets the metrics of the limits on slow readers; all are zero while these are switched off.
+fn set_reader_metrics(gateway: &Gateway) {
+    let (held_bytes, disconnected, refused) = gateway
+        .reader_limits
+        .as_ref()
+        .map_or((0, 0, 0), |limits| (limits.held_bytes(), limits.disconnected(), limits.refused()));
+    gauge!("trefoil_held_bytes").set(held_bytes as f64);
+    counter!("trefoil_slow_readers_disconnected_total").absolute(disconnected);
+    counter!("trefoil_held_bytes_refusals_total").absolute(refused);
+}
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -14,8 +14,8 @@
 
 use super::forward::{ForwardTarget, ForwardedRequest, MAX_FORWARDED_BYTES, SendOutcome, send};
 use super::observe::RequestSummary;
-use super::read_body::read_body;
-use super::serve::{refusal_response, refuse_and_record};
+use super::read_body::{NO_WORKSPACE, read_body};
+use super::serve::{check_held_bytes, refusal_response, refuse_and_record};
 use super::state::Gateway;
 use super::{Refusal, RequestHead, ResponseBody};
 use crate::mechanisms::Mechanism;
@@ -59,17 +59,8 @@
     let Some(request_head) = gateway.protocol.parse_request(&head) else {
         return refusal_response(gateway, None, Refusal::BadRequest);
     };
-    let relayed = match read_body(body, MAX_FORWARDED_BYTES).await {
-        Ok(body) => {
-            try_targets(
-                gateway,
-                relay_targets,
-                forwarded_request(&request_head, head, body, arrived),
-            )
-            .await
-        }
-        Err(refusal) => Err(refusal),
-    };
+    let relayed =
+        read_and_relay(gateway, relay_targets, &request_head, (head, body), arrived).await;
     match relayed {
         Ok(response) => response.map(|body| body.with_running_guard(running)),
         Err(refusal) => {
@@ -78,6 +69,19 @@
     }
 }
 
+async fn read_and_relay(
+    gateway: &Rc<Gateway>,
+    relay_targets: &[SocketAddr],
+    request_head: &RequestHead,
+    (head, body): (request::Parts, Incoming),
+    arrived: TimeMs,
+) -> Result<Response<ResponseBody>, Refusal> {
+    check_held_bytes(gateway)?;
+    let body = read_body(gateway, &NO_WORKSPACE.into(), body, MAX_FORWARDED_BYTES).await?;
+    let forwarded = forwarded_request(request_head, head, body, arrived);
+    try_targets(gateway, relay_targets, forwarded).await
+}
+
 fn forwarded_request(
     request_head: &RequestHead,
     head: request::Parts,
@@ -86,6 +90,7 @@
 ) -> ForwardedRequest {
     ForwardedRequest {
         request: request_head.request.clone(),
+        workspace: NO_WORKSPACE.into(),
         method: head.method,
         uri: head.uri,
         headers: head.headers,
--- a/src/gateway/response_body.rs
+++ b/src/gateway/response_body.rs
@@ -5,6 +5,7 @@
 use hyper::body::{Body, Bytes, Frame, SizeHint};
 use tokio::sync::mpsc;
 
+use super::reader_limits::Reader;
 use super::state::Running;
 
 /// Error of a response body that ended before it was complete.
@@ -26,6 +27,8 @@
     /// sending it, the body fails, and the connection is closed so that the reader does not take
     /// the response for complete.
     Streaming(mpsc::Receiver<Option<Bytes>>),
+    /// The same with limits on slow readers: the chunks are counted, and their number has no bound.
+    StreamingHeld(mpsc::UnboundedReceiver<Option<Bytes>>),
     Ended,
 }
 
@@ -34,17 +37,38 @@
 pub struct ResponseBody {
     content: Content,
     running: Option<Running>,
+    /// Set if slow readers are limited.
+    reader: Option<Reader>,
 }
 
 impl ResponseBody {
     /// A body that is complete in memory.
     pub fn buffered(bytes: Bytes) -> ResponseBody {
-        ResponseBody { content: Content::Buffered(Some(bytes)), running: None }
+        ResponseBody::new(Content::Buffered(Some(bytes)))
     }
 
     /// A streamed body. A [`None`] marks its end.
     pub(super) fn streaming(chunks: mpsc::Receiver<Option<Bytes>>) -> ResponseBody {
-        ResponseBody { content: Content::Streaming(chunks), running: None }
+        ResponseBody::new(Content::Streaming(chunks))
+    }
+
+    /// A streamed body whose chunks are counted. A [`None`] marks its end.
+    pub(super) fn streaming_held(chunks: mpsc::UnboundedReceiver<Option<Bytes>>) -> ResponseBody {
+        ResponseBody::new(Content::StreamingHeld(chunks))
+    }
+
+    fn new(content: Content) -> ResponseBody {
+        ResponseBody { content, running: None, reader: None }
+    }
+
+    /// Makes the body subject to the limits on slow readers.
+    pub(super) fn with_reader(self, reader: Reader) -> ResponseBody {
+        ResponseBody { reader: Some(reader), ..self }
+    }
+
+    /// The reader, if the body is subject to the limits on slow readers.
+    pub(super) fn reader(&self) -> Option<&Reader> {
+        self.reader.as_ref()
     }
 
     /// Counts the request as running until the body has been sent or is dropped.
@@ -61,9 +85,13 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyTruncated>>> {
+        if self.reader.as_ref().is_some_and(Reader::is_disconnected) {
+            return Poll::Ready(Some(Err(BodyTruncated)));
+        }
         let next = match &mut self.content {
             Content::Buffered(bytes) => return Poll::Ready(bytes.take().map(Frame::data).map(Ok)),
             Content::Streaming(chunks) => std::task::ready!(chunks.poll_recv(cx)),
+            Content::StreamingHeld(chunks) => std::task::ready!(chunks.poll_recv(cx)),
             Content::Ended => return Poll::Ready(None),
         };
         Poll::Ready(match next {
@@ -86,7 +114,7 @@
             Content::Buffered(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
             }
-            Content::Streaming(_) => SizeHint::default(),
+            Content::Streaming(_) | Content::StreamingHeld(_) => SizeHint::default(),
             Content::Ended => SizeHint::with_exact(0),
         }
     }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -14,7 +14,7 @@
 };
 use super::observe::{self, RequestSummary};
 use super::owned_shard::{OwnedShard, Stage};
-use super::read_body::read_body;
+use super::read_body::{NO_WORKSPACE, read_body};
 use super::relay::{relay, relay_targets};
 use super::state::Gateway;
 use super::turn::{TurnRequest, serve_turn, until_deadline};
@@ -34,9 +34,6 @@
 /// of at most a third of their timeout.
 const STALE_RETRY_MS: u64 = 1_000;
 
-/// Workspace name of requests that need no key and so belong to no workspace.
-const NO_WORKSPACE: &str = "";
-
 /// Serves a caller's request here or, while this entry's configuration is too old to decide on it,
 /// at another entry.
 pub(super) async fn serve_caller(
@@ -106,6 +103,17 @@
     gateway.protocol.refuse(request, refusal).map(ResponseBody::buffered)
 }
 
+/// Refuses a new request while what is buffered for callers has reached the entry's limit.
+pub(super) fn check_held_bytes(gateway: &Gateway) -> Result<(), Refusal> {
+    gateway.reader_limits.as_ref().map_or(Ok(()), |limits| limits.check(gateway.now()))
+}
+
+/// The workspace for which a request's body is buffered before the request is admitted.
+fn workspace_of(catalog: &Catalog, request_head: &RequestHead) -> Arc<str> {
+    let workspace = request_head.key.and_then(|key| catalog.workspace_by_key(key));
+    workspace.map_or_else(|| NO_WORKSPACE.into(), |workspace| workspace.name.clone())
+}
+
 async fn admit_and_serve(
     gateway: &Rc<Gateway>,
     arrived: TimeMs,
@@ -114,6 +122,7 @@
     body: Incoming,
     summary: &mut RequestSummary,
 ) -> Result<Response<ResponseBody>, Refusal> {
+    check_held_bytes(gateway)?;
     let is_fresh = || gateway.is_fresh();
     let left_ms = request_head.wait_ms.unwrap_or(u64::MAX);
     if !is_fresh() && gateway.waits_for_store() {
@@ -126,7 +135,8 @@
     }
     let stale = Refusal::Unavailable { retry_after_ms: STALE_RETRY_MS };
     let limits = catalog.limits();
-    let body = read_body(body, limits.max_body_bytes).await?;
+    let workspace = workspace_of(&catalog, request_head);
+    let body = read_body(gateway, &workspace, body, limits.max_body_bytes).await?;
     // Reading the body may have taken long: decide by the configuration in force now.
     let catalog = gateway.active_config.catalog().unwrap_or(catalog);
     let fresh = is_fresh();
@@ -261,6 +271,7 @@
     fn forwarded_request(&self) -> ForwardedRequest {
         ForwardedRequest {
             request: self.request_head.request.clone(),
+            workspace: self.routing.workspace.clone(),
             method: self.head.method.clone(),
             uri: self.head.uri.clone(),
             headers: self.head.headers.clone(),
@@ -330,23 +341,36 @@
     let Some(shard) = gateway.shards.owned(shard).filter(|s| s.stage() == Stage::Serving) else {
         return not_owner_response();
     };
-    let body = match read_body(body, MAX_FORWARDED_BYTES).await {
+    if let Err(refusal) = check_held_bytes(gateway) {
+        return refuse_forwarded(gateway, &request_head, refusal);
+    }
+    let body = match read_body(gateway, &routing.workspace, body, MAX_FORWARDED_BYTES).await {
         Ok(body) => body,
+        Err(refusal @ Refusal::Unavailable { .. }) => {
+            return refuse_forwarded(gateway, &request_head, refusal);
+        }
         Err(refusal) => return refusal_response(gateway, Some(&request_head.request), refusal),
     };
     let deadline = arrived.plus(routing.left_ms);
     let admitted = AdmittedRequest { head, request_head: &request_head, routing, body, deadline };
     let served = serve_owned_turn(gateway, shard, admitted).await;
-    let served = served.unwrap_or_else(|refusal| {
-        let mut refused = refusal_response(gateway, Some(&request_head.request), refusal);
-        if refusal.guarantees_not_run() {
-            refused.headers_mut().insert(NOT_RUN_HEADER, HeaderValue::from_static("1"));
-        }
-        refused
-    });
+    let served = served.unwrap_or_else(|refusal| refuse_forwarded(gateway, &request_head, refusal));
     served.map(|body| body.with_running_guard(running))
 }
 
+/// Builds the response to a refused turn of another entry.
+fn refuse_forwarded(
+    gateway: &Gateway,
+    request_head: &RequestHead,
+    refusal: Refusal,
+) -> Response<ResponseBody> {
+    let mut refused = refusal_response(gateway, Some(&request_head.request), refusal);
+    if refusal.guarantees_not_run() {
+        refused.headers_mut().insert(NOT_RUN_HEADER, HeaderValue::from_static("1"));
+    }
+    refused
+}
+
 /// Decodes the value of [`ROUTING_HEADER`].
 fn decode_routing(hex_text: &[u8]) -> Option<RoutingDecision> {
     postcard::from_bytes(&hex::decode(hex_text).ok()?).ok()
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -7,11 +7,13 @@
 use http_body_util::BodyExt;
 use hyper::body::{Bytes, Incoming};
 use hyper::server::conn::http1;
-use hyper::service::service_fn;
+use hyper::service::{HttpService, service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+use super::current_response::CurrentResponse;
 use super::find_turn::{FIND_TURN_PATH, search_owned_shards};
 use super::forward::RELAYED_HEADER;
 use super::handoff::{HANDOFF_PATH, accept_handoff};
@@ -94,27 +96,53 @@
     stream: TcpStream,
     listener_kind: ListenerKind,
     metrics: Metrics,
-    mut closing: watch::Receiver<bool>,
+    closing: watch::Receiver<bool>,
 ) {
+    let current_response = Rc::new(CurrentResponse::default());
+    let current = current_response.clone();
     let service = service_fn(move |request| {
         let (gateway, metrics) = (gateway.clone(), metrics.clone());
+        let current = current.clone();
         async move {
-            Ok::<_, Infallible>(handle_request(gateway, listener_kind, &metrics, request).await)
+            let response = handle_request(gateway, listener_kind, &metrics, request).await;
+            current.set(response.body().reader().cloned());
+            Ok::<_, Infallible>(response)
         }
     });
+    drive_connection(stream, service, &current_response, closing).await;
+}
+
+/// Serves the requests on a connection until it ends, or until its current response is to be
+/// disconnected. The connection is then closed within the response, so that its reader does not
+/// take the response for complete.
+pub(super) async fn drive_connection<I, S>(
+    stream: I,
+    service: S,
+    current_response: &CurrentResponse,
+    mut closing: watch::Receiver<bool>,
+) where
+    I: AsyncRead + AsyncWrite + Unpin,
+    S: HttpService<Incoming, ResBody = ResponseBody, Error = Infallible>,
+{
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(IDLE_TIMEOUT_MS))
         .max_buf_size(CONNECTION_BUFFER_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
-    let ended = tokio::select! {
-        ended = connection.as_mut() => ended,
-        _ = closing.wait_for(|closing| *closing) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+    let ended = async {
+        tokio::select! {
+            ended = connection.as_mut() => ended,
+            _ = closing.wait_for(|closing| *closing) => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
         }
     };
+    let ended = tokio::select! {
+        ended = ended => ended,
+        () = current_response.wait_until_disconnected() => return,
+    };
     if let Err(fault) = ended {
         log::debug!(fault:display; "connection ended with an error");
     }
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -39,6 +39,8 @@
     pub metrics: Option<SocketAddr>,
     /// Limits to keep.
     pub bounds: Bounds,
+    /// The memory that the process may use, if what it buffers for slow readers is to be limited.
+    pub memory_limit_bytes: Option<u64>,
     /// The mechanisms that are switched on.
     pub mechanisms: Mechanisms,
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -10,6 +10,7 @@
 use super::peers::Peers;
 use super::rates::RateLimiter;
 use super::reachability::StoreReachability;
+use super::reader_limits::ReaderLimits;
 use super::shard_table::ShardTable;
 use super::suspects::Suspects;
 use super::{GatewaySettings, Protocol, Store};
@@ -33,6 +34,8 @@
     pub(super) connections: Rc<ConnectionPool>,
     pub(super) rates: RefCell<RateLimiter>,
     pub(super) suspects: RefCell<Suspects>,
+    /// None if slow readers are not limited.
+    pub(super) reader_limits: Option<Rc<ReaderLimits>>,
     pub(super) shards: ShardTable,
     pub(super) peers: RefCell<Peers>,
     /// Notified when the other entries should get a gossip message at once.
@@ -62,6 +65,7 @@
         let shards = ShardTable::open(store.shards());
         let seed = Digest::of(&[settings.name.as_bytes()]).prefix();
         let placement = Placement::open(settings.topology.clone(), settings.mechanisms);
+        let reader_limits = ReaderLimits::from_settings(&settings);
         let clock = Clock::start();
         Rc::new(Gateway {
             first_sequence: clock.unix().0,
@@ -75,6 +79,7 @@
             connections: Rc::default(),
             rates: RefCell::new(RateLimiter::open(settings.bounds.rate_window_ms)),
             suspects: RefCell::default(),
+            reader_limits,
             shards,
             peers: RefCell::default(),
             gossip_due: Notify::new(),
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -1,6 +1,7 @@
 mod attempts;
 mod endpoint_list;
 mod fakes;
+mod slow_readers;
 
 use std::rc::Rc;
 use std::time::Duration;
--- a/src/gateway/tests/fakes.rs
+++ b/src/gateway/tests/fakes.rs
@@ -197,6 +197,16 @@
 }
 
 pub(super) fn gateway_in(store: Rc<FakeStore>, topology: Topology) -> Rc<Gateway> {
+    open(store, topology, None)
+}
+
+/// A gateway that limits slow readers.
+pub(super) fn gateway_with_memory(memory_limit_bytes: u64) -> Rc<Gateway> {
+    let topology = Topology { domain: "d".into(), ..Topology::default() };
+    open(Rc::default(), topology, Some(memory_limit_bytes))
+}
+
+fn open(store: Rc<FakeStore>, topology: Topology, memory_limit_bytes: Option<u64>) -> Rc<Gateway> {
     let any_port = ([127, 0, 0, 1], 0).into();
     let bounds = Bounds {
         revoke_ms: 5_000,
@@ -214,6 +224,7 @@
         peers: any_port,
         metrics: None,
         bounds,
+        memory_limit_bytes,
         mechanisms: Mechanisms::default(),
     };
     Gateway::open(settings, store, Rc::new(NullProtocol))
--- a/src/gateway/turn.rs
+++ b/src/gateway/turn.rs
@@ -4,14 +4,17 @@
 use http::{Response, response};
 use http_body_util::BodyExt;
 use hyper::body::Bytes;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::oneshot;
 
 use super::attempt::{EndpointRequest, EndpointResponse};
 use super::buffered::strip_hop_by_hop_headers;
+use super::chunk_channel::{ChunkSender, chunk_channel};
 use super::event_stream::{CompletedResponse, EventStream, ResponseStart};
 use super::find_turn::find_chain;
 use super::handoff::{TurnHandoff, hand_off};
 use super::owned_shard::OwnedShard;
+use super::read_body::{count_prompt, uncounted};
+use super::reader_limits::ReaderGone;
 use super::reservation::Reservation;
 use super::state::Gateway;
 use super::writer::AppendAck;
@@ -21,9 +24,6 @@
 use crate::replicas::ReplicaKey;
 use crate::turns::{AccountVersion, EventReader, ProgramKey, Turn, TurnKey};
 
-/// Chunks of a response that are buffered for a slow reader.
-const MAX_BUFFERED_CHUNKS: usize = 32;
-
 /// Retry delay while the shard's records cannot be written. Callers accept a retry delay of at most
 /// a third of their timeout.
 const STORE_UNREACHABLE_RETRY_MS: u64 = 1_000;
@@ -44,14 +44,15 @@
 
 impl TurnRequest {
     /// Prepends the inputs and outputs of the preceding turns to the request body.
-    fn prepend_history(&mut self, chain: &[(TurnKey, Turn)]) {
+    fn prepend_history(&mut self, gateway: &Gateway, chain: &[(TurnKey, Turn)]) {
         let mut prompt = Vec::new();
         for (_, turn) in chain {
             prompt.extend_from_slice(&turn.input);
             prompt.extend_from_slice(&turn.output);
         }
         prompt.extend_from_slice(&self.input);
-        Rc::make_mut(&mut self.endpoint_request).body = prompt.into();
+        let prompt = count_prompt(gateway, &self.endpoint_request.routing.workspace, prompt);
+        Rc::make_mut(&mut self.endpoint_request).body = prompt;
     }
 
     /// Records that the endpoint now has the prompt in its cache.
@@ -78,13 +79,18 @@
     turn_request: TurnRequest,
 ) -> Result<Response<ResponseBody>, Refusal> {
     let (head_sender, head_receiver) = oneshot::channel();
-    let (chunk_sender, chunk_receiver) = mpsc::channel(MAX_BUFFERED_CHUNKS);
+    let endpoint_request = &turn_request.endpoint_request;
+    let (chunk_sender, body) = chunk_channel(
+        gateway.reader_limits.as_ref(),
+        &endpoint_request.request,
+        &endpoint_request.routing.workspace,
+    );
     let caller = Caller { head_sender: Some(head_sender), chunk_sender };
     let run = TurnRun { gateway: gateway.clone(), shard, turn_request };
     tokio::task::spawn_local(run.run_until_disconnect(caller));
     match head_receiver.await {
         Ok(Ok(head)) => {
-            let mut response = Response::new(ResponseBody::streaming(chunk_receiver));
+            let mut response = Response::new(body);
             *response.status_mut() = head.status;
             *response.headers_mut() = strip_hop_by_hop_headers(head.headers);
             Ok(response)
@@ -98,7 +104,7 @@
 struct Caller {
     /// None after the head or a refusal was sent.
     head_sender: Option<oneshot::Sender<HeadOrRefusal>>,
-    chunk_sender: mpsc::Sender<Option<Bytes>>,
+    chunk_sender: ChunkSender,
 }
 
 impl Caller {
@@ -109,6 +115,12 @@
         }
     }
 
+    /// Counts a chunk that has arrived. If the caller is disconnected instead, the turn ends.
+    fn hold(&self, gateway: &Gateway, chunk: Bytes) -> Result<Bytes, Refusal> {
+        let held = self.chunk_sender.hold(gateway.now(), chunk);
+        held.map_err(|ReaderGone| Refusal::OutcomeUnknown)
+    }
+
     /// Passes a chunk on; [`None`] marks the end of the response. A caller that has disconnected
     /// misses it.
     async fn send_chunk(&self, chunk: Option<Bytes>) {
@@ -169,6 +181,7 @@
             caller.send_head(Ok(head.clone()));
         }
         while let Some(chunk) = next {
+            let chunk = caller.hold(&gateway, chunk)?;
             charge.reservation.used =
                 events.events_begun() * self.turn_request.endpoint_request.routing.tokens_per_event;
             match durable {
@@ -195,7 +208,7 @@
         let mut records = Vec::new();
         if let Some(previous) = self.turn_request.previous {
             let chain = find_chain(gateway, shard, previous, &mut records).await?;
-            self.turn_request.prepend_history(&chain);
+            self.turn_request.prepend_history(gateway, &chain);
         }
         let turn_request = &self.turn_request;
         let kept_until =
@@ -239,7 +252,7 @@
             (&self.gateway, &self.shard, self.turn_request.endpoint_request.deadline);
         let turn = Turn {
             parent: self.turn_request.previous,
-            input: self.turn_request.input.clone(),
+            input: uncounted(gateway, &self.turn_request.input),
             output: completed_response.output.into(),
             kept_until,
             ran_at: completed_response.endpoint_id.to_string(),
@@ -284,8 +297,9 @@
         let body = until_deadline(&self.gateway, deadline, response.body.collect()).await?;
         let body = body.map_err(|_| Refusal::OutcomeUnknown)?;
         response.in_flight.finish(response.head.status);
+        let body = caller.hold(&self.gateway, body.to_bytes())?;
         caller.send_head(Ok(response.head));
-        caller.send_chunk(Some(body.to_bytes())).await;
+        caller.send_chunk(Some(body)).await;
         caller.send_chunk(None).await;
         Ok(())
     }
--- a/src/load/tests.rs
+++ b/src/load/tests.rs
@@ -1,1 +1,2 @@
+mod held_bytes;
 mod rank;
--- /dev/null
+++ b/src/load/tests/held_bytes.rs
@@ -0,0 +1,131 @@
+use crate::load::{Disconnect, HeldBytes, HeldResponse, Hold, HoldError, LimitReached};
+use crate::prelude::*;
+
+/// Limits: 10 MB for the entry, 5 MB for a workspace.
+const MEMORY_BYTES: u64 = 40_000_000;
+const CHUNK_BYTES: usize = 100_000;
+
+fn open() -> HeldBytes<u32> {
+    HeldBytes::open(MEMORY_BYTES)
+}
+
+/// Holds a chunk, and returns the responses disconnected for it.
+fn hold(response: &HeldResponse<u32>, now: u64) -> (Option<Hold<u32>>, Vec<Disconnect<u32>>) {
+    let mut disconnected = Vec::new();
+    loop {
+        match response.try_hold(TimeMs(now), CHUNK_BYTES) {
+            Ok(hold) => return (Some(hold), disconnected),
+            Err(HoldError::Exceeded(disconnect)) => disconnected.push(disconnect),
+            Err(HoldError::Disconnected) => return (None, disconnected),
+        }
+    }
+}
+
+// Readers that take what they get must not be cut off for one that does not, although they are
+// served for as long and get as much.
+#[test]
+fn one_slow_reader_among_many_fast_ones_is_disconnected() {
+    let held = open();
+    let workspace = "w".into();
+    let responses: Vec<_> = (0..20).map(|n| held.open_response(&workspace, n)).collect();
+    let mut newest: Vec<_> = responses.iter().map(|_| None).collect();
+    let (mut kept, mut disconnected) = (Vec::new(), Vec::new());
+    for round in 0..60 {
+        for (number, response) in responses.iter().enumerate() {
+            let (hold, victims) = hold(response, round * 10);
+            disconnected.extend(victims.into_iter().map(|victim| victim.handle));
+            // The fast ones take each chunk when the next one arrives.
+            match number {
+                7 => kept.push(hold),
+                _ => newest[number] = hold,
+            }
+        }
+    }
+    assert_eq!(disconnected, [7]);
+    drop((kept, newest));
+    assert_eq!(held.bytes(), 0, "bytes of a disconnected response are subtracted once");
+}
+
+// The slow readers of one workspace must not take the room of the others, neither below the
+// entry's limit nor at it.
+#[test]
+fn slow_readers_of_one_workspace_cost_no_other_workspace_a_response() {
+    let held = open();
+    let (mut holds, mut disconnected) = (Vec::new(), Vec::new());
+    let names: [Arc<str>; 4] = ["a", "b", "c", "d"].map(Arc::from);
+    let mut hold_one = |workspace: usize, handle: u32, now| {
+        let response = held.open_response(&names[workspace], handle);
+        let (hold, victims) = hold(&response, now);
+        disconnected.extend(victims.into_iter().map(|victim| victim.handle));
+        holds.push((response, hold));
+    };
+    // Three workspaces hold less than the fourth, and for longer.
+    for workspace in 1..4 {
+        (0..20).for_each(|_| hold_one(workspace, workspace as u32, 0));
+    }
+    (0..200).for_each(|n| hold_one(0, 0, 10 + n));
+    assert!(disconnected.len() > 100, "{}", disconnected.len());
+    assert!(disconnected.iter().all(|handle| *handle == 0), "{disconnected:?}");
+}
+
+// A single response that alone exceeds the limit must be disconnected itself, or the loop that
+// makes room for its chunk would not end.
+#[test]
+fn a_response_that_alone_exceeds_the_limit_is_disconnected_itself() {
+    let held = open();
+    let response = held.open_response(&"w".into(), 1);
+    let oversized = response.try_hold(TimeMs(5), 6_000_000).expect_err("over the limit");
+    let disconnect = Disconnect { handle: 1, bytes: 0, held_ms: 0 };
+    assert_eq!(oversized, HoldError::Exceeded(disconnect));
+    assert!(matches!(response.try_hold(TimeMs(6), 1), Err(HoldError::Disconnected)));
+}
+
+// Bytes that are not released on some way out would in time disconnect and refuse everyone.
+#[test]
+fn bytes_are_released_on_every_way_out() {
+    let held = open();
+    let response = held.open_response(&"w".into(), 1);
+    let (first, _) = hold(&response, 0);
+    let (second, _) = hold(&response, 1);
+    drop(response);
+    assert!(held.bytes() >= 2 * CHUNK_BYTES as u64, "holds outlive the response's handle");
+    drop(second);
+    drop(first);
+    assert_eq!(held.bytes(), 0);
+    let mut request = held.open_request(&"w".into());
+    request.try_grow(CHUNK_BYTES).expect("there is room");
+    drop(request);
+    assert_eq!(held.bytes(), 0);
+}
+
+// Bodies of requests that are being served must not cost a reader its response: the requests are
+// refused instead. Requests are accepted again only after the bytes have clearly fallen.
+#[test]
+fn requests_are_refused_near_the_limit_until_enough_is_released() {
+    let held = open();
+    let mut requests = Vec::new();
+    for workspace in ["a", "b", "c"] {
+        let mut request = held.open_request(&workspace.into());
+        while request.try_grow(CHUNK_BYTES).is_ok() {}
+        requests.push(request);
+    }
+    assert!(held.is_refusing());
+    assert_eq!(held.open_request(&"d".into()).try_grow(CHUNK_BYTES), Err(LimitReached));
+    let reader = held.open_response(&"d".into(), 1);
+    assert!(hold(&reader, 0).1.is_empty());
+    requests.truncate(2);
+    assert!(held.is_refusing() == (held.bytes() >= 7_000_000));
+    requests.truncate(1);
+    assert!(!held.is_refusing());
+}
+
+// A delay longer than a third of the caller's time ends its retries; one near zero adds load.
+#[test]
+fn the_retry_delay_grows_with_the_age_of_the_oldest_bytes_within_bounds() {
+    let held = open();
+    assert_eq!(held.retry_after_ms(TimeMs(0)), 200);
+    let response = held.open_response(&"w".into(), 1);
+    let _hold = hold(&response, 1_000);
+    let delays = [1_000, 1_700, 60_000].map(|now| held.retry_after_ms(TimeMs(now)));
+    assert_eq!(delays, [200, 700, 1_000]);
+}
