--- a/src/gateway/observe.rs
+++ b/src/gateway/observe.rs
@@ -91,6 +91,7 @@
     let cold = gateway.directory.borrow().all().filter(|(_, r)| r.is_cold(gateway.now())).count();
     gauge!("trefoil_endpoints_cold").set(cold as f64);
     gauge!("trefoil_domains_evacuated").set(evacuated as f64);
+    set_reader_metrics(gateway);
     gauge!("trefoil_connections_opened").set(gateway.connections.opened() as f64);
     update_pace_metrics(gateway);
     if let Some(version) = gateway.endpoint_list.version() {
@@ -127,3 +128,14 @@
     let (from, to) = (change.from, change.to);
     log::debug!(endpoint, service, from, to; "pace of an endpoint changed");
 }
+
+/// Sets the metrics of the limits on slow readers; all are zero while these are switched off.
+fn set_reader_metrics(gateway: &Gateway) {
+    let (held_bytes, disconnected, refused) = gateway
+        .reader_limits
+        .as_ref()
+        .map_or((0, 0, 0), |limits| (limits.held_bytes(), limits.disconnected(), limits.refused()));
+    gauge!("trefoil_held_bytes").set(held_bytes as f64);
+    counter!("trefoil_slow_readers_disconnected_total").absolute(disconnected);
+    counter!("trefoil_held_bytes_refusals_total").absolute(refused);
+}
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -12,6 +12,7 @@
 use super::peers::Peers;
 use super::rates::RateLimiter;
 use super::reachability::StoreReachability;
+use super::reader_limits::ReaderLimits;
 use super::shard_table::ShardTable;
 use super::suspects::Suspects;
 use super::{GatewaySettings, Protocol, Store};
@@ -38,6 +39,8 @@
     /// The admission of programs, by service under load control.
     pub(super) program_admissions: RefCell<HashMap<Arc<str>, ProgramAdmission>>,
     pub(super) suspects: RefCell<Suspects>,
+    /// None if slow readers are not limited.
+    pub(super) reader_limits: Option<Rc<ReaderLimits>>,
     pub(super) shards: ShardTable,
     pub(super) peers: RefCell<Peers>,
     /// Notified when the other entries should get a gossip message at once.
@@ -68,6 +71,7 @@
         let seed = Digest::of(&[settings.name.as_bytes()]).prefix();
         let placement = Placement::open(settings.topology.clone(), settings.mechanisms)
             .with_endpoint_choice(settings.endpoint_choice, seed);
+        let reader_limits = ReaderLimits::from_settings(&settings);
         let clock = Clock::start();
         Rc::new(Gateway {
             first_sequence: clock.unix().0,
@@ -82,6 +86,7 @@
             rates: RefCell::new(RateLimiter::open(settings.bounds.rate_window_ms)),
             program_admissions: RefCell::default(),
             suspects: RefCell::default(),
+            reader_limits,
             shards,
             peers: RefCell::default(),
             gossip_due: Notify::new(),
@@ -130,7 +135,7 @@
         };
         for (_, replica) in usable {
             load.slots += replica.announcement.slots;
-            load.in_flight += replica.load(now);
+            load.in_flight += replica.load();
             load.own_in_flight += replica.in_flight;
         }
         load
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -2,6 +2,7 @@
 mod endpoint_list;
 mod fakes;
 mod load_reports;
+mod slow_readers;
 mod stream_times;
 
 use std::rc::Rc;
--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -1,14 +1,16 @@
 //! Decisions under load for services whose callers compete for capacity: whether a program may
-//! start, in which order refused programs return, and how fast each endpoint is.
+//! start, in which order refused programs return, and how fast each endpoint is. Also the limits on
+//! what is buffered for slow readers.
 //!
 //! None of them has a network or a clock of its own. The gateway asks them and acts on the answers;
-//! they apply only to routes under load control, see
+//! but for the limits on slow readers, they apply only to routes under load control, see
 //! [`crate::catalog::Route::is_load_controlled`].
 
 mod admission;
 mod capacity;
 mod endpoint_pace;
 mod fit;
+mod held_bytes;
 mod line;
 mod pace;
 pub(crate) mod prior;
@@ -18,6 +20,9 @@
 pub use admission::{Candidate, Decision, ProgramAdmission};
 pub use capacity::ServiceLoad;
 pub use fit::{ForgettingMean, LinePrior, LinearFit};
+pub use held_bytes::{
+    Disconnect, HeldBytes, HeldResponse, Hold, HoldError, LimitReached, RequestHold,
+};
 pub use line::{Place, WaitingList};
 pub use pace::{CostMs, PaceChange, PaceTable, PaceTotals, ServiceTimes, TurnSample, Work};
 pub use rank::Rank;
--- a/src/load/tests.rs
+++ b/src/load/tests.rs
@@ -1,5 +1,6 @@
 mod admission;
 mod fit;
+mod held_bytes;
 mod pace;
 mod rank;
 
