Reports of endpoints: polls, gossip, corrected counts, free memory

Cause: the requests in flight at an endpoint are known only from what entries count. The count stays too high when an entry dies and too low when entries can't hear each other, and no count shows the memory in use. Ruled out: comparing a report with the count of one moment. The count changes faster than reports come, and counts of other entries arrive late. A report is compared with all values of the count around it instead. Change: each endpoint of a service under load control is polled every 500 ms by one entry (rendezvous hashing over the entries heard); the poller gossips the report, at most 8 rows in a datagram. Two reports in a row below the count lower it, one above raises it, within slots and queue. `Replica::load` takes the time, since a correction expires after 1.5 s. Placement leaves out endpoints with less free memory than the prompt needs, unless all have less.

--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -14,4 +14,4 @@
 pub use workspace::{Limits, Workspace};
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
--- a/src/catalog/tests.rs
+++ b/src/catalog/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 use crate::prelude::*;
 
-fn route(host: &str, prefix: &str, service: &str) -> Route {
+pub(crate) fn route(host: &str, prefix: &str, service: &str) -> Route {
     Route {
         host: host.into(),
         prefix: prefix.into(),
@@ -20,7 +20,7 @@
     }
 }
 
-fn configuration(version: u64, routes: Vec<Route>) -> Configuration {
+pub(crate) fn configuration(version: u64, routes: Vec<Route>) -> Configuration {
     let limits = Limits {
         max_header_bytes: 16_384,
         max_body_bytes: 1 << 20,
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -121,7 +121,7 @@
         }
         let directory = self.gateway.directory.borrow();
         let replica = directory.get(self.endpoint);
-        let busy = replica.is_none_or(|r| r.load() > r.announcement.slots);
+        let busy = replica.is_none_or(|r| r.load(self.gateway.now()) > r.announcement.slots);
         drop(directory);
         self.outcome_recorded.set(true);
         if !busy {
@@ -141,7 +141,8 @@
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
         self.check_silence();
-        self.gateway.directory.borrow_mut().record_finished(self.endpoint);
+        let now = self.gateway.now();
+        self.gateway.directory.borrow_mut().record_finished(now, self.endpoint);
     }
 }
 
@@ -302,7 +303,7 @@
 
 /// Half of the idle timeout that the server announces in `keep-alive`, in milliseconds. With this
 /// margin, no request is sent on a connection that the server is about to close.
-fn keep_alive_ms(headers: &HeaderMap) -> Option<u64> {
+pub(super) fn keep_alive_ms(headers: &HeaderMap) -> Option<u64> {
     let value = headers.get("keep-alive")?.to_str().ok()?;
     let seconds = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
     seconds.parse::<u64>().ok().map(|seconds| seconds * 500)
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -288,7 +288,7 @@
     let peers = gateway.peers.borrow();
     for endpoint in outcome.changed_endpoints {
         if let Some(key) = directory.find_by_hash(endpoint) {
-            directory.set_others_in_flight(key, peers.running(endpoint));
+            directory.set_others_in_flight(now, key, peers.running(endpoint));
         }
     }
     let shares_health =
--- a/src/gateway/load_reports.rs
+++ b/src/gateway/load_reports.rs
@@ -1,13 +1,60 @@
 //! What the entries tell each other of the endpoints of services under load control.
 
-use super::message::LoadReport;
+use super::endpoint_polls::{apply_report, is_polled};
+use super::message::{EndpointRow, LoadReport, rotating_slice};
 use super::state::Gateway;
+use crate::load::MAX_REPORT_AGE_MS;
+use crate::prelude::*;
+use crate::replicas::ReplicaKey;
+
+/// The most reports of endpoints in one message.
+const MAX_ENDPOINT_ROWS: usize = 8;
 
 /// The rows of this round, or nothing if no service is under load control.
-pub(super) fn compose_load_report(_gateway: &Gateway, _round: usize) -> Option<LoadReport> {
-    let report = LoadReport::default();
+pub(super) fn compose_load_report(gateway: &Gateway, round: usize) -> Option<LoadReport> {
+    let report = LoadReport { endpoints: endpoint_rows(gateway, round), ..LoadReport::default() };
     (!report.is_empty()).then_some(report)
 }
 
 /// Applies what the process instance `instance` of another entry has reported.
-pub(super) fn apply_load_report(_gateway: &Gateway, _instance: u64, _report: &LoadReport) {}
+pub(super) fn apply_load_report(gateway: &Gateway, _instance: u64, report: &LoadReport) {
+    apply_endpoint_rows(gateway, &report.endpoints);
+}
+
+/// The fresh reports that this entry has received from endpoints of services under load control.
+fn endpoint_rows(gateway: &Gateway, round: usize) -> Vec<EndpointRow> {
+    let now = gateway.now();
+    let directory = gateway.directory.borrow();
+    let polls = gateway.endpoint_polls.borrow();
+    let is_polled_endpoint = |endpoint: u64| {
+        let key = directory.find_by_hash(endpoint);
+        key.is_some_and(|key| is_polled_replica(gateway, key))
+    };
+    let fresh = polls.fresh_reports(now).filter(|(endpoint, _)| is_polled_endpoint(*endpoint));
+    let rows = fresh.map(|(endpoint, own)| EndpointRow {
+        endpoint,
+        age_ms: now.since(own.taken_at),
+        report: own.report,
+    });
+    rotating_slice(rows.collect(), round, MAX_ENDPOINT_ROWS)
+}
+
+/// Records the reports that another entry has received from endpoints.
+fn apply_endpoint_rows(gateway: &Gateway, rows: &[EndpointRow]) {
+    let now = gateway.now();
+    for row in rows.iter().filter(|row| row.age_ms <= MAX_REPORT_AGE_MS) {
+        let key = gateway.directory.borrow().find_by_hash(row.endpoint);
+        // The clock of this process starts at zero: it can't express earlier times.
+        let taken_at = now.0.checked_sub(row.age_ms).map(TimeMs);
+        if let (Some(key), Some(taken_at)) = (key, taken_at)
+            && is_polled_replica(gateway, key)
+        {
+            apply_report(gateway, now, key, taken_at, row.report);
+        }
+    }
+}
+
+fn is_polled_replica(gateway: &Gateway, key: ReplicaKey) -> bool {
+    let directory = gateway.directory.borrow();
+    directory.get(key).is_some_and(|replica| is_polled(gateway, &replica.announcement.service))
+}
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -1,5 +1,6 @@
 use std::collections::BTreeSet;
 
+use crate::load::EndpointReport;
 use crate::prelude::*;
 use crate::quota::UsageTotals;
 use crate::turns::{Turn, TurnKey};
@@ -83,14 +84,8 @@
     pub(super) endpoint: u64,
     /// Age of the report when the message was sent.
     pub(super) age_ms: u64,
-    /// Requests that it runs.
-    pub(super) running: u32,
-    /// Requests that wait in its queue.
-    pub(super) waiting: u32,
-    /// Tokens of its memory that are in use and cannot be evicted.
-    pub(super) used_tokens: u64,
-    /// Tokens that its memory holds.
-    pub(super) total_tokens: u64,
+    /// The report.
+    pub(super) report: EndpointReport,
 }
 
 /// The evacuations that an entry knows of.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod dispatch;
 mod endpoint_feed;
 mod endpoint_list;
+mod endpoint_polls;
 mod error;
 mod event_stream;
 mod find_turn;
--- a/src/gateway/observe.rs
+++ b/src/gateway/observe.rs
@@ -5,7 +5,9 @@
 use super::state::Gateway;
 use super::{Refusal, RequestHead};
 use crate::catalog::{RepeatPolicy, Route};
+use crate::load::{Correction, PollOutcome};
 use crate::prelude::*;
+use crate::replicas::Replica;
 
 /// Metrics label of requests without a workspace: those refused before their key was known, and
 /// those that need no key.
@@ -81,6 +83,33 @@
     .increment(1);
 }
 
+/// Registers the counters of polls and corrections, so that they are shown with the value zero while
+/// no service is under load control.
+pub(super) fn register_load_reports() {
+    for outcome in PollOutcome::ALL {
+        counter!("trefoil_endpoint_polls_total", "outcome" => outcome.name()).increment(0);
+    }
+    for correction in [Correction::None, Correction::Raised(0), Correction::Lowered(0)] {
+        counter!("trefoil_load_corrections_total", "direction" => correction.name()).increment(0);
+    }
+}
+
+/// Counts a poll of an endpoint's load.
+pub(super) fn count_poll(outcome: PollOutcome) {
+    counter!("trefoil_endpoint_polls_total", "outcome" => outcome.name()).increment(1);
+}
+
+/// Counts a changed correction of the number of requests in flight at an endpoint.
+pub(super) fn record_correction(replica: &Replica, correction: Correction) {
+    counter!("trefoil_load_corrections_total", "direction" => correction.name()).increment(1);
+    let by = match correction {
+        Correction::None => 0,
+        Correction::Raised(by) | Correction::Lowered(by) => by,
+    };
+    log::debug!(endpoint:% = replica.id, correction = correction.name(), by;
+        "number of requests in flight corrected by the endpoint's report");
+}
+
 /// Sets the gauges of the process's state.
 pub(super) fn update_gauges(gateway: &Gateway) {
     gauge!("trefoil_requests_running").set(f64::from(gateway.running.get()));
@@ -89,6 +118,12 @@
     let evacuated = gateway.directory.borrow().evacuations().domains().len();
     let cold = gateway.directory.borrow().all().filter(|(_, r)| r.is_cold(gateway.now())).count();
     gauge!("trefoil_endpoints_cold").set(cold as f64);
+    let now = gateway.now();
+    let directory = gateway.directory.borrow();
+    let reporting = directory.all().filter(|(_, r)| r.fresh_report(now).is_some()).count();
+    gauge!("trefoil_endpoint_reports_fresh").set(reporting as f64);
+    let left_out = gateway.placement.borrow().left_out_for_memory();
+    counter!("trefoil_endpoints_left_out_for_memory_total").absolute(left_out);
     gauge!("trefoil_domains_evacuated").set(evacuated as f64);
     gauge!("trefoil_connections_opened").set(gateway.connections.opened() as f64);
     if let Some(version) = gateway.endpoint_list.version() {
--- a/src/gateway/operator_feed.rs
+++ b/src/gateway/operator_feed.rs
@@ -127,7 +127,7 @@
     Ok(feed.next)
 }
 
-fn apply_configuration(gateway: &Gateway, configuration: Configuration) {
+pub(super) fn apply_configuration(gateway: &Gateway, configuration: Configuration) {
     let version = configuration.version;
     let current = gateway.active_config.catalog();
     match Catalog::build_if_newer(current.as_deref(), configuration) {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -134,6 +134,12 @@
         heard.map(|peer| peer.hash).collect()
     }
 
+    /// The hashes of the entries that were heard recently and are not shutting down.
+    pub(super) fn recent_entry_hashes(&self, now: TimeMs) -> Vec<u64> {
+        let recent = self.peers.values().filter(|p| p.is_heard_recently(now) && !p.leaving);
+        recent.map(|peer| peer.hash).collect()
+    }
+
     /// The addresses to which messages are sent.
     pub(super) fn addresses(&self) -> Vec<SocketAddr> {
         self.peers.keys().copied().collect()
--- a/src/gateway/ports.rs
+++ b/src/gateway/ports.rs
@@ -5,11 +5,12 @@
 use std::net::SocketAddr;
 
 use futures_util::future::LocalBoxFuture;
-use http::{HeaderMap, Response, request, response};
+use http::{HeaderMap, Request, Response, request, response};
 use hyper::body::Bytes;
 
 use super::{Refusal, RequestHead, ResponseKind};
 use crate::catalog::Instruction;
+use crate::load::EndpointReport;
 use crate::prelude::*;
 use crate::replicas::EndpointChange;
 use crate::turns::Record;
@@ -157,6 +158,10 @@
     fn classify_reply(&self, head: &response::Parts, request: &str) -> ResponseKind;
     /// Builds the response for a refusal.
     fn refuse(&self, request: Option<&str>, refusal: Refusal) -> Response<Bytes>;
+    /// Builds the request that asks an endpoint for a report of its load.
+    fn report_request(&self, endpoint: &str, address: SocketAddr) -> Request<()>;
+    /// Decodes the body of an endpoint's report; `None` if it is something else.
+    fn parse_report(&self, body: &[u8]) -> Option<EndpointReport>;
 }
 
 /// What the headers of a request tell the endpoint.
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -7,6 +7,7 @@
 use tokio::task::spawn_local;
 
 use super::endpoint_feed::follow_endpoint_list;
+use super::endpoint_polls::poll_endpoints;
 use super::gossip::{announce_and_follow_peers, instance_id, receive_gossip, send_gossip};
 use super::membership::Membership;
 use super::operator_feed::follow_operator_record;
@@ -86,6 +87,7 @@
     spawn_local(announce_and_follow_peers(gateway.clone()));
     spawn_local(send_gossip(gateway.clone(), gossip_socket.clone(), instance));
     spawn_local(receive_gossip(gateway.clone(), gossip_socket));
+    spawn_local(poll_endpoints(gateway.clone()));
     spawn_local(membership.clone().maintain());
     spawn_local(maintain_telemetry(metrics));
     log::info!(vm:% = gateway.settings.name, callers:% = gateway.settings.callers; "started");
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -6,6 +6,7 @@
 
 use super::attempt::EndpointRequest;
 use super::endpoint_list::EndpointListStatus;
+use super::endpoint_polls::EndpointPolls;
 use super::operator_feed::ActiveConfig;
 use super::peers::Peers;
 use super::rates::RateLimiter;
@@ -33,6 +34,7 @@
     pub(super) connections: Rc<ConnectionPool>,
     pub(super) rates: RefCell<RateLimiter>,
     pub(super) suspects: RefCell<Suspects>,
+    pub(super) endpoint_polls: RefCell<EndpointPolls>,
     pub(super) shards: ShardTable,
     pub(super) peers: RefCell<Peers>,
     /// Notified when the other entries should get a gossip message at once.
@@ -75,6 +77,7 @@
             connections: Rc::default(),
             rates: RefCell::new(RateLimiter::open(settings.bounds.rate_window_ms)),
             suspects: RefCell::default(),
+            endpoint_polls: RefCell::default(),
             shards,
             peers: RefCell::default(),
             gossip_due: Notify::new(),
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -1,6 +1,7 @@
 mod attempts;
 mod endpoint_list;
 mod fakes;
+mod load_reports;
 
 use std::rc::Rc;
 use std::time::Duration;
--- a/src/gateway/tests/fakes.rs
+++ b/src/gateway/tests/fakes.rs
@@ -1,9 +1,10 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use futures_util::future::{FutureExt, pending, ready};
-use http::{HeaderMap, Response, request, response};
+use http::{HeaderMap, Request, Response, request, response};
 use hyper::body::Bytes;
 
 use crate::catalog::Instruction;
@@ -12,6 +13,7 @@
     Append, Assignment, Bounds, Feed, GatewaySettings, Page, PeerRecord, Position, Protocol,
     Refusal, RequestContext, RequestHead, ResponseKind, Store, StoreError, StoreFuture,
 };
+use crate::load::EndpointReport;
 use crate::mechanisms::Mechanisms;
 use crate::replicas::{EndpointChange, Topology};
 
@@ -166,7 +168,7 @@
     }
 }
 
-/// A protocol that accepts no request and no answer.
+/// A protocol that accepts no request and no answer but reports, which are JSON objects.
 pub(super) struct NullProtocol;
 
 impl Protocol for NullProtocol {
@@ -185,6 +187,14 @@
     fn refuse(&self, _: Option<&str>, _: Refusal) -> Response<Bytes> {
         Response::new(Bytes::new())
     }
+
+    fn report_request(&self, _: &str, _: SocketAddr) -> Request<()> {
+        Request::new(())
+    }
+
+    fn parse_report(&self, body: &[u8]) -> Option<EndpointReport> {
+        serde_json::from_slice(body).ok()
+    }
 }
 
 pub(super) fn gateway(store: FakeStore) -> Rc<Gateway> {
--- a/src/load/tests.rs
+++ b/src/load/tests.rs
@@ -1,1 +1,3 @@
+mod poll;
 mod rank;
+mod report;
--- a/src/replicas/directory.rs
+++ b/src/replicas/directory.rs
@@ -7,6 +7,7 @@
     Announcement, AnswerCounts, ChangeOutcome, ColdLimits, EndpointChange, Evacuations, Health,
     ListOutage, SenderQuota,
 };
+use crate::load::{Correction, EndpointReport, ReportOutcome, ReportedLoad};
 use crate::prelude::*;
 
 new_key_type! {
@@ -27,6 +28,8 @@
     pub in_flight: u32,
     /// Requests in flight from the other entries, as last reported by them.
     pub others_in_flight: u32,
+    /// Its own reports of its load; none as long as it was not asked for any.
+    reported: Option<Box<ReportedLoad>>,
     /// If its record has lapsed: the time until which it stays in use.
     remove_at: Option<TimeMs>,
     /// Time until which it is assumed to be cold.
@@ -36,11 +39,36 @@
 }
 
 impl Replica {
-    /// Requests in flight from all entries.
-    pub fn load(&self) -> u32 {
+    /// Requests in flight from all entries, corrected by the endpoint's reports if they are fresh.
+    pub fn load(&self, now: TimeMs) -> u32 {
+        let count = self.counted_load();
+        self.reported.as_ref().map_or(count, |reported| {
+            reported.corrected(now, count, self.in_flight, self.announcement.slots)
+        })
+    }
+
+    /// Requests in flight from all entries, as these count them.
+    fn counted_load(&self) -> u32 {
         self.in_flight + self.others_in_flight
     }
 
+    /// Its newest report of its load, unless it is too old.
+    pub fn fresh_report(&self, now: TimeMs) -> Option<&EndpointReport> {
+        self.reported.as_ref()?.fresh(now)
+    }
+
+    /// Tokens of its memory that are free, as last reported; `None` without a fresh report.
+    pub fn free_tokens(&self, now: TimeMs) -> Option<u64> {
+        self.fresh_report(now)?.free_tokens()
+    }
+
+    fn record_count(&mut self, now: TimeMs) {
+        let count = self.counted_load();
+        if let Some(reported) = &mut self.reported {
+            reported.record_count(now, count);
+        }
+    }
+
     /// Its answer counts to be sent to the other entries, if any.
     pub fn answers_to_share(&self, now: TimeMs) -> Option<AnswerCounts> {
         self.health.answers_to_share(now)
@@ -155,6 +183,13 @@
         })
     }
 
+    /// Whether an endpoint may be asked for its load: it has not left, and is outside the evacuated
+    /// failure domains.
+    pub fn may_poll(&self, now: TimeMs, key: ReplicaKey) -> bool {
+        let replica = self.replicas.get(key);
+        replica.is_some_and(|replica| !replica.has_left(now) && !self.is_evacuated(replica))
+    }
+
     /// Whether an endpoint is in an evacuated failure domain.
     pub fn is_evacuated(&self, replica: &Replica) -> bool {
         self.evacuations.contains(&replica.announcement.failure_domain)
@@ -217,6 +252,7 @@
             announcement,
             in_flight: 0,
             others_in_flight: 0,
+            reported: None,
             remove_at: None,
             cold_until: TimeMs::default(),
             recent_sends,
@@ -296,24 +332,58 @@
     pub fn record_sent(&mut self, now: TimeMs, key: ReplicaKey) {
         if let Some(replica) = self.replicas.get_mut(key) {
             replica.in_flight += 1;
+            replica.record_count(now);
             replica.recent_sends.record(now);
         }
     }
 
     /// Counts a request to an endpoint as no longer in flight.
-    pub fn record_finished(&mut self, key: ReplicaKey) {
+    pub fn record_finished(&mut self, now: TimeMs, key: ReplicaKey) {
         if let Some(replica) = self.replicas.get_mut(key) {
             replica.in_flight = replica.in_flight.saturating_sub(1);
+            replica.record_count(now);
         }
     }
 
     /// Sets the number of requests that the other entries have in flight at an endpoint.
-    pub fn set_others_in_flight(&mut self, key: ReplicaKey, in_flight: u32) {
+    pub fn set_others_in_flight(&mut self, now: TimeMs, key: ReplicaKey, in_flight: u32) {
         if let Some(replica) = self.replicas.get_mut(key) {
             replica.others_in_flight = in_flight;
+            replica.record_count(now);
         }
     }
 
+    /// Records an endpoint's report of its load, for which it was asked at `taken_at`.
+    pub fn record_report(
+        &mut self,
+        now: TimeMs,
+        key: ReplicaKey,
+        taken_at: TimeMs,
+        report: EndpointReport,
+    ) -> ReportOutcome {
+        let Some(replica) = self.replicas.get_mut(key) else {
+            return ReportOutcome::UnknownEndpoint;
+        };
+        let count = replica.counted_load();
+        let reported =
+            replica.reported.get_or_insert_with(|| Box::new(ReportedLoad::open(now, count)));
+        reported.record(now, taken_at, report)
+    }
+
+    /// Compares the newest reports with the counts of requests, and returns the endpoints whose
+    /// correction has changed.
+    pub fn settle_reports(&mut self, now: TimeMs) -> Vec<(ReplicaKey, Correction)> {
+        let replicas = self.replicas.iter_mut();
+        let changed = replicas
+            .filter_map(|(key, replica)| Some((key, replica.reported.as_mut()?.settle(now)?)));
+        changed.collect()
+    }
+
+    /// Whether any endpoint of a service has a fresh report.
+    pub fn has_fresh_report(&self, now: TimeMs, service: &str) -> bool {
+        self.of_service(service).any(|(_, replica)| replica.fresh_report(now).is_some())
+    }
+
     /// Records that an endpoint answered a request correctly.
     pub fn record_success(&mut self, now: TimeMs, key: ReplicaKey) {
         if let Some(replica) = self.replicas.get_mut(key) {
--- a/src/replicas/mod.rs
+++ b/src/replicas/mod.rs
@@ -18,7 +18,8 @@
 pub use health::{AnswerCounts, Health};
 pub use list_outage::ListOutage;
 pub use placement::{Placement, PlacementRequest};
+pub(crate) use rendezvous::rendezvous_weight;
 pub use topology::Topology;
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
--- a/src/replicas/placement.rs
+++ b/src/replicas/placement.rs
@@ -64,6 +64,13 @@
     pub accepts_ejected: bool,
 }
 
+impl PlacementRequest {
+    /// Number of tokens of its prompt.
+    fn prompt_tokens(&self) -> u64 {
+        self.parts.iter().map(|(_, tokens)| *tokens).sum()
+    }
+}
+
 /// A prompt part that an endpoint has cached.
 #[key]
 struct CachedPart {
@@ -78,6 +85,7 @@
     mechanisms: Mechanisms,
     cached: HashMap<(ReplicaKey, u64), CachedPart>,
     rotation: u64,
+    left_out_for_memory: u64,
 }
 
 impl Placement {
@@ -118,10 +126,11 @@
         if usable.is_empty() && request.accepts_ejected {
             usable.extend(ejected.into_iter().filter(|(key, _)| is_eligible(key)));
         }
+        self.leave_out_short_of_memory(now, request, &mut usable);
         let preferred = request.object.and_then(|object| preferred_endpoint(object, &usable));
         let costs = usable.into_iter().enumerate().map(|(index, (key, replica))| {
             let slots = f64::from(replica.announcement.slots.max(1));
-            let load = f64::from(replica.load());
+            let load = f64::from(replica.load(now));
             let wait_ms = (load + 1.0 - slots).max(0.0) * WAIT_PER_REQUEST_MS;
             let batch_ms = (load / slots).min(1.0) * FULL_BATCH_SLOWDOWN_MS;
             let same_domain = replica.announcement.failure_domain == self.topology.domain
@@ -146,6 +155,31 @@
         best.map(|(key, _, _)| key)
     }
 
+    /// Leaves out the endpoints that report less free memory than the prompt needs, and would
+    /// preempt the request, unless all do. Only endpoints of services under load control report
+    /// their memory.
+    fn leave_out_short_of_memory(
+        &mut self,
+        now: TimeMs,
+        request: &PlacementRequest,
+        usable: &mut Vec<(ReplicaKey, &Replica)>,
+    ) {
+        let prompt_tokens = request.prompt_tokens();
+        let fits = |replica: &Replica| {
+            replica.free_tokens(now).is_none_or(|free_tokens| free_tokens >= prompt_tokens)
+        };
+        let fitting = usable.iter().filter(|(_, replica)| fits(replica)).count();
+        if fitting > 0 && fitting < usable.len() {
+            self.left_out_for_memory += (usable.len() - fitting) as u64;
+            usable.retain(|(_, replica)| fits(replica));
+        }
+    }
+
+    /// How many times an endpoint was left out for lack of memory since the process started.
+    pub fn left_out_for_memory(&self) -> u64 {
+        self.left_out_for_memory
+    }
+
     /// Whether an endpoint is in a region in which the request may run.
     fn is_allowed(&self, request: &PlacementRequest, replica: &Replica) -> bool {
         let region = || self.topology.region_of(&replica.announcement.failure_domain);
--- a/src/replicas/tests.rs
+++ b/src/replicas/tests.rs
@@ -6,9 +6,15 @@
 
 use super::*;
 use crate::catalog::Regions;
+use crate::load::{Correction, EndpointReport};
 use crate::prelude::*;
 
-fn announcement(service: &str, port: u16, started_at_ms: u64, sequence: u64) -> Announcement {
+pub(crate) fn announcement(
+    service: &str,
+    port: u16,
+    started_at_ms: u64,
+    sequence: u64,
+) -> Announcement {
     Announcement {
         service: service.into(),
         address: ([127, 0, 0, 1], port).into(),
--- a/src/replicas/tests/cold_limits.rs
+++ b/src/replicas/tests/cold_limits.rs
@@ -73,7 +73,7 @@
     let mut sent = 0;
     while placement.choose(TimeMs(2_000), &directory, &request(&[]), |_| true) == Some(cold) {
         directory.record_sent(TimeMs(2_000), cold);
-        directory.record_finished(cold);
+        directory.record_finished(TimeMs(2_000), cold);
         sent += 1;
     }
     assert_eq!(sent, 5);
--- a/src/replicas/tests/directory.rs
+++ b/src/replicas/tests/directory.rs
@@ -98,3 +98,21 @@
     assert!(directory.may_send(TimeMs(6_900), key));
     assert!(!directory.may_send(TimeMs(7_100), key));
 }
+
+// An entry dies with requests in flight, and the count of the others keeps them. The endpoint is
+// idle, but would get no requests.
+#[test]
+fn reports_lower_the_count_of_a_dead_entry() {
+    let mut directory = directory_with(&[("r", announcement("s", 1, 5, 9))]);
+    let key = directory.find("r").expect("known");
+    directory.record_sent(TimeMs(0), key);
+    directory.set_others_in_flight(TimeMs(0), key, 7);
+    let idle = EndpointReport { running: Some(1), waiting: Some(0), ..EndpointReport::default() };
+    for taken_at in [500, 1_000, 1_500] {
+        directory.record_report(TimeMs(taken_at), key, TimeMs(taken_at), idle);
+    }
+    assert_eq!(directory.settle_reports(TimeMs(1_900)), [(key, Correction::Lowered(7))]);
+    let load = |directory: &Directory, now| directory.get(key).expect("known").load(TimeMs(now));
+    assert_eq!(load(&directory, 1_900), 1);
+    assert_eq!(load(&directory, 3_100), 8, "the reports are too old");
+}
--- a/src/replicas/tests/placement.rs
+++ b/src/replicas/tests/placement.rs
@@ -142,3 +142,29 @@
     (0..9).for_each(|_| directory.record_sent(TimeMs(0), preferred));
     assert_ne!(chosen("d", &directory, 7), Some(preferred));
 }
+
+// A request that does not fit into an endpoint's memory is preempted there, and takes a multiple of
+// its time. While no endpoint has the memory, one of them must still get the request.
+#[test]
+fn an_endpoint_without_memory_for_the_prompt_is_left_out_unless_all_are() {
+    let mut directory =
+        directory_with(&[("r", announcement("s", 1, 5, 9)), ("q", announcement("s", 2, 5, 9))]);
+    let mut placement = Placement::open(topology_in("d"), Mechanisms::default());
+    let (short, other) = (directory.find("r").expect("known"), directory.find("q").expect("known"));
+    placement.record_prefill(TimeMs(0), short, &[(1, 2_000)]);
+    let report = |free_tokens| EndpointReport {
+        used_tokens: Some(0),
+        total_tokens: Some(free_tokens),
+        ..EndpointReport::default()
+    };
+    let mut choose = |directory: &Directory, now| {
+        placement.choose(TimeMs(now), directory, &request(&[(1, 2_000)]), |_| true)
+    };
+    directory.record_report(TimeMs(10), short, TimeMs(10), report(1_999));
+    assert_eq!(choose(&directory, 20), Some(other));
+    assert_eq!(choose(&directory, 1_600), Some(short), "the report is too old");
+    directory.record_report(TimeMs(1_700), short, TimeMs(1_700), report(1_999));
+    directory.record_report(TimeMs(1_700), other, TimeMs(1_700), report(100));
+    assert_eq!(choose(&directory, 1_700), Some(short));
+    assert_eq!(placement.left_out_for_memory(), 1);
+}
