--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 mod dispatch;
 mod endpoint_feed;
 mod endpoint_list;
+mod endpoint_polls;
 mod error;
 mod event_stream;
 mod find_turn;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -7,6 +7,7 @@
 
 use super::attempt::EndpointRequest;
 use super::endpoint_list::EndpointListStatus;
+use super::endpoint_polls::EndpointPolls;
 use super::observe::{count_pace_sample, record_pace_change};
 use super::operator_feed::ActiveConfig;
 use super::peers::Peers;
@@ -41,6 +42,7 @@
     pub(super) suspects: RefCell<Suspects>,
     /// None if slow readers are not limited.
     pub(super) reader_limits: Option<Rc<ReaderLimits>>,
+    pub(super) endpoint_polls: RefCell<EndpointPolls>,
     pub(super) shards: ShardTable,
     pub(super) peers: RefCell<Peers>,
     /// Notified when the other entries should get a gossip message at once.
@@ -87,6 +89,7 @@
             program_admissions: RefCell::default(),
             suspects: RefCell::default(),
             reader_limits,
+            endpoint_polls: RefCell::default(),
             shards,
             peers: RefCell::default(),
             gossip_due: Notify::new(),
@@ -135,7 +138,7 @@
         };
         for (_, replica) in usable {
             load.slots += replica.announcement.slots;
-            load.in_flight += replica.load();
+            load.in_flight += replica.load(now);
             load.own_in_flight += replica.in_flight;
         }
         load
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -1,5 +1,6 @@
 mod attempts;
 mod endpoint_list;
+mod endpoint_reports;
 mod fakes;
 mod load_reports;
 mod slow_readers;
--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -1,6 +1,6 @@
 //! Decisions under load for services whose callers compete for capacity: whether a program may
-//! start, in which order refused programs return, and how fast each endpoint is. Also the limits on
-//! what is buffered for slow readers.
+//! start, in which order refused programs return, how fast each endpoint is, and how many requests
+//! it has. Also the limits on what is buffered for slow readers.
 //!
 //! None of them has a network or a clock of its own. The gateway asks them and acts on the answers;
 //! but for the limits on slow readers, they apply only to routes under load control, see
@@ -8,13 +8,16 @@
 
 mod admission;
 mod capacity;
+mod count_history;
 mod endpoint_pace;
 mod fit;
 mod held_bytes;
 mod line;
 mod pace;
+mod poll;
 pub(crate) mod prior;
 mod rank;
+mod report;
 mod service_pace;
 
 pub use admission::{Candidate, Decision, ProgramAdmission};
@@ -25,7 +28,9 @@
 };
 pub use line::{Place, WaitingList};
 pub use pace::{CostMs, PaceChange, PaceTable, PaceTotals, ServiceTimes, TurnSample, Work};
+pub use poll::{PausedServices, PollOutcome, is_due, is_poller};
 pub use rank::Rank;
+pub use report::{Correction, EndpointReport, MAX_REPORT_AGE_MS, ReportOutcome, ReportedLoad};
 
 #[cfg(test)]
 pub(crate) mod tests;
--- a/src/load/tests.rs
+++ b/src/load/tests.rs
@@ -2,7 +2,9 @@
 mod fit;
 mod held_bytes;
 mod pace;
+mod poll;
 mod rank;
+mod report;
 
 use super::{TurnSample, Work};
 
--- a/src/replicas/placement.rs
+++ b/src/replicas/placement.rs
@@ -60,6 +60,13 @@
     pub accepts_ejected: bool,
 }
 
+impl PlacementRequest {
+    /// Number of tokens of its prompt.
+    fn prompt_tokens(&self) -> u64 {
+        self.parts.iter().map(|(_, tokens)| *tokens).sum()
+    }
+}
+
 /// A prompt part that an endpoint has cached.
 #[key]
 struct CachedPart {
@@ -80,6 +87,7 @@
     endpoint_choice: EndpointChoice,
     sampler: EndpointSampler,
     learned_choices: u64,
+    left_out_for_memory: u64,
 }
 
 impl Placement {
@@ -95,6 +103,7 @@
             endpoint_choice: EndpointChoice::default(),
             sampler: EndpointSampler::open(0),
             learned_choices: 0,
+            left_out_for_memory: 0,
         }
     }
 
@@ -149,6 +158,7 @@
     ) -> Option<ReplicaKey> {
         self.rotation = self.rotation.wrapping_add(1);
         let mut usable = self.usable_endpoints(now, directory, request);
+        self.leave_out_short_of_memory(now, request, &mut usable);
         let preferred = request.object.and_then(|object| preferred_endpoint(object, &usable));
         if self.learns_paces(&request.service) {
             self.learned_choices += u64::from(!usable.is_empty());
@@ -258,11 +268,36 @@
     ) -> Work {
         Work {
             uncached_tokens: self.uncached_tokens(now, key, parts),
-            load: replica.load(),
+            load: replica.load(now),
             slots: replica.announcement.slots.max(1),
         }
     }
 
+    /// Leaves out the endpoints that report less free memory than the prompt needs, and would
+    /// preempt the request, unless all do. Only endpoints of services under load control report
+    /// their memory.
+    fn leave_out_short_of_memory(
+        &mut self,
+        now: TimeMs,
+        request: &PlacementRequest,
+        usable: &mut Vec<(ReplicaKey, &Replica)>,
+    ) {
+        let prompt_tokens = request.prompt_tokens();
+        let fits = |replica: &Replica| {
+            replica.free_tokens(now).is_none_or(|free_tokens| free_tokens >= prompt_tokens)
+        };
+        let fitting = usable.iter().filter(|(_, replica)| fits(replica)).count();
+        if fitting > 0 && fitting < usable.len() {
+            self.left_out_for_memory += (usable.len() - fitting) as u64;
+            usable.retain(|(_, replica)| fits(replica));
+        }
+    }
+
+    /// How many times an endpoint was left out for lack of memory since the process started.
+    pub fn left_out_for_memory(&self) -> u64 {
+        self.left_out_for_memory
+    }
+
     /// Whether an endpoint is in a region in which the request may run.
     fn is_allowed(&self, request: &PlacementRequest, replica: &Replica) -> bool {
         let region = || self.topology.region_of(&replica.announcement.failure_domain);
--- a/src/replicas/tests/learned_choice.rs
+++ b/src/replicas/tests/learned_choice.rs
@@ -41,7 +41,8 @@
             let key = placement.choose(TimeMs(1), &directory, &request(&[]), |_| true);
             directory.record_sent(TimeMs(1), key.expect("an endpoint is usable"));
         }
-        let loads = keys.iter().step_by(3).map(|key| directory.get(*key).expect("known").load());
+        let loads =
+            keys.iter().step_by(3).map(|key| directory.get(*key).expect("known").load(TimeMs(0)));
         loads.sum::<u32>()
     };
     let (while_free, when_full) = (slow_after(16 * 6), slow_after(16 * 3 + 8 * 6));
@@ -65,11 +66,11 @@
             let own = |directory: &Directory| directory.get(*key).expect("known").in_flight;
             let total: u32 = entries.iter().map(|(directory, _)| own(directory)).sum();
             for (directory, _) in &mut entries {
-                directory.set_others_in_flight(*key, total - own(directory));
+                directory.set_others_in_flight(TimeMs(0), *key, total - own(directory));
             }
         }
     }
-    let loads = keys.iter().map(|key| entries[0].0.get(*key).expect("known").load());
+    let loads = keys.iter().map(|key| entries[0].0.get(*key).expect("known").load(TimeMs(0)));
     loads.max().unwrap_or(0)
 }
 
