Soak: programs under load control, surges, slow readers (--load)

Cause: the soak had no route under load control, no more callers than workers, and no reader that is slow. After the faults, a calm part begins (4 s without any fault): a surge, a recovery of 2 s, a last part. New checks: no request of a served program is refused in the calm part; each new program is served after the recovery; no rank and no workspace gets nothing. Turns on these routes run at most once, and a refused one never runs, as checked for all requests, now also 3 s after the last one. Guarantees, flags and variables of the touched files have plainer names. Ruled out: calm per gateway. Callers can't see which gateway owns a program, so calm holds for all of them at once.

--- a/soak/src/bin/trefoil-soak.rs
+++ b/soak/src/bin/trefoil-soak.rs
@@ -5,7 +5,10 @@
 use std::time::{Duration, Instant};
 
 use getopts::Options;
-use trefoil_soak::{Checks, Faults, Report, Turn, World, WorldSettings, run_programs};
+use trefoil_soak::{
+    Checks, Faults, LoadChecks, LoadPhases, Report, Turn, World, WorldSettings, run_load,
+    run_programs,
+};
 
 /// Maximum number of attempts to continue a program after the faults.
 const MAX_CONTINUE_ATTEMPTS: usize = 60;
@@ -13,6 +16,23 @@
 /// Pause between two of these attempts.
 const CONTINUE_PAUSE: Duration = Duration::from_millis(100);
 
+/// Time after the last request under load until the checks. A refused request that an endpoint holds
+/// would run within its timeout.
+const LATE_RUN_TIME: Duration = Duration::from_secs(3);
+
+/// What all runs have in common.
+#[derive(Debug)]
+struct SoakSettings {
+    /// Length of each run under faults.
+    seconds: u64,
+    gateways: usize,
+    workers: u64,
+    /// Whether programs under load control run as well.
+    load: bool,
+    /// Guarantees whose violations are counted and do not fail a run.
+    known_red: Vec<String>,
+}
+
 fn main() -> ExitCode {
     let mut options = Options::new();
     options.optopt("", "seed", "first seed [default: 1]", "N");
@@ -20,6 +40,9 @@
     options.optopt("", "seconds", "length of each run under faults [default: 8]", "S");
     options.optopt("", "gateways", "number of gateways [default: 4]", "N");
     options.optopt("", "lines", "number of programs running at once [default: 12]", "N");
+    options.optflag("", "load", "adds programs under load control and surges of callers");
+    let known_red = "counts violations of this guarantee without failing; may be repeated";
+    options.optmulti("", "known-red", known_red, "GUARANTEE");
     let args: Vec<String> = std::env::args().skip(1).collect();
     let flags = match options.parse(&args) {
         Ok(flags) => flags,
@@ -35,6 +58,9 @@
         eprintln!("the value of each flag must be a whole number");
         return ExitCode::from(2);
     };
+    let gateways = gateways as usize;
+    let (load, known_red) = (flags.opt_present("load"), flags.opt_strs("known-red"));
+    let settings = SoakSettings { seconds, gateways, workers, load, known_red };
     let runtime = match tokio::runtime::Runtime::new() {
         Ok(runtime) => runtime,
         Err(fault) => {
@@ -44,7 +70,7 @@
     };
     let mut failed = 0_u32;
     for seed in seed..seed + seeds {
-        match runtime.block_on(soak(seed, seconds, gateways as usize, workers)) {
+        match runtime.block_on(soak(seed, &settings)) {
             Ok(true) => {}
             Ok(false) => failed += 1,
             Err(fault) => {
@@ -61,30 +87,51 @@
     Ok(std::env::current_exe()?.with_file_name("trefoilproxyd-platform"))
 }
 
-async fn soak(seed: u64, seconds: u64, gateways: usize, workers: u64) -> std::io::Result<bool> {
-    let settings = WorldSettings { program: program()?, gateways, revoke_ms: 5_000 };
-    let mut world = World::start(&settings).await?;
+async fn soak(seed: u64, settings: &SoakSettings) -> std::io::Result<bool> {
+    let &SoakSettings { seconds, gateways, workers, load, .. } = settings;
+    let world_settings = WorldSettings { program: program()?, gateways, revoke_ms: 5_000, load };
+    let mut world = World::start(&world_settings).await?;
     let until = Instant::now() + Duration::from_secs(seconds);
     let entries: Vec<_> = world.gateways.iter().map(|gateway| gateway.callers).collect();
     let caller = world.caller.clone();
+    let phases = LoadPhases::after(until);
+    let under_load = load.then(|| {
+        let entries = entries.clone();
+        tokio::spawn(async move { run_load(&entries, seed, workers, phases).await })
+    });
     let programs =
         tokio::spawn(async move { run_programs(&caller, &entries, seed, workers, until).await });
-    let mut faults = Faults::open(seed);
+    let mut faults = Faults::open(seed, load);
     faults.run(&mut world, until).await?;
-    let report = programs.await.map_err(std::io::Error::other)?;
+    let mut report = programs.await.map_err(std::io::Error::other)?;
+    if let Some(under_load) = under_load {
+        report.programs = under_load.await.map_err(std::io::Error::other)?;
+        tokio::time::sleep(LATE_RUN_TIME).await;
+    }
     let lost = continue_programs(&world, &report).await;
     let runs = world.journal.runs();
-    let violations = Checks::open(&report, &runs).violations();
-    let served = report.requests.iter().filter(|sent| sent.answer.is_served()).count();
+    let load_checks = LoadChecks::open(&report.programs, phases);
+    let mut violations = Checks::open(&report, &runs).violations();
+    violations.extend(load_checks.violations());
+    let total = violations.len();
+    violations.retain(|violation| !settings.known_red.iter().any(|g| g == violation.guarantee));
+    let served = report.all_requests().filter(|sent| sent.answer.is_served()).count();
     println!(
-        "seed {seed}: {} faults, {} requests, {served} served, {} programs went on, {} broken",
+        "seed {seed}: {} faults, {} requests, {served} served, {} programs continued, {} violations, \
+         {} more that are known",
         faults.injected.len(),
-        report.requests.len(),
+        report.all_requests().count(),
         report.last_turns.len() - lost.len(),
         violations.len() + lost.len(),
+        total - violations.len(),
     );
+    if load {
+        println!("  {load_checks}");
+    }
     violations.iter().for_each(|violation| println!("  {violation}"));
-    lost.iter().for_each(|program| println!("  a turn seen to end is kept: {program}"));
+    lost.iter().for_each(|program| {
+        println!("  a program continues after its last complete turn: {program}")
+    });
     if !violations.is_empty() || !lost.is_empty() {
         println!("  faults: {:?}", faults.injected);
         keep_logs(seed, &world)?;
--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -7,22 +7,48 @@
 use hyper::client::conn::http1::handshake;
 use hyper::{Method, Request, Response};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 
 /// Timeout of a request, as its caller states it.
-const TIMEOUT_MS: u64 = 3_000;
+pub(crate) const TIMEOUT_MS: u64 = 3_000;
+
+/// Size of the receive buffer of a caller that reads slowly.
+const SLOW_READER_BUFFER_BYTES: u32 = 64 << 10;
+
+/// Pause of a slow reader after each piece of a response.
+const SLOW_READ_PAUSE: Duration = Duration::from_millis(10);
+
+/// Time after which a caller that has stopped reading disconnects.
+const STOPPED_TIME: Duration = Duration::from_secs(1);
 
 /// Maximum number of output tokens of a turn.
 pub(crate) const MAX_TURN_TOKENS: u64 = 60;
 
 /// Whether the history of a turn is kept, and whether its stream can be resumed.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
 pub enum TurnKind {
     /// The history is kept; a broken stream is not resumed.
     #[default]
     Kept,
     /// Only the program's token account is kept; a broken stream may be resumed at another endpoint.
     Resumable,
+    /// Only the program's token account is kept; a broken stream is not resumed. The route is under
+    /// load control and has the highest priority.
+    Urgent,
+    /// As [`TurnKind::Urgent`], on a route of a lower priority.
+    Patient,
+}
+
+/// How a caller reads a response.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Reading {
+    /// As fast as it arrives.
+    #[default]
+    AtOnce,
+    /// With a pause after each piece.
+    Slow,
+    /// Not beyond the first piece; it disconnects some time later.
+    Stops,
 }
 
 /// A turn to be requested.
@@ -40,6 +66,8 @@
     pub input: String,
     /// The token budget of the program.
     pub budget: u64,
+    /// How the caller reads the response.
+    pub reading: Reading,
 }
 
 /// The response that a caller received.
@@ -71,6 +99,11 @@
         self.status == Some(200) && self.whole
     }
 
+    /// Whether it was refused for want of capacity or of an endpoint.
+    pub fn is_refused(&self) -> bool {
+        matches!(self.status, Some(429 | 503))
+    }
+
     /// Whether its status guarantees that the request has not run and never will.
     pub fn guarantees_not_run(&self) -> bool {
         matches!(self.status, Some(402 | 408 | 421 | 429 | 503))
@@ -95,6 +128,8 @@
         let path = match turn.kind {
             TurnKind::Kept => "/turns/1",
             TurnKind::Resumable => "/asks/1",
+            TurnKind::Urgent => "/urgent/1",
+            TurnKind::Patient => "/patient/1",
         };
         let mut request = self
             .request(Method::POST, path, &turn.request)
@@ -104,20 +139,20 @@
         if let Some(previous) = &turn.previous {
             request = request.header("trefoilproxy-previous-turn", previous);
         }
-        send(entry, request.body(Full::new(Bytes::from(turn.input.clone())))).await
+        send(entry, request.body(Full::new(Bytes::from(turn.input.clone()))), turn.reading).await
     }
 
     /// Calls an idempotent tool.
     pub async fn look_up(&self, entry: SocketAddr, request: &str) -> Answer {
         let request = self.request(Method::GET, "/lookups/1", request);
-        send(entry, request.body(Full::default())).await
+        send(entry, request.body(Full::default()), Reading::AtOnce).await
     }
 
     /// Calls a tool that must run at most once.
     pub async fn act(&self, entry: SocketAddr, request: &str) -> Answer {
         let id = request.to_string();
         let request = self.request(Method::POST, "/actions/1", request);
-        send(entry, request.body(Full::new(Bytes::from(id)))).await
+        send(entry, request.body(Full::new(Bytes::from(id))), Reading::AtOnce).await
     }
 
     fn request(&self, method: Method, path: &str, request: &str) -> hyper::http::request::Builder {
@@ -134,16 +169,25 @@
 async fn send(
     entry: SocketAddr,
     request: Result<Request<Full<Bytes>>, hyper::http::Error>,
+    reading: Reading,
 ) -> Answer {
     let Ok(request) = request else {
         return Answer::NONE;
     };
     let limit = Duration::from_millis(TIMEOUT_MS + 1_000);
-    tokio::time::timeout(limit, exchange(entry, request)).await.unwrap_or(Answer::NONE)
+    tokio::time::timeout(limit, exchange(entry, request, reading)).await.unwrap_or(Answer::NONE)
 }
 
-async fn exchange(entry: SocketAddr, request: Request<Full<Bytes>>) -> Answer {
-    let Ok(stream) = TcpStream::connect(entry).await else {
+async fn connect(entry: SocketAddr, reading: Reading) -> std::io::Result<TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    if reading != Reading::AtOnce {
+        socket.set_recv_buffer_size(SLOW_READER_BUFFER_BYTES)?;
+    }
+    socket.connect(entry).await
+}
+
+async fn exchange(entry: SocketAddr, request: Request<Full<Bytes>>, reading: Reading) -> Answer {
+    let Ok(stream) = connect(entry, reading).await else {
         return Answer::NONE;
     };
     let Ok((mut sender, driver)) = handshake(TokioIo::new(stream)).await else {
@@ -158,6 +202,9 @@
     let keep_alive_ms = seconds(&response, "keep-alive", "timeout=");
     let (mut body, mut received, mut whole) = (response.into_body(), Vec::new(), true);
     while let Some(frame) = body.frame().await {
+        if reading == Reading::Slow {
+            tokio::time::sleep(SLOW_READ_PAUSE).await;
+        }
         match frame.map(|frame| frame.into_data()) {
             Ok(Ok(data)) => received.extend(data),
             Ok(Err(_trailers)) => {}
@@ -166,6 +213,11 @@
                 break;
             }
         }
+        if reading == Reading::Stops {
+            tokio::time::sleep(STOPPED_TIME).await;
+            whole = false;
+            break;
+        }
     }
     driving.abort();
     Answer { status, retry_after_ms, keep_alive_ms, whole, body: received }
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -4,7 +4,7 @@
 use crate::caller::MAX_TURN_TOKENS;
 use crate::endpoint::output_of;
 use crate::journal::Run;
-use crate::program::{Report, RequestKind, SentRequest};
+use crate::program::{Report, SentRequest};
 
 /// Number of tokens per event, as in the configuration of the service.
 const TOKENS_PER_EVENT: u64 = 20;
@@ -42,30 +42,29 @@
 
     /// All violations.
     pub fn violations(&self) -> Vec<Violation> {
-        let requests = self.report.requests.iter().flat_map(|sent| self.of_request(sent));
+        let requests = self.report.all_requests().flat_map(|sent| self.of_request(sent));
         requests.chain(self.budgets()).collect()
     }
 
     fn of_request(&self, sent: &SentRequest) -> Vec<Violation> {
         let runs = self.runs.get(sent.request.as_str()).map_or(&[][..], Vec::as_slice);
         let answer = &sent.answer;
-        let turn = matches!(sent.kind, RequestKind::Turn | RequestKind::ResumableTurn);
-        let once = matches!(sent.kind, RequestKind::Turn | RequestKind::Action);
+        let (turn, once) = (sent.kind.is_turn(), sent.kind.runs_once());
         let body = String::from_utf8_lossy(&answer.body);
         let served = answer.is_served();
         let checks = [
             ("at most one run", once && runs.len() > 1),
             (
-                "a refusal that says not run is true",
+                "a request refused as not run never runs",
                 answer.guarantees_not_run() && !runs.is_empty(),
             ),
-            ("a success has run", served && runs.is_empty()),
+            ("a served request has run", served && runs.is_empty()),
             (
-                "no turn is denied that was seen to end",
+                "a turn whose end was received is known",
                 sent.continues && answer.status == Some(404),
             ),
-            ("a key in force is known", answer.status == Some(401)),
-            ("answers are the request's own", served && !body.contains(&sent.request)),
+            ("a valid key is accepted", answer.status == Some(401)),
+            ("a response belongs to its request", served && !body.contains(&sent.request)),
             (
                 "streams are whole and in order",
                 turn && served && data(&body) != output_of(&sent.request),
@@ -75,33 +74,43 @@
                 turn && runs.iter().any(|r| r.body != sent.prompt.as_bytes()),
             ),
             (
-                "the key's workspace, and no key",
-                runs.iter().any(|r| r.workspace != "ours" || r.had_key),
+                "endpoints get the workspace and not the key",
+                runs.iter().any(|r| r.workspace != sent.workspace || r.had_key),
             ),
         ];
         let broken = checks.into_iter().filter(|(_, broken)| *broken);
-        let seen = || format!("{} {:?} {:?} {runs:?}", sent.request, answer.status, sent.prompt);
+        let seen = || {
+            let prompt = start_of(sent.prompt.as_bytes());
+            let runs: Vec<_> = runs
+                .iter()
+                .map(|r| (&r.endpoint, &r.workspace, r.had_key, r.left_ms, start_of(&r.body)))
+                .collect();
+            format!("{} {:?} {prompt:?} {runs:?}", sent.request, answer.status)
+        };
         broken.map(|(guarantee, _)| Violation { guarantee, seen: seen() }).collect()
     }
 
     fn budgets(&self) -> Vec<Violation> {
         let mut tokens: HashMap<&str, u64> = HashMap::new();
-        let turn = |sent: &&SentRequest| {
-            matches!(sent.kind, RequestKind::Turn | RequestKind::ResumableTurn)
-        };
-        for sent in self.report.requests.iter().filter(turn) {
+        for sent in self.report.all_requests().filter(|sent| sent.kind.is_turn()) {
             *tokens.entry(&sent.program).or_default() += sent.answer.events() * TOKENS_PER_EVENT;
         }
         let most = self.report.budget + MAX_TURN_TOKENS;
         let over = tokens.into_iter().filter(|(_, tokens)| *tokens > most);
         let broken = |(program, tokens): (&str, u64)| Violation {
-            guarantee: "a program keeps to its budget",
+            guarantee: "a program stays within its budget",
             seen: format!("{program} got {tokens} tokens"),
         };
         over.map(broken).collect()
     }
 }
 
+/// The start of a text, for failure reports.
+fn start_of(text: &[u8]) -> String {
+    const MAX_SHOWN_BYTES: usize = 2_000;
+    String::from_utf8_lossy(&text[..text.len().min(MAX_SHOWN_BYTES)]).into_owned()
+}
+
 fn data(events: &str) -> String {
     let lines = events.lines().filter_map(|line| line.strip_prefix("data: "));
     lines.map(|line| format!("{line}\n")).collect()
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -14,6 +14,15 @@
 /// Maximum pause between the starts of two faults.
 const MAX_PAUSE_MS: u64 = 500;
 
+/// Number of kinds of faults.
+const KINDS: u32 = 10;
+
+/// Number of kinds of faults in a world with routes under load control.
+const LOAD_KINDS: u32 = 11;
+
+/// How long an endpoint that reads slowly reads nothing of a request's body.
+const SLOW_READ_MS: u64 = 300;
+
 /// How a fault is ended. The number is that of the gateway, link or endpoint.
 #[derive(Debug, Clone, Copy)]
 enum Recovery {
@@ -27,15 +36,18 @@
 /// Injects random faults that may overlap. The seed determines which, when and for how long.
 pub struct Faults {
     random: StdRng,
+    kinds: u32,
     recoveries: Vec<(Instant, Recovery)>,
     /// Descriptions of the faults so far, for failure reports.
     pub injected: Vec<String>,
 }
 
 impl Faults {
-    /// The faults of a seed.
-    pub fn open(seed: u64) -> Faults {
-        Faults { random: StdRng::seed_from_u64(seed), recoveries: Vec::new(), injected: Vec::new() }
+    /// The faults of a seed; with `load`, also those that concern only routes under load control.
+    pub fn open(seed: u64, load: bool) -> Faults {
+        let random = StdRng::seed_from_u64(seed);
+        let kinds = if load { LOAD_KINDS } else { KINDS };
+        Faults { random, kinds, recoveries: Vec::new(), injected: Vec::new() }
     }
 
     /// Injects faults until `until`, then ends all that still last.
@@ -57,7 +69,7 @@
         let lasts = Duration::from_millis(self.random.random_range(50..MAX_FAULT_MS));
         let ends_at = Instant::now() + lasts;
         let at = self.random.random_range(0..world.gateways.len());
-        let chosen = self.random.random_range(0..10_u32);
+        let chosen = self.random.random_range(0..self.kinds);
         self.injected.push(format!("{chosen} on {at} for {} ms", lasts.as_millis()));
         let recovery = match chosen {
             0 => {
@@ -112,6 +124,11 @@
                 world.endpoints[endpoint].set_fault(fault);
                 Recovery::Endpoint(endpoint)
             }
+            10 => {
+                let endpoint = self.random.random_range(0..world.endpoints.len());
+                world.endpoints[endpoint].set_fault(EndpointFault::ReadsSlowly(SLOW_READ_MS));
+                Recovery::Endpoint(endpoint)
+            }
             _ => {
                 world.configure(&["secret-key-in-force"], &["other-key"]);
                 return Ok(());
--- a/soak/src/journal.rs
+++ b/soak/src/journal.rs
@@ -38,11 +38,11 @@
         self.runs.lock().expect("not poisoned").clone()
     }
 
-    /// The number of runs of each request.
+    /// The number of runs of each request so far.
     pub fn counts(&self) -> HashMap<String, usize> {
         let mut counts = HashMap::new();
-        for run in self.runs() {
-            *counts.entry(run.request).or_default() += 1;
+        for run in self.runs.lock().expect("not poisoned").iter() {
+            *counts.entry(run.request.clone()).or_default() += 1;
         }
         counts
     }
--- a/soak/src/program.rs
+++ b/soak/src/program.rs
@@ -5,12 +5,13 @@
 use rand::{RngExt, SeedableRng};
 
 use crate::caller::{Answer, Caller, Turn, TurnKind};
+use crate::load::LoadProgram;
 
 /// Pause between two requests of a program.
-const PAUSE: Duration = Duration::from_millis(30);
+pub(crate) const PAUSE: Duration = Duration::from_millis(30);
 
 /// Token budget of a program. Some of the longer programs use it up.
-const BUDGET: u64 = 600;
+pub(crate) const BUDGET: u64 = 600;
 
 /// One in this many workers runs programs whose history is not kept.
 const RESUMABLE_WORKER_INTERVAL: u64 = 3;
@@ -18,16 +19,26 @@
 /// The kind of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RequestKind {
-    /// A turn of a program whose history is kept.
-    Turn,
-    /// A turn of a program whose streams may be resumed at another endpoint.
-    ResumableTurn,
+    /// A turn of a program.
+    Turn(TurnKind),
     /// An idempotent tool call.
     Lookup,
     /// A tool call that must run at most once.
     Action,
 }
 
+impl RequestKind {
+    /// Whether it is a turn.
+    pub fn is_turn(self) -> bool {
+        matches!(self, RequestKind::Turn(_))
+    }
+
+    /// Whether it must run at most once.
+    pub fn runs_once(self) -> bool {
+        !matches!(self, RequestKind::Lookup | RequestKind::Turn(TurnKind::Resumable))
+    }
+}
+
 /// A request and its response.
 #[derive(Debug, Clone)]
 pub struct SentRequest {
@@ -37,6 +48,8 @@
     pub kind: RequestKind,
     /// The ID of its program.
     pub program: String,
+    /// The workspace of its caller.
+    pub workspace: &'static str,
     /// The prompt that the endpoint must receive, including the history.
     pub prompt: String,
     /// Whether it continues a turn whose end its caller has received.
@@ -56,6 +69,16 @@
     pub budget: u64,
     /// For each program, its ID, and the request ID and history of its last complete turn.
     pub last_turns: Vec<(String, String, String)>,
+    /// The programs under load control.
+    pub programs: Vec<LoadProgram>,
+}
+
+impl Report {
+    /// All requests, also those of programs under load control.
+    pub fn all_requests(&self) -> impl Iterator<Item = &SentRequest> {
+        let under_load = self.programs.iter().flat_map(|program| &program.requests);
+        self.requests.iter().chain(under_load)
+    }
 }
 
 /// Runs programs until `until`: several workers at once, each with one program after the other.
@@ -66,18 +89,18 @@
     workers: u64,
     until: Instant,
 ) -> Report {
-    let playing = (0..workers).map(|worker| {
+    let running = (0..workers).map(|worker| {
         let (caller, entries) = (caller.clone(), entries.to_vec());
         let random = StdRng::seed_from_u64(seed.wrapping_mul(1_000).wrapping_add(worker));
         tokio::spawn(run_worker(caller, entries, random, worker, until))
     });
-    let mut whole = Report { budget: BUDGET, ..Report::default() };
-    for playing in playing.collect::<Vec<_>>() {
-        let report = playing.await.expect("a worker does not panic");
-        whole.requests.extend(report.requests);
-        whole.last_turns.extend(report.last_turns);
+    let mut total = Report { budget: BUDGET, ..Report::default() };
+    for worker in running.collect::<Vec<_>>() {
+        let report = worker.await.expect("a worker does not panic");
+        total.requests.extend(report.requests);
+        total.last_turns.extend(report.last_turns);
     }
-    whole
+    total
 }
 
 async fn run_worker(
@@ -94,8 +117,8 @@
         }
         let program = format!("p{worker}-{number}");
         let turns = match worker % RESUMABLE_WORKER_INTERVAL {
-            0 => RequestKind::ResumableTurn,
-            _ => RequestKind::Turn,
+            0 => TurnKind::Resumable,
+            _ => TurnKind::Kept,
         };
         let worker_settings = WorkerSettings { caller: &caller, entries: &entries, turns, until };
         run_program(worker_settings, &mut random, &program, &mut report).await;
@@ -108,7 +131,7 @@
     caller: &'a Caller,
     entries: &'a [SocketAddr],
     /// The kind of their turns.
-    turns: RequestKind,
+    turns: TurnKind,
     until: Instant,
 }
 
@@ -129,7 +152,7 @@
         let kind = match random.random_range(0..4_u32) {
             0 => RequestKind::Lookup,
             1 => RequestKind::Action,
-            _ => turns,
+            _ => RequestKind::Turn(turns),
         };
         let input = format!("say {request};");
         let prompt = format!("{history}{input}");
@@ -137,18 +160,16 @@
         let answer = match kind {
             RequestKind::Lookup => caller.look_up(entry, &request).await,
             RequestKind::Action => caller.act(entry, &request).await,
-            RequestKind::Turn | RequestKind::ResumableTurn => {
+            RequestKind::Turn(kind) => {
                 let (request, program) = (request.clone(), program.to_string());
                 let (previous, budget) = (previous.clone(), BUDGET);
-                let kind = match kind {
-                    RequestKind::ResumableTurn => TurnKind::Resumable,
-                    _ => TurnKind::Kept,
-                };
-                caller.turn(entry, &Turn { kind, request, program, previous, input, budget }).await
+                let turn =
+                    Turn { kind, request, program, previous, input, budget, ..Turn::default() };
+                caller.turn(entry, &turn).await
             }
         };
         let continues = previous.is_some();
-        if kind == RequestKind::Turn && answer.is_served() {
+        if kind == RequestKind::Turn(TurnKind::Kept) && answer.is_served() {
             history = format!("{prompt}{}", crate::endpoint::output_of(&request));
             previous = Some(request.clone());
         }
@@ -157,6 +178,7 @@
             request,
             kind,
             program,
+            workspace: "ours",
             prompt,
             continues,
             sent,
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -16,6 +16,17 @@
 /// Time limit until all gateways of a new world serve turns.
 const START_LIMIT: Duration = Duration::from_secs(20);
 
+/// The workspaces whose callers use the routes under load control, in the order of their priorities.
+pub(crate) const LOAD_WORKSPACES: [&str; 2] = ["first", "second"];
+
+/// The routes under load control and their priorities.
+const LOAD_ROUTES: [(&str, u8); 2] = [("urgent", 0), ("patient", 2)];
+
+/// The API key of one of [`LOAD_WORKSPACES`].
+pub(crate) fn key_of(workspace: &str) -> String {
+    format!("key-of-{workspace}")
+}
+
 /// Settings of a world.
 #[derive(Debug, Clone)]
 pub struct WorldSettings {
@@ -25,6 +36,8 @@
     pub gateways: usize,
     /// Time after which a withdrawn key must no longer be served.
     pub revoke_ms: u64,
+    /// Whether there are routes under load control, with engines of their own that have few slots.
+    pub load: bool,
 }
 
 /// Real gateway processes and the stand-ins for the platform that they run on.
@@ -44,6 +57,7 @@
     /// Rate per second and burst of each workspace, from the next configuration on.
     pub rate_per_s: u64,
     version: u64,
+    load: bool,
     _running: Running,
 }
 
@@ -56,7 +70,10 @@
         let (store, running) = PlatformStore::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
         let journal = Arc::new(Journal::default());
         let mut endpoints = Vec::new();
-        let kinds = [("llm", EndpointKind::Engine), ("desk", EndpointKind::Tool)];
+        let mut kinds = vec![("llm", EndpointKind::Engine), ("desk", EndpointKind::Tool)];
+        if settings.load {
+            kinds.push(("pool", EndpointKind::LimitedEngine));
+        }
         for (service, kind) in kinds {
             for number in 0..3 {
                 let id = format!("{service}-{number}");
@@ -88,6 +105,7 @@
             caller,
             rate_per_s: 10_000,
             version: 0,
+            load: settings.load,
             _running: running,
         };
         world.configure(&["secret-key-in-force"], &["other-key"]);
@@ -99,35 +117,34 @@
     pub fn configure(&mut self, keys: &[&str], other_keys: &[&str]) {
         self.version += 1;
         let rate = self.rate_per_s;
-        let route = |name: &str, kind: &str, prefix: &str, service: &str, extra: Value| {
-            let mut route = json!({"name": name, "hostname": "soak.example", "pathPrefix": prefix,
-                "routeType": kind, "timeoutMs": 3000, "targetLatencyMs": 200, "priority": 0,
-                "service": service, "attempts": 2});
-            if let (Some(route), Some(extra)) = (route.as_object_mut(), extra.as_object()) {
-                route.extend(extra.clone());
-            }
-            route
+        let workspace = |name: &str, keys: &[&str], priority: Option<usize>| {
+            json!({"name": name, "apiKeys": keys, "ratePerS": rate, "burst": rate,
+                "priority": priority})
         };
-        let turns = json!({"stateful": true, "retentionS": 60.0});
-        let asks = json!({"resumable": true, "retentionS": 60.0});
-        self.store.put(
-            "keyed.op",
-            "config",
-            Some(json!({
-                "version": self.version,
-                "routes": [
-                    route("turns", "streaming", "/turns/", "llm", turns),
-                    route("asks", "streaming", "/asks/", "llm", asks),
-                    route("lookups", "idempotent", "/lookups/", "desk", json!({})),
-                    route("actions", "non_idempotent", "/actions/", "desk", json!({"attempts": 1})),
-                ],
-                "services": [{"name": "llm", "engine": {"stride": 20}}, {"name": "desk"}],
-                "tenants": [
-                    {"name": "ours", "apiKeys": keys, "ratePerS": rate, "burst": rate},
-                    {"name": "theirs", "apiKeys": other_keys, "ratePerS": rate, "burst": rate},
-                ],
-            })),
-        );
+        let kept = json!({"stateful": true, "retentionS": 60.0});
+        let resumable = json!({"resumable": true, "retentionS": 60.0});
+        let mut routes = vec![
+            route("turns", "streaming", "llm", &kept),
+            route("asks", "streaming", "llm", &resumable),
+            route("lookups", "idempotent", "desk", &json!({})),
+            route("actions", "non_idempotent", "desk", &json!({"attempts": 1})),
+        ];
+        let mut services = vec![engine("llm"), json!({"name": "desk"})];
+        let mut workspaces =
+            vec![workspace("ours", keys, None), workspace("theirs", other_keys, None)];
+        if self.load {
+            for (name, priority) in LOAD_ROUTES {
+                let extra = json!({"attempts": 1, "retentionS": 60.0, "priority": priority});
+                routes.push(route(name, "streaming", "pool", &extra));
+            }
+            services.push(engine("pool"));
+            for (priority, name) in LOAD_WORKSPACES.into_iter().enumerate() {
+                workspaces.push(workspace(name, &[&key_of(name)], Some(priority)));
+            }
+        }
+        let config = json!({"version": self.version, "routes": routes, "services": services,
+            "tenants": workspaces});
+        self.store.put("keyed.op", "config", Some(config));
     }
 
     /// The address of a gateway; numbers beyond the last one start again from the first.
@@ -175,3 +192,19 @@
         true
     }
 }
+
+/// The configuration of a route whose path prefix is its name. `extra` overrides the defaults.
+fn route(name: &str, kind: &str, service: &str, extra: &Value) -> Value {
+    let mut route = json!({"name": name, "hostname": "soak.example",
+        "pathPrefix": format!("/{name}/"), "routeType": kind, "timeoutMs": 3000,
+        "targetLatencyMs": 200, "priority": 0, "service": service, "attempts": 2});
+    if let (Some(route), Some(extra)) = (route.as_object_mut(), extra.as_object()) {
+        route.extend(extra.clone());
+    }
+    route
+}
+
+/// The configuration of a service whose endpoints are engines.
+fn engine(service: &str) -> Value {
+    json!({"name": service, "engine": {"stride": 20}})
+}
--- a/soak/tests/common/mod.rs
+++ b/soak/tests/common/mod.rs
@@ -18,7 +18,8 @@
 }
 
 pub async fn world(gateways: usize) -> World {
-    let settings = WorldSettings { program: program(), gateways, revoke_ms: REVOKE_MS };
+    let settings =
+        WorldSettings { program: program(), gateways, revoke_ms: REVOKE_MS, load: false };
     World::start(&settings).await.expect("the world starts")
 }
 
