What other entries admit is estimated by how often they report; late programs go last; limit by the time to the first event

With 78 workspaces a count does not fit into every datagram; the others' admissions since their last report were estimated over 100 ms, whatever the interval. Now the interval between two reports of an entry is measured. Test: 551 admitted before with reports every 500 ms, at most 515 after (limit 468 and a tenth). Admission: programs that can no longer finish in time go behind those that can, and one that would end later than twice its time is not started while capacity is short; how much of its time a program needs is learned from those that ended. The limit of requests in flight follows the time to the first event against the route's target (adaptive concurrency limit).

--- a/src/gateway/event_stream.rs
+++ b/src/gateway/event_stream.rs
@@ -77,6 +77,8 @@
     pub(super) endpoint_id: Arc<str>,
     /// The data of all events, each followed by a line feed; empty unless the output is to be kept.
     pub(super) output: Vec<u8>,
+    /// Time from sending the request to the first event, if it was measured.
+    pub(super) first_event_ms: Option<u64>,
 }
 
 impl EventStream {
@@ -144,11 +146,14 @@
         let (endpoint, endpoint_id) = (in_flight.endpoint, in_flight.endpoint_id.clone());
         in_flight.finish(StatusCode::OK);
         let service = &self.endpoint_request.routing.service;
-        if let Some(sample) = self.times.and_then(|times| times.sample(service)) {
-            self.gateway.record_turn_times(endpoint, &endpoint_id, &sample);
+        let sample = self.times.and_then(|times| times.sample(service));
+        if let Some(sample) = &sample {
+            self.gateway.record_turn_times(endpoint, &endpoint_id, sample);
         }
+        let first_event_ms = sample.map(|sample| sample.first_event_ms);
         self.gateway.clear_suspect(self.endpoint_request.crash_key);
-        Some(CompletedResponse { endpoint, endpoint_id, output: self.reader.into_output() })
+        let output = self.reader.into_output();
+        Some(CompletedResponse { endpoint, endpoint_id, output, first_event_ms })
     }
 
     /// Whether the response may end here: after a complete event.
--- a/src/gateway/load_admission.rs
+++ b/src/gateway/load_admission.rs
@@ -47,6 +47,7 @@
             program: program.hash(),
             rank: Rank::from_number(routing.priority),
             over_share: gateway.rates.borrow().is_over_share(&routing.workspace),
+            finish_ms: request_head.finish_ms,
             max_wait_ms: max_hold_ms.saturating_sub(held_ms),
             max_retry_ms: (left_ms as f64 * MAX_RETRY_FRACTION) as u64,
         };
@@ -78,6 +79,24 @@
     admission.decide(now, candidate, load)
 }
 
+impl Gateway {
+    /// Records for the admission of programs that a turn has ended, and when its first event came.
+    pub(super) fn record_ended_turn(
+        &self,
+        routing: &RoutingDecision,
+        program: ProgramKey,
+        first_event_ms: Option<u64>,
+    ) {
+        if let Some(admission) = self.program_admissions.borrow_mut().get_mut(&routing.service) {
+            let now = self.now();
+            admission.record_turn(now, program.hash());
+            if let Some(first_event_ms) = first_event_ms {
+                admission.record_first_event(now, first_event_ms, routing.target_ms);
+            }
+        }
+    }
+}
+
 /// Logs and counts a decision. A program that starts without having been refused is only counted.
 fn record(
     gateway: &Gateway,
--- a/src/gateway/turn.rs
+++ b/src/gateway/turn.rs
@@ -192,6 +192,11 @@
         }
         let completed_response = events.finish().ok_or(Refusal::OutcomeUnknown)?;
         self.turn_request.record_cached_prompt(&gateway, completed_response.endpoint);
+        gateway.record_ended_turn(
+            &self.turn_request.endpoint_request.routing,
+            self.turn_request.program,
+            completed_response.first_event_ms,
+        );
         self.settle(charge, completed_response, durable).await?;
         caller.send_head(Ok(head));
         for chunk in withheld {
--- a/src/load/admission.rs
+++ b/src/load/admission.rs
@@ -6,7 +6,7 @@
 //! with the time at which there will be room for them, and keep their place until then.
 
 use super::line::{Place, WaitingList};
-use super::{Rank, ServiceLoad};
+use super::{ProgramTimes, Rank, ServiceLoad, SlotLimit};
 use crate::prelude::*;
 
 /// The counts of other entries are this old at most while messages arrive. Within this time all
@@ -43,6 +43,10 @@
 /// Time constant of the moving average of admissions: about the length of a program.
 const AVERAGING_MS: f64 = 1_000.0;
 
+/// A program that would end later than its time by more than this part of it is not started while
+/// capacity is short: its caller gives up before it ends.
+const MAX_OVERRUN: f64 = 1.0;
+
 /// Shortest delay after which a program is told to return. Shorter ones cost more requests than
 /// they save time.
 const MIN_RETRY_MS: u64 = 100;
@@ -57,6 +61,8 @@
     pub rank: Rank,
     /// Whether its workspace uses more than its share of the contracted rates.
     pub over_share: bool,
+    /// The time until it should be finished, if it states one.
+    pub finish_ms: Option<u64>,
     /// How long its first turn may still be held.
     pub max_wait_ms: u64,
     /// The longest delay before a retry that its caller accepts.
@@ -90,6 +96,8 @@
 #[derive(Debug)]
 pub struct ProgramAdmission {
     line: WaitingList,
+    times: ProgramTimes,
+    limit: SlotLimit,
     /// For each rank: how many programs may start now before one of that rank may not. Negative
     /// if more urgent ones have started than there was room for at that rank.
     room: [f64; Rank::COUNT],
@@ -108,6 +116,8 @@
     pub fn open(now: TimeMs) -> ProgramAdmission {
         ProgramAdmission {
             line: WaitingList::default(),
+            times: ProgramTimes::default(),
+            limit: SlotLimit::open(now),
             room: [1.0; Rank::COUNT],
             credit: [0.0; Rank::COUNT],
             asked_at: [None; Rank::COUNT],
@@ -121,16 +131,27 @@
         &self.line
     }
 
+    /// Records that a turn of a program has ended.
+    pub fn record_turn(&mut self, now: TimeMs, program: u64) {
+        self.times.record_turn(now, program);
+    }
+
+    /// Records the time from sending a turn to its first event.
+    pub fn record_first_event(&mut self, now: TimeMs, first_event_ms: u64, target_ms: u64) {
+        self.limit.record(now, first_event_ms, target_ms);
+    }
+
     /// Decides whether a program starts.
     pub fn decide(&mut self, now: TimeMs, candidate: &Candidate, load: &ServiceLoad) -> Decision {
         self.asked_at[candidate.rank.index()] = Some(now);
         self.hand_out_room(now, load);
-        let Candidate { program, rank, over_share, .. } = *candidate;
-        let place = self.line.place(now, program, rank, over_share);
+        let Candidate { program, rank, .. } = *candidate;
+        let place = self.line.place(now, candidate);
         if self.may_start(now, &place, rank, load) {
+            self.times.start(now, program, candidate.finish_ms);
             return self.admit(now, program, rank, load);
         }
-        let ahead = self.line.ahead(&place);
+        let ahead = self.line.ahead(now, &place, self.times.need());
         let delay_ms = ((ahead as f64 + 1.0) / self.admissions_per_ms(load)) as u64;
         if delay_ms <= candidate.max_wait_ms {
             return Decision::Held { wait_ms: delay_ms.max(1) };
@@ -147,7 +168,12 @@
         if !load.hears_half {
             return f64::from(load.own_in_flight) < f64::from(load.slots) * load.share;
         }
-        let is_next = self.room[rank.index()] - self.line.due_ahead(now, place) as f64 >= 1.0;
+        let need = self.times.need();
+        if place.left_after(now, need) < -MAX_OVERRUN {
+            return false;
+        }
+        let due_ahead = self.line.due_ahead(now, place, need);
+        let is_next = self.room[rank.index()] - due_ahead as f64 >= 1.0;
         is_next || (self.credit[rank.index()] >= 1.0 && self.room[0] >= 1.0)
     }
 
@@ -172,9 +198,10 @@
         let elapsed_ms = now.since(self.updated_at) as f64;
         self.updated_at = now;
         self.recent *= (-elapsed_ms / AVERAGING_MS).exp();
+        let limit = f64::from(load.slots) * self.limit.part(now);
         let continued_per_ms = CONTINUED_FRACTION * self.recent / AVERAGING_MS;
         for index in 0..Rank::COUNT {
-            let own_free = self.free_slots(now, index, load) * load.share;
+            let own_free = self.free_slots(now, index, limit, load) * load.share;
             let per_ms = (own_free / REFRESH_MS + continued_per_ms).max(0.0);
             let most = own_free.max(1.0);
             self.room[index] = (self.room[index] + per_ms * elapsed_ms).min(most);
@@ -187,10 +214,10 @@
     }
 
     /// The free slots for programs of this rank; negative if too many are taken.
-    fn free_slots(&self, now: TimeMs, index: usize, load: &ServiceLoad) -> f64 {
+    fn free_slots(&self, now: TimeMs, index: usize, limit: f64, load: &ServiceLoad) -> f64 {
         let more_urgent = (0..index).filter(|index| self.is_present(now, *index)).count();
         let reserve = (RESERVE_PER_RANK * more_urgent as f64).min(MAX_RESERVE);
-        f64::from(load.slots) * (1.0 - reserve) - f64::from(load.in_flight)
+        limit - f64::from(load.slots) * reserve - f64::from(load.in_flight)
     }
 
     /// The rate at which programs of the waiting list are admitted: the recent one, but at least
--- a/src/load/line.rs
+++ b/src/load/line.rs
@@ -1,6 +1,6 @@
 use std::collections::HashMap;
 
-use super::Rank;
+use super::{Candidate, Rank};
 use crate::prelude::*;
 
 /// Maximum number of programs in a waiting list. Beyond it, refused programs keep no place.
@@ -13,6 +13,9 @@
 /// handed room for one program when capacity is short.
 const EARLY_MS: u64 = 50;
 
+/// The time of programs that state none.
+const UNLIMITED_MS: u64 = 3_600_000;
+
 /// A program that is this late is taken to have given up.
 const GIVEN_UP_MS: u64 = 1_500;
 
@@ -29,12 +32,26 @@
     due_at: TimeMs,
     /// How often it was refused.
     refusals: u32,
+    /// When the program should be finished.
+    finish_at: TimeMs,
+    /// The time that it had until then when it was first refused.
+    finish_ms: u64,
 }
 
 impl Place {
-    /// Sorts programs in the order in which they are admitted.
-    fn order(&self) -> (Rank, bool, TimeMs) {
-        (self.rank, self.over_share, self.since)
+    /// Sorts programs in the order in which they are admitted: those that can still finish in time
+    /// before those that can't. `need` is the part of its time that a program takes.
+    fn order(&self, now: TimeMs, need: f64) -> (Rank, bool, bool, TimeMs) {
+        let is_late = self.left_after(now, need) < 0.0;
+        (self.rank, self.over_share, is_late, self.since)
+    }
+
+    /// The part of its time that would be left when the program ends, if it started now. Negative
+    /// if it would end too late.
+    pub fn left_after(&self, now: TimeMs, need: f64) -> f64 {
+        let overdue_ms = now.since(self.finish_at) as f64;
+        let left_ms = self.finish_at.since(now) as f64 - overdue_ms;
+        left_ms / self.finish_ms.max(1) as f64 - need
     }
 
     /// Whether the program is expected now.
@@ -61,26 +78,27 @@
 
 impl WaitingList {
     /// The place of a program, or the one that it would get now.
-    pub fn place(&self, now: TimeMs, program: u64, rank: Rank, over_share: bool) -> Place {
-        self.places.get(&program).copied().unwrap_or(Place {
-            rank,
-            over_share,
-            since: now,
-            due_at: now,
-            refusals: 0,
-        })
+    pub fn place(&self, now: TimeMs, candidate: &Candidate) -> Place {
+        let Candidate { program, rank, over_share, finish_ms, .. } = *candidate;
+        // A program that states no time is taken to have plenty.
+        let finish_ms = finish_ms.unwrap_or(UNLIMITED_MS);
+        let finish_at = now.plus(finish_ms);
+        let (since, due_at) = (now, now);
+        let new = Place { rank, over_share, since, due_at, refusals: 0, finish_at, finish_ms };
+        self.places.get(&program).copied().unwrap_or(new)
     }
 
     /// The number of programs that are admitted before this place.
-    pub fn ahead(&self, place: &Place) -> usize {
-        let order = place.order();
-        self.places.values().filter(|other| other.order() < order).count()
+    pub fn ahead(&self, now: TimeMs, place: &Place, need: f64) -> usize {
+        let order = place.order(now, need);
+        self.places.values().filter(|other| other.order(now, need) < order).count()
     }
 
     /// The number of programs ahead of this place that are expected now, and for which room is kept.
-    pub fn due_ahead(&self, now: TimeMs, place: &Place) -> usize {
-        let order = place.order();
-        self.places.values().filter(|other| other.is_due(now) && other.order() < order).count()
+    pub fn due_ahead(&self, now: TimeMs, place: &Place, need: f64) -> usize {
+        let order = place.order(now, need);
+        let due = self.places.values().filter(|other| other.is_due(now));
+        due.filter(|other| other.order(now, need) < order).count()
     }
 
     /// Keeps the place of a refused program that was told to return after `retry_after_ms`.
--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -16,9 +16,11 @@
 mod pace;
 mod poll;
 pub(crate) mod prior;
+mod program_times;
 mod rank;
 mod report;
 mod service_pace;
+mod slot_limit;
 
 pub use admission::{Candidate, Decision, ProgramAdmission};
 pub use capacity::ServiceLoad;
@@ -29,8 +31,11 @@
 pub use line::{Place, WaitingList};
 pub use pace::{CostMs, PaceChange, PaceTable, PaceTotals, ServiceTimes, TurnSample, Work};
 pub use poll::{PausedServices, PollOutcome, is_due, is_poller};
+pub use program_times::ProgramTimes;
 pub use rank::Rank;
 pub use report::{Correction, EndpointReport, MAX_REPORT_AGE_MS, ReportOutcome, ReportedLoad};
 
+pub use slot_limit::SlotLimit;
+
 #[cfg(test)]
 pub(crate) mod tests;
--- a/src/load/tests/admission.rs
+++ b/src/load/tests/admission.rs
@@ -10,7 +10,14 @@
 
 fn candidate(program: u64, rank: u8) -> Candidate {
     let rank = Rank::from_number(rank);
-    Candidate { program, rank, over_share: false, max_wait_ms: 0, max_retry_ms: 1_000 }
+    Candidate {
+        program,
+        rank,
+        over_share: false,
+        finish_ms: None,
+        max_wait_ms: 0,
+        max_retry_ms: 1_000,
+    }
 }
 
 fn load(in_flight: u32) -> ServiceLoad {
--- a/src/quota/shared_window.rs
+++ b/src/quota/shared_window.rs
@@ -24,9 +24,15 @@
 /// Time constant of the moving average of the other entries' rate: five messages.
 const AVERAGING_MS: f64 = 500.0;
 
-/// Time between two messages of an entry. For this time the others are assumed to continue at their
-/// average rate.
-const GOSSIP_INTERVAL_MS: f64 = 100.0;
+/// Shortest time between two reports of an entry. The others are assumed to have continued at their
+/// average rate since their last report.
+const MIN_REPORT_INTERVAL_MS: f64 = 100.0;
+
+/// A longer pause is no interval: an entry that admits nothing repeats its count rarely.
+const MAX_REPORT_INTERVAL_MS: u64 = 800;
+
+/// Reports that count most in the mean interval.
+const MEMORY_REPORTS: f64 = 20.0;
 
 /// How long an entry that does not know the window collects the reports of other entries before it
 /// adopts the largest. This covers two messages of each; the largest counts because an entry that
@@ -109,8 +115,11 @@
     largest_report: Option<(TimeMs, f64)>,
     /// What this process instance has admitted.
     admitted: UsageTotals,
-    /// The newest totals of the other entries, by process instance.
-    peer_totals: HashMap<u64, UsageTotals>,
+    /// The newest totals of the other entries and when they came, by process instance.
+    peer_totals: HashMap<u64, (UsageTotals, TimeMs)>,
+    /// Mean time between two reports of an entry. With many workspaces a count is not in every
+    /// message.
+    report_interval_ms: f64,
     programs: RunningPrograms,
     /// Requests admitted by other entries, decayed exponentially.
     others_recent: f64,
@@ -133,6 +142,7 @@
             largest_report: None,
             admitted: UsageTotals::default(),
             peer_totals: HashMap::new(),
+            report_interval_ms: MIN_REPORT_INTERVAL_MS,
             programs: RunningPrograms::new(now),
             others_recent: 0.0,
             last_peer_update_at: now,
@@ -281,7 +291,7 @@
     pub fn record_baseline(&mut self, now: TimeMs, instance: u64, totals: UsageTotals) {
         match self.peer_totals.contains_key(&instance) {
             true => self.apply_usage(now, instance, totals),
-            false => drop(self.peer_totals.insert(instance, totals)),
+            false => drop(self.peer_totals.insert(instance, (totals, now))),
         }
     }
 
@@ -289,7 +299,9 @@
     /// new.
     pub fn apply_usage(&mut self, now: TimeMs, instance: u64, totals: UsageTotals) {
         self.advance(now);
-        let earlier = self.peer_totals.insert(instance, totals).unwrap_or_default();
+        let (earlier, reported_at) =
+            self.peer_totals.insert(instance, (totals, now)).unwrap_or_default();
+        self.record_report(now.since(reported_at));
         let delta = totals.delta_since(&earlier);
         self.others_recent *= (-(now.since(self.last_peer_update_at) as f64) / AVERAGING_MS).exp();
         self.last_peer_update_at = now;
@@ -299,6 +311,15 @@
         self.programs.record_requests(now, delta.requests, self.is_crowded());
     }
 
+    /// Adds the time between two reports of an entry to the mean.
+    fn record_report(&mut self, interval_ms: u64) {
+        if interval_ms <= MAX_REPORT_INTERVAL_MS {
+            let change = interval_ms as f64 - self.report_interval_ms;
+            self.report_interval_ms =
+                (self.report_interval_ms + change / MEMORY_REPORTS).max(MIN_REPORT_INTERVAL_MS);
+        }
+    }
+
     fn add(&mut self, added: Slot) {
         for slot in self.slots.back_mut().into_iter().chain([&mut self.window_total]) {
             slot.own += added.own;
@@ -324,9 +345,9 @@
         }
     }
 
-    /// Estimate of what the other entries have admitted since their last messages.
+    /// Estimate of what the other entries have admitted since their last reports.
     fn estimated_since_last_message(&self) -> f64 {
-        self.others_recent / AVERAGING_MS * GOSSIP_INTERVAL_MS
+        self.others_recent / AVERAGING_MS * self.report_interval_ms
     }
 
     /// Time until at least `excess` requests have left the window.
--- a/src/quota/tests.rs
+++ b/src/quota/tests.rs
@@ -1,5 +1,7 @@
 mod programs;
 
+use test_case::test_case;
+
 use super::*;
 use crate::prelude::*;
 
@@ -16,13 +18,25 @@
 /// Simulates entries that are offered `offered_per_s` calls each and report to each other ten times
 /// a second. Returns the most calls admitted in any five seconds, the length of the window.
 fn max_admitted_in_window(rate: f64, burst: f64, offered_per_s: &[u64], connected: bool) -> u64 {
+    max_admitted_with_reports(rate, burst, offered_per_s, connected, 100)
+}
+
+/// The same with a report of each entry every `report_ms`.
+fn max_admitted_with_reports(
+    rate: f64,
+    burst: f64,
+    offered_per_s: &[u64],
+    connected: bool,
+    report_ms: u64,
+) -> u64 {
     let mut entries: Vec<_> = offered_per_s.iter().map(|_| window(rate, burst)).collect();
     let count = entries.len() as u32;
     let peer_counts = PeerCounts { entries: count, heard: if connected { count } else { 1 } };
     let mut admitted = vec![0_u64; 20_000];
     for now in 0..20_000_u64 {
         // The entries send their messages at different times.
-        let senders = (0..entries.len()).filter(|at| connected && now % 100 == *at as u64 * 12);
+        let senders = (0..entries.len())
+            .filter(|at| connected && now % report_ms == *at as u64 * 12 % report_ms);
         for sender in senders.collect::<Vec<_>>() {
             let totals = entries[sender].admitted();
             let others = entries.iter_mut().enumerate().filter(|(at, _)| *at != sender);
@@ -45,6 +59,17 @@
     admitted.windows(5_000).map(|window| window.iter().sum()).max().unwrap_or(0)
 }
 
+// With many workspaces, a count is in every second or third message only. Each entry took the
+// others to have admitted nothing since the last one but for 100 ms, and together they exceeded the
+// limit.
+#[test_case(100; "in every message")]
+#[test_case(250; "seldom")]
+#[test_case(500; "in every third message of a large fleet")]
+fn rare_reports_do_not_raise_what_is_admitted(report_ms: u64) {
+    let max_admitted = max_admitted_with_reports(47.0, 234.0, &[20; 30], true, report_ms);
+    assert!((420..=515).contains(&max_admitted), "{max_admitted}");
+}
+
 // One workspace sends many times its rate to all entries at once. In no window may all entries
 // together admit much more than rate and burst, nor much less.
 #[test]
