--- a/src/explain/loss_report.rs
+++ b/src/explain/loss_report.rs
@@ -2,6 +2,7 @@
 
 use serde_json::{Value, json};
 
+use super::load_report::LoadReport;
 use super::{LogLine, ReadStats};
 use crate::prelude::*;
 
@@ -36,11 +37,14 @@
     programs: BTreeMap<u64, Option<Arc<str>>>,
     /// Requests of programs beyond `MAX_PROGRAMS`.
     programs_uncounted: u64,
+    load: LoadReport,
 }
 
 impl LossReport {
-    /// Counts the request that this line ends; ignores all other lines.
+    /// Counts the request that this line ends, or the decision of load control that it tells;
+    /// ignores all other lines.
     pub fn record(&mut self, line: &LogLine) {
+        self.load.record(line);
         if !matches!(&*line.message, "answered" | "refused") {
             return;
         }
@@ -129,6 +133,7 @@
                 causes.iter().map(|(name, count)| format!("{name} {count}")).collect();
             format!("{second:>8}  {}", counts.join(", "))
         }));
+        rows.extend(self.load.rows());
         rows.push(format!(
             "{} log lines read; skipped {} lines without a JSON object and {} broken lines",
             stats.lines, stats.without_object, stats.broken
@@ -139,7 +144,8 @@
         rows.join("\n")
     }
 
-    /// The report as JSON for scripts.
+    /// The report as JSON for scripts. `admissions` and `slow_readers_disconnected` are there only if
+    /// lines of load control, or of the limits on slow readers, were read.
     pub fn json(&self, stats: &ReadStats) -> Value {
         let (requests, lost) = self.counts();
         let causes: Vec<Value> = self
@@ -155,12 +161,14 @@
             .iter()
             .map(|(second, causes)| json!({ "second": second, "causes": causes }))
             .collect();
-        json!({
+        let mut report = json!({
             "requests": requests, "lost": lost, "programs": self.programs(),
             "programs_uncounted": self.programs_uncounted, "causes": causes, "seconds": seconds,
             "lines": stats.lines, "without_object": stats.without_object,
             "broken": stats.broken,
-        })
+        });
+        self.load.add_to(&mut report);
+        report
     }
 }
 
--- a/src/explain/mod.rs
+++ b/src/explain/mod.rs
@@ -2,9 +2,13 @@
 //! and a report of the requests that were refused, failed or answered late, by cause.
 
 mod line;
+mod load_line;
+mod load_report;
 mod loss_report;
 mod plot;
+mod program_start;
 mod reader;
+mod slow_readers;
 mod timeline;
 
 pub use line::{LineError, LogLine};
--- a/src/explain/tests.rs
+++ b/src/explain/tests.rs
@@ -1,3 +1,5 @@
+mod load_control;
+
 use std::io::BufReader;
 
 use proptest::prelude::*;
@@ -104,8 +106,9 @@
     // Logs come from collectors in any condition: no input may cause a panic, and every line is counted
     // exactly once.
     #[test]
-    fn any_bytes_are_read(bytes in proptest::collection::vec(any::<u8>(), 0..2_000), cut in 0..900_usize) {
-        let mut text = LOG.as_bytes()[..cut.min(LOG.len())].to_vec();
+    fn any_bytes_are_read(bytes in proptest::collection::vec(any::<u8>(), 0..2_000), cut in 0..4_000_usize) {
+        let mut text = [LOG, load_control::LOAD_LOG].concat().into_bytes();
+        text.truncate(cut);
         text.extend(bytes);
         let mut report = LossReport::default();
         let mut timeline = Timeline::new(Subject::Program("p1".into()));
--- a/src/explain/timeline.rs
+++ b/src/explain/timeline.rs
@@ -1,8 +1,11 @@
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 
 use serde_json::{Value, json};
 
 use super::LogLine;
+use super::load_line::LoadLine;
+use super::program_start::ProgramStart;
+use super::slow_readers::SlowReaders;
 use crate::prelude::*;
 
 /// Context lines are shown if their entry wrote them at most this long before a line of the subject.
@@ -43,18 +46,26 @@
     context: HashMap<Arc<str>, VecDeque<LogLine>>,
     /// The number of lines of the subject left out because of `MAX_LINES`.
     omitted: u64,
+    slow_readers: SlowReaders,
 }
 
 impl Timeline {
     /// An empty timeline of a subject.
     pub fn new(subject: Subject) -> Timeline {
-        Timeline { subject, lines: Vec::new(), context: HashMap::new(), omitted: 0 }
+        Timeline {
+            subject,
+            lines: Vec::new(),
+            context: HashMap::new(),
+            omitted: 0,
+            slow_readers: SlowReaders::default(),
+        }
     }
 
     /// Adds a line if it is about the subject, or keeps it as context if it is about no request. Ignores
     /// lines about other requests.
     pub fn record(&mut self, line: LogLine) {
         if self.subject.matches(&line) {
+            self.slow_readers.record_own(&line);
             let context = self.take_context(&line);
             match self.lines.len() + context.len() < MAX_LINES {
                 true => {
@@ -65,6 +76,7 @@
             }
             return;
         }
+        self.slow_readers.record(&line);
         if line.has_request_id() {
             return;
         }
@@ -90,15 +102,32 @@
         self.lines.is_empty()
     }
 
+    /// All lines to be shown. The disconnection of a slow reader names no program: it is found by
+    /// the requests of the program's other lines.
     fn in_order(&self) -> Vec<&LogLine> {
         let mut lines: Vec<_> = self.lines.iter().collect();
+        lines.extend(self.slow_readers.disconnections(&self.requests()));
         lines.sort_by_key(|line| line.unix_ms);
         lines
     }
 
-    fn start_ms(&self) -> u64 {
+    /// The subject's lines in order, without context.
+    fn own_in_order(&self) -> Vec<&LogLine> {
+        self.in_order().into_iter().filter(|line| self.is_own(line)).collect()
+    }
+
+    fn is_own(&self, line: &LogLine) -> bool {
+        self.subject.matches(line) || LoadLine::of(line) == Some(LoadLine::Disconnected)
+    }
+
+    /// The ids of the subject's requests.
+    fn requests(&self) -> HashSet<&str> {
         let own = self.lines.iter().filter(|line| self.subject.matches(line));
-        own.map(|line| line.unix_ms).min().unwrap_or(0)
+        own.filter_map(|line| line.text("request")).collect()
+    }
+
+    fn start_ms(&self) -> u64 {
+        self.own_in_order().first().map_or(0, |line| line.unix_ms)
     }
 
     /// The timeline as text for people, with times relative to the subject's first line. Context lines
@@ -108,32 +137,54 @@
         let mut rows: Vec<String> = Vec::new();
         for line in self.in_order() {
             let since_ms = line.unix_ms as i64 - start_ms;
-            let marker = if self.subject.matches(line) { ' ' } else { '~' };
+            let marker = if self.is_own(line) { ' ' } else { '~' };
             rows.push(format!("{since_ms:>8} ms {marker} {}  {}", line.entry(), line.summary()));
         }
         if self.omitted > 0 {
             rows.push(format!("{} more lines are left out", self.omitted));
         }
+        rows.extend(self.load_rows());
         rows.push(format!("ended: {}", self.outcome()));
         rows.join("\n")
     }
 
-    /// The timeline as JSON for scripts.
+    /// What the lines of load control and of the limits on slow readers add up to.
+    fn load_rows(&self) -> Vec<String> {
+        let own = self.own_in_order();
+        let mut rows = Vec::new();
+        if let Some(start) = ProgramStart::of(&own) {
+            rows.extend(start.refusal_rows());
+            rows.push(start.start_row());
+        }
+        rows.extend(self.slow_readers.rows(&own));
+        rows
+    }
+
+    /// The timeline as JSON for scripts. `start` and `slow_readers` are there only if lines of load
+    /// control, or of the limits on slow readers, are about the subject.
     pub fn json(&self) -> Value {
         let line = |line: &LogLine| {
-            let of_subject = self.subject.matches(line);
+            let of_subject = self.is_own(line);
             json!({ "unix_ms": line.unix_ms, "entry": line.entry(), "msg": line.message,
                 "of_subject": of_subject, "fields": line.fields })
         };
         let lines: Vec<Value> = self.in_order().into_iter().map(line).collect();
-        json!({ "lines": lines, "left_out": self.omitted, "ended": self.outcome() })
+        let mut timeline =
+            json!({ "lines": lines, "left_out": self.omitted, "ended": self.outcome() });
+        let own = self.own_in_order();
+        if let Some(start) = ProgramStart::of(&own) {
+            timeline["start"] = start.json();
+        }
+        if let Some(slow_readers) = self.slow_readers.json(&own) {
+            timeline["slow_readers"] = slow_readers;
+        }
+        timeline
     }
 
     /// How the subject ended: its last answer or refusal, followed by the message of the same
     /// request's last other line, which usually names the cause.
     fn outcome(&self) -> String {
-        let own: Vec<_> =
-            self.in_order().into_iter().filter(|line| self.subject.matches(line)).collect();
+        let own = self.own_in_order();
         let is_end = |line: &&&LogLine| matches!(&*line.message, "answered" | "refused");
         let Some(end) = own.iter().rev().find(is_end) else {
             return "no line tells its end".into();
--- a/src/gateway/observe.rs
+++ b/src/gateway/observe.rs
@@ -128,6 +128,7 @@
     set_reader_metrics(gateway);
     gauge!("trefoil_connections_opened").set(gateway.connections.opened() as f64);
     update_pace_metrics(gateway);
+    update_load_metrics(gateway);
     if let Some(version) = gateway.endpoint_list.version() {
         let age_ms = gateway.now().since(version.read_at);
         gauge!("trefoil_endpoint_list_age_ms").set(age_ms as f64);
@@ -140,6 +141,23 @@
     }
 }
 
+/// Sets the metrics of the load of each service under load control, as this entry knows it.
+pub(super) fn update_load_metrics(gateway: &Gateway) {
+    let Some(catalog) = gateway.active_config.catalog() else {
+        return;
+    };
+    let admissions = gateway.program_admissions.borrow();
+    for service in catalog.load_controlled() {
+        let load = gateway.service_load(service);
+        let waiting = admissions.get(service).map_or(0, |admission| admission.line().len());
+        let service = service.to_string();
+        gauge!("trefoil_service_slots", "service" => service.clone()).set(f64::from(load.slots));
+        gauge!("trefoil_service_in_flight", "service" => service.clone())
+            .set(f64::from(load.in_flight));
+        gauge!("trefoil_programs_waiting", "service" => service).set(waiting as f64);
+    }
+}
+
 /// Sets the metrics of what was measured of services under load control.
 fn update_pace_metrics(gateway: &Gateway) {
     let placement = gateway.placement.borrow();
