Endpoints are chosen by crowding and prefill, weighted by pace

Cause: the estimated time to completion let entries with outdated counts crowd onto the endpoints that seemed least loaded. Change: crowding weighs as before anything was measured; prefill is the learned one; both are multiplied by the endpoint's pace.

--- a/src/load/pace.rs
+++ b/src/load/pace.rs
@@ -145,8 +145,8 @@
         work: &Work,
     ) -> CostMs {
         match self.services.get(service) {
-            Some(times) => self.pace(now, key) * times.completion_ms(work),
-            None => ServicePace::default().completion_ms(work),
+            Some(times) => self.pace(now, key) * times.turn_cost_ms(work),
+            None => ServicePace::default().turn_cost_ms(work),
         }
     }
 
--- a/src/load/service_pace.rs
+++ b/src/load/service_pace.rs
@@ -95,13 +95,15 @@
         self.events.with_prior(prior::EVENTS, PRIOR_SAMPLES).max(1.0)
     }
 
-    /// The time to completion of a turn at an endpoint with pace 1.
-    pub(super) fn completion_ms(&self, work: &Work) -> CostMs {
+    /// The cost of a turn at an endpoint with pace 1: the prefill of what is not cached, and the
+    /// crowding at the endpoint. Crowding weighs as before anything was measured: with its measured
+    /// weight, entries whose counts of each other's requests are outdated all chose the endpoint
+    /// that seemed least loaded.
+    pub(super) fn turn_cost_ms(&self, work: &Work) -> CostMs {
         let slots = f64::from(work.slots.max(1));
-        let excess = (f64::from(work.load) + 1.0 - slots).max(0.0);
-        let run_ms = self.run_ms.with_prior(prior::WAIT_PER_REQUEST_MS * slots, PRIOR_SAMPLES);
-        work.uncached_tokens as f64 * self.prefill_ms_per_token()
-            + self.mean_events() * self.event_ms.value_at(work.load_fraction())
-            + excess / slots * run_ms
+        let load = f64::from(work.load) + 1.0;
+        let wait_ms = (load - slots).max(0.0) * prior::WAIT_PER_REQUEST_MS;
+        let batch_ms = (load / slots).min(1.0) * prior::FULL_BATCH_SLOWDOWN_MS;
+        work.uncached_tokens as f64 * self.prefill_ms_per_token() + wait_ms + batch_ms
     }
 }
