--- a/src/gateway/endpoint_polls.rs
+++ b/src/gateway/endpoint_polls.rs
@@ -17,7 +17,6 @@
     EndpointReport, MAX_REPORT_AGE_MS, PausedServices, PollOutcome, ReportOutcome, is_due,
     is_poller,
 };
-use crate::mechanisms::Mechanism;
 use crate::prelude::*;
 use crate::replicas::ReplicaKey;
 
@@ -83,7 +82,7 @@
 /// Polls the endpoints that this entry is responsible for, until the process ends.
 pub(super) async fn poll_endpoints(gateway: Rc<Gateway>) {
     observe::register_load_reports();
-    if !gateway.is_enabled(Mechanism::EndpointReports) {
+    if !gateway.settings.polls_endpoints {
         return;
     }
     let mut last = gateway.now();
@@ -113,7 +112,7 @@
 /// Whether the endpoints of a service are polled: if it is under load control.
 pub(super) fn is_polled(gateway: &Gateway, service: &str) -> bool {
     let catalog = gateway.active_config.catalog();
-    gateway.is_enabled(Mechanism::EndpointReports)
+    gateway.settings.polls_endpoints
         && catalog.is_some_and(|catalog| catalog.load_controlled().contains(service))
 }
 
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -45,4 +45,7 @@
     pub mechanisms: Mechanisms,
     /// Which endpoints of services under load control are compared for a request.
     pub endpoint_choice: EndpointChoice,
+    /// Whether endpoints of services under load control are polled for their load. Worth its price
+    /// where others than these entries send to them too, which the entries' own counts don't show.
+    pub polls_endpoints: bool,
 }
--- a/src/gateway/tests/endpoint_reports.rs
+++ b/src/gateway/tests/endpoint_reports.rs
@@ -17,17 +17,16 @@
 use crate::gateway::load_reports::{apply_load_report, compose_load_report};
 use crate::gateway::operator_feed::apply_configuration;
 use crate::gateway::state::Gateway;
-use crate::mechanisms::Mechanisms;
 use crate::prelude::*;
 use crate::replicas::EndpointChange;
 use crate::replicas::tests::announcement;
 
 /// A gateway with a streaming route to the service `s`, which is under load control if the route
 /// has one attempt.
-fn gateway(attempts: u32, without: &str) -> Rc<Gateway> {
+fn gateway(attempts: u32, polls_endpoints: bool) -> Rc<Gateway> {
     let mut gateway = fakes::gateway(fakes::FakeStore::default());
     let settings = &mut Rc::get_mut(&mut gateway).expect("not shared yet").settings;
-    settings.mechanisms = Mechanisms::without(without).expect("known mechanisms");
+    settings.polls_endpoints = polls_endpoints;
     let route = Route { repeat: RepeatPolicy::Stream, attempts, ..route("h", "/", "s") };
     apply_configuration(&gateway, configuration(1, vec![route]));
     gateway
@@ -73,15 +72,15 @@
 }
 
 // Deployments without load control must not see a single additional request.
-#[test_case(1, "" => (5, (7, Some(600))); "under load control")]
-#[test_case(2, "" => (0, (0, None)); "not under load control")]
-#[test_case(1, "endpoint-reports" => (0, (0, None)); "switched off")]
+#[test_case(1, true => (5, (7, Some(600))); "under load control")]
+#[test_case(2, true => (0, (0, None)); "not under load control")]
+#[test_case(1, false => (0, (0, None)); "switched off")]
 #[tokio::test(start_paused = true)]
 async fn only_services_under_load_control_are_polled(
     attempts: u32,
-    without: &str,
+    polls_endpoints: bool,
 ) -> (u32, (u32, Option<u64>)) {
-    let gateway = gateway(attempts, without);
+    let gateway = gateway(attempts, polls_endpoints);
     let run = async {
         let engine = start_engine(&gateway, "200 OK", REPORT).await;
         spawn_local(poll_endpoints(gateway.clone()));
@@ -97,7 +96,7 @@
 #[test_case("200 OK", "{\"running\":" => 2; "a body that can't be decoded")]
 #[tokio::test(start_paused = true)]
 async fn a_service_without_reports_is_polled_once_in_30_s(status: &str, body: &str) -> u32 {
-    let gateway = gateway(1, "");
+    let gateway = gateway(1, true);
     let run = async {
         let engine = start_engine(&gateway, status, body).await;
         spawn_local(poll_endpoints(gateway.clone()));
@@ -119,7 +118,7 @@
 // is evacuated must get no request of any kind.
 #[tokio::test(start_paused = true)]
 async fn polls_follow_the_endpoints_and_the_entries() {
-    let gateway = gateway(1, "");
+    let gateway = gateway(1, true);
     run_ms(1_000).await;
     ["a", "b", "c"].iter().for_each(|id| add_endpoint(&gateway, id, 1));
     assert_eq!(due_ids(&gateway), ["a".into(), "b".into(), "c".into()]);
@@ -144,7 +143,7 @@
 // received, reports would circulate and look fresh.
 #[tokio::test(start_paused = true)]
 async fn reports_reach_the_other_entries_once() {
-    let (poller, other, unconcerned) = (gateway(1, ""), gateway(1, ""), gateway(2, ""));
+    let (poller, other, unconcerned) = (gateway(1, true), gateway(1, true), gateway(2, true));
     let run = async {
         let _engine = start_engine(&poller, "200 OK", REPORT).await;
         for gateway in [&other, &unconcerned] {
--- a/src/gateway/tests/fakes.rs
+++ b/src/gateway/tests/fakes.rs
@@ -237,6 +237,7 @@
         memory_limit_bytes,
         mechanisms: Mechanisms::default(),
         endpoint_choice: EndpointChoice::default(),
+        polls_endpoints: false,
     };
     Gateway::open(settings, store, Rc::new(NullProtocol))
 }
--- a/src/mechanisms.rs
+++ b/src/mechanisms.rs
@@ -35,15 +35,13 @@
     LoadAdmission,
     /// Endpoints of services under load control are chosen by learned paces.
     LearnedPace,
-    /// The endpoints of services under load control are polled for their load.
-    EndpointReports,
     /// What an entry buffers for slow readers is limited.
     ReaderLimits,
 }
 
 impl Mechanism {
     /// All mechanisms, with the names that `--without` takes.
-    pub const ALL: [(Mechanism, &'static str); 16] = [
+    pub const ALL: [(Mechanism, &'static str); 15] = [
         (Mechanism::Resumption, "resumption"),
         (Mechanism::StoreWait, "waiting"),
         (Mechanism::FastReassignment, "settling"),
@@ -58,7 +56,6 @@
         (Mechanism::Relaying, "relaying"),
         (Mechanism::LoadAdmission, "load-admission"),
         (Mechanism::LearnedPace, "learned-pace"),
-        (Mechanism::EndpointReports, "endpoint-reports"),
         (Mechanism::ReaderLimits, "reader-limits"),
     ];
 }
