--- a/src/load/pace.rs
+++ b/src/load/pace.rs
@@ -1,4 +1,4 @@
-//! The time to completion of a turn at each endpoint, estimated from completed turns.
+//! The pace of each endpoint, learned from completed turns.
 
 use std::collections::{BTreeMap, HashMap};
 
@@ -7,7 +7,7 @@
 use crate::prelude::*;
 use crate::replicas::ReplicaKey;
 
-/// An estimated time in milliseconds.
+/// A cost in milliseconds, for the comparison of endpoints.
 pub type CostMs = f64;
 
 /// What decides how long an endpoint takes for a turn, known when it is sent.
@@ -136,7 +136,7 @@
         measured.iter().cycle().skip(start).take(rows.min(measured.len())).copied().collect()
     }
 
-    /// The estimated time from sending to completion of a turn at an endpoint of `service`.
+    /// The cost of a turn at an endpoint of `service`, weighted by its pace.
     pub fn estimate(
         &self,
         now: TimeMs,
--- a/src/load/service_pace.rs
+++ b/src/load/service_pace.rs
@@ -23,8 +23,6 @@
     events: ForgettingMean,
     /// The fraction of slots taken when a turn is sent.
     load_fraction: ForgettingMean,
-    /// The time for which a turn takes a slot.
-    run_ms: ForgettingMean,
 }
 
 impl Default for ServicePace {
@@ -46,7 +44,6 @@
             event_ms: LinearFit::open(event, MEMORY_SAMPLES),
             events: ForgettingMean::open(MEMORY_SAMPLES),
             load_fraction: ForgettingMean::open(MEMORY_SAMPLES),
-            run_ms: ForgettingMean::open(MEMORY_SAMPLES),
         }
     }
 }
@@ -65,12 +62,6 @@
         }
         self.load_fraction.add(load_fraction);
         self.events.add(sample.events as f64);
-        // The wait in the endpoint's queue takes no slot, and isn't told apart from the prefill.
-        let prefill_ms = match sample.work.has_free_slot() {
-            true => first_event_ms,
-            false => sample.work.uncached_tokens as f64 * self.prefill_ms_per_token(),
-        };
-        self.run_ms.add(prefill_ms + stream_ms);
     }
 
     pub(super) fn prefill_ms_per_token(&self) -> f64 {
@@ -103,7 +94,8 @@
         let slots = f64::from(work.slots.max(1));
         let load = f64::from(work.load) + 1.0;
         let wait_ms = (load - slots).max(0.0) * prior::WAIT_PER_REQUEST_MS;
-        let batch_ms = (load / slots).min(1.0) * prior::FULL_BATCH_SLOWDOWN_MS;
+        // Counts the turn itself, so that of two idle endpoints the faster one is chosen.
+        let batch_ms = (load / slots).min(1.0 + 1.0 / slots) * prior::FULL_BATCH_SLOWDOWN_MS;
         work.uncached_tokens as f64 * self.prefill_ms_per_token() + wait_ms + batch_ms
     }
 }
