Admission of programs: places expire, state of gone services is dropped, faults mended

Cause: review of the admission of programs. Each fault below has a test that failed without its change (12 test cases in all). - Programs that had given up counted in retry delays and in trefoil_programs_waiting until the next refusal. - Between its admission and its first reservation a program has no account, so a second request of it could be refused. An admitted program is now recognised for 1.5 s after its last turn. - Above 1,000 admissions per second a first turn could be held again and again, beyond the time for which it may be held. - A returning program was sorted by its old rank after a configuration had changed it. - The slot limit recovered by one step only after a pause in which no program asked to start. It now moves back by all of the elapsed time, in a straight line instead of slowing down near the end. Turns without a target, and turns on routes without load control, no longer change it. - Counts of idle workspaces stayed in the shares: windows are now moved on before they are compared. - The sum of announced slots could overflow.

A configuration drops the state of services that are no longer under load control. No constant and no order changed; effects on the value earned were not measured.

--- a/src/gateway/load_admission.rs
+++ b/src/gateway/load_admission.rs
@@ -46,7 +46,7 @@
         let candidate = Candidate {
             program: program.hash(),
             rank: Rank::from_number(routing.priority),
-            over_share: gateway.rates.borrow().is_over_share(&routing.workspace),
+            over_share: gateway.rates.borrow_mut().is_over_share(now, &routing.workspace),
             finish_ms: request_head.finish_ms,
             max_wait_ms: max_hold_ms.saturating_sub(held_ms),
             max_retry_ms: (left_ms as f64 * MAX_RETRY_FRACTION) as u64,
@@ -81,12 +81,16 @@
 
 impl Gateway {
     /// Records for the admission of programs that a turn has ended, and when its first event came.
+    /// Turns on other routes to the same service have targets of their own and are left out.
     pub(super) fn record_ended_turn(
         &self,
         routing: &RoutingDecision,
         program: ProgramKey,
         first_event_ms: Option<u64>,
     ) {
+        if !routing.is_load_controlled() {
+            return;
+        }
         if let Some(admission) = self.program_admissions.borrow_mut().get_mut(&routing.service) {
             let now = self.now();
             admission.record_turn(now, program.hash());
--- a/src/gateway/operator_feed.rs
+++ b/src/gateway/operator_feed.rs
@@ -138,6 +138,10 @@
                 rates.open_window(gateway.now(), workspace);
             });
             gateway.directory.borrow_mut().set_cold_limits(cold_limits(gateway, &catalog));
+            gateway
+                .program_admissions
+                .borrow_mut()
+                .retain(|service, _| catalog.load_controlled().contains(service));
             gateway.placement.borrow_mut().set_load_controlled(catalog.load_controlled());
             *gateway.active_config.catalog.borrow_mut() = Some(Rc::new(catalog));
         }
--- a/src/gateway/rates.rs
+++ b/src/gateway/rates.rs
@@ -128,7 +128,11 @@
 
     /// Whether a workspace uses more than its share: more of its contracted rate than all
     /// workspaces together use of theirs, by [`OVER_SHARE_FACTOR`].
-    pub(super) fn is_over_share(&self, workspace: &str) -> bool {
+    pub(super) fn is_over_share(&mut self, now: TimeMs, workspace: &str) -> bool {
+        // A window that gets no requests moves on only when it is read.
+        for tracked in self.windows.values_mut() {
+            tracked.window.in_window(now);
+        }
         let (own_used, own_limit) = self.used(workspace);
         let all = self.windows.values().map(|tracked| tracked.window.used());
         let (used, limit) =
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -137,9 +137,10 @@
             ..ServiceLoad::default()
         };
         for (_, replica) in usable {
-            load.slots += replica.announcement.slots;
-            load.in_flight += replica.load(now);
-            load.own_in_flight += replica.in_flight;
+            // Endpoints announce their slots themselves; absurd numbers must not overflow the sum.
+            load.slots = load.slots.saturating_add(replica.announcement.slots);
+            load.in_flight = load.in_flight.saturating_add(replica.load(now));
+            load.own_in_flight = load.own_in_flight.saturating_add(replica.in_flight);
         }
         load
     }
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -2,6 +2,7 @@
 mod endpoint_list;
 mod endpoint_reports;
 mod fakes;
+mod load_admission;
 mod load_metrics;
 mod load_reports;
 mod slow_readers;
@@ -82,6 +83,34 @@
     assert!((39..=44).contains(&admitted), "{admitted}");
 }
 
+// Counts of a workspace that had become idle went on to count, and hid that another one used more
+// than its share.
+#[test]
+fn the_share_of_a_workspace_does_not_depend_on_requests_that_left_the_window() {
+    let workspace = |name: &str| Workspace {
+        name: name.into(),
+        priority: None,
+        rate_per_s: 10.0,
+        burst: 10.0,
+        regions: Regions::default(),
+    };
+    let (idle, busy) = (workspace("idle"), workspace("busy"));
+    let mut rates = RateLimiter::open(5_000);
+    rates.open_window(TimeMs(0), &idle);
+    rates.open_window(TimeMs(0), &busy);
+    let alone = PeerCounts { entries: 1, heard: 1 };
+    let mut admit = |now, workspace| {
+        for _ in 0..30 {
+            let _grant = rates
+                .try_admit(now, workspace, alone, Claim::Continues)
+                .expect("the rate has room");
+        }
+        rates.is_over_share(now, &workspace.name)
+    };
+    admit(TimeMs(10_000), &idle);
+    assert!(admit(TimeMs(30_000), &busy));
+}
+
 // After a restart of all entries, each joins the group and is assigned nothing, since the earlier
 // process instances still hold the shards. At the usual renewal interval a shard was taken most of
 // a second later, and every turn of its programs waited for that.
--- a/src/load/admission.rs
+++ b/src/load/admission.rs
@@ -141,20 +141,25 @@
         self.limit.record(now, first_event_ms, target_ms);
     }
 
-    /// Decides whether a program starts.
+    /// Decides whether a program starts. One that was admitted already is not refused: its account
+    /// may not exist yet when a second request of it arrives.
     pub fn decide(&mut self, now: TimeMs, candidate: &Candidate, load: &ServiceLoad) -> Decision {
         self.asked_at[candidate.rank.index()] = Some(now);
         self.hand_out_room(now, load);
+        self.line.expire(now);
         let Candidate { program, rank, .. } = *candidate;
+        if self.times.is_running(now, program) {
+            return Decision::Admitted { place: None };
+        }
         let place = self.line.place(now, candidate);
         if self.may_start(now, &place, rank, load) {
             self.times.start(now, program, candidate.finish_ms);
             return self.admit(now, program, rank, load);
         }
         let ahead = self.line.ahead(now, &place, self.times.need());
-        let delay_ms = ((ahead as f64 + 1.0) / self.admissions_per_ms(load)) as u64;
+        let delay_ms = (((ahead as f64 + 1.0) / self.admissions_per_ms(load)) as u64).max(1);
         if delay_ms <= candidate.max_wait_ms {
-            return Decision::Held { wait_ms: delay_ms.max(1) };
+            return Decision::Held { wait_ms: delay_ms };
         }
         let retry_after_ms = delay_ms.max(MIN_RETRY_MS).min(candidate.max_retry_ms);
         self.line.keep(now, program, place, retry_after_ms);
--- a/src/load/line.rs
+++ b/src/load/line.rs
@@ -59,6 +59,10 @@
         now.plus(EARLY_MS) >= self.due_at && now.since(self.due_at) <= LATE_MS
     }
 
+    fn has_given_up(&self, now: TimeMs) -> bool {
+        now.since(self.due_at) >= GIVEN_UP_MS
+    }
+
     /// How long the program has waited.
     pub fn waited_ms(&self, now: TimeMs) -> u64 {
         now.since(self.since)
@@ -77,7 +81,8 @@
 }
 
 impl WaitingList {
-    /// The place of a program, or the one that it would get now.
+    /// The place of a program, or the one that it would get now. Its rank is the current one, as
+    /// the configuration may have changed since the program was refused.
     pub fn place(&self, now: TimeMs, candidate: &Candidate) -> Place {
         let Candidate { program, rank, over_share, finish_ms, .. } = *candidate;
         // A program that states no time is taken to have plenty.
@@ -85,7 +90,7 @@
         let finish_at = now.plus(finish_ms);
         let (since, due_at) = (now, now);
         let new = Place { rank, over_share, since, due_at, refusals: 0, finish_at, finish_ms };
-        self.places.get(&program).copied().unwrap_or(new)
+        self.places.get(&program).map_or(new, |place| Place { rank, ..*place })
     }
 
     /// The number of programs that are admitted before this place.
@@ -103,7 +108,6 @@
 
     /// Keeps the place of a refused program that was told to return after `retry_after_ms`.
     pub fn keep(&mut self, now: TimeMs, program: u64, place: Place, retry_after_ms: u64) {
-        self.expire(now);
         if self.places.len() < MAX_PLACES || self.places.contains_key(&program) {
             let due_at = now.plus(retry_after_ms);
             self.places.insert(program, Place { due_at, refusals: place.refusals + 1, ..place });
@@ -115,18 +119,13 @@
         self.places.remove(&program)
     }
 
-    /// The number of programs in the list.
-    pub fn len(&self) -> usize {
-        self.places.len()
-    }
-
-    /// Whether no program waits.
-    pub fn is_empty(&self) -> bool {
-        self.places.is_empty()
+    /// The number of programs that are expected back.
+    pub fn waiting(&self, now: TimeMs) -> usize {
+        self.places.values().filter(|place| !place.has_given_up(now)).count()
     }
 
     /// Removes programs that did not return.
     pub fn expire(&mut self, now: TimeMs) {
-        self.places.retain(|_, place| now.since(place.due_at) < GIVEN_UP_MS);
+        self.places.retain(|_, place| !place.has_given_up(now));
     }
 }
--- a/src/load/program_times.rs
+++ b/src/load/program_times.rs
@@ -25,8 +25,14 @@
 struct Running {
     started_at: TimeMs,
     last_turn_at: TimeMs,
-    /// The time that it had when it started.
-    finish_ms: u64,
+    /// The time that it had when it started, if it stated one.
+    finish_ms: Option<u64>,
+}
+
+impl Running {
+    fn has_ended(&self, now: TimeMs) -> bool {
+        now.since(self.last_turn_at) > ENDED_AFTER_MS
+    }
 }
 
 /// How much of the time until they should be finished programs of a service really take, learned
@@ -48,9 +54,8 @@
     /// learned from it.
     pub fn start(&mut self, now: TimeMs, program: u64, finish_ms: Option<u64>) {
         self.expire(now);
-        if let Some(finish_ms) = finish_ms.filter(|finish_ms| *finish_ms > 0) {
-            self.running.insert(program, Running { started_at: now, last_turn_at: now, finish_ms });
-        }
+        let finish_ms = finish_ms.filter(|finish_ms| *finish_ms > 0);
+        self.running.insert(program, Running { started_at: now, last_turn_at: now, finish_ms });
     }
 
     /// Records that a turn of a program has ended.
@@ -60,6 +65,11 @@
         }
     }
 
+    /// Whether a program has started and not ended.
+    pub fn is_running(&self, now: TimeMs, program: u64) -> bool {
+        self.running.get(&program).is_some_and(|running| !running.has_ended(now))
+    }
+
     /// The part of its time that a program is expected to need.
     pub fn need(&self) -> f64 {
         self.need.with_prior(ASSUMED_NEED, PRIOR_PROGRAMS).min(MAX_NEED)
@@ -68,10 +78,13 @@
     fn expire(&mut self, now: TimeMs) {
         let need = &mut self.need;
         self.running.retain(|_, running| {
-            let has_ended = now.since(running.last_turn_at) > ENDED_AFTER_MS;
-            if has_ended && running.last_turn_at > running.started_at {
-                let took_ms = running.last_turn_at.since(running.started_at);
-                need.add(took_ms as f64 / running.finish_ms as f64);
+            let has_ended = running.has_ended(now);
+            let took_ms = running.last_turn_at.since(running.started_at);
+            if let Some(finish_ms) = running.finish_ms
+                && has_ended
+                && took_ms > 0
+            {
+                need.add(took_ms as f64 / finish_ms as f64);
             }
             !has_ended
         });
--- a/src/load/slot_limit.rs
+++ b/src/load/slot_limit.rs
@@ -42,9 +42,13 @@
         SlotLimit { part: 1.0, first_event: LOW, measured_at: now, updated_at: now }
     }
 
-    /// Records the time from sending a turn to its first event.
+    /// Records the time from sending a turn to its first event. Turns without a target (zero) say
+    /// nothing about the limit.
     pub fn record(&mut self, now: TimeMs, first_event_ms: u64, target_ms: u64) {
-        let part = first_event_ms as f64 / target_ms.max(1) as f64;
+        if target_ms == 0 {
+            return;
+        }
+        let part = first_event_ms as f64 / target_ms as f64;
         let elapsed_ms = now.since(self.measured_at) as f64;
         // A sample counts at least as if some time had passed, as several come at once.
         let weight = 1.0 - (-(elapsed_ms.max(AVERAGING_MS / 10.0)) / AVERAGING_MS).exp();
@@ -56,9 +60,13 @@
     pub fn part(&mut self, now: TimeMs) -> f64 {
         let elapsed_s = now.since(self.updated_at) as f64 / 1_000.0;
         self.updated_at = now;
-        let is_stale = now.since(self.measured_at) > STALE_AFTER_MS;
+        if now.since(self.measured_at) > STALE_AFTER_MS {
+            // All of the elapsed time counts, as nothing is decided while no program asks to start.
+            let step = INCREASE_PER_S * elapsed_s;
+            self.part += (1.0 - self.part).clamp(-step, step);
+            return self.part;
+        }
         let change = match self.first_event {
-            _ if is_stale => (1.0 - self.part).clamp(-INCREASE_PER_S, INCREASE_PER_S),
             first_event if first_event > HIGH => -DECREASE_PER_S,
             first_event if first_event < LOW => INCREASE_PER_S,
             _ => 0.0,
--- a/src/load/tests.rs
+++ b/src/load/tests.rs
@@ -3,8 +3,10 @@
 mod held_bytes;
 mod pace;
 mod poll;
+mod program_times;
 mod rank;
 mod report;
+mod slot_limit;
 
 use super::{TurnSample, Work};
 
--- a/src/load/tests/admission.rs
+++ b/src/load/tests/admission.rs
@@ -175,3 +175,97 @@
     let (usual, hot) = (candidate(2, 0), Candidate { program: 3, ..hot });
     assert!(refused(&mut admission, &usual) < refused(&mut admission, &hot));
 }
+
+// Retry delays counted programs that had long given up, as did the gauge of programs waiting.
+#[test]
+fn programs_that_gave_up_are_not_counted_as_waiting() {
+    let mut admission = ProgramAdmission::open(TimeMs(0));
+    for program in 0..50 {
+        admission.decide(TimeMs(1), &candidate(program, 0), &load(SLOTS));
+    }
+    assert_eq!(admission.line().waiting(TimeMs(1)), 49);
+    assert_eq!(admission.line().waiting(TimeMs(5_000)), 0);
+    admission.decide(TimeMs(5_000), &candidate(98, 0), &load(2 * SLOTS));
+    let next = admission.decide(TimeMs(5_000), &candidate(99, 0), &load(2 * SLOTS));
+    assert!(matches!(next, Decision::Refused { place: 1, .. }), "{next:?}");
+}
+
+// A sub-agent of a program whose first turn was not recorded yet was refused.
+#[test]
+fn a_program_that_was_admitted_is_not_refused_again() {
+    let mut admission = ProgramAdmission::open(TimeMs(0));
+    assert!(is_admitted(admission.decide(TimeMs(1), &candidate(1, 0), &load(SLOTS))));
+    assert!(!is_admitted(admission.decide(TimeMs(2), &candidate(2, 0), &load(SLOTS))));
+    assert!(is_admitted(admission.decide(TimeMs(2), &candidate(1, 0), &load(SLOTS))));
+}
+
+// At more than one admission per millisecond, a first turn was held again and again.
+#[test]
+fn a_first_turn_that_may_not_wait_is_not_held() {
+    let mut admission = ProgramAdmission::open(TimeMs(0));
+    let full = ServiceLoad { slots: 4_000, share: 1.0, ..load(4_000) };
+    let decisions = [1, 2].map(|p| admission.decide(TimeMs(1), &candidate(p, 0), &full));
+    assert!(matches!(decisions[1], Decision::Refused { .. }), "{decisions:?}");
+}
+
+// A program whose rank a new configuration lowered went on to block more urgent ones.
+#[test]
+fn a_returning_program_takes_its_rank_from_the_configuration_in_force() {
+    let mut admission = ProgramAdmission::open(TimeMs(0));
+    let full = load(2 * SLOTS);
+    for (program, rank) in [(0, 0), (1, 0), (1, 5)] {
+        admission.decide(TimeMs(1), &candidate(program, rank), &full);
+    }
+    let urgent = admission.decide(TimeMs(2), &candidate(2, 1), &full);
+    assert!(matches!(urgent, Decision::Refused { place: 1, .. }), "{urgent:?}");
+}
+
+// Late programs took the room of those that could still finish in time.
+#[test]
+fn late_programs_go_behind_those_in_time() {
+    let mut admission = ProgramAdmission::open(TimeMs(0));
+    let full = load(2 * SLOTS);
+    let timed =
+        |program, finish_ms| Candidate { finish_ms: Some(finish_ms), ..candidate(program, 0) };
+    for program in 0..2 {
+        admission.decide(TimeMs(1), &timed(program, 1_000), &full);
+    }
+    let in_time = admission.decide(TimeMs(900), &timed(2, 9_000), &full);
+    assert!(matches!(in_time, Decision::Refused { place: 1, .. }), "{in_time:?}");
+    let late = admission.decide(TimeMs(901), &timed(1, 1_000), &full);
+    assert!(matches!(late, Decision::Refused { place: 2, .. }), "{late:?}");
+}
+
+// Slots went to programs whose callers give up before the end. With free slots they cost nothing.
+#[test]
+fn a_program_that_would_end_far_too_late_starts_only_with_free_slots() {
+    let mut admission = ProgramAdmission::open(TimeMs(0));
+    let timed = Candidate { finish_ms: Some(500), ..candidate(1, 0) };
+    admission.decide(TimeMs(1), &candidate(0, 0), &load(SLOTS));
+    assert!(!is_admitted(admission.decide(TimeMs(1), &timed, &load(SLOTS))));
+    assert!(!is_admitted(admission.decide(TimeMs(1_400), &timed, &load(SLOTS - 50))));
+    assert!(is_admitted(admission.decide(TimeMs(1_401), &timed, &load(SLOTS / 4))));
+}
+
+// The next owner has no waiting list: a returning program must not depend on its place.
+#[test]
+fn the_next_owner_treats_a_returning_program_as_new() {
+    let mut first = ProgramAdmission::open(TimeMs(0));
+    for program in 0..2 {
+        first.decide(TimeMs(1), &candidate(program, 0), &load(SLOTS));
+    }
+    let mut next = ProgramAdmission::open(TimeMs(2));
+    let returned = next.decide(TimeMs(200), &candidate(1, 0), &load(SLOTS));
+    assert_eq!(returned, Decision::Admitted { place: None });
+}
+
+// Without endpoints or shards, a division by zero gave absurd retry delays.
+#[test_case(0, 1.0; "no slots")]
+#[test_case(SLOTS, 0.0; "no shards")]
+fn retry_delays_are_bounded_without_capacity(slots: u32, share: f64) {
+    let mut admission = ProgramAdmission::open(TimeMs(0));
+    let none = ServiceLoad { slots, share, ..load(SLOTS) };
+    admission.decide(TimeMs(0), &candidate(0, 0), &none);
+    let refused = admission.decide(TimeMs(0), &candidate(1, 0), &none);
+    assert_eq!(refused, Decision::Refused { retry_after_ms: 1_000, place: 1 });
+}
