Requests of silent entries no longer count; faults found in the review of load control

Four faults; each test failed on the code before. - The requests of an entry that had fallen silent stayed counted at its endpoints in the directory until another entry's count there changed: send_gossip ignored the sums that take_silent changed. take_silent returns the changed endpoints, and the directory is updated. - An undecodable load report made the entry discard the whole gossip message, so that senders whose report has another format would seem dead. Now only the report is discarded. - A report response that broke off counted as an endpoint without reports and stopped the polls of its service for 30 s.

--- a/src/gateway/endpoint_polls.rs
+++ b/src/gateway/endpoint_polls.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use http::StatusCode;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use tokio::time::timeout;
 
 use super::attempt::keep_alive_ms;
@@ -171,7 +171,11 @@
     let response = connection.sender.send_request(request).await;
     let (head, body) = response.map_err(|_| PollOutcome::Unreachable)?.into_parts();
     let body = Limited::new(body, MAX_REPORT_BYTES).collect().await;
-    let body = body.map_err(|_| PollOutcome::NoReport)?.to_bytes();
+    let body = body.map_err(|fault| match fault.is::<LengthLimitError>() {
+        true => PollOutcome::NoReport,
+        false => PollOutcome::Unreachable,
+    });
+    let body = body?.to_bytes();
     if let Some(idle_ms) = keep_alive_ms(&head.headers) {
         connection.max_idle_ms = idle_ms;
     }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -116,10 +116,7 @@
         }
         let heard_entry_hashes = gateway.peers.borrow().heard_entry_hashes();
         gateway.directory.borrow_mut().update_entries(now, heard_entry_hashes);
-        for address in gateway.peers.borrow_mut().take_silent(now) {
-            log::info!(address:display; "no recent message from an entry; forgetting its shards");
-            gateway.shards.forget_owner(address, None);
-        }
+        forget_silent_entries(&gateway, now);
         tokio::time::sleep(Duration::from_millis(MIN_GOSSIP_PAUSE_MS)).await;
         tokio::select! {
             () = tokio::time::sleep(Duration::from_millis(pause_ms - MIN_GOSSIP_PAUSE_MS)) => {}
@@ -128,6 +125,26 @@
     }
 }
 
+/// Forgets the shards and the running requests of entries from which no message came for too long.
+pub(super) fn forget_silent_entries(gateway: &Gateway, now: TimeMs) {
+    let silent = gateway.peers.borrow_mut().take_silent(now);
+    for address in silent.addresses {
+        log::info!(address:display; "no recent message from an entry; forgetting its shards");
+        gateway.shards.forget_owner(address, None);
+    }
+    update_others_in_flight(gateway, now, &silent.changed_endpoints);
+}
+
+/// Updates the number of requests that the other entries have running at these endpoints.
+fn update_others_in_flight(gateway: &Gateway, now: TimeMs, endpoints: &[u64]) {
+    let (mut directory, peers) = (gateway.directory.borrow_mut(), gateway.peers.borrow());
+    for endpoint in endpoints {
+        if let Some(key) = directory.find_by_hash(*endpoint) {
+            directory.set_others_in_flight(now, key, peers.running(*endpoint));
+        }
+    }
+}
+
 /// The interval between two messages if there are this many other entries.
 fn pause_ms(others: u64) -> u64 {
     (others * 1_000 / MESSAGES_PER_S).clamp(GOSSIP_INTERVAL_MS, MAX_GOSSIP_INTERVAL_MS)
@@ -243,12 +260,18 @@
 }
 
 /// Decodes a datagram: a message and, if the sender has a service under load control, a load
-/// report.
-fn decode(datagram: &[u8]) -> Result<(GossipMessage, Option<LoadReport>), postcard::Error> {
+/// report. A report that can't be decoded, as one of another version, does not affect the message.
+pub(super) fn decode(
+    datagram: &[u8],
+) -> Result<(GossipMessage, Option<LoadReport>), postcard::Error> {
     let (gossip, rest) = postcard::take_from_bytes(datagram)?;
     let report = match rest {
         [] => None,
-        rest => Some(postcard::from_bytes(rest)?),
+        rest => postcard::from_bytes(rest)
+            .inspect_err(
+                |fault| log::debug!(fault:display; "discarding an undecodable load report"),
+            )
+            .ok(),
     };
     Ok((gossip, report))
 }
@@ -283,14 +306,9 @@
     gateway.rates.borrow_mut().apply_remote(now, gossip.instance, &gossip.admitted, sender_age);
     let mut suspects = gateway.suspects.borrow_mut();
     gossip.suspects.iter().for_each(|(request, crashes)| suspects.merge(now, *request, *crashes));
+    update_others_in_flight(gateway, now, &outcome.changed_endpoints);
     let mut directory = gateway.directory.borrow_mut();
     directory.update_evacuations(now, gossip.evacuated.as_of, gossip.evacuated.domains.clone());
-    let peers = gateway.peers.borrow();
-    for endpoint in outcome.changed_endpoints {
-        if let Some(key) = directory.find_by_hash(endpoint) {
-            directory.set_others_in_flight(now, key, peers.running(endpoint));
-        }
-    }
     let shares_health =
         gateway.is_enabled(Mechanism::Health) && gateway.is_enabled(Mechanism::SharedHealth);
     for (endpoint, failures, served) in gossip.answers.iter().filter(|_| shares_health) {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -71,6 +71,14 @@
     pub(super) changed_endpoints: Vec<u64>,
 }
 
+/// The entries that have fallen silent, and what that changes.
+#[derive(Debug, Default)]
+pub(super) struct SilentEntries {
+    pub(super) addresses: Vec<SocketAddr>,
+    /// The endpoints at which they ran requests, which no longer count.
+    pub(super) changed_endpoints: Vec<u64>,
+}
+
 /// What is known of the other entries.
 #[derive(Debug, Default)]
 pub(super) struct Peers {
@@ -147,16 +155,16 @@
 
     /// Clears the state of the entries from which no message came for too long, and returns each of
     /// them once. Removes entries that have been silent for much longer.
-    pub(super) fn take_silent(&mut self, now: TimeMs) -> Vec<SocketAddr> {
-        let silent = |peer: &Peer| peer.heard_at.is_some_and(|at| now.since(at) > SILENT_AFTER_MS);
-        let silent: Vec<_> =
-            self.peers.iter().filter(|(_, p)| silent(p)).map(|(address, _)| *address).collect();
-        for address in &silent {
-            if let Some(peer) = self.peers.get_mut(address) {
-                let before = std::mem::take(&mut peer.running);
-                update_running_sum(&mut self.running, &before, &peer.running);
-                peer.last_known_at = peer.heard_at.take().unwrap_or(now);
-            }
+    pub(super) fn take_silent(&mut self, now: TimeMs) -> SilentEntries {
+        let is_silent =
+            |peer: &Peer| peer.heard_at.is_some_and(|at| now.since(at) > SILENT_AFTER_MS);
+        let mut silent = SilentEntries::default();
+        for (address, peer) in self.peers.iter_mut().filter(|(_, peer)| is_silent(peer)) {
+            let before = std::mem::take(&mut peer.running);
+            let changed = update_running_sum(&mut self.running, &before, &peer.running);
+            peer.last_known_at = peer.heard_at.take().unwrap_or(now);
+            silent.addresses.push(*address);
+            silent.changed_endpoints.extend(changed);
         }
         self.peers
             .retain(|_, p| p.heard_at.is_some() || now.since(p.last_known_at) < REMOVE_AFTER_MS);
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -2,6 +2,7 @@
 mod endpoint_list;
 mod endpoint_reports;
 mod fakes;
+mod gossip;
 mod load_metrics;
 mod load_reports;
 mod slow_readers;
--- a/src/gateway/tests/endpoint_reports.rs
+++ b/src/gateway/tests/endpoint_reports.rs
@@ -107,6 +107,31 @@
     LocalSet::new().run_until(run).await
 }
 
+// A response that broke off was taken for an endpoint without reports: one crash stopped the polls
+// of its service for 30 s.
+#[tokio::test(start_paused = true)]
+async fn a_response_that_breaks_off_does_not_pause_the_polls() {
+    let gateway = gateway(1, true);
+    let run = async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+        add_endpoint(&gateway, "e", listener.local_addr().expect("the listener is bound").port());
+        let polls = Rc::new(Cell::new(0));
+        let counted = polls.clone();
+        spawn_local(async move {
+            while let Ok((mut connection, _)) = listener.accept().await {
+                let _ = connection.read(&mut [0; 4_096]).await;
+                counted.set(counted.get() + 1);
+                let cut = b"HTTP/1.1 200 OK\r\ncontent-length: 70\r\n\r\n{\"running\":";
+                connection.write_all(cut).await.expect("the poller reads");
+            }
+        });
+        spawn_local(poll_endpoints(gateway.clone()));
+        run_ms(2_510).await;
+        assert_eq!(polls.get(), 5);
+    };
+    LocalSet::new().run_until(run).await
+}
+
 fn due_ids(gateway: &Gateway) -> Vec<Arc<str>> {
     let targets = due_polls(gateway, TimeMs(900), TimeMs(1_400));
     let mut ids: Vec<_> = targets.into_iter().map(|target| target.id).collect();
--- /dev/null
+++ b/src/gateway/tests/gossip.rs
@@ -0,0 +1,46 @@
+//! What messages of other entries, and their absence, change.
+
+use std::time::Duration;
+
+use super::{fakes, gossip_message};
+use crate::gateway::gossip::{apply_message, decode, forget_silent_entries};
+use crate::gateway::message::GossipMessage;
+use crate::replicas::EndpointChange;
+use crate::replicas::tests::announcement;
+
+// The requests of a dead entry stayed counted at its endpoints, which were then avoided until
+// another entry's count there changed.
+#[tokio::test(start_paused = true)]
+async fn the_requests_of_a_silent_entry_do_not_count() {
+    let gateway = fakes::gateway(fakes::FakeStore::default());
+    let change = EndpointChange::Announcement("e".into(), announcement("s", 1, 1, 1));
+    gateway.directory.borrow_mut().apply(gateway.now(), change);
+    let key = gateway.directory.borrow().find("e").expect("known");
+    let load = || {
+        let directory = gateway.directory.borrow();
+        directory.get(key).expect("known").load(gateway.now())
+    };
+    let hash = gateway.directory.borrow().get(key).expect("known").hash;
+    let message = |instance, running| GossipMessage {
+        running: vec![(hash, running)],
+        ..gossip_message(instance, false)
+    };
+    apply_message(&gateway, ([127, 0, 0, 2], 1).into(), &message(1, 5));
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    apply_message(&gateway, ([127, 0, 0, 2], 2).into(), &message(2, 2));
+    forget_silent_entries(&gateway, gateway.now());
+    assert_eq!(load(), 7);
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    forget_silent_entries(&gateway, gateway.now());
+    assert_eq!(load(), 2, "the first entry is silent");
+}
+
+// The message before a load report that this version can't decode was discarded too, so that the
+// sender seemed dead during an upgrade that changes the report.
+#[test]
+fn a_message_counts_also_if_the_load_report_after_it_is_undecodable() {
+    let message = gossip_message(1, false);
+    let mut datagram = postcard::to_allocvec(&message).expect("a message can be encoded");
+    datagram.extend([200, 255]);
+    assert_eq!(decode(&datagram), Ok((message, None)));
+}
--- a/src/replicas/placement.rs
+++ b/src/replicas/placement.rs
@@ -4,8 +4,8 @@
 //! endpoint without the prompt in its cache, a request costs the prefill of the prompt; on a full
 //! endpoint that has it cached, the request waits for about one running request.
 //!
-//! For services under load control, the cost is the time to completion estimated from measurements
-//! of completed turns; for all others, it is computed from constants.
+//! For services under load control, prefill times and the paces by which costs are weighted are
+//! learned from completed turns; for all others, the cost is computed from constants.
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -167,9 +167,7 @@
             }
         }
         let costs = usable.into_iter().enumerate().map(|(index, (key, replica))| {
-            let same_domain = replica.announcement.failure_domain == self.topology.domain
-                || !self.mechanisms.is_enabled(Mechanism::Locality);
-            let network_ms = if same_domain { 0.0 } else { CROSS_DOMAIN_RTT_MS };
+            let network_ms = if self.is_near(replica) { 0.0 } else { CROSS_DOMAIN_RTT_MS };
             let has_connection = connected(replica.announcement.address)
                 || !self.mechanisms.is_enabled(Mechanism::KeptConnections);
             let connect_ms = if has_connection { 0.0 } else { NEW_CONNECTION_MS };
@@ -231,11 +229,19 @@
             .iter()
             .map(|(key, _)| (*key, prompt_tokens - self.uncached_tokens(now, *key, &request.parts)))
             .collect();
-        let own_domain = self.topology.domain.clone();
-        let is_near = |(_, replica): &(ReplicaKey, &Replica)| {
-            replica.announcement.failure_domain == own_domain
-        };
-        self.sampler.draw(usable, is_near, |(key, _)| cached_tokens[key])
+        let near: HashSet<_> = usable
+            .iter()
+            .filter(|(_, replica)| self.is_near(replica))
+            .map(|(key, _)| *key)
+            .collect();
+        self.sampler.draw(usable, |(key, _)| near.contains(key), |(key, _)| cached_tokens[key])
+    }
+
+    /// Whether an endpoint is in the failure domain of this entry. All are near without the
+    /// mechanism `Locality`.
+    fn is_near(&self, replica: &Replica) -> bool {
+        replica.announcement.failure_domain == self.topology.domain
+            || !self.mechanisms.is_enabled(Mechanism::Locality)
     }
 
     /// The estimated time that an endpoint takes for the request, without the network.
--- a/src/replicas/tests/learned_choice.rs
+++ b/src/replicas/tests/learned_choice.rs
@@ -133,3 +133,25 @@
     unmeasured.set_load_controlled(&HashSet::from(["s".into()]));
     assert_eq!(choices(unmeasured), (before, 80));
 }
+
+// The drawn endpoints were still mostly those of the own failure domain with `--without nearness`.
+#[test]
+fn all_failure_domains_are_drawn_from_without_locality() {
+    let ids: Vec<_> = (0..24).map(|port| format!("r{port:02}")).collect();
+    let domain = |port: u16| if port < 12 { "d" } else { "e" };
+    let announced = |port| Announcement {
+        failure_domain: domain(port).into(),
+        ..announcement("s", port, 5, 9)
+    };
+    let endpoints = ids.iter().zip(0..).map(|(id, port)| (id.as_str(), announced(port)));
+    let directory = directory_with(&endpoints.collect::<Vec<_>>());
+    let without = Mechanisms::without("nearness").expect("a known mechanism");
+    let mut placement = Placement::open(topology_in("d"), without);
+    placement.set_load_controlled(&HashSet::from(["s".into()]));
+    let mut choose = || {
+        let key = placement.choose(TimeMs(1), &directory, &request(&[]), |_| true);
+        directory.get(key.expect("an endpoint is usable")).expect("known")
+    };
+    let far = (0..200).filter(|_| &*choose().announcement.failure_domain == "e").count();
+    assert!((70..=130).contains(&far), "{far} of 200 in the other half of the endpoints");
+}
