--- a/soak/src/bin/trefoil-soak.rs
+++ b/soak/src/bin/trefoil-soak.rs
@@ -29,8 +29,6 @@
     workers: u64,
     /// Whether programs under load control run as well.
     load: bool,
-    /// Guarantees whose violations are counted and do not fail a run.
-    known_red: Vec<String>,
 }
 
 fn main() -> ExitCode {
@@ -41,8 +39,6 @@
     options.optopt("", "gateways", "number of gateways [default: 4]", "N");
     options.optopt("", "lines", "number of programs running at once [default: 12]", "N");
     options.optflag("", "load", "adds programs under load control and surges of callers");
-    let known_red = "counts violations of this guarantee without failing; may be repeated";
-    options.optmulti("", "known-red", known_red, "GUARANTEE");
     let args: Vec<String> = std::env::args().skip(1).collect();
     let flags = match options.parse(&args) {
         Ok(flags) => flags,
@@ -59,8 +55,8 @@
         return ExitCode::from(2);
     };
     let gateways = gateways as usize;
-    let (load, known_red) = (flags.opt_present("load"), flags.opt_strs("known-red"));
-    let settings = SoakSettings { seconds, gateways, workers, load, known_red };
+    let load = flags.opt_present("load");
+    let settings = SoakSettings { seconds, gateways, workers, load };
     let runtime = match tokio::runtime::Runtime::new() {
         Ok(runtime) => runtime,
         Err(fault) => {
@@ -88,7 +84,7 @@
 }
 
 async fn soak(seed: u64, settings: &SoakSettings) -> std::io::Result<bool> {
-    let &SoakSettings { seconds, gateways, workers, load, .. } = settings;
+    let &SoakSettings { seconds, gateways, workers, load } = settings;
     let world_settings = WorldSettings { program: program()?, gateways, revoke_ms: 5_000, load };
     let mut world = World::start(&world_settings).await?;
     let until = Instant::now() + Duration::from_secs(seconds);
@@ -113,17 +109,13 @@
     let load_checks = LoadChecks::open(&report.programs, phases);
     let mut violations = Checks::open(&report, &runs).violations();
     violations.extend(load_checks.violations());
-    let total = violations.len();
-    violations.retain(|violation| !settings.known_red.iter().any(|g| g == violation.guarantee));
     let served = report.all_requests().filter(|sent| sent.answer.is_served()).count();
     println!(
-        "seed {seed}: {} faults, {} requests, {served} served, {} programs continued, {} violations, \
-         {} more that are known",
+        "seed {seed}: {} faults, {} requests, {served} served, {} programs continued, {} violations",
         faults.injected.len(),
         report.all_requests().count(),
         report.last_turns.len() - lost.len(),
         violations.len() + lost.len(),
-        total - violations.len(),
     );
     if load {
         println!("  {load_checks}");
--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -70,8 +70,8 @@
     pub reading: Reading,
 }
 
-/// The response that a caller received.
-#[derive(Debug, Clone, PartialEq, Eq)]
+/// The response that a caller received; by default, none.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Answer {
     /// The status; `None` if there was no response.
     pub status: Option<u16>,
@@ -86,14 +86,6 @@
 }
 
 impl Answer {
-    const NONE: Answer = Answer {
-        status: None,
-        retry_after_ms: None,
-        keep_alive_ms: None,
-        whole: false,
-        body: Vec::new(),
-    };
-
     /// Whether it is a complete response with status 200.
     pub fn is_served(&self) -> bool {
         self.status == Some(200) && self.whole
@@ -172,10 +164,10 @@
     reading: Reading,
 ) -> Answer {
     let Ok(request) = request else {
-        return Answer::NONE;
+        return Answer::default();
     };
     let limit = Duration::from_millis(TIMEOUT_MS + 1_000);
-    tokio::time::timeout(limit, exchange(entry, request, reading)).await.unwrap_or(Answer::NONE)
+    tokio::time::timeout(limit, exchange(entry, request, reading)).await.unwrap_or_default()
 }
 
 async fn connect(entry: SocketAddr, reading: Reading) -> std::io::Result<TcpStream> {
@@ -188,14 +180,14 @@
 
 async fn exchange(entry: SocketAddr, request: Request<Full<Bytes>>, reading: Reading) -> Answer {
     let Ok(stream) = connect(entry, reading).await else {
-        return Answer::NONE;
+        return Answer::default();
     };
     let Ok((mut sender, driver)) = handshake(TokioIo::new(stream)).await else {
-        return Answer::NONE;
+        return Answer::default();
     };
     let driving = tokio::spawn(driver);
     let Ok(response) = sender.send_request(request).await else {
-        return Answer::NONE;
+        return Answer::default();
     };
     let status = Some(response.status().as_u16());
     let retry_after_ms = seconds(&response, "retry-after", "");
--- a/soak/src/load.rs
+++ b/soak/src/load.rs
@@ -212,33 +212,15 @@
             Reading::AtOnce => format!("say {request};"),
             _ => format!("{LONG_INPUT} {request};{}", " ".repeat(LONG_INPUT_BYTES)),
         };
-        let (request, program) = (request.to_string(), program.to_string());
-        let sent = Instant::now();
-        let answer = match kind {
-            RequestKind::Lookup => caller.look_up(entry, &request).await,
-            RequestKind::Action => caller.act(entry, &request).await,
-            RequestKind::Turn(kind) => {
-                let turn = Turn {
-                    kind,
-                    request: request.clone(),
-                    program: program.clone(),
-                    previous: None,
-                    input: input.clone(),
-                    budget: BUDGET,
-                    reading: self.reading,
-                };
-                caller.turn(entry, &turn).await
-            }
+        let turn = Turn {
+            kind: self.class.turns,
+            request: request.to_string(),
+            program: program.to_string(),
+            input: input.clone(),
+            budget: BUDGET,
+            reading: self.reading,
+            ..Turn::default()
         };
-        SentRequest {
-            request,
-            kind,
-            program,
-            workspace: self.class.workspace,
-            prompt: input,
-            continues: false,
-            sent,
-            answer,
-        }
+        SentRequest::send(&caller, entry, kind, self.class.workspace, input, turn).await
     }
 }
--- a/soak/src/program.rs
+++ b/soak/src/program.rs
@@ -60,6 +60,28 @@
     pub answer: Answer,
 }
 
+impl SentRequest {
+    /// Sends a request and waits for its response. A tool call has no use for `turn` but the IDs.
+    pub(crate) async fn send(
+        caller: &Caller,
+        entry: SocketAddr,
+        kind: RequestKind,
+        workspace: &'static str,
+        prompt: String,
+        turn: Turn,
+    ) -> SentRequest {
+        let sent = Instant::now();
+        let answer = match kind {
+            RequestKind::Lookup => caller.look_up(entry, &turn.request).await,
+            RequestKind::Action => caller.act(entry, &turn.request).await,
+            RequestKind::Turn(_) => caller.turn(entry, &turn).await,
+        };
+        let Turn { request, program, previous, .. } = turn;
+        let continues = previous.is_some();
+        SentRequest { request, kind, program, workspace, prompt, continues, sent, answer }
+    }
+}
+
 /// All requests of the programs of a run.
 #[derive(Debug, Default)]
 pub struct Report {
@@ -156,34 +178,21 @@
         };
         let input = format!("say {request};");
         let prompt = format!("{history}{input}");
-        let sent = Instant::now();
-        let answer = match kind {
-            RequestKind::Lookup => caller.look_up(entry, &request).await,
-            RequestKind::Action => caller.act(entry, &request).await,
-            RequestKind::Turn(kind) => {
-                let (request, program) = (request.clone(), program.to_string());
-                let (previous, budget) = (previous.clone(), BUDGET);
-                let turn =
-                    Turn { kind, request, program, previous, input, budget, ..Turn::default() };
-                caller.turn(entry, &turn).await
-            }
+        let turn = Turn {
+            kind: turns,
+            request,
+            program: program.to_string(),
+            previous: previous.clone(),
+            input,
+            budget: BUDGET,
+            ..Turn::default()
         };
-        let continues = previous.is_some();
-        if kind == RequestKind::Turn(TurnKind::Kept) && answer.is_served() {
-            history = format!("{prompt}{}", crate::endpoint::output_of(&request));
-            previous = Some(request.clone());
+        let sent = SentRequest::send(caller, entry, kind, "ours", prompt, turn).await;
+        if kind == RequestKind::Turn(TurnKind::Kept) && sent.answer.is_served() {
+            history = format!("{}{}", sent.prompt, crate::endpoint::output_of(&sent.request));
+            previous = Some(sent.request.clone());
         }
-        let program = program.to_string();
-        report.requests.push(SentRequest {
-            request,
-            kind,
-            program,
-            workspace: "ours",
-            prompt,
-            continues,
-            sent,
-            answer,
-        });
+        report.requests.push(sent);
         tokio::time::sleep(PAUSE).await;
     }
     if let Some(previous) = previous {
--- a/soak/tests/load_checks.rs
+++ b/soak/tests/load_checks.rs
@@ -17,13 +17,7 @@
         prompt: String::new(),
         continues: false,
         sent: begun,
-        answer: Answer {
-            status: Some(*status),
-            retry_after_ms: None,
-            keep_alive_ms: None,
-            whole: true,
-            body: Vec::new(),
-        },
+        answer: Answer { status: Some(*status), whole: true, ..Answer::default() },
     });
     LoadProgram { class: LoadClass { workspace, turns }, begun, requests: requests.collect() }
 }
