--- a/src/load/slot_limit.rs
+++ b/src/load/slot_limit.rs
@@ -9,6 +9,10 @@
 /// Below this part of the target, more requests could run.
 const LOW: f64 = 0.5;
 
+/// A longer time counts like this part of the target: one turn that was stuck for seconds must not
+/// hold the limit down for all.
+const MAX_SAMPLE: f64 = 3.0;
+
 /// How much the limit falls in a second while the time is too high, as a part of the slots. Fast,
 /// as every program admitted meanwhile is late.
 const DECREASE_PER_S: f64 = 0.6;
@@ -48,7 +52,7 @@
         if target_ms == 0 {
             return;
         }
-        let part = first_event_ms as f64 / target_ms as f64;
+        let part = (first_event_ms as f64 / target_ms as f64).min(MAX_SAMPLE);
         let elapsed_ms = now.since(self.measured_at) as f64;
         // A sample counts at least as if some time had passed, as several come at once.
         let weight = 1.0 - (-(elapsed_ms.max(AVERAGING_MS / 10.0)) / AVERAGING_MS).exp();
