--- a/src/load/admission.rs
+++ b/src/load/admission.rs
@@ -35,7 +35,7 @@
 /// A rank counts as present for this long after its last program.
 const RANK_PRESENT_MS: u64 = 2_000;
 
-/// Below this part of the slots in use, every program is admitted.
+/// Below this part of the slots in use, every program is admitted, whatever its rank.
 const ALWAYS_ADMITTED_BELOW: f64 = 0.5;
 
 /// The part of the recent admissions that is expected to go on, as programs end at about the rate
@@ -238,8 +238,7 @@
     }
 
     /// The rate at which programs of the waiting list are admitted: the recent one, but at least
-    /// the one at which this owner's share of the slots would be used once in [`AVERAGING_MS`]
-    /// by programs that take all of one slot.
+    /// that of programs that take a slot for twice [`AVERAGING_MS`] each.
     fn admissions_per_ms(&self, load: &ServiceLoad) -> f64 {
         let least = f64::from(load.slots) * load.share / (2.0 * AVERAGING_MS);
         (self.recent / AVERAGING_MS).max(least).max(1.0 / AVERAGING_MS)
