Records of endpoints, crash suspects and the waiting list in files of their own

Change: moves and names only, no decision differs; the field priority says that it carries the rank under load control.

--- a/src/endpoint/mod.rs
+++ b/src/endpoint/mod.rs
@@ -2,6 +2,7 @@
 //! replaced owners, queues and runs the others, and frees conversations in the engine's cache.
 
 mod backend;
+mod crash_suspects;
 mod finished;
 mod leases;
 mod order;
--- a/src/endpoint/scheduler.rs
+++ b/src/endpoint/scheduler.rs
@@ -1,5 +1,6 @@
 use std::collections::HashMap;
 
+use super::crash_suspects::CrashSuspects;
 use crate::endpoint::{
     CacheLeases, FinishedAttempts, FinishedLookup, OrderPolicy, QueueOrder, SchedulingKey,
 };
@@ -8,9 +9,6 @@
 
 /// Average bytes of text per token, for cost estimates.
 const BYTES_PER_TOKEN: u64 = 4;
-/// Maximum number of calls remembered as crashing the engine; when it is reached, all are
-/// forgotten.
-const MAX_CRASH_SUSPECTS: usize = 10_000;
 /// Estimated cost of a service call, in tokens.
 const SERVICE_COST_TOKENS: u64 = 50;
 
@@ -65,15 +63,6 @@
     engine_rejected: bool,
 }
 
-/// A call that was running when the engine crashed.
-#[derive(Clone, Copy)]
-struct CrashSuspect {
-    /// The engine's run that ended.
-    run: u64,
-    /// Whether the call was running alone, so that it must have caused the crash.
-    alone: bool,
-}
-
 struct QueuedAttempt {
     attempt: Attempt,
     deadline: TimeMs,
@@ -93,7 +82,7 @@
     order: QueueOrder,
     leases: CacheLeases,
     /// Calls that were running when the engine crashed.
-    crash_suspects: HashMap<(WorkspaceId, Digest), CrashSuspect>,
+    crash_suspects: CrashSuspects,
     draining: bool,
 }
 
@@ -113,7 +102,7 @@
             finished: FinishedAttempts::new(limits.finished_bytes),
             order: QueueOrder::new(policy),
             leases: CacheLeases::new(limits.cache_lease_ms),
-            crash_suspects: HashMap::new(),
+            crash_suspects: CrashSuspects::default(),
             draining: false,
         }
     }
@@ -236,16 +225,15 @@
         let Some(running) = self.running.remove(&attempt) else {
             return final_frame;
         };
-        let key = (running.program.workspace.clone(), running.digest);
-        let final_frame = match self.crash_suspects.get(&key) {
-            Some(known) if running.engine_rejected => AttemptFrame::Failed {
-                cause: FailureCause::Crashed { run: known.run },
-                spent_tokens: Some(0),
-            },
+        let call = (running.program.workspace.clone(), running.digest);
+        let final_frame = match self.crash_suspects.run_ended_by(&call) {
+            Some(run) if running.engine_rejected => {
+                AttemptFrame::Failed { cause: FailureCause::Crashed { run }, spent_tokens: Some(0) }
+            }
             _ => final_frame,
         };
         if !running.engine_rejected {
-            self.update_crash_suspects(&running, &final_frame);
+            self.crash_suspects.update(call, running.alone, &final_frame);
         }
         if running.is_model {
             self.leases.renew(now, &cache_key(&running.program));
@@ -254,28 +242,6 @@
         final_frame
     }
 
-    /// Remembers a call that was running when the engine crashed. The same call may be queued here
-    /// for other callers, or be submitted later, and would crash the engine again before the
-    /// owners have notified each other. A call that completes while running alone is cleared.
-    fn update_crash_suspects(&mut self, running: &Running, final_frame: &AttemptFrame) {
-        let key = (running.program.workspace.clone(), running.digest);
-        let alone = running.alone;
-        match final_frame {
-            AttemptFrame::Failed { cause: FailureCause::Crashed { run }, .. } => {
-                if self.crash_suspects.len() >= MAX_CRASH_SUSPECTS {
-                    self.crash_suspects.clear();
-                }
-                let known_alone = self.crash_suspects.get(&key).is_some_and(|known| known.alone);
-                self.crash_suspects
-                    .insert(key, CrashSuspect { run: *run, alone: alone || known_alone });
-            }
-            AttemptFrame::Done { .. } if alone => {
-                self.crash_suspects.remove(&key);
-            }
-            _ => {}
-        }
-    }
-
     /// Stops the running model calls of a program that has ended and frees its conversation in the
     /// engine's cache.
     pub fn free(&mut self, program: &ProgramId) -> Vec<SchedulerAction> {
@@ -347,9 +313,8 @@
     fn end_crash_suspects(&mut self) -> Vec<SchedulerAction> {
         let crash_of = |queued: &QueuedAttempt| {
             let attempt = &queued.attempt;
-            let key = (attempt.program.workspace.clone(), attempt.digest);
-            let known = self.crash_suspects.get(&key)?;
-            (known.alone || !attempt.alone).then_some((attempt.id, known.run))
+            let call = (attempt.program.workspace.clone(), attempt.digest);
+            Some((attempt.id, self.crash_suspects.run_to_report(&call, attempt.alone)?))
         };
         let to_end: Vec<(AttemptId, u64)> = self.queue.iter().filter_map(crash_of).collect();
         self.queue.retain(|queued| to_end.iter().all(|(id, _)| *id != queued.attempt.id));
--- a/src/gateway/observe.rs
+++ b/src/gateway/observe.rs
@@ -149,8 +149,9 @@
     let admissions = gateway.program_admissions.borrow();
     for service in catalog.load_controlled() {
         let load = gateway.service_load(service);
-        let waiting =
-            admissions.get(service).map_or(0, |admission| admission.line().waiting(gateway.now()));
+        let waiting = admissions
+            .get(service)
+            .map_or(0, |admission| admission.waiting_list().waiting(gateway.now()));
         let service = service.to_string();
         gauge!("trefoil_service_slots", "service" => service.clone()).set(f64::from(load.slots));
         gauge!("trefoil_service_in_flight", "service" => service.clone())
--- a/src/gateway/request_types.rs
+++ b/src/gateway/request_types.rs
@@ -53,7 +53,8 @@
     pub retention_ms: u64,
     /// Number of tokens that one event of the stream stands for.
     pub tokens_per_event: u64,
-    /// Priority; zero is the highest.
+    /// Priority; zero is the highest. On routes under load control, the number of its
+    /// [`crate::load::Rank`].
     pub priority: u8,
     /// Regions where the request may run and whose entries may receive it.
     pub regions: Regions,
--- a/src/gateway/tests/attempts.rs
+++ b/src/gateway/tests/attempts.rs
@@ -5,34 +5,18 @@
 use tokio::net::TcpListener;
 
 use super::fakes;
-use crate::catalog::{Regions, RepeatPolicy};
-use crate::gateway::RoutingDecision;
 use crate::gateway::attempt::{AttemptOutcome, EndpointRequest, attempt};
 use crate::prelude::*;
 use crate::replicas::{Announcement, EndpointChange};
 
 fn endpoint_request() -> EndpointRequest {
-    let routing = RoutingDecision {
-        workspace: "w".into(),
-        service: "s".into(),
-        left_ms: 60_000,
-        attempts: 1,
-        target_ms: 60_000,
-        repeat: RepeatPolicy::AtMostOnce,
-        keeps_history: false,
-        retention_ms: 0,
-        tokens_per_event: 1,
-        priority: 0,
-        regions: Regions::default(),
-        object: None,
-    };
     EndpointRequest {
         request: "r".into(),
         method: Method::POST,
         uri: Uri::from_static("/"),
         headers: HeaderMap::new(),
         body: "x".into(),
-        routing,
+        routing: fakes::routing_decision(),
         parts: vec![],
         crash_key: 0,
         deadline: TimeMs(60_000),
--- a/src/gateway/tests/fakes.rs
+++ b/src/gateway/tests/fakes.rs
@@ -7,11 +7,12 @@
 use http::{HeaderMap, Request, Response, request, response};
 use hyper::body::Bytes;
 
-use crate::catalog::Instruction;
+use crate::catalog::{Instruction, Regions, RepeatPolicy};
 use crate::gateway::state::Gateway;
 use crate::gateway::{
     Append, Assignment, Bounds, Feed, GatewaySettings, Page, PeerRecord, Position, Protocol,
-    Refusal, RequestContext, RequestHead, ResponseKind, Store, StoreError, StoreFuture,
+    Refusal, RequestContext, RequestHead, ResponseKind, RoutingDecision, Store, StoreError,
+    StoreFuture,
 };
 use crate::load::EndpointReport;
 use crate::mechanisms::Mechanisms;
@@ -241,3 +242,21 @@
     };
     Gateway::open(settings, store, Rc::new(NullProtocol))
 }
+
+/// A decision for a request of the workspace `w` to the service `s`, which may run once.
+pub(super) fn routing_decision() -> RoutingDecision {
+    RoutingDecision {
+        workspace: "w".into(),
+        service: "s".into(),
+        left_ms: 60_000,
+        attempts: 1,
+        target_ms: 60_000,
+        repeat: RepeatPolicy::AtMostOnce,
+        keeps_history: false,
+        retention_ms: 0,
+        tokens_per_event: 1,
+        priority: 0,
+        regions: Regions::default(),
+        object: None,
+    }
+}
--- a/src/gateway/tests/load_admission.rs
+++ b/src/gateway/tests/load_admission.rs
@@ -5,7 +5,7 @@
 
 use super::fakes;
 use crate::catalog::tests::{configuration, route};
-use crate::catalog::{Regions, RepeatPolicy, Route};
+use crate::catalog::{RepeatPolicy, Route};
 use crate::gateway::load_admission::admit_program;
 use crate::gateway::operator_feed::apply_configuration;
 use crate::gateway::owned_shard::{OwnedShard, Stage};
@@ -18,18 +18,11 @@
 
 fn routing(attempts: u32) -> RoutingDecision {
     RoutingDecision {
-        workspace: "w".into(),
-        service: "s".into(),
         left_ms: 3_000,
         attempts,
         target_ms: 100,
         repeat: RepeatPolicy::Stream,
-        keeps_history: false,
-        retention_ms: 0,
-        tokens_per_event: 1,
-        priority: 0,
-        regions: Regions::default(),
-        object: None,
+        ..fakes::routing_decision()
     }
 }
 
--- a/src/load/admission.rs
+++ b/src/load/admission.rs
@@ -7,8 +7,7 @@
 
 use std::collections::VecDeque;
 
-use super::line::{Place, WaitingList};
-use super::{ProgramTimes, Rank, ServiceLoad, SlotLimit};
+use super::{Place, ProgramTimes, Rank, ServiceLoad, SlotLimit, WaitingList};
 use crate::prelude::*;
 
 /// The counts of other entries are this old at most while messages arrive. Within this time all
@@ -97,7 +96,7 @@
 /// The admission of programs to one service, at an entry that owns some of their shards.
 #[derive(Debug)]
 pub struct ProgramAdmission {
-    line: WaitingList,
+    waiting_list: WaitingList,
     times: ProgramTimes,
     limit: SlotLimit,
     /// For each rank: how many programs may start now before one of that rank may not. Negative
@@ -120,7 +119,7 @@
     /// Nothing admitted yet. There is room for one program of each rank.
     pub fn open(now: TimeMs) -> ProgramAdmission {
         ProgramAdmission {
-            line: WaitingList::default(),
+            waiting_list: WaitingList::default(),
             times: ProgramTimes::default(),
             limit: SlotLimit::open(now),
             room: [1.0; Rank::COUNT],
@@ -133,8 +132,8 @@
     }
 
     /// The programs that were refused and are expected back.
-    pub fn line(&self) -> &WaitingList {
-        &self.line
+    pub fn waiting_list(&self) -> &WaitingList {
+        &self.waiting_list
     }
 
     /// Records that a turn of a program has ended.
@@ -152,23 +151,23 @@
     pub fn decide(&mut self, now: TimeMs, candidate: &Candidate, load: &ServiceLoad) -> Decision {
         self.asked_at[candidate.rank.index()] = Some(now);
         self.hand_out_room(now, load);
-        self.line.expire(now);
+        self.waiting_list.expire(now);
         let Candidate { program, rank, .. } = *candidate;
         if self.times.is_running(now, program) {
             return Decision::Admitted { place: None };
         }
-        let place = self.line.place(now, candidate);
+        let place = self.waiting_list.place(now, candidate);
         if self.may_start(now, &place, rank, load) {
             self.times.start(now, program, candidate.finish_ms);
             return self.admit(now, program, rank, load);
         }
-        let ahead = self.line.ahead(now, &place, self.times.need());
+        let ahead = self.waiting_list.ahead(now, &place, self.times.need());
         let delay_ms = (((ahead as f64 + 1.0) / self.admissions_per_ms(load)) as u64).max(1);
         if delay_ms <= candidate.max_wait_ms {
             return Decision::Held { wait_ms: delay_ms };
         }
         let retry_after_ms = delay_ms.max(MIN_RETRY_MS).min(candidate.max_retry_ms);
-        self.line.keep(now, program, place, retry_after_ms);
+        self.waiting_list.keep(now, program, place, retry_after_ms);
         Decision::Refused { retry_after_ms, place: ahead + 1 }
     }
 
@@ -185,7 +184,7 @@
         if place.left_after(now, need) < -MAX_OVERRUN {
             return false;
         }
-        let due_ahead = self.line.due_ahead(now, place, need);
+        let due_ahead = self.waiting_list.due_ahead(now, place, need);
         let is_next = self.room[rank.index()] - due_ahead as f64 >= 1.0;
         is_next || (self.credit[rank.index()] >= 1.0 && self.room[0] >= 1.0)
     }
@@ -203,7 +202,7 @@
         for room in &mut self.room {
             *room = (*room - 1.0).max(least);
         }
-        Decision::Admitted { place: self.line.remove(program) }
+        Decision::Admitted { place: self.waiting_list.remove(program) }
     }
 
     /// Adds the room that became available since the last decision: this owner's share of the free
--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -12,7 +12,6 @@
 mod endpoint_pace;
 mod fit;
 mod held_bytes;
-mod line;
 mod pace;
 mod poll;
 pub(crate) mod prior;
@@ -21,6 +20,7 @@
 mod report;
 mod service_pace;
 mod slot_limit;
+mod waiting_list;
 
 pub use admission::{Candidate, Decision, ProgramAdmission};
 pub use capacity::ServiceLoad;
@@ -28,7 +28,6 @@
 pub use held_bytes::{
     Disconnect, HeldBytes, HeldResponse, Hold, HoldError, LimitReached, RequestHold,
 };
-pub use line::{Place, WaitingList};
 pub use pace::{CostMs, PaceChange, PaceTable, PaceTotals, ServiceTimes, TurnSample, Work};
 pub use poll::{PausedServices, PollOutcome, is_due, is_poller};
 pub use program_times::ProgramTimes;
@@ -36,6 +35,7 @@
 pub use report::{Correction, EndpointReport, MAX_REPORT_AGE_MS, ReportOutcome, ReportedLoad};
 
 pub use slot_limit::SlotLimit;
+pub use waiting_list::{Place, WaitingList};
 
 #[cfg(test)]
 pub(crate) mod tests;
--- a/src/load/tests/admission.rs
+++ b/src/load/tests/admission.rs
@@ -196,8 +196,8 @@
     for program in 0..50 {
         admission.decide(TimeMs(1), &candidate(program, 0), &load(SLOTS));
     }
-    assert_eq!(admission.line().waiting(TimeMs(1)), 49);
-    assert_eq!(admission.line().waiting(TimeMs(5_000)), 0);
+    assert_eq!(admission.waiting_list().waiting(TimeMs(1)), 49);
+    assert_eq!(admission.waiting_list().waiting(TimeMs(5_000)), 0);
     admission.decide(TimeMs(5_000), &candidate(98, 0), &load(2 * SLOTS));
     let next = admission.decide(TimeMs(5_000), &candidate(99, 0), &load(2 * SLOTS));
     assert!(matches!(next, Decision::Refused { place: 1, .. }), "{next:?}");
--- a/src/replicas/mod.rs
+++ b/src/replicas/mod.rs
@@ -10,17 +10,19 @@
 mod list_outage;
 mod placement;
 mod rendezvous;
+mod replica;
 mod topology;
 
 pub use announcement::{Announcement, ChangeOutcome, EndpointChange};
 pub use cold_limits::{ColdLimits, SenderQuota};
-pub use directory::{Directory, Replica, ReplicaKey};
+pub use directory::{Directory, ReplicaKey};
 pub use endpoint_choice::{EndpointChoice, SAMPLED_ENDPOINTS};
 pub use evacuations::Evacuations;
 pub use health::{AnswerCounts, Health};
 pub use list_outage::ListOutage;
 pub use placement::{Placement, PlacementRequest};
 pub(crate) use rendezvous::rendezvous_weight;
+pub use replica::Replica;
 pub use topology::Topology;
 
 #[cfg(test)]
