What is under load control is said once; the mean use of rates is computed once per message interval

Cause: the reading of the change: the condition stood in the catalog and in the gateway; each first turn made a pass over the windows of all workspaces, 3,300 at the size to come, to see whether one is over its share. Change: RepeatPolicy::is_load_controlled; the mean is kept for 200 ms. Two comments no longer say what a value costs.

--- a/src/catalog/route.rs
+++ b/src/catalog/route.rs
@@ -22,6 +22,13 @@
         matches!(self, RepeatPolicy::Stream | RepeatPolicy::ResumableStream)
     }
 
+    /// Whether a request that may be sent to `attempts` endpoints is under load control: a stream
+    /// with a single attempt. A second attempt can't correct a bad choice there, so the choice has to
+    /// be good before anything is sent.
+    pub fn is_load_controlled(self, attempts: u32) -> bool {
+        self.is_stream() && attempts == 1
+    }
+
     /// Whether a request that one endpoint may have run already may be sent to another one.
     pub fn may_run_again(self) -> bool {
         matches!(self, RepeatPolicy::Idempotent | RepeatPolicy::ResumableStream)
@@ -71,10 +78,9 @@
 }
 
 impl Route {
-    /// Whether the route is under load control: a stream with a single attempt. A second attempt
-    /// can't correct a bad choice there, so the choice has to be good before anything is sent.
+    /// Whether the route is under load control; see [`RepeatPolicy::is_load_controlled`].
     pub fn is_load_controlled(&self) -> bool {
-        self.repeat.is_stream() && self.attempts == 1
+        self.repeat.is_load_controlled(self.attempts)
     }
 
     /// The service for a request with this affinity hash; the same hash always gives the same
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -19,8 +19,7 @@
 /// How often endpoints that have all refused a turn are tried again.
 const MAX_BUSY_PAUSES: u32 = 4;
 
-/// Retry delay if no endpoint accepts the request now: about twice the mean running time of a
-/// request.
+/// Retry delay if no endpoint accepts the request now: several running requests end within it.
 const NO_ENDPOINT_RETRY_MS: u64 = 150;
 
 /// Retry delay if all endpoints are in evacuated failure domains. An operator needs at least
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -23,8 +23,8 @@
 /// burst.
 const GOSSIP_INTERVAL_MS: u64 = 100;
 
-/// Messages per second that an entry sends to all others together, which costs about 0.1 % of a
-/// core. With more entries, each sends less often and also admits fewer requests in between.
+/// Messages per second that an entry sends to all others together, which bounds what they cost. With
+/// more entries, each sends less often and also admits fewer requests in between.
 const MESSAGES_PER_S: u64 = 150;
 
 /// Longest interval between two messages: an entry not heard from for half a second counts as out
--- a/src/gateway/rates.rs
+++ b/src/gateway/rates.rs
@@ -21,6 +21,10 @@
 /// Workspaces of usual size differ by less from one window to the next.
 const OVER_SHARE_FACTOR: f64 = 1.5;
 
+/// How long the mean use of the rates counts as current. The counts of other entries change about as
+/// often.
+const MEAN_USE_INTERVAL_MS: u64 = 200;
+
 /// For how long the sender of a peer message has been known and running.
 #[key]
 pub(super) struct SenderAge {
@@ -57,13 +61,20 @@
     windows: HashMap<u64, TrackedWindow>,
     /// Request rate and length of programs, over all workspaces.
     program_stats: ProgramStats,
+    /// The part of their rates that all workspaces together use, and when it was computed.
+    mean_use: Option<(TimeMs, f64)>,
 }
 
 impl RateLimiter {
     /// Creates a limiter that knows no workspace yet. The limits hold over any window of
     /// `window_ms`.
     pub(super) fn open(window_ms: u64) -> RateLimiter {
-        RateLimiter { window_ms, windows: HashMap::new(), program_stats: ProgramStats::default() }
+        RateLimiter {
+            window_ms,
+            windows: HashMap::new(),
+            program_stats: ProgramStats::default(),
+            mean_use: None,
+        }
     }
 
     /// Admits one request within the workspace's rate.
@@ -129,15 +140,27 @@
     /// Whether a workspace uses more than its share: more of its contracted rate than all
     /// workspaces together use of theirs, by [`OVER_SHARE_FACTOR`].
     pub(super) fn is_over_share(&mut self, now: TimeMs, workspace: &str) -> bool {
-        // A window that gets no requests moves on only when it is read.
-        for tracked in self.windows.values_mut() {
-            tracked.window.in_window(now);
+        let mean_use = self.mean_use(now);
+        let Some(tracked) = self.windows.get_mut(&workspace_hash(workspace)) else {
+            return false;
+        };
+        let (used, limit) = tracked.window.used_at(now);
+        used > limit * mean_use * OVER_SHARE_FACTOR
+    }
+
+    /// The part of their contracted rates that all workspaces together use. Computed anew only every
+    /// [`MEAN_USE_INTERVAL_MS`], as it takes a pass over all workspaces.
+    fn mean_use(&mut self, now: TimeMs) -> f64 {
+        let (computed_at, mean_use) = self.mean_use.unwrap_or_default();
+        if self.mean_use.is_some() && now.since(computed_at) < MEAN_USE_INTERVAL_MS {
+            return mean_use;
         }
-        let (own_used, own_limit) = self.used(workspace);
-        let all = self.windows.values().map(|tracked| tracked.window.used());
+        let all = self.windows.values_mut().map(|tracked| tracked.window.used_at(now));
         let (used, limit) =
             all.fold((0.0, 0.0), |sum, (used, limit)| (sum.0 + used, sum.1 + limit));
-        own_used * limit > used * own_limit * OVER_SHARE_FACTOR
+        let mean_use = if limit > 0.0 { used / limit } else { 0.0 };
+        self.mean_use = Some((now, mean_use));
+        mean_use
     }
 
     /// This entry's counts for a message to the others: those changed recently, and a part of the
--- a/src/gateway/request_types.rs
+++ b/src/gateway/request_types.rs
@@ -64,9 +64,9 @@
 
 impl RoutingDecision {
     /// Whether the request came on a route under load control; see
-    /// [`crate::catalog::Route::is_load_controlled`].
+    /// [`RepeatPolicy::is_load_controlled`].
     pub fn is_load_controlled(&self) -> bool {
-        self.repeat.is_stream() && self.attempts == 1
+        self.repeat.is_load_controlled(self.attempts)
     }
 }
 
--- a/src/quota/shared_window.rs
+++ b/src/quota/shared_window.rs
@@ -265,6 +265,12 @@
         (self.window_total.total(), self.rate_limit.max_in_window())
     }
 
+    /// The same, after removing what has left the window since the last request.
+    pub fn used_at(&mut self, now: TimeMs) -> (f64, f64) {
+        self.advance(now);
+        self.used()
+    }
+
     /// Merges the report of another entry that knows the window: the requests of all entries in it.
     pub fn merge(&mut self, now: TimeMs, in_window: f64) {
         self.advance(now);
