--- a/src/endpoint/backend.rs
+++ b/src/endpoint/backend.rs
@@ -20,8 +20,6 @@
 const MAX_EVENT_BYTES: usize = 1 << 20;
 /// Maximum length of a service's response body.
 const MAX_REPLY_BYTES: usize = 1 << 20;
-/// Run number that is assumed if the engine does not answer the health check.
-const UNKNOWN_ENGINE_RUN: u64 = 0;
 
 /// Client for the endpoint beside this process: a model engine or a plain service.
 #[derive(Clone)]
@@ -116,10 +114,10 @@
     }
 
     /// The number of the engine's current run, which changes when the engine restarts after a
-    /// crash.
-    async fn engine_run(&self) -> u64 {
+    /// crash; `None` if the engine does not answer the health check.
+    async fn engine_run(&self) -> Option<u64> {
         let health = self.http.get(self.address, "/health", CONTROL_TIMEOUT).await;
-        health.map_or(UNKNOWN_ENGINE_RUN, |health: EngineHealth| health.run)
+        health.ok().map(|health: EngineHealth| health.run)
     }
 
     async fn run_model(
@@ -132,7 +130,11 @@
         else {
             return failed(FailureCause::Rejected, Some(0));
         };
-        let run_before = self.engine_run().await;
+        // Without the run at the start, a crash could not be told from a broken stream, and the call
+        // would run on the next engine without being suspected.
+        let Some(run_before) = self.engine_run().await else {
+            return failed(FailureCause::Rejected, Some(0));
+        };
         let mut request = parameters.clone();
         request.insert("model".to_string(), json!(model));
         request.insert("messages".to_string(), json!(messages));
@@ -165,7 +167,7 @@
     /// The failure of an attempt whose stream broke: a crash if the engine's run has changed since
     /// the attempt started, otherwise an interruption of the stream alone.
     async fn stream_failure(&self, run_before: u64, tokens: u64) -> AttemptFrame {
-        let cause = match self.engine_run().await == run_before {
+        let cause = match self.engine_run().await == Some(run_before) {
             true => FailureCause::Interrupted,
             false => FailureCause::Crashed { run: run_before },
         };
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -4,6 +4,8 @@
 
 mod common;
 
+use std::time::Duration;
+
 use common::{Deployment, TEST_TIMEOUT, configure_stand_in, eventually, wait_running};
 use serde_json::json;
 use trefoil_standins::caller::{Answer, action, completion};
@@ -218,12 +220,45 @@
     }
     let retried = caller.insist(&deployment.entries(), &crashing_call(9), 10).await;
     assert_eq!(retried.code(), "crashes_endpoints", "{retried:?}");
-    // `run` counts the starts of an engine; each start after the first follows a crash.
+    let crashes = engine_crashes(&deployment).await;
+    assert!(crashes <= 2, "{crashes} engines crashed");
+}
+
+/// Guards against running a call again on the engine that it crashed: it was placed there while its
+/// intent, which a slow log delays, was not recorded, and the engine is back before the dispatch.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_placed_before_a_crash_is_not_dispatched_to_the_crashed_engine() {
+    let deployment = Deployment::start().await;
+    let entries = deployment.entries();
+    for number in 0..6 {
+        deployment.caller().call(entries[0], &completion(&format!("p{number}"), 1, "hello")).await;
+    }
+    deployment.set_log_faults(json!({ "slow_ms": 150 })).await;
+    let callers: Vec<_> = (0..6)
+        .map(|number| {
+            let (caller, entry) = (deployment.caller(), entries[number % 2]);
+            tokio::spawn(async move {
+                tokio::time::sleep(Duration::from_millis(25 * number as u64)).await;
+                let call = completion(&format!("p{number}"), 2, "please crash-engine");
+                caller.call(entry, &call).await
+            })
+        })
+        .collect();
+    for task in callers {
+        let answer = task.await.unwrap();
+        assert_eq!(answer.code(), "crashes_endpoints", "{answer:?}");
+    }
+    let crashes = engine_crashes(&deployment).await;
+    assert!(crashes <= 2, "{crashes} engines crashed");
+}
+
+/// The crashes of all engines. An engine reports how often it started as `run`.
+async fn engine_crashes(deployment: &Deployment) -> u64 {
     let mut crashes = 0;
     for engine in &deployment.engines {
         crashes += common::get(engine.address, "/control").await["run"].as_u64().unwrap() - 1;
     }
-    assert!(crashes <= 2, "{crashes} engines crashed");
+    crashes
 }
 
 /// The owner is killed while its answers stream through another entry. A truncated answer must not
