Workspaces count by how far above the mean they use their rate; a full waiting list and a full datagram lose the right rows

Cause: (1) within a rank, a workspace that sends ten times its usual went with one that sends twice. (2) A full waiting list of less urgent programs denied an urgent one its place. (3) Counts of running requests were sent in turn where a message had too many rows, and receivers take an endpoint without a row to be idle.

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -150,9 +150,15 @@
     (others * 1_000 / MESSAGES_PER_S).clamp(GOSSIP_INTERVAL_MS, MAX_GOSSIP_INTERVAL_MS)
 }
 
-/// Builds the message of this round, with at most `rows` rows in each list. The owned shards and
-/// the evacuated domains are always sent completely.
-fn compose(gateway: &Gateway, instance: u64, round: usize, rows: usize) -> GossipMessage {
+/// Builds the message of this round, with at most `rows` rows in each list that may be sent in parts.
+/// The owned shards and the evacuated domains are always sent completely, and so are the counts of
+/// running requests up to [`MAX_ROWS`].
+pub(super) fn compose(
+    gateway: &Gateway,
+    instance: u64,
+    round: usize,
+    rows: usize,
+) -> GossipMessage {
     let owned = gateway.shards.all_owned();
     let serving = owned.iter().filter(|shard| shard.stage() == Stage::Serving);
     let now = gateway.now();
@@ -172,7 +178,7 @@
         recently_started: now.0 < gateway.settings.bounds.rate_window_ms,
         generation: gateway.shards.generation(),
         shards: serving.map(|shard| (shard.number, shard.epoch)).collect(),
-        running: rotating_slice(running.map(|(_, r)| (r.hash, r.in_flight)).collect(), round, rows),
+        running: largest_counts(running.map(|(_, r)| (r.hash, r.in_flight)).collect()),
         answers: rotating_slice(answers.collect(), round, rows),
         evacuated: EvacuationState {
             as_of: directory.evacuations().as_of(),
@@ -191,6 +197,17 @@
     }
 }
 
+/// The [`MAX_ROWS`] endpoints with the most requests. A receiver takes an endpoint that is not in a
+/// message to have none; with rows in turn, most of its counts would fall to zero and rise again with
+/// every message.
+fn largest_counts(mut running: Vec<(u64, u32)>) -> Vec<(u64, u32)> {
+    if running.len() > MAX_ROWS {
+        running.sort_unstable_by_key(|(endpoint, count)| (std::cmp::Reverse(*count), *endpoint));
+        running.truncate(MAX_ROWS);
+    }
+    running
+}
+
 /// Encodes the message, with fewer rows in each list until it fits into a datagram.
 fn encode(gateway: &Gateway, instance: u64, round: usize) -> Option<(GossipMessage, Vec<u8>)> {
     let mut rows = MAX_ROWS;
--- a/src/gateway/load_admission.rs
+++ b/src/gateway/load_admission.rs
@@ -46,7 +46,7 @@
         let candidate = Candidate {
             program: program.hash(),
             rank: Rank::from_number(routing.priority),
-            over_share: gateway.rates.borrow_mut().is_over_share(now, &routing.workspace),
+            use_level: gateway.rates.borrow_mut().use_level(now, &routing.workspace),
             finish_ms: request_head.finish_ms,
             max_wait_ms: max_hold_ms.saturating_sub(held_ms),
             max_retry_ms: (left_ms as f64 * MAX_RETRY_FRACTION) as u64,
@@ -114,7 +114,8 @@
         (&request_head.request, &routing.service, candidate.rank.number());
     let program = request_head.program.as_deref().unwrap_or_default();
     let (slots, in_flight, share) = (load.slots, load.in_flight, load.share);
-    let (over_share, hears_half) = (candidate.over_share, load.hears_half);
+    let (use_level, hears_half) = (candidate.use_level.number(), load.hears_half);
+    let over_share = candidate.use_level.is_over_share();
     let outcome = match decision {
         Decision::Admitted { place: None } => "admitted",
         Decision::Admitted { place: Some(place) } => {
@@ -130,7 +131,7 @@
         }
         Decision::Refused { retry_after_ms, place } => {
             log::info!(request:%, program, service:%, workspace:% = routing.workspace, rank, place,
-                retry_after_ms, slots, in_flight, share, over_share, hears_half;
+                retry_after_ms, slots, in_flight, share, over_share, use_level, hears_half;
                 "service has no capacity for a further program; first turn refused");
             "refused"
         }
--- a/src/gateway/rates.rs
+++ b/src/gateway/rates.rs
@@ -2,6 +2,7 @@
 
 use super::message::{WorkspaceUsage, rotating_slice};
 use crate::catalog::Workspace;
+use crate::load::UseLevel;
 use crate::prelude::*;
 use crate::quota::{Claim, Grant, PeerCounts, ProgramStats, RateLimit, SharedWindow};
 
@@ -17,10 +18,6 @@
 /// workspace that appears in its messages only later has been admitting requests only since then.
 const FULL_CYCLE_MS: u64 = 1_500;
 
-/// A workspace is over its share above this multiple of the mean use of the contracted rates.
-/// Workspaces of usual size differ by less from one window to the next.
-const OVER_SHARE_FACTOR: f64 = 1.5;
-
 /// How long the mean use of the rates counts as current. The counts of other entries change about as
 /// often.
 const MEAN_USE_INTERVAL_MS: u64 = 200;
@@ -137,15 +134,14 @@
             .map_or((0.0, 0.0), |tracked| tracked.window.used())
     }
 
-    /// Whether a workspace uses more than its share: more of its contracted rate than all
-    /// workspaces together use of theirs, by [`OVER_SHARE_FACTOR`].
-    pub(super) fn is_over_share(&mut self, now: TimeMs, workspace: &str) -> bool {
+    /// How far a workspace's use of its contracted rate lies above the mean use.
+    pub(super) fn use_level(&mut self, now: TimeMs, workspace: &str) -> UseLevel {
         let mean_use = self.mean_use(now);
         let Some(tracked) = self.windows.get_mut(&workspace_hash(workspace)) else {
-            return false;
+            return UseLevel::default();
         };
         let (used, limit) = tracked.window.used_at(now);
-        used > limit * mean_use * OVER_SHARE_FACTOR
+        UseLevel::of(used, limit * mean_use)
     }
 
     /// The part of their contracted rates that all workspaces together use. Computed anew only every
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -106,7 +106,7 @@
                 .try_admit(now, workspace, alone, Claim::Continues)
                 .expect("the rate has room");
         }
-        rates.is_over_share(now, &workspace.name)
+        rates.use_level(now, &workspace.name).is_over_share()
     };
     admit(TimeMs(10_000), &idle);
     assert!(admit(TimeMs(30_000), &busy));
--- a/src/gateway/tests/gossip.rs
+++ b/src/gateway/tests/gossip.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::{fakes, gossip_message};
-use crate::gateway::gossip::{apply_message, decode, forget_silent_entries};
+use crate::gateway::gossip::{apply_message, compose, decode, forget_silent_entries};
 use crate::gateway::message::GossipMessage;
 use crate::replicas::EndpointChange;
 use crate::replicas::tests::announcement;
@@ -35,6 +35,24 @@
     assert_eq!(load(), 2, "the first entry is silent");
 }
 
+// With the workspaces' rows of a surge, a message held only a part of the counts, in turn. Receivers
+// took the other endpoints to be idle until the next message.
+#[tokio::test]
+async fn counts_of_running_requests_are_sent_whole_beside_long_lists() {
+    let gateway = fakes::gateway(fakes::FakeStore::default());
+    for number in 0..30 {
+        let endpoint = format!("e{number}").as_str().into();
+        let change = EndpointChange::Announcement(endpoint, announcement("s", 1, 1, 1));
+        let mut directory = gateway.directory.borrow_mut();
+        directory.apply(gateway.now(), change);
+        let key = directory.find(&format!("e{number}")).expect("known");
+        directory.record_sent(gateway.now(), key);
+    }
+    for round in 0..3 {
+        assert_eq!(compose(&gateway, 1, round, 10).running.len(), 30);
+    }
+}
+
 // The message before a load report that this version can't decode was discarded too, so that the
 // sender seemed dead during an upgrade that changes the report.
 #[test]
--- a/src/load/admission.rs
+++ b/src/load/admission.rs
@@ -7,7 +7,7 @@
 
 use std::collections::VecDeque;
 
-use super::{Place, ProgramTimes, Rank, ServiceLoad, SlotLimit, WaitingList};
+use super::{Place, ProgramTimes, Rank, ServiceLoad, SlotLimit, UseLevel, WaitingList};
 use crate::prelude::*;
 
 /// The counts of other entries are this old at most while messages arrive. Within this time all
@@ -60,8 +60,8 @@
     pub program: u64,
     /// How urgent it is.
     pub rank: Rank,
-    /// Whether its workspace uses more than its share of the contracted rates.
-    pub over_share: bool,
+    /// How far its workspace's use of its contracted rate lies above the mean use.
+    pub use_level: UseLevel,
     /// The time until it should be finished, if it states one.
     pub finish_ms: Option<u64>,
     /// How long its first turn may still be held.
@@ -167,7 +167,8 @@
             return Decision::Held { wait_ms: delay_ms };
         }
         let retry_after_ms = delay_ms.max(MIN_RETRY_MS).min(candidate.max_retry_ms);
-        self.waiting_list.keep(now, program, place, retry_after_ms);
+        let need = self.times.need();
+        self.waiting_list.keep(now, program, place, retry_after_ms, need);
         Decision::Refused { retry_after_ms, place: ahead + 1 }
     }
 
--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -20,6 +20,7 @@
 mod report;
 mod service_pace;
 mod slot_limit;
+mod use_level;
 mod waiting_list;
 
 pub use admission::{Candidate, Decision, ProgramAdmission};
@@ -33,8 +34,8 @@
 pub use program_times::ProgramTimes;
 pub use rank::Rank;
 pub use report::{Correction, EndpointReport, MAX_REPORT_AGE_MS, ReportOutcome, ReportedLoad};
-
 pub use slot_limit::SlotLimit;
+pub use use_level::UseLevel;
 pub use waiting_list::{Place, WaitingList};
 
 #[cfg(test)]
--- a/src/load/waiting_list.rs
+++ b/src/load/waiting_list.rs
@@ -1,9 +1,9 @@
 use std::collections::HashMap;
 
-use super::{Candidate, Rank};
+use super::{Candidate, Rank, UseLevel};
 use crate::prelude::*;
 
-/// Maximum number of programs in a waiting list. Beyond it, refused programs keep no place.
+/// Maximum number of programs in a waiting list. Beyond it, the last ones keep no place.
 const MAX_PLACES: usize = 2_000;
 
 /// How long a program may return later than it was told before others go first.
@@ -19,13 +19,16 @@
 /// A program that is this late is taken to have given up.
 const GIVEN_UP_MS: u64 = 1_500;
 
+/// The order of admission: rank, use level, whether the program would end too late, first refusal.
+type PlaceOrder = (Rank, UseLevel, bool, TimeMs);
+
 /// The place of a refused program in the waiting list.
 #[value]
 #[derive(Copy)]
 pub struct Place {
     rank: Rank,
-    /// Whether its workspace uses more than its share of the contracted rates.
-    over_share: bool,
+    /// How far its workspace's use of its contracted rate lies above the mean use.
+    use_level: UseLevel,
     /// When the program was first refused.
     since: TimeMs,
     /// When it was told to return.
@@ -41,9 +44,9 @@
 impl Place {
     /// Sorts programs in the order in which they are admitted: those that can still finish in time
     /// before those that can't. `need` is the part of its time that a program takes.
-    fn order(&self, now: TimeMs, need: f64) -> (Rank, bool, bool, TimeMs) {
+    fn order(&self, now: TimeMs, need: f64) -> PlaceOrder {
         let is_late = self.left_after(now, need) < 0.0;
-        (self.rank, self.over_share, is_late, self.since)
+        (self.rank, self.use_level, is_late, self.since)
     }
 
     /// The part of its time that would be left when the program ends, if it started now. Negative
@@ -81,16 +84,16 @@
 }
 
 impl WaitingList {
-    /// The place of a program, or the one that it would get now. Its rank is the current one, as
-    /// the configuration may have changed since the program was refused.
+    /// The place of a program, or the one that it would get now. Its rank and use level are the
+    /// current ones, as the configuration and the use may have changed since it was refused.
     pub fn place(&self, now: TimeMs, candidate: &Candidate) -> Place {
-        let Candidate { program, rank, over_share, finish_ms, .. } = *candidate;
+        let Candidate { program, rank, use_level, finish_ms, .. } = *candidate;
         // A program that states no time is taken to have plenty.
         let finish_ms = finish_ms.unwrap_or(UNLIMITED_MS);
         let finish_at = now.plus(finish_ms);
         let (since, due_at) = (now, now);
-        let new = Place { rank, over_share, since, due_at, refusals: 0, finish_at, finish_ms };
-        self.places.get(&program).map_or(new, |place| Place { rank, ..*place })
+        let new = Place { rank, use_level, since, due_at, refusals: 0, finish_at, finish_ms };
+        self.places.get(&program).map_or(new, |place| Place { rank, use_level, ..*place })
     }
 
     /// The number of programs that are admitted before this place.
@@ -106,12 +109,29 @@
         due.filter(|other| other.order(now, need) < order).count()
     }
 
-    /// Keeps the place of a refused program that was told to return after `retry_after_ms`.
-    pub fn keep(&mut self, now: TimeMs, program: u64, place: Place, retry_after_ms: u64) {
-        if self.places.len() < MAX_PLACES || self.places.contains_key(&program) {
-            let due_at = now.plus(retry_after_ms);
-            self.places.insert(program, Place { due_at, refusals: place.refusals + 1, ..place });
+    /// Keeps the place of a refused program that was told to return after `retry_after_ms`. In a
+    /// full list it takes the place of the last program, unless it would be the last itself.
+    pub fn keep(
+        &mut self,
+        now: TimeMs,
+        program: u64,
+        place: Place,
+        retry_after_ms: u64,
+        need: f64,
+    ) {
+        let is_new = !self.places.contains_key(&program);
+        if is_new && self.places.len() >= MAX_PLACES && !self.evict_after(now, &place, need) {
+            return;
         }
+        let due_at = now.plus(retry_after_ms);
+        self.places.insert(program, Place { due_at, refusals: place.refusals + 1, ..place });
+    }
+
+    /// Removes the last program of the list if it comes after this place.
+    fn evict_after(&mut self, now: TimeMs, place: &Place, need: f64) -> bool {
+        let orders = self.places.iter().map(|(program, other)| (other.order(now, need), *program));
+        let last = orders.max().filter(|(order, _)| *order > place.order(now, need));
+        last.is_some_and(|(_, program)| self.places.remove(&program).is_some())
     }
 
     /// Removes a program that was admitted, and returns the place that it had.
