Gateways answer /status with the state of load control; trefoilctl load prints it

Cause: operators could see the load of a service only in the metrics, one gateway at a time. The limit of requests in flight, the share of the shards, the waiting list by rank and hears_half were shown nowhere but in the log lines of refused programs. The metrics of a service's load and the status read the same ServiceState. The limit and the paces are read without changing them: SlotLimit::part is split into a computation and an update. Tests: load_metrics.rs and status.rs share the gateway that load_metrics.rs set up; its assertions are unchanged. A gateway process without a store answered trefoilctl load while serving and one second after SIGTERM (draining); five seconds after SIGTERM its listener was closed and the exit code 1. Not run: the other integration tests, and the status of a gateway process with services under load control (an in-process gateway only).

--- a/src/ctl/command.rs
+++ b/src/ctl/command.rs
@@ -22,6 +22,8 @@
     grant WORKSPACE KEY-ID  let a key act for a workspace; the key is read from standard input
     revoke WORKSPACE KEY-ID revoke a key of a workspace
     status                  show the configuration in force, and each entry's version of it
+    load IP:PORT ...        show the state of load control at gateways, given the addresses of their
+                            metrics (--metrics-port)
     explain request ID [LOG ...]
                             show a request's log lines and how it ended, from log files
                             (or standard input)
@@ -29,8 +31,8 @@
                             show a program's turns and calls in order, and how it ended
     explain lost [LOG ...]  count requests that were refused, failed or answered too late
 
-Exit codes: 0 done, 1 log or VM list unreachable, or configuration lost, 2 wrong usage,
-3 bad file or name, 4 conflict or no such workspace, 5 accepted but not in force everywhere yet,
+Exit codes: 0 done, 1 log, VM list or all gateways unreachable, or configuration lost,
+2 wrong usage, 3 bad file or name, 4 conflict or no such workspace, 5 accepted but not in force everywhere yet,
 6 id not found in the logs.";
 
 /// A command of the tool, with its arguments.
@@ -50,6 +52,8 @@
     Revoke(WorkspaceId, KeyId),
     /// Show the configuration in force.
     Status,
+    /// Show the state of load control at gateways, given the addresses of their metrics.
+    Load(Vec<SocketAddr>),
     /// Show a request, a program or the lost requests, from log files.
     Explain {
         /// The request or program to show; `None` reports lost requests.
@@ -176,6 +180,7 @@
             Ok(Command::Revoke(parse_workspace(workspace)?, parse_key_id(key)?))
         }
         ["status"] => Ok(Command::Status),
+        ["load", gateways @ ..] if !gateways.is_empty() => parse_load(gateways),
         ["explain", "request", id, logs @ ..] => {
             Ok(explain_command(Some(Subject::Request((*id).into())), logs))
         }
@@ -194,6 +199,11 @@
     Command::Explain { subject, logs: logs.iter().map(|log| log.to_string()).collect() }
 }
 
+fn parse_load(gateways: &[&str]) -> Result<Command, CtlError> {
+    let addresses = gateways.iter().map(|text| parse_value("load", text, "an address IP:PORT"));
+    addresses.collect::<Result<_, _>>().map(Command::Load)
+}
+
 fn parse_workspace(text: &str) -> Result<WorkspaceId, CtlError> {
     WorkspaceId::parse(text).map_err(|fault| CtlError::Name { what: "workspace", fault })
 }
--- a/src/ctl/error.rs
+++ b/src/ctl/error.rs
@@ -1,7 +1,9 @@
 use std::fmt;
+use std::net::SocketAddr;
 
 use crate::contracts::{Conflict, DeclarationError};
 use crate::explain::PlotError;
+use crate::http::CallError;
 use crate::ids::InvalidName;
 use crate::logstore::LogFault;
 use crate::prelude::*;
@@ -55,6 +57,8 @@
     },
     /// The list of VMs could not be read.
     VmList,
+    /// None of the gateways answered with its status.
+    Gateways(Vec<(SocketAddr, CallError)>),
     /// No log line is about the request or program.
     NotInLogs {
         /// Its id.
@@ -70,7 +74,10 @@
     /// The exit code of the process.
     pub fn exit_code(&self) -> u8 {
         match self {
-            CtlError::Log { .. } | CtlError::VmList | CtlError::ConfigurationLost => 1,
+            CtlError::Log { .. }
+            | CtlError::VmList
+            | CtlError::ConfigurationLost
+            | CtlError::Gateways(_) => 1,
             CtlError::Usage(_) => 2,
             CtlError::File { .. }
             | CtlError::Declaration { .. }
@@ -95,6 +102,7 @@
             CtlError::NoSuchWorkspace(_) => "no_such_workspace",
             CtlError::NotInForce { .. } => "not_in_force",
             CtlError::VmList => "vm_list",
+            CtlError::Gateways(_) => "gateways",
             CtlError::NotInLogs { .. } => "not_in_logs",
             CtlError::Plot(_) => "plot",
         }
@@ -137,6 +145,11 @@
             CtlError::VmList => {
                 f.write_str("the list of VMs (--vm-list) is unreachable or gave no valid answer")
             }
+            CtlError::Gateways(faults) => {
+                let faults = faults.iter().map(|(address, fault)| format!("{address}: {fault}"));
+                let faults: Vec<String> = faults.collect();
+                write!(f, "no gateway answered with its status ({})", faults.join("; "))
+            }
             CtlError::NotInLogs { id, lines } => {
                 write!(f, "none of the {lines} log lines read is about {id}")
             }
--- a/src/ctl/mod.rs
+++ b/src/ctl/mod.rs
@@ -1,9 +1,11 @@
-//! `trefoilctl`, the operators' tool: publishes contracts and keys, shows the configuration in force,
-//! and evaluates logs.
+//! `trefoilctl`, the operators' tool: publishes contracts and keys, shows the configuration in force
+//! and the state of load control, and evaluates logs.
 
 mod command;
 mod error;
 mod explain;
+mod load;
+mod load_table;
 mod publisher;
 mod run;
 mod status;
--- a/src/ctl/run.rs
+++ b/src/ctl/run.rs
@@ -4,6 +4,7 @@
 
 use crate::contracts::{Contract, Declaration, KeyDigest, Operation, parse_declaration};
 use crate::ctl::explain::explain;
+use crate::ctl::load::show_load;
 use crate::ctl::publisher::Publisher;
 use crate::ctl::status::{fetch_statuses, wait_in_force};
 use crate::ctl::{Command, CtlError, Invocation};
@@ -42,6 +43,7 @@
             publish_change(invocation, workspace.clone(), operation).await
         }
         Command::Status => status(invocation).await,
+        Command::Load(gateways) => show_load(gateways, invocation.timeout).await,
         Command::Explain { subject, logs } => {
             explain(subject.as_ref(), logs, invocation.plot.as_deref())
         }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -46,9 +46,11 @@
 mod response_body;
 mod serve;
 mod server;
+mod service_state;
 mod settings;
 mod shard_table;
 mod state;
+mod status;
 mod stream_times;
 mod suspects;
 mod turn;
@@ -64,6 +66,7 @@
 pub use request_types::{Refusal, RequestHead, ResponseKind, RoutingDecision};
 pub use response_body::{BodyTruncated, ResponseBody};
 pub use settings::{Bounds, GatewaySettings};
+pub use status::{GatewayStatus, LearnedStatus, STATUS_PATH, ServiceStatus};
 
 #[cfg(test)]
 mod tests;
--- a/src/gateway/observe.rs
+++ b/src/gateway/observe.rs
@@ -143,20 +143,12 @@
 
 /// Sets the metrics of the load of each service under load control, as this entry knows it.
 pub(super) fn update_load_metrics(gateway: &Gateway) {
-    let Some(catalog) = gateway.active_config.catalog() else {
-        return;
-    };
-    let admissions = gateway.program_admissions.borrow();
-    for service in catalog.load_controlled() {
-        let load = gateway.service_load(service);
-        let waiting = admissions
-            .get(service)
-            .map_or(0, |admission| admission.waiting_list().waiting(gateway.now()));
-        let service = service.to_string();
+    for state in gateway.service_states() {
+        let (load, service) = (state.load, state.service.to_string());
         gauge!("trefoil_service_slots", "service" => service.clone()).set(f64::from(load.slots));
         gauge!("trefoil_service_in_flight", "service" => service.clone())
             .set(f64::from(load.in_flight));
-        gauge!("trefoil_programs_waiting", "service" => service).set(waiting as f64);
+        gauge!("trefoil_programs_waiting", "service" => service).set(state.total_waiting() as f64);
     }
 }
 
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -20,7 +20,7 @@
 use super::message::FindTurn;
 use super::serve::{serve_caller, serve_forwarded, serve_relayed};
 use super::state::Gateway;
-use super::{GatewayError, ResponseBody};
+use super::{GatewayError, GatewayStatus, ResponseBody, STATUS_PATH};
 use crate::http::set_socket_options;
 use crate::telemetry::Metrics;
 
@@ -49,7 +49,7 @@
     Ready,
     /// Requests of other entries.
     Peers,
-    /// Scrapes of the metrics.
+    /// Scrapes of the metrics, and reads of the status.
     Metrics,
 }
 
@@ -169,6 +169,7 @@
             true => StatusCode::OK,
             false => StatusCode::SERVICE_UNAVAILABLE,
         }),
+        ListenerKind::Metrics if request.uri().path() == STATUS_PATH => status_page(&gateway),
         ListenerKind::Metrics => {
             super::observe::update_gauges(&gateway);
             Response::new(ResponseBody::buffered(metrics.render().into()))
@@ -193,6 +194,22 @@
     response
 }
 
+/// The state of load control at this entry, as JSON.
+fn status_page(gateway: &Gateway) -> Response<ResponseBody> {
+    match serde_json::to_vec(&GatewayStatus::from(gateway)) {
+        Ok(bytes) => {
+            let mut response = Response::new(ResponseBody::buffered(bytes.into()));
+            let content_type = HeaderValue::from_static("application/json");
+            response.headers_mut().insert(header::CONTENT_TYPE, content_type);
+            response
+        }
+        Err(fault) => {
+            log::error!(fault:display; "encoding of the status failed; answered with 500");
+            status_response(StatusCode::INTERNAL_SERVER_ERROR)
+        }
+    }
+}
+
 /// Answers a turn lookup of another entry.
 async fn find_turn(gateway: &Gateway, request: Request<Incoming>) -> Response<ResponseBody> {
     let Ok(body) = request.into_body().collect().await else {
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -7,6 +7,7 @@
 mod load_metrics;
 mod load_reports;
 mod slow_readers;
+mod status;
 mod stream_times;
 
 use std::rc::Rc;
--- a/src/gateway/tests/fakes.rs
+++ b/src/gateway/tests/fakes.rs
@@ -7,7 +7,9 @@
 use http::{HeaderMap, Request, Response, request, response};
 use hyper::body::Bytes;
 
-use crate::catalog::{Instruction, Regions, RepeatPolicy};
+use crate::catalog::tests::{configuration, route};
+use crate::catalog::{Instruction, Regions, RepeatPolicy, Route};
+use crate::gateway::operator_feed::apply_configuration;
 use crate::gateway::state::Gateway;
 use crate::gateway::{
     Append, Assignment, Bounds, Feed, GatewaySettings, Page, PeerRecord, Position, Protocol,
@@ -16,7 +18,9 @@
 };
 use crate::load::EndpointReport;
 use crate::mechanisms::Mechanisms;
-use crate::replicas::{EndpointChange, EndpointChoice, Topology};
+use crate::prelude::*;
+use crate::replicas::tests::announcement;
+use crate::replicas::{EndpointChange, EndpointChoice, ReplicaKey, Topology};
 
 /// What a read of the endpoint list meets instead of an answer.
 #[derive(Debug, Clone, Copy)]
@@ -217,6 +221,19 @@
     open(Rc::default(), topology, Some(memory_limit_bytes))
 }
 
+/// A gateway whose only route is a stream with `attempts` attempts to the service `s`, and that
+/// service's only endpoint, `e`, which has `in_flight` requests.
+pub(super) fn gateway_with_endpoint(attempts: u32, in_flight: u32) -> (Rc<Gateway>, ReplicaKey) {
+    let gateway = gateway(FakeStore::default());
+    let route = Route { repeat: RepeatPolicy::Stream, attempts, ..route("h", "/", "s") };
+    apply_configuration(&gateway, configuration(1, vec![route]));
+    let change = EndpointChange::Announcement("e".into(), announcement("s", 1, 1, 1));
+    gateway.directory.borrow_mut().apply(TimeMs(0), change);
+    let key = gateway.directory.borrow().find("e").expect("known");
+    (0..in_flight).for_each(|_| gateway.directory.borrow_mut().record_sent(TimeMs(0), key));
+    (gateway, key)
+}
+
 fn open(store: Rc<FakeStore>, topology: Topology, memory_limit_bytes: Option<u64>) -> Rc<Gateway> {
     let any_port = ([127, 0, 0, 1], 0).into();
     let bounds = Bounds {
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -1,3 +1,4 @@
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -33,6 +34,18 @@
     Status(u16),
 }
 
+impl fmt::Display for CallError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            CallError::NotSent => f.write_str("connection could not be opened"),
+            CallError::NoAnswer => f.write_str("connection failed before the end of the response"),
+            CallError::TimedOut => f.write_str("no complete response within the timeout"),
+            CallError::BadAnswer => f.write_str("response is not in the expected format"),
+            CallError::Status(status) => write!(f, "response has status {status} instead of 200"),
+        }
+    }
+}
+
 impl CallError {
     /// Whether the call certainly did not reach the other process.
     pub fn not_sent(self) -> bool {
--- a/src/load/admission.rs
+++ b/src/load/admission.rs
@@ -136,6 +136,11 @@
         &self.waiting_list
     }
 
+    /// The limit of requests in flight, as a fraction of the service's slots.
+    pub fn limit_fraction(&self, now: TimeMs) -> f64 {
+        self.limit.part_at(now)
+    }
+
     /// Records that a turn of a program has ended.
     pub fn record_turn(&mut self, now: TimeMs, program: u64) {
         self.times.record_turn(now, program);
--- a/src/load/pace.rs
+++ b/src/load/pace.rs
@@ -158,6 +158,18 @@
         pace.unwrap_or(1.0)
     }
 
+    /// The lowest and the highest pace of the service's endpoints of which something is known; `None`
+    /// if there are none.
+    pub fn pace_range(&self, now: TimeMs, service: &Arc<str>) -> Option<(f64, f64)> {
+        let times = self.services.get(service)?;
+        let endpoints = self.endpoints.values().filter(|endpoint| endpoint.service == *service);
+        let paces = endpoints.map(|endpoint| endpoint.pace(now, times));
+        paces.fold(None, |range, pace| {
+            let (lowest, highest) = range.unwrap_or((pace, pace));
+            Some((pace.min(lowest), pace.max(highest)))
+        })
+    }
+
     /// Drops the endpoints for which `is_known` is false, and the services for which
     /// `is_load_controlled` is false together with their endpoints.
     pub fn retain(
--- a/src/load/slot_limit.rs
+++ b/src/load/slot_limit.rs
@@ -60,22 +60,26 @@
         self.measured_at = now;
     }
 
-    /// The limit as a part of the slots.
+    /// Brings the limit up to date, and returns it as a part of the slots.
     pub fn part(&mut self, now: TimeMs) -> f64 {
-        let elapsed_s = now.since(self.updated_at) as f64 / 1_000.0;
+        self.part = self.part_at(now);
         self.updated_at = now;
+        self.part
+    }
+
+    /// The limit as a part of the slots, as [`SlotLimit::part`] would return it now.
+    pub fn part_at(&self, now: TimeMs) -> f64 {
+        let elapsed_s = now.since(self.updated_at) as f64 / 1_000.0;
         if now.since(self.measured_at) > STALE_AFTER_MS {
             // All of the elapsed time counts, as nothing is decided while no program asks to start.
             let step = INCREASE_PER_S * elapsed_s;
-            self.part += (1.0 - self.part).clamp(-step, step);
-            return self.part;
+            return self.part + (1.0 - self.part).clamp(-step, step);
         }
         let change = match self.first_event {
             first_event if first_event > HIGH => -DECREASE_PER_S,
             first_event if first_event < LOW => INCREASE_PER_S,
             _ => 0.0,
         };
-        self.part = (self.part + change * elapsed_s.min(1.0)).clamp(RANGE.0, RANGE.1);
-        self.part
+        (self.part + change * elapsed_s.min(1.0)).clamp(RANGE.0, RANGE.1)
     }
 }
--- a/src/load/waiting_list.rs
+++ b/src/load/waiting_list.rs
@@ -121,7 +121,16 @@
 
     /// The number of programs that are expected back.
     pub fn waiting(&self, now: TimeMs) -> usize {
-        self.places.values().filter(|place| !place.has_given_up(now)).count()
+        self.waiting_by_rank(now).iter().sum()
+    }
+
+    /// The number of programs that are expected back, by rank.
+    pub fn waiting_by_rank(&self, now: TimeMs) -> [usize; Rank::COUNT] {
+        let mut waiting = [0; Rank::COUNT];
+        for place in self.places.values().filter(|place| !place.has_given_up(now)) {
+            waiting[place.rank.index()] += 1;
+        }
+        waiting
     }
 
     /// Removes programs that did not return.
