--- a/src/load/admission.rs
+++ b/src/load/admission.rs
@@ -178,13 +178,15 @@
     }
 
     fn may_start(&self, now: TimeMs, place: &Place, rank: Rank, load: &ServiceLoad) -> bool {
-        // Other owners are taken to have admitted as many programs that are not counted yet.
-        let unseen = self.uncounted.len() as f64 / load.share.max(f64::EPSILON);
+        // The other owners are taken to have as many programs that are not counted yet.
+        let unseen =
+            load.of_all_owners(self.uncounted.len() as f64 + f64::from(load.own_store_waits));
         if f64::from(load.in_flight) + unseen < f64::from(load.slots) * ALWAYS_ADMITTED_BELOW {
             return true;
         }
         if !load.hears_half {
-            return f64::from(load.own_in_flight) < f64::from(load.slots) * load.share;
+            let own = load.own_in_flight.saturating_add(load.own_store_waits);
+            return f64::from(own) < f64::from(load.slots) * load.share;
         }
         let need = self.times.need();
         if place.left_after(now, need) < -MAX_OVERRUN {
@@ -239,7 +241,8 @@
     fn free_slots(&self, now: TimeMs, index: usize, limit: f64, load: &ServiceLoad) -> f64 {
         let more_urgent = (0..index).filter(|index| self.is_present(now, *index)).count();
         let reserve = (RESERVE_PER_RANK * more_urgent as f64).min(MAX_RESERVE);
-        limit - f64::from(load.slots) * reserve - f64::from(load.in_flight)
+        let waits = load.of_all_owners(f64::from(load.own_store_waits));
+        limit - f64::from(load.slots) * reserve - f64::from(load.in_flight) - waits
     }
 
     /// The rate at which programs of the waiting list are admitted: the recent one, but at least
