Turns that wait for the store are not counted as load: tried, and not kept

Cause: while the store is away, programs are admitted to the slots of turns that wait for their records; when it is back, three requests come for each slot (surge-while-store-down).

--- a/src/ctl/tests.rs
+++ b/src/ctl/tests.rs
@@ -5,7 +5,7 @@
 
 /// A gateway with one service, as it answers in JSON.
 const STATUS: &str = r#"{ "vm": "edge-1", "draining": false, "store_reachable": true, "held_bytes": 4096, "services": [{
-    "service": "engine", "slots": 258, "in_flight": 240, "own_in_flight": 9, "own_store_waits": 1, "limit_slots": 232.2,
+    "service": "engine", "slots": 258, "in_flight": 240, "own_in_flight": 9, "limit_slots": 232.2,
     "share": 0.0416, "hears_half": true, "waiting": 7, "waiting_by_rank": { "0": 2, "3": 5 }, "learned": {
         "prefill_ms_per_1000_tokens": 13.8, "event_ms": 2.1, "fastest_pace": 0.7, "slowest_pace": 1.7 }}]}"#;
 
--- a/src/gateway/load_admission.rs
+++ b/src/gateway/load_admission.rs
@@ -116,7 +116,6 @@
     let (slots, in_flight, share) = (load.slots, load.in_flight, load.share);
     let (use_level, hears_half) = (candidate.use_level.number(), load.hears_half);
     let over_share = candidate.use_level.is_over_share();
-    let store_waits = load.own_store_waits;
     let outcome = match decision {
         Decision::Admitted { place: None } => "admitted",
         Decision::Admitted { place: Some(place) } => {
@@ -132,8 +131,7 @@
         }
         Decision::Refused { retry_after_ms, place } => {
             log::info!(request:%, program, service:%, workspace:% = routing.workspace, rank, place,
-                retry_after_ms, slots, in_flight, share, over_share, use_level,
-                store_waits, hears_half;
+                retry_after_ms, slots, in_flight, share, over_share, use_level, hears_half;
                 "service has no capacity for a further program; first turn refused");
             "refused"
         }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -51,7 +51,6 @@
 mod shard_table;
 mod state;
 mod status;
-mod store_waits;
 mod stream_times;
 mod suspects;
 mod turn;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -39,8 +39,6 @@
     pub(super) rates: RefCell<RateLimiter>,
     /// The admission of programs, by service under load control.
     pub(super) program_admissions: RefCell<HashMap<Arc<str>, ProgramAdmission>>,
-    /// The turns that wait for the store, by service under load control.
-    pub(super) store_waits: RefCell<HashMap<Arc<str>, u32>>,
     pub(super) suspects: RefCell<Suspects>,
     /// None if slow readers are not limited.
     pub(super) reader_limits: Option<Rc<ReaderLimits>>,
@@ -89,7 +87,6 @@
             connections: Rc::default(),
             rates: RefCell::new(RateLimiter::open(settings.bounds.rate_window_ms)),
             program_admissions: RefCell::default(),
-            store_waits: RefCell::default(),
             suspects: RefCell::default(),
             reader_limits,
             endpoint_polls: RefCell::default(),
@@ -137,7 +134,6 @@
         let mut load = ServiceLoad {
             share: f64::from(self.shards.serving_count()) / f64::from(self.shards.count().max(1)),
             hears_half: self.peers.borrow().peer_counts(now).hears_half(),
-            own_store_waits: self.store_waits(service),
             ..ServiceLoad::default()
         };
         for (_, replica) in usable {
--- a/src/gateway/status.rs
+++ b/src/gateway/status.rs
@@ -37,8 +37,6 @@
     pub in_flight: u32,
     /// Those of them that this gateway has sent.
     pub own_in_flight: u32,
-    /// Turns at this gateway that wait for the store.
-    pub own_store_waits: u32,
     /// Requests that the service may have in flight before programs are refused; absent if admission
     /// control is switched off.
     pub limit_slots: Option<f64>,
@@ -88,7 +86,6 @@
             slots: state.load.slots,
             in_flight: state.load.in_flight,
             own_in_flight: state.load.own_in_flight,
-            own_store_waits: state.load.own_store_waits,
             limit_slots: state.limit_slots,
             share: state.load.share,
             hears_half: state.load.hears_half,
--- a/src/gateway/turn.rs
+++ b/src/gateway/turn.rs
@@ -230,8 +230,6 @@
         let recorded = (!records.is_empty()).then(|| shard.writer.append(records));
         let left_ms = turn_request.endpoint_request.deadline.since(gateway.now());
         let waits = needs_store && gateway.waits_for_store();
-        let _store_wait =
-            waits.then(|| gateway.begin_store_wait(&turn_request.endpoint_request.routing));
         if waits && !shard.writer.wait_until_writable(left_ms).await {
             log::info!(request:% = turn_request.endpoint_request.request, shard = shard.number;
                 "store unreachable for longer than the turn may wait; turn refused as unavailable");
@@ -275,7 +273,6 @@
         if durable {
             let completed = shard.ledger.borrow_mut().complete(self.turn_request.key, turn);
             let recorded = shard.writer.append(vec![completed, settled]);
-            let _store_wait = gateway.begin_store_wait(&self.turn_request.endpoint_request.routing);
             if until_deadline(gateway, deadline, recorded).await?.is_ok() {
                 reservation.mark_durable(version);
                 return Ok(());
--- a/src/load/admission.rs
+++ b/src/load/admission.rs
@@ -178,15 +178,13 @@
     }
 
     fn may_start(&self, now: TimeMs, place: &Place, rank: Rank, load: &ServiceLoad) -> bool {
-        // The other owners are taken to have as many programs that are not counted yet.
-        let unseen =
-            load.of_all_owners(self.uncounted.len() as f64 + f64::from(load.own_store_waits));
+        // Other owners are taken to have admitted as many programs that are not counted yet.
+        let unseen = self.uncounted.len() as f64 / load.share.max(f64::EPSILON);
         if f64::from(load.in_flight) + unseen < f64::from(load.slots) * ALWAYS_ADMITTED_BELOW {
             return true;
         }
         if !load.hears_half {
-            let own = load.own_in_flight.saturating_add(load.own_store_waits);
-            return f64::from(own) < f64::from(load.slots) * load.share;
+            return f64::from(load.own_in_flight) < f64::from(load.slots) * load.share;
         }
         let need = self.times.need();
         if place.left_after(now, need) < -MAX_OVERRUN {
@@ -241,8 +239,7 @@
     fn free_slots(&self, now: TimeMs, index: usize, limit: f64, load: &ServiceLoad) -> f64 {
         let more_urgent = (0..index).filter(|index| self.is_present(now, *index)).count();
         let reserve = (RESERVE_PER_RANK * more_urgent as f64).min(MAX_RESERVE);
-        let waits = load.of_all_owners(f64::from(load.own_store_waits));
-        limit - f64::from(load.slots) * reserve - f64::from(load.in_flight) - waits
+        limit - f64::from(load.slots) * reserve - f64::from(load.in_flight)
     }
 
     /// The rate at which programs of the waiting list are admitted: the recent one, but at least
--- a/src/load/capacity.rs
+++ b/src/load/capacity.rs
@@ -7,17 +7,8 @@
     pub in_flight: u32,
     /// Those of them that this entry has sent.
     pub own_in_flight: u32,
-    /// Turns at this entry that wait for the store. They need slots as soon as it answers.
-    pub own_store_waits: u32,
     /// The fraction of all shards that this entry serves, and so of all programs that it decides on.
     pub share: f64,
     /// Whether messages arrive from at least half of the entries. Otherwise `in_flight` is too low.
     pub hears_half: bool,
 }
-
-impl ServiceLoad {
-    /// What all owners together have, if each has as much for its share as this one.
-    pub fn of_all_owners(&self, own: f64) -> f64 {
-        own / self.share.max(f64::EPSILON)
-    }
-}
