A request that expires before it is sent does not count against its endpoint

Cause: when the deadline had passed before the request was sent, the attempt was reported like a failed connection. The endpoint was counted as failed and treated as cold, its connection was closed although nothing had been sent on it, and the next endpoint was tried (up to three). Change: the attempt has an outcome of its own (`Expired`) and returns the connection to the pool; no further endpoint is tried. The caller gets the same refusal as before.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -170,7 +170,9 @@
     /// Nothing was sent: since the endpoint was chosen, it has left, its failure domain was
     /// evacuated, or this entry's limit for it while it is cold was used up.
     Withheld,
-    /// Nothing was sent: the connection failed, the deadline has passed, or the endpoint is gone.
+    /// Nothing was sent: the request's deadline has passed. This says nothing about the endpoint.
+    Expired,
+    /// Nothing was sent: the connection failed, or the endpoint is gone.
     NeverSent {
         /// Whether the connection that failed came from the pool; the endpoint itself may then be
         /// healthy.
@@ -202,7 +204,10 @@
         }
     };
     let Some(request) = build_request(gateway, endpoint_request, &id, last_event) else {
-        return AttemptOutcome::NeverSent { stale_connection: false };
+        gateway.connections.put_back(gateway.now(), connection);
+        log::info!(request:% = endpoint_request.request, endpoint:% = id;
+            "request's deadline passed before it was sent");
+        return AttemptOutcome::Expired;
     };
     // Opening the connection may have taken long: meanwhile, the endpoint may have begun to shut
     // down, its failure domain may have been evacuated, or other requests may have used up the
@@ -282,6 +287,7 @@
         "request sent to an endpoint");
 }
 
+/// Builds the request to an endpoint; [`None`] if the request's deadline has passed.
 fn build_request(
     gateway: &Gateway,
     endpoint_request: &EndpointRequest,
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -90,7 +90,7 @@
             && !self.gateway.is_poison_request(self.endpoint_request.crash_key)
     }
 
-    /// Tries endpoints until one responds or no more may be tried.
+    /// Tries endpoints until one responds, no more may be tried, or the deadline has passed.
     async fn try_endpoints(&mut self) -> Result<EndpointResponse, Refusal> {
         while let Some(endpoint) = self.next_endpoint() {
             match attempt(
@@ -111,6 +111,7 @@
                     self.excluded.push(endpoint);
                 }
                 AttemptOutcome::Withheld => self.excluded.push(endpoint),
+                AttemptOutcome::Expired => break,
                 AttemptOutcome::NeverSent { stale_connection: true } => self.not_run += 1,
                 AttemptOutcome::NeverSent { stale_connection: false } => {
                     self.not_run += 1;
--- a/src/gateway/tests/attempts.rs
+++ b/src/gateway/tests/attempts.rs
@@ -1,3 +1,4 @@
+use std::rc::Rc;
 use std::time::Duration;
 
 use http::{HeaderMap, Method, Uri};
@@ -5,9 +6,12 @@
 use tokio::net::TcpListener;
 
 use super::fakes;
+use crate::gateway::Refusal;
 use crate::gateway::attempt::{AttemptOutcome, EndpointRequest, attempt};
+use crate::gateway::dispatch::Dispatch;
+use crate::gateway::state::Gateway;
 use crate::prelude::*;
-use crate::replicas::{Announcement, EndpointChange};
+use crate::replicas::{Announcement, ColdLimits, EndpointChange, ReplicaKey};
 
 fn endpoint_request() -> EndpointRequest {
     EndpointRequest {
@@ -23,15 +27,8 @@
     }
 }
 
-// An endpoint leaves after it was chosen, while the request waits for a connection: it must not get
-// the request any more.
-#[test_case(true; "it announces that it is draining")]
-#[test_case(false; "its record is removed")]
-#[tokio::test]
-async fn a_request_is_withheld_from_an_endpoint_that_leaves_after_it_was_chosen(announces: bool) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
-    let gateway = fakes::gateway(fakes::FakeStore::default());
-    let announcement = |draining| Announcement {
+fn announcement(listener: &TcpListener, draining: bool) -> Announcement {
+    Announcement {
         service: "s".into(),
         address: listener.local_addr().expect("the listener is bound"),
         failure_domain: "d".into(),
@@ -40,13 +37,40 @@
         cold_left_ms: 0,
         started_at_ms: 5,
         sequence: 1 + u64::from(draining),
-    };
+    }
+}
+
+/// A gateway and the only endpoint that it knows, at which the test listens.
+async fn gateway_with_endpoint() -> (Rc<Gateway>, TcpListener, ReplicaKey) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let gateway = fakes::gateway(fakes::FakeStore::default());
+    let change = EndpointChange::Announcement("a".into(), announcement(&listener, false));
+    gateway.directory.borrow_mut().apply(gateway.now(), change);
+    let endpoint = gateway.directory.borrow().find("a").expect("it is known");
+    (gateway, listener, endpoint)
+}
+
+/// The failures that the gateway has counted at an endpoint within the last seconds.
+fn failures(gateway: &Gateway, endpoint: ReplicaKey) -> u32 {
+    let directory = gateway.directory.borrow();
+    let replica = directory.get(endpoint).expect("it is known");
+    replica.answers_to_share(gateway.now()).map_or(0, |answers| answers.failures)
+}
+
+// An endpoint leaves after it was chosen, while the request waits for a connection: it must not get
+// the request any more.
+#[test_case(true; "it announces that it is draining")]
+#[test_case(false; "its record is removed")]
+#[tokio::test]
+async fn a_request_is_withheld_from_an_endpoint_that_leaves_after_it_was_chosen(announces: bool) {
+    let (gateway, listener, chosen) = gateway_with_endpoint().await;
     let apply = |change| gateway.directory.borrow_mut().apply(gateway.now(), change);
-    apply(EndpointChange::Announcement("a".into(), announcement(false)));
-    let chosen = gateway.directory.borrow().find("a").expect("it is known");
     let leave = async {
         match announces {
-            true => apply(EndpointChange::Announcement("a".into(), announcement(true))),
+            true => {
+                let draining = announcement(&listener, true);
+                apply(EndpointChange::Announcement("a".into(), draining))
+            }
             false => apply(EndpointChange::Removed("a".into())),
         }
     };
@@ -61,3 +85,30 @@
     let outcome = tokio::task::LocalSet::new().run_until(attempted).await;
     assert!(matches!(outcome, Ok(AttemptOutcome::Withheld)), "the request was sent");
 }
+
+// A request whose time is over was counted as a failure of each endpoint that it was about to be
+// sent to. Callers that send late requests could thus make healthy endpoints cold and ejected.
+#[tokio::test]
+async fn a_request_that_expires_before_it_is_sent_does_not_count_against_the_endpoint() {
+    let (gateway, _listener, endpoint) = gateway_with_endpoint().await;
+    let limits = ColdLimits { duration_ms: 3_000, ..ColdLimits::default() };
+    gateway.directory.borrow_mut().set_cold_limits([("s".into(), limits)].into());
+    let (address, _) = gateway.endpoint(endpoint).expect("it is known");
+    let request = Rc::new(EndpointRequest { deadline: TimeMs(0), ..endpoint_request() });
+    let attempted = async {
+        let connection = gateway.connections.open(address).await.expect("the endpoint listens");
+        gateway.connections.put_back(gateway.now(), connection);
+        while !gateway.connections.has_idle(gateway.now(), address) {
+            tokio::task::yield_now().await;
+        }
+        Dispatch::open(&gateway, &request).next_response().await
+    };
+    let tasks = tokio::task::LocalSet::new();
+    let outcome = tasks.run_until(attempted).await;
+    assert!(matches!(outcome, Err(Refusal::Unavailable { .. })), "it has not run");
+    assert_eq!(failures(&gateway, endpoint), 0);
+    let directory = gateway.directory.borrow();
+    let replica = directory.get(endpoint).expect("it is known");
+    assert!(!replica.is_cold(gateway.now()), "the endpoint was assumed to be cold");
+    assert!(gateway.connections.has_idle(gateway.now(), address), "its connection was closed");
+}
