A deadline that expires during a stream counts against the endpoint only after a silence

Cause: every stream that was still running at its deadline, resumed or not, was counted as a failure of its endpoint and checked for a crash, even if its last event had just arrived. If the endpoint had closed its idle connections meanwhile, it was also treated as cold, and the request as one that crashes endpoints. Change: the failure is counted only if the endpoint had then sent nothing for as long as it may be silent; then as before, with the check for a crash. A deadline that expires before the response has begun is judged by its silence already and is unchanged. The test protocol accepts any answer instead of none; no test relied on its refusal.

--- a/src/gateway/event_stream.rs
+++ b/src/gateway/event_stream.rs
@@ -57,16 +57,26 @@
     /// The endpoint sent nothing for too long.
     Silent,
     /// The request's deadline has passed.
-    TimedOut,
+    TimedOut {
+        /// Whether the endpoint had then sent nothing for as long as it may be silent. Otherwise,
+        /// the deadline says nothing about the endpoint.
+        endpoint_silent: bool,
+    },
 }
 
 impl Fault {
     fn refusal(self) -> Refusal {
         match self {
             Fault::Broken | Fault::Silent => Refusal::OutcomeUnknown,
-            Fault::TimedOut => Refusal::TimedOut,
+            Fault::TimedOut { .. } => Refusal::TimedOut,
         }
     }
+
+    /// Whether the endpoint has failed and its failure is still to be counted. A silence is counted
+    /// when it is noticed.
+    fn is_uncounted_failure(self) -> bool {
+        matches!(self, Fault::Broken | Fault::TimedOut { endpoint_silent: true })
+    }
 }
 
 /// Summary of a complete response.
@@ -187,6 +197,7 @@
     async fn read_chunk(&mut self) -> Result<Option<Bytes>, Fault> {
         let Source { body, in_flight } = self.source.as_mut().ok_or(Fault::Broken)?;
         in_flight.start_silence_timer();
+        let read_from = self.gateway.now();
         if let Some(times) = &mut self.times {
             times.begin_read(self.gateway.now());
         }
@@ -202,7 +213,11 @@
         match chunk {
             Some(Ok(Ok(chunk))) => Ok(chunk),
             Some(Ok(Err(_))) => Err(Fault::Broken),
-            Some(Err(_)) => Err(Fault::TimedOut),
+            Some(Err(_)) => {
+                let silent_ms = self.gateway.now().since(read_from);
+                let endpoint_silent = silent_ms >= in_flight.silent_after_ms();
+                Err(Fault::TimedOut { endpoint_silent })
+            }
             None => Err(Fault::Silent),
         }
     }
@@ -216,12 +231,13 @@
         let endpoint = in_flight.endpoint;
         drop(body);
         in_flight.abandon();
-        if fault != Fault::Silent {
+        if fault.is_uncounted_failure() {
             self.dispatch.record_broken_attempt(endpoint).await;
         }
         let last_event = self.reader.last_id().map(|id| String::from_utf8_lossy(id).into_owned());
         let can_resume = self.reader.events() == 0 || last_event.is_some();
-        if fault == Fault::TimedOut || !can_resume || !self.dispatch.may_try_another() {
+        let timed_out = matches!(fault, Fault::TimedOut { .. });
+        if timed_out || !can_resume || !self.dispatch.may_try_another() {
             return Err(fault.refusal());
         }
         self.times = None;
--- a/src/gateway/tests/attempts.rs
+++ b/src/gateway/tests/attempts.rs
@@ -3,15 +3,18 @@
 
 use http::{HeaderMap, Method, Uri};
 use test_case::test_case;
-use tokio::net::TcpListener;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 
 use super::fakes;
 use crate::gateway::Refusal;
 use crate::gateway::attempt::{AttemptOutcome, EndpointRequest, attempt};
 use crate::gateway::dispatch::Dispatch;
+use crate::gateway::event_stream::{EventStream, ResponseStart};
 use crate::gateway::state::Gateway;
 use crate::prelude::*;
 use crate::replicas::{Announcement, ColdLimits, EndpointChange, ReplicaKey};
+use crate::turns::EventReader;
 
 fn endpoint_request() -> EndpointRequest {
     EndpointRequest {
@@ -50,6 +53,15 @@
     (gateway, listener, endpoint)
 }
 
+/// Receives a request and answers it with `response`, on a connection that stays open.
+async fn answer(listener: &TcpListener, response: &[u8]) -> TcpStream {
+    let (mut connection, _) = listener.accept().await.expect("the gateway connects");
+    let mut head = bytes::BytesMut::new();
+    connection.read_buf(&mut head).await.expect("the gateway sends a request");
+    connection.write_all(response).await.expect("the gateway reads the response");
+    connection
+}
+
 /// The failures that the gateway has counted at an endpoint within the last seconds.
 fn failures(gateway: &Gateway, endpoint: ReplicaKey) -> u32 {
     let directory = gateway.directory.borrow();
@@ -112,3 +124,33 @@
     assert!(!replica.is_cold(gateway.now()), "the endpoint was assumed to be cold");
     assert!(gateway.connections.has_idle(gateway.now(), address), "its connection was closed");
 }
+
+// Every stream that was still running at its deadline was counted as a failure of its endpoint. In
+// an overload, when many streams are late, healthy endpoints could be ejected.
+#[test_case(20_000, 0; "while the endpoint may still be silent")]
+#[test_case(40_000, 1; "after the endpoint was silent for 30 s")]
+#[tokio::test]
+async fn a_deadline_counts_against_the_endpoint_of_a_stream_only_after_a_silence(
+    left_ms: u64,
+    expected: u32,
+) {
+    let (gateway, listener, endpoint) = gateway_with_endpoint().await;
+    let mut request = EndpointRequest { deadline: TimeMs(left_ms), ..endpoint_request() };
+    request.routing.target_ms = 10_000;
+    let request = Rc::new(request);
+    let head_and_event = b"HTTP/1.1 200 OK\r\ncontent-length: 99\r\n\r\ndata: x\n\n";
+    let served = async {
+        let opened = EventStream::open(&gateway, &request, EventReader::default());
+        let answered = answer(&listener, head_and_event);
+        let (opened, _connection) = futures_util::future::join(opened, answered).await;
+        let Ok((_, ResponseStart::Events(mut events))) = opened else {
+            panic!("the endpoint has answered");
+        };
+        assert!(matches!(events.next_chunk().await, Ok(Some(_))));
+        tokio::time::pause();
+        events.next_chunk().await
+    };
+    let outcome = tokio::task::LocalSet::new().run_until(served).await;
+    assert!(matches!(outcome, Err(Refusal::TimedOut)));
+    assert_eq!(failures(&gateway, endpoint), expected);
+}
--- a/src/gateway/tests/fakes.rs
+++ b/src/gateway/tests/fakes.rs
@@ -169,7 +169,7 @@
     }
 }
 
-/// A protocol that accepts no request and no answer but reports, which are JSON objects.
+/// A protocol that accepts no request and any answer. Reports are JSON objects.
 pub(super) struct NullProtocol;
 
 impl Protocol for NullProtocol {
@@ -182,7 +182,7 @@
     fn set_endpoint_headers(&self, _: &mut HeaderMap, _: &RequestContext<'_>) {}
 
     fn classify_reply(&self, _: &response::Parts, _: &str) -> ResponseKind {
-        ResponseKind::Untrusted
+        ResponseKind::Own
     }
 
     fn refuse(&self, _: Option<&str>, _: Refusal) -> Response<Bytes> {
