An endpoint that is silent after it was busy is counted as failed

Cause: when a request had waited for its endpoint's share of time and the endpoint had more requests than slots, the outcome was marked as counted although nothing was counted. A later silence of the same attempt and an answer with status 500 were then not counted either, and a resumable stream waited for the endpoint until its deadline. Change: a busy endpoint is not marked; it may be silent for as long again and is then judged again. What is sent to the caller changes only for resumable streams, which are resumed elsewhere after such a silence. An endpoint's own answer that it is busy does not set the mark: it ends the attempt. A request that may be repeated still gives up on a busy endpoint after the first wait.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -118,26 +118,30 @@
 
     /// Counts a silent endpoint as failed, at most once per request, and returns whether it did. A
     /// stalled endpoint may keep its requests until their callers disconnect, which produces no
-    /// error. An endpoint with more requests than slots is busy and is not counted.
+    /// error. An endpoint with more requests than slots is busy and is not counted; it may then be
+    /// silent for as long again.
     pub(super) fn check_silence(&self) -> bool {
+        let now = self.gateway.now();
         let Some(since) = self.waiting_since.get() else {
             return false;
         };
-        let silent_ms = self.gateway.now().since(since);
+        let silent_ms = now.since(since);
         if silent_ms < self.silent_after_ms || self.outcome_recorded.get() {
             return false;
         }
         let directory = self.gateway.directory.borrow();
         let replica = directory.get(self.endpoint);
-        let busy = replica.is_none_or(|r| r.load(self.gateway.now()) > r.announcement.slots);
+        let busy = replica.is_none_or(|r| r.load(now) > r.announcement.slots);
         drop(directory);
-        self.outcome_recorded.set(true);
-        if !busy {
-            log::info!(endpoint:% = self.endpoint_id, silent_ms;
-                "endpoint did not respond in time; counted as failed");
-            self.gateway.record_endpoint_failure(self.endpoint);
+        if busy {
+            self.start_silence_timer();
+            return false;
         }
-        !busy
+        self.outcome_recorded.set(true);
+        log::info!(endpoint:% = self.endpoint_id, silent_ms;
+            "endpoint did not respond in time; counted as failed");
+        self.gateway.record_endpoint_failure(self.endpoint);
+        true
     }
 
     /// How long the endpoint may send nothing before it counts as silent.
@@ -257,24 +261,25 @@
 
 /// Waits for a response. When it does not arrive in time, the endpoint is counted as failed unless
 /// it is busy. A request that may be repeated then gives up on it (returns [`None`]), even if it is
-/// busy; any other request waits on.
+/// busy; any other request waits on, and a busy endpoint is judged again.
 async fn wait_for_response<T>(
     in_flight: &InFlightGuard,
     response: impl Future<Output = T>,
     may_repeat: bool,
 ) -> Option<T> {
     let mut response = std::pin::pin!(response);
-    for wait_ms in [in_flight.silent_after_ms, READ_BACKLOG_MS] {
-        tokio::select! {
-            biased;
-            response = response.as_mut() => return Some(response),
-            () = tokio::time::sleep(Duration::from_millis(wait_ms)) => {}
+    loop {
+        for wait_ms in [in_flight.silent_after_ms, READ_BACKLOG_MS] {
+            tokio::select! {
+                biased;
+                response = response.as_mut() => return Some(response),
+                () = tokio::time::sleep(Duration::from_millis(wait_ms)) => {}
+            }
+        }
+        in_flight.check_silence();
+        if may_repeat {
+            return None;
         }
-    }
-    in_flight.check_silence();
-    match may_repeat {
-        true => None,
-        false => Some(response.await),
     }
 }
 
--- a/src/gateway/event_stream.rs
+++ b/src/gateway/event_stream.rs
@@ -263,21 +263,22 @@
 }
 
 /// Waits for data from an endpoint; returns [`None`] if the endpoint is silent. If it is only busy,
-/// the wait goes on.
+/// the wait goes on until it is silent for as long again.
 async fn wait_unless_silent<T>(
     in_flight: &InFlightGuard,
     future: impl Future<Output = T>,
 ) -> Option<T> {
     let mut future = std::pin::pin!(future);
     let silent_after = Duration::from_millis(in_flight.silent_after_ms());
-    tokio::select! {
-        biased;
-        output = future.as_mut() => return Some(output),
-        () = tokio::time::sleep(silent_after) => {}
-    }
-    match in_flight.check_silence() {
-        true => None,
-        false => Some(future.await),
+    loop {
+        tokio::select! {
+            biased;
+            output = future.as_mut() => return Some(output),
+            () = tokio::time::sleep(silent_after) => {}
+        }
+        if in_flight.check_silence() {
+            return None;
+        }
     }
 }
 
--- a/src/gateway/tests/attempts.rs
+++ b/src/gateway/tests/attempts.rs
@@ -7,6 +7,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use super::fakes;
+use crate::catalog::RepeatPolicy;
 use crate::gateway::Refusal;
 use crate::gateway::attempt::{AttemptOutcome, EndpointRequest, attempt};
 use crate::gateway::dispatch::Dispatch;
@@ -62,6 +63,35 @@
     connection
 }
 
+/// Sends a request, answers it with the head and the first event of a stream, and stops the time.
+async fn open_stream(
+    gateway: &Rc<Gateway>,
+    listener: &TcpListener,
+    request: &Rc<EndpointRequest>,
+) -> (EventStream, TcpStream) {
+    let head_and_event = b"HTTP/1.1 200 OK\r\ncontent-length: 99\r\n\r\nid: 1\ndata: x\n\n";
+    let opened = EventStream::open(gateway, request, EventReader::default());
+    let (opened, connection) =
+        futures_util::future::join(opened, answer(listener, head_and_event)).await;
+    let Ok((_, ResponseStart::Events(mut events))) = opened else {
+        panic!("the endpoint has answered");
+    };
+    assert!(matches!(events.next_chunk().await, Ok(Some(_))));
+    tokio::time::pause();
+    (*events, connection)
+}
+
+/// Makes an endpoint with two slots busy, for as long as given.
+async fn keep_busy(gateway: &Gateway, endpoint: ReplicaKey, busy_ms: u64) {
+    for _ in 0..2 {
+        gateway.directory.borrow_mut().record_sent(gateway.now(), endpoint);
+    }
+    tokio::time::sleep(Duration::from_millis(busy_ms)).await;
+    for _ in 0..2 {
+        gateway.directory.borrow_mut().record_finished(gateway.now(), endpoint);
+    }
+}
+
 /// The failures that the gateway has counted at an endpoint within the last seconds.
 fn failures(gateway: &Gateway, endpoint: ReplicaKey) -> u32 {
     let directory = gateway.directory.borrow();
@@ -138,19 +168,56 @@
     let mut request = EndpointRequest { deadline: TimeMs(left_ms), ..endpoint_request() };
     request.routing.target_ms = 10_000;
     let request = Rc::new(request);
-    let head_and_event = b"HTTP/1.1 200 OK\r\ncontent-length: 99\r\n\r\ndata: x\n\n";
     let served = async {
-        let opened = EventStream::open(&gateway, &request, EventReader::default());
-        let answered = answer(&listener, head_and_event);
-        let (opened, _connection) = futures_util::future::join(opened, answered).await;
-        let Ok((_, ResponseStart::Events(mut events))) = opened else {
-            panic!("the endpoint has answered");
-        };
-        assert!(matches!(events.next_chunk().await, Ok(Some(_))));
-        tokio::time::pause();
+        let (mut events, _connection) = open_stream(&gateway, &listener, &request).await;
         events.next_chunk().await
     };
     let outcome = tokio::task::LocalSet::new().run_until(served).await;
     assert!(matches!(outcome, Err(Refusal::TimedOut)));
     assert_eq!(failures(&gateway, endpoint), expected);
 }
+
+// A request that waited at a busy endpoint was no longer judged by silence: an endpoint that stalled
+// while it was busy was not counted as failed.
+#[test_case(35_000, 1; "silent for 30 s after it was busy")]
+#[test_case(61_000, 0; "still busy after 60 s")]
+#[tokio::test]
+async fn a_silence_after_an_endpoint_was_busy_counts_as_a_failure(busy_ms: u64, expected: u32) {
+    let (gateway, listener, endpoint) = gateway_with_endpoint().await;
+    let mut request = endpoint_request();
+    request.routing.target_ms = 10_000;
+    let stalled = async {
+        let connection = answer(&listener, b"").await;
+        tokio::time::pause();
+        keep_busy(&gateway, endpoint, busy_ms).await;
+        tokio::time::sleep(Duration::from_millis(62_000 - busy_ms)).await;
+        drop(connection);
+    };
+    let attempted = async {
+        tokio::select! {
+            _ = attempt(&gateway, &request, endpoint, None) => panic!("it has not answered"),
+            () = stalled => {}
+        }
+    };
+    tokio::task::LocalSet::new().run_until(attempted).await;
+    assert_eq!(failures(&gateway, endpoint), expected);
+}
+
+// A resumable stream waited until its deadline for an endpoint that stalled while it was busy.
+#[tokio::test]
+async fn a_stream_is_resumed_elsewhere_after_a_silence_that_load_does_not_explain() {
+    let (gateway, listener, endpoint) = gateway_with_endpoint().await;
+    let mut request = EndpointRequest { deadline: TimeMs(300_000), ..endpoint_request() };
+    request.routing.target_ms = 10_000;
+    request.routing.attempts = 2;
+    request.routing.repeat = RepeatPolicy::ResumableStream;
+    let request = Rc::new(request);
+    let served = async {
+        let (mut events, _connection) = open_stream(&gateway, &listener, &request).await;
+        let busy = keep_busy(&gateway, endpoint, 35_000);
+        futures_util::future::join(events.next_chunk(), busy).await.0
+    };
+    let outcome = tokio::task::LocalSet::new().run_until(served).await;
+    assert!(matches!(outcome, Err(Refusal::OutcomeUnknown)), "no other endpoint is known");
+    assert_eq!(failures(&gateway, endpoint), 1);
+}
