The turns before a kept turn are kept as long after a takeover as before

Cause: completing a turn raised the retention of the turns before it in memory only. The next owner of the shard took each turn's own retention from its record, so that a parent could expire before its child and a program's history had a gap. Change: loading a record applies the same rule as completing a turn, through all the turns before it and in any order of the records. What a turn needs whose record has not been loaded yet is remembered until it is, or until that has expired. No new records. Measured: the new test (three turns, all six orders of their records) failed before: 2 of 3 turns expired while the third was kept. It passes now; 307 library tests pass.

--- a/src/turns/ledger.rs
+++ b/src/turns/ledger.rs
@@ -74,6 +74,9 @@
 #[derive(Debug, Default)]
 pub struct Ledger {
     turns: HashMap<TurnKey, Turn>,
+    /// Turns that are not in the ledger, but continued by turns that are, and how long those are
+    /// kept. Records are not loaded in the order in which turns continue each other.
+    missing_parents: HashMap<TurnKey, UnixMs>,
     accounts: HashMap<ProgramKey, AccountState>,
 }
 
@@ -83,7 +86,7 @@
     pub fn load(&mut self, key: &str, value: &[u8]) -> Result<(), RecordFault> {
         match decode(key, value)? {
             DecodedRecord::Turn(key, turn) => {
-                self.turns.insert(key, turn);
+                self.insert_turn(key, turn);
             }
             DecodedRecord::Account(key, Account { spent, reserved, kept_until }) => {
                 let spent = spent + reserved;
@@ -203,14 +206,31 @@
     /// Stores a completed turn. The turns before it are kept for at least as long.
     pub fn complete(&mut self, key: TurnKey, turn: Turn) -> Record {
         let record = turn_record(key, Some(&turn));
-        let kept_until = turn.kept_until;
-        let mut next = turn.parent;
+        self.insert_turn(key, turn);
+        record
+    }
+
+    /// Inserts a turn, which is kept for at least as long as the turns that continue it. The log
+    /// doesn't say how long that is: each owner derives it from the records of those turns.
+    fn insert_turn(&mut self, key: TurnKey, mut turn: Turn) {
+        let before = self.turns.get(&key).map(|turn| turn.kept_until);
+        let needed = self.missing_parents.remove(&key);
+        turn.kept_until = turn.kept_until.max(before.max(needed).unwrap_or_default());
+        let (kept_until, mut next) = (turn.kept_until, turn.parent);
         self.turns.insert(key, turn);
-        while let Some(parent) = next.and_then(|parent| self.turns.get_mut(&parent)) {
-            parent.kept_until = parent.kept_until.max(kept_until);
+        while let Some(key) = next {
+            let Some(parent) = self.turns.get_mut(&key) else {
+                let needed = self.missing_parents.entry(key).or_default();
+                *needed = kept_until.max(*needed);
+                return;
+            };
+            // The turns before this one are kept for as long as it is.
+            if parent.kept_until >= kept_until {
+                return;
+            }
+            parent.kept_until = kept_until;
             next = parent.parent;
         }
-        record
     }
 
     /// Copies turns that another shard holds, so that this one holds the complete chain. Returns
@@ -237,6 +257,7 @@
             .map(|(key, _)| *key)
             .collect();
         self.turns.retain(|_, turn| !is_expired(turn.kept_until));
+        self.missing_parents.retain(|_, kept_until| !is_expired(*kept_until));
         accounts.iter().for_each(|key| {
             self.accounts.remove(key);
         });
--- a/src/turns/tests.rs
+++ b/src/turns/tests.rs
@@ -65,6 +65,24 @@
     assert_eq!(ledger.expire(UnixMs(90_000)).len(), 2);
 }
 
+// The next owner of the shard read from the log only how long each turn was to be kept by itself, so
+// that turns expired before those that continue them, and the program lost its history.
+#[test]
+fn turns_before_a_kept_turn_are_kept_after_a_reload_in_any_order() {
+    let mut ledger = Ledger::default();
+    let kept = [("1", None, 1_000), ("2", Some("1"), 500), ("3", Some("2"), 60_000)];
+    let records = kept.map(|(id, parent, kept_until)| {
+        ledger.complete(key(id), turn(parent.map(key), "in", kept_until))
+    });
+    let orders = [[0, 1, 2], [0, 2, 1], [1, 0, 2], [1, 2, 0], [2, 0, 1], [2, 1, 0]];
+    for order in orders {
+        let mut reloaded = reload(&order.map(|record: usize| records[record].clone()));
+        assert_eq!(reloaded.expire(UnixMs(30_000)), [], "{order:?}");
+        assert!(reloaded.chain(key("3")).is_some());
+        assert_eq!(reloaded.expire(UnixMs(90_000)).len(), 3, "{order:?}");
+    }
+}
+
 #[test]
 fn budget_is_exceeded_by_less_than_one_turn() {
     let mut ledger = Ledger::default();
