Crash counts expire although entries exchange them, and a cleared request stays cleared

Cause: each message renewed the crash count of a request, so that two running entries kept each other's counts for ever, and one that had been cleared came back with the next message. Change: a message renews a count only if it is higher; a request that was answered counts only crashes beyond those known then. No change of messages.

--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -1,5 +1,10 @@
 //! Poison requests, which crash the endpoints that run them. They are identified by a hash of their
 //! content, since each retry by the caller has a new id.
+//!
+//! Entries send each other a count for some seconds after it has grown. A message renews a count only
+//! if it is higher than the known one, so a count expires at each entry [`CRASH_RETENTION_MS`] after it
+//! last grew there. An entry that clears a request counts only crashes beyond those known then; the
+//! others keep their counts until these expire.
 
 use std::collections::HashMap;
 
@@ -16,10 +21,20 @@
 /// quarter of `CRASH_RETENTION_MS` are evicted.
 const MAX_SUSPECTS: usize = 10_000;
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Default)]
 struct Suspect {
+    /// All crashes, as sent to the other entries.
     crashes: u32,
-    updated_at: TimeMs,
+    /// Those of them that the request did not cause, as it was answered afterwards.
+    cleared: u32,
+    /// When the number of crashes last grew.
+    grown_at: TimeMs,
+}
+
+impl Suspect {
+    fn is_within(&self, now: TimeMs, within_ms: u64) -> bool {
+        now.since(self.grown_at) < within_ms
+    }
 }
 
 /// Counts, per request, the endpoint crashes that happened while it was running, as seen by all
@@ -34,39 +49,45 @@
     /// far.
     pub(super) fn record_crash(&mut self, now: TimeMs, request: u64) -> u32 {
         if self.by_request.len() >= MAX_SUSPECTS {
-            self.by_request
-                .retain(|_, suspect| now.since(suspect.updated_at) < CRASH_RETENTION_MS / 4);
+            self.by_request.retain(|_, suspect| suspect.is_within(now, CRASH_RETENTION_MS / 4));
         }
-        let suspect =
-            self.by_request.entry(request).or_insert(Suspect { crashes: 0, updated_at: now });
-        suspect.crashes += 1;
-        suspect.updated_at = now;
-        suspect.crashes
+        let known = self.current(now, request);
+        let crashes = known.crashes + 1;
+        self.by_request.insert(request, Suspect { crashes, grown_at: now, ..known });
+        crashes - known.cleared
     }
 
     /// Merges the number of crashes that another entry has counted.
     pub(super) fn merge(&mut self, now: TimeMs, request: u64, crashes: u32) {
-        let suspect =
-            self.by_request.entry(request).or_insert(Suspect { crashes: 0, updated_at: now });
-        suspect.crashes = suspect.crashes.max(crashes);
-        suspect.updated_at = now;
+        let known = self.current(now, request);
+        if crashes > known.crashes {
+            self.by_request.insert(request, Suspect { crashes, grown_at: now, ..known });
+        }
     }
 
     /// Forgets the crashes of a request that was answered: it did not cause them.
     pub(super) fn clear_suspect(&mut self, request: u64) {
-        self.by_request.remove(&request);
+        if let Some(suspect) = self.by_request.get_mut(&request) {
+            suspect.cleared = suspect.crashes;
+        }
     }
 
     /// Whether the request has crashed too many endpoints to be sent again.
     pub(super) fn is_poison(&self, now: TimeMs, request: u64) -> bool {
-        self.by_request.get(&request).is_some_and(|s| {
-            s.crashes >= MAX_CRASHES && now.since(s.updated_at) < CRASH_RETENTION_MS
-        })
+        let known = self.current(now, request);
+        known.crashes - known.cleared >= MAX_CRASHES
+    }
+
+    /// What is known of the request; nothing if its crashes have expired.
+    fn current(&self, now: TimeMs, request: u64) -> Suspect {
+        let known = self.by_request.get(&request).copied();
+        known.filter(|known| known.is_within(now, CRASH_RETENTION_MS)).unwrap_or_default()
     }
 
-    /// The counts updated within the last `within_ms`, for the other entries.
+    /// The counts that have grown within the last `within_ms`, for the other entries.
     pub(super) fn recent(&self, now: TimeMs, within_ms: u64) -> Vec<(u64, u32)> {
-        let recent = self.by_request.iter().filter(|(_, s)| now.since(s.updated_at) < within_ms);
+        let recent =
+            self.by_request.iter().filter(|(_, suspect)| suspect.is_within(now, within_ms));
         recent.map(|(request, suspect)| (*request, suspect.crashes)).collect()
     }
 }
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -53,6 +53,36 @@
     assert!(!suspects.is_poison(TimeMs(1), 1));
 }
 
+// Two running entries renewed each other's counts: a request that had crashed three endpoints was
+// refused for as long as they ran, and one that had been cleared was suspected again.
+#[test]
+fn crash_counts_expire_and_stay_cleared_while_entries_exchange_them() {
+    let mut entries = [Suspects::default(), Suspects::default()];
+    let exchange = |entries: &mut [Suspects; 2], now| {
+        let rows = entries.each_ref().map(|entry| entry.recent(now, 5_000));
+        for (entry, rows) in entries.iter_mut().zip(rows.iter().rev()) {
+            rows.iter().for_each(|(request, crashes)| entry.merge(now, *request, *crashes));
+        }
+    };
+    for request in [1, 2] {
+        for crashes in 1..=3 {
+            assert_eq!(entries[0].record_crash(TimeMs(0), request), crashes);
+        }
+    }
+    exchange(&mut entries, TimeMs(100));
+    entries[0].clear_suspect(2);
+    for now in (200..80_000).step_by(200).map(TimeMs) {
+        exchange(&mut entries, now);
+        assert!(entries.iter().all(|entry| entry.is_poison(now, 1)));
+        assert!(!entries[0].is_poison(now, 2));
+    }
+    for now in (80_000..200_000).step_by(200).map(TimeMs) {
+        exchange(&mut entries, now);
+    }
+    assert!(!entries.iter().any(|entry| entry.is_poison(TimeMs(91_000), 1)));
+    assert_eq!(entries[1].record_crash(TimeMs(200_000), 1), 1, "the earlier crashes have expired");
+}
+
 // An entry that starts while the store is unreachable receives gossip messages for seconds before
 // it knows any workspace. The first count that it then gets for a workspace is all that the sender
 // has admitted since its start. Counted as admitted now, it filled every window, and callers were
--- a/src/gateway/tests/status.rs
+++ b/src/gateway/tests/status.rs
@@ -11,7 +11,7 @@
 use crate::gateway::state::Gateway;
 use crate::http::Client;
 use crate::load::tests::turn;
-use crate::load::{Candidate, ProgramAdmission, Rank};
+use crate::load::{Candidate, ProgramAdmission, Rank, UseLevel};
 use crate::telemetry::start_metrics;
 
 /// Admits the one program that there is room for, and has one of each of the other ranks refused.
@@ -20,9 +20,10 @@
     let mut admission = ProgramAdmission::open(now);
     for (program, rank) in (0..).zip(ranks) {
         let rank = Rank::from_number(*rank);
-        let (over_share, finish_ms, max_wait_ms, max_retry_ms) = (false, None, 0, 60_000);
+        let (use_level, finish_ms) = (UseLevel::default(), None);
+        let (max_wait_ms, max_retry_ms) = (0, 60_000);
         let candidate =
-            Candidate { program, rank, over_share, finish_ms, max_wait_ms, max_retry_ms };
+            Candidate { program, rank, use_level, finish_ms, max_wait_ms, max_retry_ms };
         admission.decide(now, &candidate, &load);
     }
     gateway.program_admissions.borrow_mut().insert("s".into(), admission);
