--- a/src/programs/owner/attempts.rs
+++ b/src/programs/owner/attempts.rs
@@ -26,12 +26,7 @@
         let deadline = active.deadline().unwrap_or(request.deadline);
         let crash_status = cx.env.crash_status(&program.workspace, &active.digest);
         active.alone = crash_status != CrashStatus::Clear;
-        let must_not_start = match crash_status {
-            CrashStatus::Clear => false,
-            CrashStatus::Suspect => self.is_placed_elsewhere(cx, program, &request),
-            CrashStatus::Poison => true,
-        };
-        if must_not_start {
+        if self.must_not_start(cx, program, &request) {
             return self.handle_failure(cx, program, FailureCause::Rejected, Some(0));
         }
         let Some(active) = self.active_turns.get(program) else {
@@ -52,20 +47,6 @@
         cx.out.push(Action::Dispatch(attempt));
     }
 
-    /// Whether a suspect call would now be placed on another endpoint than the one its attempt is
-    /// for. It became a suspect after its placement then. All entries place it on the same endpoint,
-    /// so that the same call from several callers does not crash one engine for each of them.
-    fn is_placed_elsewhere(
-        &self,
-        cx: &mut Context<'_>,
-        program: &ProgramId,
-        request: &TurnRequest,
-    ) -> bool {
-        let placed = self.choose_endpoint(cx, request, None).ok();
-        let planned = self.active_turns.get(program).map(|active| &active.endpoint);
-        placed.is_some_and(|placed| Some(&placed) != planned)
-    }
-
     pub(super) fn handle_frame(
         &mut self,
         cx: &mut Context<'_>,
--- a/src/programs/owner/requests.rs
+++ b/src/programs/owner/requests.rs
@@ -222,6 +222,27 @@
         })
     }
 
+    /// Whether the attempt whose intent was just recorded must not start. Since its placement, the
+    /// same call may have crashed an engine for another program. A suspect call runs only where it
+    /// would be placed now: all entries choose the same endpoint, so that it does not crash one
+    /// engine for each caller.
+    pub(super) fn must_not_start(
+        &self,
+        cx: &mut Context<'_>,
+        program: &ProgramId,
+        request: &TurnRequest,
+    ) -> bool {
+        match cx.env.crash_status(&program.workspace, &request.digest) {
+            CrashStatus::Clear => false,
+            CrashStatus::Suspect => {
+                let placed = self.choose_endpoint(cx, request, None).ok();
+                let planned = self.active_turns.get(program).map(|active| &active.endpoint);
+                placed.is_some_and(|placed| Some(&placed) != planned)
+            }
+            CrashStatus::Poison => true,
+        }
+    }
+
     pub(super) fn end_turn_and_free_cache(&mut self, cx: &mut Context<'_>, program: &ProgramId) {
         if let Some(active) = self.active_turns.remove(program) {
             let refusal = Refusal::unknown(RefusalReason::ProgramEnded);
