Endpoints of equal cost take turns from another start at each entry

Cause: of endpoints with equal cost the one whose index, moved by a counter that starts at zero in each process, is smallest modulo 64 was chosen.

Change: the counter starts at a hash of the entry's name and counts modulo the number of usable endpoints.

Test: first requests of 1,200 entries reach more than 280 of 300 endpoints, none more than 16 of four.

--- a/src/replicas/placement.rs
+++ b/src/replicas/placement.rs
@@ -80,6 +80,7 @@
     topology: Topology,
     mechanisms: Mechanisms,
     cached: HashMap<(ReplicaKey, u64), CachedPart>,
+    /// Advances with each choice, from another start at each entry.
     rotation: u64,
     /// The services under load control; always empty without the mechanism `LearnedPace`.
     load_controlled: HashSet<Arc<str>>,
@@ -110,7 +111,7 @@
     /// Sets which endpoints of services under load control are compared. Entries with different
     /// seeds draw different ones.
     pub fn with_endpoint_choice(self, endpoint_choice: EndpointChoice, seed: u64) -> Placement {
-        Placement { endpoint_choice, sampler: EndpointSampler::open(seed), ..self }
+        Placement { endpoint_choice, sampler: EndpointSampler::open(seed), rotation: seed, ..self }
     }
 
     /// Sets the services under load control. What was measured of those that remain is kept. Has no
@@ -166,6 +167,7 @@
                 usable = self.draw_endpoints(now, &usable, request);
             }
         }
+        let count = usable.len().max(1) as u64;
         let costs = usable.into_iter().enumerate().map(|(index, (key, replica))| {
             let network_ms = if self.is_near(replica) { 0.0 } else { CROSS_DOMAIN_RTT_MS };
             let has_connection = connected(replica.announcement.address)
@@ -179,8 +181,8 @@
             let processing_ms = self.processing_ms(now, key, replica, request);
             let cost_ms = processing_ms + network_ms + connect_ms + object_ms;
             // Endpoints of equal cost take turns, so that idle endpoints share the requests.
-            let tie = (index as u64).wrapping_add(self.rotation) % 64;
-            (key, cost_ms, tie)
+            let turn = (index as u64).wrapping_add(self.rotation) % count;
+            (key, cost_ms, turn)
         });
         let best = costs.min_by(|a, b| a.1.total_cmp(&b.1).then(a.2.cmp(&b.2)));
         best.map(|(key, _, _)| key)
--- a/src/replicas/tests/placement.rs
+++ b/src/replicas/tests/placement.rs
@@ -14,6 +14,28 @@
     assert_eq!(chosen.len(), 2);
 }
 
+// Entries that rarely send began with the same endpoints, and of many idle endpoints only the first
+// 64 ever got a request.
+#[test]
+fn first_requests_of_many_entries_spread_over_all_idle_endpoints() {
+    const ENDPOINTS: u16 = 300;
+    let names: Vec<String> = (0..ENDPOINTS).map(|number| format!("e{number}")).collect();
+    let endpoints: Vec<_> = (1..=ENDPOINTS).map(|port| announcement("s", port, 5, 9)).collect();
+    let listed: Vec<_> = names.iter().map(String::as_str).zip(endpoints).collect();
+    let directory = directory_with(&listed);
+    let mut chosen = std::collections::HashMap::new();
+    for entry in 0..1_200_u64 {
+        let seed = Digest::of(&[&entry.to_le_bytes()]).prefix();
+        let mut placement = Placement::open(topology_in("d"), Mechanisms::default())
+            .with_endpoint_choice(EndpointChoice::All, seed);
+        let key = placement.choose(TimeMs(0), &directory, &request(&[]), |_| true);
+        *chosen.entry(key).or_insert(0) += 1;
+    }
+    let most = chosen.values().max().copied().unwrap_or_default();
+    assert!(chosen.len() > 280, "{} endpoints were chosen", chosen.len());
+    assert!(most <= 4 * 4, "one endpoint got {most} of four requests each");
+}
+
 #[test]
 fn a_prompt_is_sent_to_the_endpoint_that_cached_it_unless_it_is_full() {
     let mut directory =
