--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,6 +1,7 @@
 //! Experiments on trefoilproxy's routing, scheduling, load shedding and rate limits. Each prints a table;
 //! seeds are fixed.
 
+mod dissemination;
 mod engines;
 mod policies;
 mod programs;
@@ -11,7 +12,8 @@
 
 use std::process::ExitCode;
 
-const USAGE: &str = "Usage: trefoil-lab rates|programs|policies|overload|flood|slopes";
+const USAGE: &str =
+    "Usage: trefoil-lab rates|programs|policies|overload|flood|dissemination|slopes";
 
 fn main() -> ExitCode {
     match std::env::args().nth(1).as_deref() {
@@ -20,6 +22,7 @@
         Some("policies") => tables::run(),
         Some("overload") => tables::overload(),
         Some("flood") => tables::flood(),
+        Some("dissemination") => dissemination::run(),
         Some("slopes") => slopes::run(),
         _ => {
             eprintln!("{USAGE}");
--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::leaf::{HubGrant, NotAdmitted, ask_hub, refund};
 use super::observe::RequestSummary;
 use super::state::Gateway;
 use super::{Refusal, RequestHead};
@@ -31,14 +32,26 @@
 pub(super) struct Admission {
     /// The request's workspace; none if no key is required.
     pub(super) workspace: Option<Arc<Workspace>>,
-    grant: Option<Grant>,
+    grant: Option<Admitted>,
+}
+
+/// Who has admitted a request.
+enum Admitted {
+    /// This entry, a hub.
+    Here(Grant),
+    /// The hub that this leaf is attached to.
+    ByHub(HubGrant),
 }
 
 impl Admission {
     /// Returns the request's share of the rate, as the request has not run and never will.
     pub(super) fn refund(self, gateway: &Gateway) {
-        if let (Some(workspace), Some(grant)) = (self.workspace, self.grant) {
-            gateway.rates.borrow_mut().refund(gateway.now(), &workspace.name, grant);
+        match (self.workspace, self.grant) {
+            (Some(workspace), Some(Admitted::Here(grant))) => {
+                gateway.rates.borrow_mut().refund(gateway.now(), &workspace.name, grant);
+            }
+            (_, Some(Admitted::ByHub(grant))) => refund(gateway, grant),
+            _ => {}
         }
     }
 }
@@ -60,7 +73,12 @@
     let claim = claim_of(gateway, request_head, route);
     match acquire_rate(gateway, workspace, route, request_head, claim).await {
         Ok(grant) => Ok(Admission { workspace: Some(workspace.clone()), grant: Some(grant) }),
-        Err(retry_after_ms) => {
+        Err(NotAdmitted::Undecided { retry_after_ms }) => {
+            log::info!(request:% = request_head.request, retry_after_ms;
+                "no hub has decided on the admission of a request in time; request refused");
+            Err(Refusal::Unavailable { retry_after_ms })
+        }
+        Err(NotAdmitted::NoRoom { retry_after_ms }) => {
             let (used, limit) = gateway.rates.borrow().used(&workspace.name);
             let peer_counts = gateway.peers.borrow().peer_counts(gateway.now());
             let finish_ms = request_head.finish_ms.unwrap_or(u64::MAX);
@@ -74,8 +92,7 @@
     }
 }
 
-/// Charges a request to its workspace's rate; if refused, returns the retry delay. If there will be
-/// room soon, it waits: a retry by the caller would take longer, and a program that is refused
+/// Charges a request to its workspace's rate; if refused, returns why. If there will be room soon, it waits: a retry by the caller would take longer, and a program that is refused
 /// midway has wasted all its earlier turns.
 async fn acquire_rate(
     gateway: &Gateway,
@@ -83,7 +100,7 @@
     route: &Route,
     request_head: &RequestHead,
     claim: Claim,
-) -> Result<Grant, u64> {
+) -> Result<Admitted, NotAdmitted> {
     let arrived = gateway.now();
     let left_ms = request_head.wait_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
     let max_wait_ms = match claim {
@@ -93,11 +110,15 @@
         Claim::Continues => ((left_ms as f64 * RATE_WAIT_FRACTION) as u64).min(MAX_RATE_WAIT_MS),
     };
     loop {
-        let now = gateway.now();
-        let peer_counts = gateway.peers.borrow().peer_counts(now);
-        let acquired = gateway.rates.borrow_mut().try_admit(now, workspace, peer_counts, claim);
+        let acquired = match gateway.is_hub() {
+            true => admit_here(gateway, workspace, claim),
+            false => ask_hub(gateway, workspace, claim).await.map(Admitted::ByHub),
+        };
+        let waited_ms = gateway.now().since(arrived);
         match acquired {
-            Err(retry_after_ms) if now.since(arrived) + retry_after_ms <= max_wait_ms => {
+            Err(NotAdmitted::NoRoom { retry_after_ms })
+                if waited_ms + retry_after_ms <= max_wait_ms =>
+            {
                 tokio::time::sleep(Duration::from_millis(retry_after_ms)).await;
             }
             acquired => return acquired,
@@ -105,6 +126,18 @@
     }
 }
 
+/// Decides as a hub, by what it has counted itself and heard of the others.
+fn admit_here(
+    gateway: &Gateway,
+    workspace: &Workspace,
+    claim: Claim,
+) -> Result<Admitted, NotAdmitted> {
+    let now = gateway.now();
+    let peer_counts = gateway.peers.borrow().peer_counts(now);
+    let admitted = gateway.rates.borrow_mut().try_admit(now, workspace, peer_counts, claim);
+    admitted.map(Admitted::Here).map_err(|retry_after_ms| NotAdmitted::NoRoom { retry_after_ms })
+}
+
 /// Whether a request begins a program, and so reserves rate for the program's whole length, or is
 /// charged alone. The first turn of a program reserves only if it states when the program should be
 /// finished.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -111,7 +111,10 @@
             }
             match send(gateway, owner.address, forwarded).await? {
                 SendOutcome::Responded(response) => return Ok(OwnerResult::Responded(response)),
-                SendOutcome::NotServed => gateway.shards.forget_owner(owner.address, Some(shard)),
+                SendOutcome::NotServed => {
+                    gateway.shards.forget_owner(owner.address, Some(shard));
+                    gateway.leaf.attach_due.notify_one();
+                }
                 SendOutcome::NotAccepted => {
                     gateway.shards.forget_owner(owner.address, Some(shard));
                     let out_of_touch =
@@ -147,7 +150,8 @@
 /// nor gossips. Its shards are then reassigned at once instead of after its membership expires. If
 /// it is alive after all, the later epochs of the new owners fence its writes.
 async fn deregister_dead_entry(gateway: &Gateway, address: std::net::SocketAddr) {
-    let deregisters = gateway.is_enabled(Mechanism::PeerDeregistration);
+    // A leaf hears of the hubs through another one only, and there are many leaves.
+    let deregisters = gateway.is_enabled(Mechanism::PeerDeregistration) && gateway.is_hub();
     if deregisters && gateway.peers.borrow_mut().mark_deregistered(address).is_some() {
         deregister(gateway, address).await;
     }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -4,9 +4,11 @@
 
 use tokio::net::UdpSocket;
 
-use super::PeerRecord;
-use super::call_store::{STORE_CALL_TIMEOUT_MS, call_store};
+use super::attach_message::AttachMessage;
 use super::forward::deregister;
+use super::hub::{self, answer_attach, answer_question};
+use super::hubs::Role;
+use super::leaf;
 use super::load_reports::{apply_load_report, compose_load_report};
 use super::message::{EvacuationState, GossipMessage, LoadReport, rotating_slice};
 use super::owned_shard::Stage;
@@ -36,7 +38,7 @@
 
 /// The most rows in one message of each list that is limited, so that the message fits into a
 /// datagram. Longer lists are spread over several messages.
-const MAX_ROWS: usize = 50;
+pub(super) const MAX_ROWS: usize = 50;
 
 /// Shortest pause between two messages, also if one is due at once: changes within it go out in one
 /// message. It is ten times the latency between two entries.
@@ -44,65 +46,19 @@
 
 /// How long a suspected poison request is included in messages after the last update of its crash
 /// count.
-const SUSPECT_GOSSIP_MS: u64 = 5_000;
+pub(super) const SUSPECT_GOSSIP_MS: u64 = 5_000;
 
-/// Pause before a failed read of the list of entries is retried. The list matters only to an entry
-/// that starts, and more frequent calls would add to the load of a store in trouble.
-const PEERS_RETRY_MS: u64 = 400;
-
-/// Pause between two reads of the list of entries. A new entry sends messages to all entries that
-/// it reads there; further reads only find entries that announced themselves at the same moment.
-const PEERS_POLL_MS: u64 = 10_000;
-
-/// The id of a process instance. It differs from those of earlier instances on the same VM, and of
-/// other VMs, some of which start within the same millisecond: the counts of entries that shared an
-/// id would be mixed up, and rates exceeded. Ids have no order.
-pub(super) fn instance_id(vm: &str, started: UnixMs) -> u64 {
-    Digest::of(&[vm.as_bytes(), &started.0.to_be_bytes()]).prefix()
-}
-
-/// Announces this entry in the store, then polls the list of the other entries.
-pub(super) async fn announce_and_follow_peers(gateway: Rc<Gateway>) {
-    let this_entry = PeerRecord {
-        name: gateway.settings.name.clone(),
-        address: gateway.settings.peers,
-        region: Some(gateway.settings.topology.region.clone()),
-    };
-    while let Err(fault) =
-        call_store(STORE_CALL_TIMEOUT_MS, gateway.store.announce(&this_entry)).await
-    {
-        log::warn!(fault:display; "announcing this entry in the store failed; retrying");
-        tokio::time::sleep(Duration::from_millis(PEERS_RETRY_MS)).await;
-    }
-    let mut failing = false;
-    loop {
-        let pause_ms = match call_store(STORE_CALL_TIMEOUT_MS, gateway.store.peers()).await {
-            Ok(records) => {
-                failing = false;
-                let others =
-                    records.into_iter().filter(|record| record.address != this_entry.address);
-                let mut peers = gateway.peers.borrow_mut();
-                others.for_each(|peer| peers.upsert(gateway.now(), peer));
-                PEERS_POLL_MS
-            }
-            Err(fault) => {
-                if !std::mem::replace(&mut failing, true) {
-                    log::warn!(fault:display; "reading the list of entries failed; retrying");
-                }
-                PEERS_RETRY_MS
-            }
-        };
-        gateway.gossip_due.notify_one();
-        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
-    }
-}
-
-/// Sends the other entries what this one owns, runs and admits, until the process ends.
-pub(super) async fn send_gossip(gateway: Rc<Gateway>, socket: Rc<UdpSocket>, instance: u64) {
+/// Sends the other hubs what this one owns, runs and admits, from the moment when this entry becomes
+/// a hub until the process ends.
+pub(super) async fn send_gossip(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
     let mut last_sent = None;
     let mut last_sent_at = TimeMs::default();
     let mut round = 0;
     loop {
+        let Role::Hub { instance, .. } = gateway.role() else {
+            gateway.hub_begun.notified().await;
+            continue;
+        };
         let now = gateway.now();
         let pause_ms = pause_ms(gateway.peers.borrow().addresses().len() as u64);
         if let Some((gossip, bytes)) = encode(&gateway, instance, round)
@@ -175,7 +131,7 @@
         name: gateway.settings.name.clone(),
         leaving: gateway.draining.get(),
         store_unreachable: gateway.reachability.is_unreachable(now),
-        recently_started: now.0 < gateway.settings.bounds.rate_window_ms,
+        recently_started: gateway.is_recent_hub(),
         generation: gateway.shards.generation(),
         shards: serving.map(|shard| (shard.number, shard.epoch)).collect(),
         running: largest_counts(running.map(|(_, r)| (r.hash, r.in_flight)).collect()),
@@ -251,23 +207,16 @@
     }
 }
 
-/// Receives the messages of the other entries until the process ends.
+/// Receives the messages of the other hubs, and those between a leaf and its hub, until the process
+/// ends.
 pub(super) async fn receive_gossip(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; 2 * MAX_DATAGRAM_BYTES];
     loop {
         match socket.recv_from(&mut buffer).await {
-            Ok((length, from)) => match decode(&buffer[..length]) {
-                Ok((gossip, report)) => {
-                    apply_message(&gateway, from, &gossip);
-                    if let Some(report) = report {
-                        apply_load_report(&gateway, gossip.instance, &report);
-                    }
-                }
-                Err(fault) => {
-                    log::warn!(from:display, fault:display;
-                        "discarding an undecodable gossip message")
-                }
-            },
+            Ok((length, from)) if AttachMessage::is_in(&buffer[..length]) => {
+                receive_attach_message(&gateway, &socket, from, &buffer[..length]).await;
+            }
+            Ok((length, from)) => receive_gossip_message(&gateway, from, &buffer[..length]),
             Err(fault) => {
                 log::warn!(fault:display; "receiving gossip messages failed; retrying");
                 tokio::time::sleep(Duration::from_millis(GOSSIP_INTERVAL_MS)).await;
@@ -276,6 +225,51 @@
     }
 }
 
+fn receive_gossip_message(gateway: &Rc<Gateway>, from: SocketAddr, datagram: &[u8]) {
+    if !gateway.is_hub() {
+        return;
+    }
+    match decode(datagram) {
+        Ok((gossip, report)) => {
+            apply_message(gateway, from, &gossip);
+            if let Some(report) = report {
+                apply_load_report(gateway, gossip.instance, &report);
+            }
+        }
+        Err(fault) => {
+            log::warn!(from:display, fault:display; "discarding an undecodable gossip message")
+        }
+    }
+}
+
+/// Applies a message between a leaf and a hub, and answers it if it asks for an answer.
+async fn receive_attach_message(
+    gateway: &Gateway,
+    socket: &UdpSocket,
+    from: SocketAddr,
+    datagram: &[u8],
+) {
+    let answer = match AttachMessage::decode(datagram) {
+        Ok(AttachMessage::Attach(attach)) => answer_attach(gateway, from, &attach),
+        Ok(AttachMessage::Question(question)) => answer_question(gateway, from, &question),
+        Ok(AttachMessage::Refund { number }) => return hub::refund(gateway, from, number),
+        Ok(AttachMessage::State(state)) => return leaf::apply_state(gateway, from, state),
+        Ok(AttachMessage::Unchanged { version }) => {
+            return leaf::confirm_state(gateway, from, version);
+        }
+        Ok(AttachMessage::NotHub) => return leaf::give_up_hub(gateway, from),
+        Ok(AttachMessage::Answer { number, decision }) => {
+            return leaf::apply_answer(gateway, from, number, decision);
+        }
+        Err(fault) => {
+            log::warn!(from:display, fault:display;
+                "discarding an undecodable message between a leaf and a hub");
+            return;
+        }
+    };
+    hub::send(socket, from, &answer).await;
+}
+
 /// Decodes a datagram: a message and, if the sender has a service under load control, a load
 /// report. A report that can't be decoded, as one of another version, does not affect the message.
 pub(super) fn decode(
--- /dev/null
+++ b/src/gateway/hub.rs
@@ -0,0 +1,211 @@
+//! What a hub does for the leaves that are attached to it.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::net::UdpSocket;
+
+use super::attach_message::{Attach, AttachMessage, Decision, HubRow, HubState, Question};
+use super::gossip::{MAX_ROWS, SUSPECT_GOSSIP_MS};
+use super::hubs::{AskedQuestion, GrantedQuestions};
+use super::message::{EvacuationState, rotating_slice};
+use super::owned_shard::Stage;
+use super::state::Gateway;
+use crate::prelude::*;
+use crate::quota::Claim;
+
+/// A leaf from which no message came for this long is no longer attached.
+const LEAF_SILENT_AFTER_MS: u64 = 2_000;
+
+/// Longest time until a change of the state is sent to the leaves.
+const STATE_INTERVAL_MS: u64 = 200;
+
+/// Shortest time between two states that are sent to all leaves.
+const MIN_STATE_PAUSE_MS: u64 = 20;
+
+/// The most suspected requests in one state.
+const MAX_SUSPECT_ROWS: usize = MAX_ROWS / 4;
+
+/// What a hub knows of its leaves.
+#[derive(Debug, Default)]
+pub(super) struct AttachedLeaves {
+    /// When the last message of each leaf came.
+    heard_at: RefCell<HashMap<SocketAddr, TimeMs>>,
+    granted: RefCell<GrantedQuestions>,
+    /// The state that was last sent.
+    state: RefCell<HubState>,
+    /// The number of states that suspects were taken into in turn.
+    round: Cell<usize>,
+}
+
+impl AttachedLeaves {
+    /// The number of attached leaves.
+    pub(super) fn count(&self) -> usize {
+        self.heard_at.borrow().len()
+    }
+
+    fn addresses(&self, now: TimeMs) -> Vec<SocketAddr> {
+        let mut heard_at = self.heard_at.borrow_mut();
+        heard_at.retain(|_, at| now.since(*at) < LEAF_SILENT_AFTER_MS);
+        heard_at.keys().copied().collect()
+    }
+}
+
+/// Sends the state to the leaves whenever it has changed, until the process ends.
+pub(super) async fn serve_leaves(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
+    loop {
+        if gateway.is_hub() && update_state(&gateway) {
+            send_state(&gateway, &socket).await;
+        }
+        tokio::time::sleep(Duration::from_millis(MIN_STATE_PAUSE_MS)).await;
+        tokio::select! {
+            () = gateway.shards.changed.notified() => {}
+            () = tokio::time::sleep(Duration::from_millis(STATE_INTERVAL_MS)) => {}
+        }
+    }
+}
+
+async fn send_state(gateway: &Gateway, socket: &UdpSocket) {
+    let leaves = gateway.leaves.addresses(gateway.now());
+    let state = AttachMessage::State(gateway.leaves.state.borrow().clone());
+    for leaf in leaves {
+        send(socket, leaf, &state).await;
+    }
+}
+
+/// Sends a message between a leaf and a hub. A lost one is made up for by the next.
+pub(super) async fn send(socket: &UdpSocket, to: SocketAddr, message: &AttachMessage) {
+    match message.encode() {
+        Ok(bytes) => {
+            if let Err(fault) = socket.send_to(&bytes, to).await {
+                log::debug!(to:display, fault:display; "sending a message to an entry failed");
+            }
+        }
+        Err(fault) => log::error!(fault:display; "encoding a message to an entry failed"),
+    }
+}
+
+/// Updates the state for the leaves. Returns whether it has changed.
+pub(super) fn update_state(gateway: &Gateway) -> bool {
+    let round = gateway.leaves.round.get();
+    gateway.leaves.round.set(round + 1);
+    let mut state = compose_state(gateway, round);
+    let mut current = gateway.leaves.state.borrow_mut();
+    state.version = current.version;
+    if state == *current {
+        return false;
+    }
+    state.version = version_of(&state);
+    *current = state;
+    true
+}
+
+/// Identifies a state by its content, so that hubs in the same state have the same version.
+fn version_of(state: &HubState) -> u64 {
+    let content = postcard::to_allocvec(&HubState { version: 0, ..state.clone() });
+    content.map_or(0, |bytes| Digest::of(&[&bytes]).prefix().max(1))
+}
+
+fn compose_state(gateway: &Gateway, round: usize) -> HubState {
+    let now = gateway.now();
+    let own = HubRow {
+        address: gateway.settings.peers,
+        leaving: gateway.draining.get(),
+        store_unreachable: gateway.reachability.is_unreachable(now),
+    };
+    let mut hubs = gateway.peers.borrow().heard_hubs();
+    hubs.push(own);
+    hubs.sort_unstable_by_key(|hub| hub.address);
+    let position = |address| hubs.iter().position(|hub| hub.address == address);
+    let owned = gateway.shards.all_owned();
+    let serving = owned.iter().filter(|shard| shard.stage() == Stage::Serving);
+    let mut shards: Vec<_> = serving.map(|s| (s.number, s.epoch, own.address)).collect();
+    shards.extend(gateway.shards.remote_owners_by_shard());
+    let located = shards.into_iter().filter_map(|(number, epoch, owner)| {
+        Some((number, epoch, u16::try_from(position(owner)?).ok()?))
+    });
+    let mut located: Vec<_> = located.collect();
+    located.sort_unstable();
+    let directory = gateway.directory.borrow();
+    let mut suspects = gateway.suspects.borrow().recent(now, SUSPECT_GOSSIP_MS);
+    suspects.sort_unstable();
+    HubState {
+        version: 0,
+        hubs,
+        shards: located,
+        evacuated: EvacuationState {
+            as_of: directory.evacuations().as_of(),
+            domains: directory.evacuations().domains().clone(),
+        },
+        suspects: rotating_slice(suspects, round, MAX_SUSPECT_ROWS),
+    }
+}
+
+/// The answer to a leaf that attaches.
+pub(super) fn answer_attach(gateway: &Gateway, leaf: SocketAddr, attach: &Attach) -> AttachMessage {
+    if !gateway.is_hub() || gateway.draining.get() {
+        return AttachMessage::NotHub;
+    }
+    let now = gateway.now();
+    gateway.leaves.heard_at.borrow_mut().insert(leaf, now);
+    let mut suspects = gateway.suspects.borrow_mut();
+    attach.suspects.iter().for_each(|(request, crashes)| suspects.merge(now, *request, *crashes));
+    let state = gateway.leaves.state.borrow();
+    match attach.version == state.version {
+        true => AttachMessage::Unchanged { version: state.version },
+        false => AttachMessage::State(state.clone()),
+    }
+}
+
+/// The answer to a leaf that asks for an admission.
+pub(super) fn answer_question(
+    gateway: &Gateway,
+    leaf: SocketAddr,
+    question: &Question,
+) -> AttachMessage {
+    if !gateway.is_hub() {
+        return AttachMessage::NotHub;
+    }
+    let decision = decide(gateway, leaf, question);
+    AttachMessage::Answer { number: question.number, decision }
+}
+
+fn decide(gateway: &Gateway, leaf: SocketAddr, question: &Question) -> Decision {
+    let now = gateway.now();
+    let asked = AskedQuestion { leaf, number: question.number };
+    let mut granted = gateway.leaves.granted.borrow_mut();
+    if granted.contains(asked) {
+        return Decision::Admitted;
+    }
+    let claim = question
+        .program_ms
+        .map_or(Claim::Continues, |duration_ms| Claim::StartsProgram { duration_ms });
+    let peer_counts = gateway.peers.borrow().peer_counts(now);
+    let mut rates = gateway.rates.borrow_mut();
+    match rates.try_admit_for_leaf(now, question.workspace, peer_counts, claim) {
+        None => Decision::Unknown,
+        Some(Ok(grant)) => {
+            granted.record(now, asked, question.workspace, grant);
+            Decision::Admitted
+        }
+        Some(Err(retry_after_ms)) => {
+            let (used, limit) = rates.used_by_hash(question.workspace);
+            log::info!(leaf:%, workspace_hash = question.workspace, claim = claim.name(),
+                retry_after_ms, used, limit, entries = peer_counts.entries,
+                heard = peer_counts.heard;
+                "workspace over its request rate; a leaf's request is not admitted");
+            Decision::NoRoom { retry_after_ms }
+        }
+    }
+}
+
+/// Refunds an admission to a leaf.
+pub(super) fn refund(gateway: &Gateway, leaf: SocketAddr, number: u64) {
+    let taken = gateway.leaves.granted.borrow_mut().take(AskedQuestion { leaf, number });
+    if let Some((workspace, grant)) = taken {
+        gateway.rates.borrow_mut().refund_by_hash(gateway.now(), workspace, grant);
+    }
+}
--- /dev/null
+++ b/src/gateway/hubs/mod.rs
@@ -0,0 +1,17 @@
+//! Which entries exchange messages each to all, and how the others take part.
+//!
+//! If every entry told every other one its state, what an entry sends and receives would grow with
+//! the number of entries. A bounded number of entries, the hubs, do so; only they own shards and
+//! count the workspaces' rates. All other entries are leaves: a leaf is attached to one hub in its
+//! failure domain, from which it learns the owners of the shards, and which admits its callers'
+//! requests. While the entries are few, all of them are hubs.
+
+mod attachment;
+mod election;
+mod granted;
+mod roster;
+
+pub(super) use attachment::Attachment;
+pub(super) use election::{HubLimit, Recruitment, Role};
+pub(super) use granted::{AskedQuestion, GrantedQuestions};
+pub(super) use roster::Roster;
--- /dev/null
+++ b/src/gateway/leaf.rs
@@ -0,0 +1,306 @@
+//! What a leaf does: it stays attached to a hub, learns from it who owns the shards, and has it
+//! admit the requests of its callers.
+
+use std::cell::{Cell, RefCell};
+use std::cmp::Reverse;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::net::UdpSocket;
+use tokio::sync::{Notify, oneshot};
+
+use super::attach_message::{Attach, AttachMessage, Decision, HubState, Question};
+use super::gossip::{MAX_ROWS, SUSPECT_GOSSIP_MS};
+use super::hub::send;
+use super::hubs::{Attachment, Recruitment};
+use super::message::rotating_slice;
+use super::shard_table::Owner;
+use super::state::Gateway;
+use crate::catalog::Workspace;
+use crate::prelude::*;
+use crate::quota::Claim;
+use crate::replicas::rendezvous_weight;
+
+/// Interval between two messages of a leaf to its hub.
+const ATTACH_INTERVAL_MS: u64 = 250;
+
+/// Shortest time between two of them.
+const MIN_ATTACH_PAUSE_MS: u64 = 20;
+
+/// Pause before a question is asked again, for each time that it is asked. The first time it goes to
+/// one hub; then also to another one, as a datagram may be lost or the hub may have died.
+const QUESTION_TIMEOUTS_MS: [u64; 4] = [60, 100, 140, 200];
+
+/// Retry delay if no hub has answered. By then, the leaf is attached to another one.
+const NO_HUB_RETRY_MS: u64 = 400;
+
+/// For how long no hub of any failure domain must have answered before a leaf takes all of them to
+/// be gone: several of them were tried.
+const ALL_HUBS_SILENT_MS: u64 = 2_500;
+
+/// What a leaf knows from its hub, and the questions that are not answered yet.
+#[derive(Debug, Default)]
+pub(super) struct LeafState {
+    attachment: RefCell<Attachment>,
+    /// The hub's state as last received.
+    hub_state: RefCell<HubState>,
+    /// Whether the hub's state shows too few hubs in this failure domain.
+    is_short_of_hubs: Cell<bool>,
+    recruitment: RefCell<Recruitment>,
+    unanswered: RefCell<HashMap<u64, oneshot::Sender<(SocketAddr, Decision)>>>,
+    next_number: Cell<u64>,
+    socket: RefCell<Option<Rc<UdpSocket>>>,
+    /// Notified when the hub should be asked for its state at once.
+    pub(super) attach_due: Notify,
+    round: Cell<usize>,
+}
+
+impl LeafState {
+    /// The state of a process that starts now; `started` makes its questions differ from those of
+    /// earlier process instances.
+    pub(super) fn open(started: UnixMs) -> LeafState {
+        LeafState { next_number: Cell::new(started.0 << 20), ..LeafState::default() }
+    }
+
+    /// Whether a hub has answered recently.
+    pub(super) fn is_attached(&self, now: TimeMs) -> bool {
+        self.attachment.borrow().is_established(now)
+    }
+
+    fn take_number(&self) -> u64 {
+        let number = self.next_number.get();
+        self.next_number.set(number + 1);
+        number
+    }
+}
+
+/// An admission that a hub has granted, to be returned if the request does not run.
+#[value]
+#[must_use]
+pub(super) struct HubGrant {
+    hubs: Vec<SocketAddr>,
+    number: u64,
+}
+
+/// Why a hub has not admitted a request.
+#[value]
+#[derive(Copy)]
+pub(super) enum NotAdmitted {
+    /// The workspace's rate has no room.
+    NoRoom {
+        /// Time until there may be room.
+        retry_after_ms: u64,
+    },
+    /// No hub has decided in time.
+    Undecided {
+        /// Time until one can be asked again.
+        retry_after_ms: u64,
+    },
+}
+
+/// Keeps the leaf attached to a hub while this entry is a leaf, until the process ends.
+pub(super) async fn stay_attached(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
+    gateway.leaf.socket.replace(Some(socket.clone()));
+    loop {
+        if gateway.is_leaf() {
+            attach(&gateway, &socket).await;
+            check_recruitment(&gateway);
+            super::gossip::forget_silent_entries(&gateway, gateway.now());
+        }
+        tokio::time::sleep(Duration::from_millis(MIN_ATTACH_PAUSE_MS)).await;
+        tokio::select! {
+            () = gateway.leaf.attach_due.notified() => {}
+            () = tokio::time::sleep(Duration::from_millis(ATTACH_INTERVAL_MS)) => {}
+        }
+    }
+}
+
+async fn attach(gateway: &Gateway, socket: &UdpSocket) {
+    let now = gateway.now();
+    let Some(hub) = choose_hub(gateway) else {
+        return;
+    };
+    let round = gateway.leaf.round.get();
+    gateway.leaf.round.set(round + 1);
+    let suspects = gateway.suspects.borrow().recent(now, SUSPECT_GOSSIP_MS);
+    let version = match gateway.leaf.is_attached(now) {
+        true => gateway.leaf.hub_state.borrow().version,
+        false => 0,
+    };
+    let suspects = rotating_slice(suspects, round, MAX_ROWS);
+    send(socket, hub, &AttachMessage::Attach(Attach { version, suspects })).await;
+}
+
+/// The hub that the leaf is attached to, or that it now tries to attach to.
+pub(super) fn choose_hub(gateway: &Gateway) -> Option<SocketAddr> {
+    let roster = gateway.roster.borrow();
+    let domain = &gateway.settings.topology.domain;
+    let hubs = roster.hubs().filter(|hub| hub.name != gateway.settings.name);
+    let mut attachment = gateway.leaf.attachment.borrow_mut();
+    attachment.choose(gateway.now(), gateway.name_hash(), domain, hubs)
+}
+
+/// Applies the state of a hub, if the leaf is attached to it.
+pub(super) fn apply_state(gateway: &Gateway, hub: SocketAddr, state: HubState) {
+    let is_attached = gateway.leaf.attachment.borrow_mut().record_answer(gateway.now(), hub);
+    if !gateway.is_leaf() || !is_attached {
+        return;
+    }
+    let is_short = is_short_of_hubs(gateway, &state);
+    gateway.leaf.is_short_of_hubs.set(is_short);
+    gateway.leaf.hub_state.replace(state);
+    apply_hub_state(gateway);
+}
+
+/// Confirms the state that the leaf has, if it is the hub's.
+pub(super) fn confirm_state(gateway: &Gateway, hub: SocketAddr, version: u64) {
+    let is_attached = gateway.leaf.attachment.borrow_mut().record_answer(gateway.now(), hub);
+    if gateway.is_leaf() && is_attached && gateway.leaf.hub_state.borrow().version == version {
+        apply_hub_state(gateway);
+    }
+}
+
+/// Gives up a hub that is none any more.
+pub(super) fn give_up_hub(gateway: &Gateway, hub: SocketAddr) {
+    gateway.leaf.attachment.borrow_mut().give_up(gateway.now(), hub);
+    gateway.leaf.attach_due.notify_one();
+}
+
+fn apply_hub_state(gateway: &Gateway) {
+    let now = gateway.now();
+    let state = gateway.leaf.hub_state.borrow();
+    gateway.peers.borrow_mut().record_hubs(now, &state.hubs);
+    for (shard, epoch, owner) in &state.shards {
+        if let Some(hub) = state.hubs.get(usize::from(*owner)) {
+            let owner = Owner { address: hub.address, epoch: *epoch };
+            gateway.shards.update_remote_owner(*shard, owner);
+        }
+    }
+    let mut directory = gateway.directory.borrow_mut();
+    directory.update_evacuations(now, state.evacuated.as_of, state.evacuated.domains.clone());
+    let mut suspects = gateway.suspects.borrow_mut();
+    state.suspects.iter().for_each(|(request, crashes)| suspects.merge(now, *request, *crashes));
+}
+
+fn is_short_of_hubs(gateway: &Gateway, state: &HubState) -> bool {
+    let roster = gateway.roster.borrow();
+    let domain = &gateway.settings.topology.domain;
+    let live: Vec<_> = state.hubs.iter().filter(|hub| !hub.leaving).map(|h| h.address).collect();
+    let live_here = roster.hubs_in(domain, &live);
+    Recruitment::is_short(live_here, gateway.hub_limit().per_domain, roster.entries_in(domain))
+}
+
+/// Makes this leaf a hub if too few are left.
+fn check_recruitment(gateway: &Gateway) {
+    let now = gateway.now();
+    let leaf = &gateway.leaf;
+    let are_all_gone = leaf.attachment.borrow().unanswered_ms(now) >= ALL_HUBS_SILENT_MS;
+    let is_short = are_all_gone || leaf.is_short_of_hubs.get();
+    let position = match is_short {
+        true => gateway.roster.borrow().rank(&gateway.own_record(false)),
+        false => 0,
+    };
+    let position = position.saturating_sub(gateway.hub_limit().per_domain);
+    if leaf.recruitment.borrow_mut().is_due(now, is_short, position) {
+        log::info!(are_all_gone; "too few hubs in the failure domain; becoming one");
+        gateway.hub_wanted.set(true);
+        gateway.roster_due.notify_one();
+    }
+}
+
+/// Has a hub decide on the admission of a request.
+pub(super) async fn ask_hub(
+    gateway: &Gateway,
+    workspace: &Workspace,
+    claim: Claim,
+) -> Result<HubGrant, NotAdmitted> {
+    let question = Question {
+        number: gateway.leaf.take_number(),
+        workspace: Digest::of(&[workspace.name.as_bytes()]).prefix(),
+        program_ms: match claim {
+            Claim::StartsProgram { duration_ms } => Some(duration_ms),
+            Claim::Continues => None,
+        },
+    };
+    let mut asked = Vec::new();
+    for (attempt, timeout_ms) in QUESTION_TIMEOUTS_MS.into_iter().enumerate() {
+        let (sender, answer) = oneshot::channel();
+        gateway.leaf.unanswered.borrow_mut().insert(question.number, sender);
+        for hub in hubs_to_ask(gateway, question.workspace, attempt) {
+            send_question(gateway, hub, question).await;
+            if !asked.contains(&hub) {
+                asked.push(hub);
+            }
+        }
+        match tokio::time::timeout(Duration::from_millis(timeout_ms), answer).await {
+            Ok(Ok((hub, Decision::Admitted))) => {
+                asked.retain(|other| *other != hub);
+                refund(gateway, HubGrant { hubs: asked, number: question.number });
+                return Ok(HubGrant { hubs: vec![hub], number: question.number });
+            }
+            Ok(Ok((_, Decision::NoRoom { retry_after_ms }))) => {
+                return Err(NotAdmitted::NoRoom { retry_after_ms });
+            }
+            Ok(Ok((_, Decision::Unknown)) | Err(_)) | Err(_) => {}
+        }
+    }
+    gateway.leaf.unanswered.borrow_mut().remove(&question.number);
+    // A hub may have admitted it without the answer having arrived.
+    refund(gateway, HubGrant { hubs: asked, number: question.number });
+    Err(NotAdmitted::Undecided { retry_after_ms: NO_HUB_RETRY_MS })
+}
+
+/// The hubs that a question is sent to in its `attempt`, counted from zero. The first is the same for
+/// all leaves, so that one hub counts all requests of a workspace, and no request of other hubs is
+/// unknown to it.
+fn hubs_to_ask(gateway: &Gateway, workspace: u64, attempt: usize) -> Vec<SocketAddr> {
+    let state = gateway.leaf.hub_state.borrow();
+    let live = state.hubs.iter().filter(|hub| !hub.leaving).map(|hub| hub.address);
+    let count = if attempt == 0 { 1 } else { 2 };
+    preferred_hubs(workspace, live, count)
+}
+
+/// The `count` hubs that are the first ones to count the requests of a workspace.
+pub(super) fn preferred_hubs(
+    workspace: u64,
+    hubs: impl Iterator<Item = SocketAddr>,
+    count: usize,
+) -> Vec<SocketAddr> {
+    let weight = |hub: &SocketAddr| {
+        let hash = Digest::of(&[hub.to_string().as_bytes()]).prefix();
+        rendezvous_weight(workspace, hash)
+    };
+    let mut by_weight: Vec<_> = hubs.map(|hub| (Reverse(weight(&hub)), hub)).collect();
+    by_weight.sort_unstable();
+    by_weight.into_iter().take(count).map(|(_, hub)| hub).collect()
+}
+
+async fn send_question(gateway: &Gateway, hub: SocketAddr, question: Question) {
+    let socket = gateway.leaf.socket.borrow().clone();
+    if let Some(socket) = socket {
+        send(&socket, hub, &AttachMessage::Question(question)).await;
+    }
+}
+
+/// Passes a hub's decision to the request that waits for it.
+pub(super) fn apply_answer(gateway: &Gateway, hub: SocketAddr, number: u64, decision: Decision) {
+    if let Some(sender) = gateway.leaf.unanswered.borrow_mut().remove(&number) {
+        // The request may have given up meanwhile.
+        sender.send((hub, decision)).unwrap_or_default();
+    }
+}
+
+/// Returns an admission, as the request has not run and never will.
+pub(super) fn refund(gateway: &Gateway, grant: HubGrant) {
+    let Some(socket) = gateway.leaf.socket.borrow().clone().filter(|_| !grant.hubs.is_empty())
+    else {
+        return;
+    };
+    tokio::task::spawn_local(async move {
+        for hub in &grant.hubs {
+            send(&socket, *hub, &AttachMessage::Refund { number: grant.number }).await;
+        }
+    });
+}
--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -58,7 +58,7 @@
         Rc::new(Membership { gateway, member, epochs_used: Cell::new(0) })
     }
 
-    /// Renews the membership until the process drains.
+    /// Renews the membership while this entry is a hub, until the process drains.
     ///
     /// While the store is unreachable, no renewals are sent: if only the answers are lost, a member
     /// that keeps renewing would be assigned shards that it doesn't know of and nobody serves. The
@@ -80,6 +80,13 @@
         // running.
         self.gateway.endpoint_list.wait_until_read().await;
         while !self.gateway.draining.get() {
+            if !self.gateway.is_hub() {
+                tokio::select! {
+                    () = self.gateway.hub_begun.notified() => {}
+                    () = tokio::time::sleep(Duration::from_millis(RENEW_MS)) => {}
+                }
+                continue;
+            }
             if self.gateway.reachability.is_unreachable(self.gateway.now()) {
                 tokio::time::sleep(Duration::from_millis(RETRY_MS)).await;
                 continue;
@@ -159,6 +166,9 @@
     /// Releases all shards and leaves the group, so that the other members get them.
     pub(super) async fn leave(&self) {
         release_shards(&self.gateway, &self.gateway.shards.all_owned()).await;
+        if !self.gateway.is_hub() {
+            return;
+        }
         if let Err(fault) =
             call_store(STORE_CALL_TIMEOUT_MS, self.gateway.store.leave(&self.member)).await
         {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 //! headers and responses that callers and endpoints use.
 
 mod admit;
+mod attach_message;
 mod attempt;
 mod buffered;
 mod call_store;
@@ -26,6 +27,9 @@
 mod forward;
 mod gossip;
 mod handoff;
+mod hub;
+mod hubs;
+mod leaf;
 mod load_admission;
 mod load_reports;
 mod membership;
@@ -44,6 +48,7 @@
 mod request_types;
 mod reservation;
 mod response_body;
+mod roster_feed;
 mod serve;
 mod server;
 mod service_state;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -2,6 +2,7 @@
 use std::net::SocketAddr;
 
 use super::PeerRecord;
+use super::attach_message::HubRow;
 use super::message::GossipMessage;
 use crate::prelude::*;
 use crate::quota::PeerCounts;
@@ -90,7 +91,7 @@
 impl Peers {
     /// Adds an entry, running or not, or updates its region.
     pub(super) fn upsert(&mut self, now: TimeMs, record: PeerRecord) {
-        let PeerRecord { name, address, region } = record;
+        let PeerRecord { name, address, region, .. } = record;
         let peer = self.peers.entry(address).or_insert_with(|| Peer {
             hash: Digest::of(&[name.as_bytes()]).prefix(),
             name,
@@ -116,7 +117,7 @@
         address: SocketAddr,
         gossip: &GossipMessage,
     ) -> MessageOutcome {
-        self.upsert(now, PeerRecord { name: gossip.name.clone(), address, region: None });
+        self.upsert(now, unlisted(gossip.name.clone(), address));
         let Some(peer) = self.peers.get_mut(&address) else {
             return MessageOutcome::default();
         };
@@ -136,6 +137,37 @@
         MessageOutcome { first_message, first_heard_at, changed_endpoints }
     }
 
+    /// Records the hubs that the hub of this leaf hears.
+    pub(super) fn record_hubs(&mut self, now: TimeMs, hubs: &[HubRow]) {
+        for hub in hubs {
+            if !self.peers.contains_key(&hub.address) {
+                self.upsert(now, unlisted("".into(), hub.address));
+            }
+            if let Some(peer) = self.peers.get_mut(&hub.address) {
+                peer.instance = peer.instance.max(1);
+                peer.heard_at = Some(now);
+                peer.leaving = hub.leaving;
+                peer.store_unreachable = hub.store_unreachable;
+            }
+        }
+    }
+
+    /// The entries that are not silent, as hubs report them to their leaves.
+    pub(super) fn heard_hubs(&self) -> Vec<HubRow> {
+        let heard = self.peers.iter().filter(|(_, peer)| peer.heard_at.is_some());
+        let rows = heard.map(|(address, peer)| HubRow {
+            address: *address,
+            leaving: peer.leaving,
+            store_unreachable: peer.store_unreachable,
+        });
+        rows.collect()
+    }
+
+    /// Forgets all entries: what a leaf knew of the hubs is not what a hub needs.
+    pub(super) fn clear(&mut self) {
+        *self = Peers::default();
+    }
+
     /// The hashes of the entries from which a message ever came, also of those out of touch by now.
     pub(super) fn heard_entry_hashes(&self) -> Vec<u64> {
         let heard = self.peers.values().filter(|peer| peer.instance != 0);
@@ -282,6 +314,12 @@
     }
 }
 
+/// What is known of an entry that was heard of before its announcement was read.
+fn unlisted(name: Arc<str>, address: SocketAddr) -> PeerRecord {
+    let (region, domain) = (None, None);
+    PeerRecord { name, address, region, domain, cpu_millicores: 0, is_hub: true }
+}
+
 /// Updates the sum over all entries from the requests that one entry runs. Returns the endpoints
 /// whose count changed.
 fn update_running_sum(
--- a/src/gateway/ports.rs
+++ b/src/gateway/ports.rs
@@ -102,15 +102,21 @@
     pub next: Position,
 }
 
-/// How to reach another entry.
+/// How to reach another entry, and which part it plays.
 #[value]
 pub struct PeerRecord {
     /// The name of its VM.
     pub name: Arc<str>,
-    /// The address on which it receives gossip (UDP) and forwarded requests (TCP).
+    /// The address on which it receives messages (UDP) and forwarded requests (TCP).
     pub address: SocketAddr,
     /// Its region, if it has announced one.
     pub region: Option<Arc<str>>,
+    /// Its failure domain, if it has announced one.
+    pub domain: Option<Arc<str>>,
+    /// The CPU time that its VM gets, in thousandths of a core.
+    pub cpu_millicores: u32,
+    /// Whether it exchanges messages with all others that do.
+    pub is_hub: bool,
 }
 
 /// The pending result of a call to the store.
@@ -141,8 +147,9 @@
     fn endpoints(&self, from: Option<Position>) -> StoreFuture<'_, Feed<EndpointChange>>;
     /// Publishes how the other entries can reach this one.
     fn announce<'a>(&'a self, peer: &'a PeerRecord) -> StoreFuture<'a, ()>;
-    /// Lists all entries that were ever announced, including those that no longer run.
-    fn peers(&self) -> StoreFuture<'_, Vec<PeerRecord>>;
+    /// Reads the announcements of entries since `from`; from the start, the last one of each entry
+    /// that was ever announced, including those that no longer run.
+    fn peers(&self, from: Option<Position>) -> StoreFuture<'_, Feed<PeerRecord>>;
 }
 
 /// Translates between the gateway and the HTTP dialect of callers and endpoints. It makes no
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -8,9 +8,12 @@
 
 use super::endpoint_feed::follow_endpoint_list;
 use super::endpoint_polls::poll_endpoints;
-use super::gossip::{announce_and_follow_peers, instance_id, receive_gossip, send_gossip};
+use super::gossip::{receive_gossip, send_gossip};
+use super::hub::serve_leaves;
+use super::leaf::stay_attached;
 use super::membership::Membership;
 use super::operator_feed::follow_operator_record;
+use super::roster_feed::announce_and_follow_roster;
 use super::server::{ListenerKind, accept, listen};
 use super::state::Gateway;
 use super::{GatewayError, GatewaySettings, Protocol, Store};
@@ -81,11 +84,12 @@
         ));
     }
     let membership = Membership::open(gateway.clone());
-    let instance = instance_id(&gateway.settings.name, gateway.unix());
     spawn_local(follow_operator_record(gateway.clone()));
     spawn_local(follow_endpoint_list(gateway.clone()));
-    spawn_local(announce_and_follow_peers(gateway.clone()));
-    spawn_local(send_gossip(gateway.clone(), gossip_socket.clone(), instance));
+    spawn_local(announce_and_follow_roster(gateway.clone()));
+    spawn_local(stay_attached(gateway.clone(), gossip_socket.clone()));
+    spawn_local(serve_leaves(gateway.clone(), gossip_socket.clone()));
+    spawn_local(send_gossip(gateway.clone(), gossip_socket.clone()));
     spawn_local(receive_gossip(gateway.clone(), gossip_socket));
     spawn_local(poll_endpoints(gateway.clone()));
     spawn_local(membership.clone().maintain());
--- a/src/gateway/rates.rs
+++ b/src/gateway/rates.rs
@@ -84,9 +84,38 @@
         workspace: &Workspace,
         peer_counts: PeerCounts,
         claim: Claim,
+    ) -> Result<Grant, u64> {
+        self.tracked_window(now, workspace);
+        self.admit_in_window(now, workspace_hash(&workspace.name), peer_counts, claim)
+    }
+
+    /// Admits one request that arrived at a leaf. `None` if this hub does not know the workspace, or
+    /// not yet what it has used.
+    pub(super) fn try_admit_for_leaf(
+        &mut self,
+        now: TimeMs,
+        workspace: u64,
+        peer_counts: PeerCounts,
+        claim: Claim,
+    ) -> Option<Result<Grant, u64>> {
+        let tracked = self.windows.get(&workspace)?;
+        tracked
+            .window
+            .is_known(now)
+            .then(|| self.admit_in_window(now, workspace, peer_counts, claim))
+    }
+
+    fn admit_in_window(
+        &mut self,
+        now: TimeMs,
+        workspace: u64,
+        peer_counts: PeerCounts,
+        claim: Claim,
     ) -> Result<Grant, u64> {
         let overall_stats = self.program_stats;
-        let tracked = self.tracked_window(now, workspace);
+        let Some(tracked) = self.windows.get_mut(&workspace) else {
+            return Err(self.window_ms);
+        };
         let grant = tracked.window.try_admit(now, peer_counts, claim, &overall_stats)?;
         tracked.changed_at = now;
         let new_stats = tracked.window.take_new_stats();
@@ -94,6 +123,17 @@
         Ok(grant)
     }
 
+    /// Begins to count anew, as an entry that has just started: what was admitted while it was a
+    /// leaf is not known here.
+    pub(super) fn reset<'a>(
+        &mut self,
+        now: TimeMs,
+        workspaces: impl Iterator<Item = &'a Arc<Workspace>>,
+    ) {
+        *self = RateLimiter::open(self.window_ms);
+        workspaces.for_each(|workspace| self.open_window(now, workspace));
+    }
+
     /// Opens the window of a workspace once a configuration declares it, before the first request
     /// arrives: a new window is assumed to be full, and other entries' counts are applied only to
     /// open windows.
@@ -121,7 +161,12 @@
 
     /// Refunds the admission of a request that has not run, and will not.
     pub(super) fn refund(&mut self, now: TimeMs, workspace: &str, grant: Grant) {
-        if let Some(tracked) = self.windows.get_mut(&workspace_hash(workspace)) {
+        self.refund_by_hash(now, workspace_hash(workspace), grant);
+    }
+
+    /// The same for a workspace whose name has this hash.
+    pub(super) fn refund_by_hash(&mut self, now: TimeMs, workspace: u64, grant: Grant) {
+        if let Some(tracked) = self.windows.get_mut(&workspace) {
             tracked.window.refund(grant);
             tracked.changed_at = now;
         }
@@ -129,9 +174,12 @@
 
     /// Requests admitted in the workspace's window by all entries, and the window's limit.
     pub(super) fn used(&self, workspace: &str) -> (f64, f64) {
-        self.windows
-            .get(&workspace_hash(workspace))
-            .map_or((0.0, 0.0), |tracked| tracked.window.used())
+        self.used_by_hash(workspace_hash(workspace))
+    }
+
+    /// The same for a workspace whose name has this hash.
+    pub(super) fn used_by_hash(&self, workspace: u64) -> (f64, f64) {
+        self.windows.get(&workspace).map_or((0.0, 0.0), |tracked| tracked.window.used())
     }
 
     /// How far a workspace's use of its contracted rate lies above the mean use.
--- /dev/null
+++ b/src/gateway/roster_feed.rs
@@ -0,0 +1,142 @@
+//! Announces this entry in the store, follows the announcements of the others, and decides from them
+//! whether this entry is a hub.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::call_store::{STORE_CALL_TIMEOUT_MS, call_store};
+use super::state::Gateway;
+use super::{Position, StoreError};
+
+/// Pause before a failed call is retried. The list matters only to an entry that starts, and more
+/// frequent calls would add to the load of a store in trouble.
+const RETRY_MS: u64 = 400;
+
+/// Pause between two reads of the announcements. A new hub sends messages to all hubs that it reads
+/// of; further reads only find hubs that announced themselves at the same moment.
+const POLL_MS: u64 = 10_000;
+
+/// Pause after which an entry that has never run before reads the list again, until no other one
+/// was added: when all start together, the first list is not complete.
+const SETTLE_MS: u64 = 100;
+
+/// The most reads until the list counts as complete.
+const MAX_SETTLE_READS: usize = 20;
+
+/// Announces this entry and follows the announcements of the others until the process ends.
+pub(super) async fn announce_and_follow_roster(gateway: Rc<Gateway>) {
+    let mut feed = RosterFeed { gateway: gateway.clone(), position: None, failing: false };
+    feed.read_until_answered().await;
+    let has_run_before = gateway.roster.borrow().contains(&gateway.settings.name);
+    if !has_run_before {
+        feed.announce(false).await;
+        feed.read_until_complete().await;
+    }
+    let record = gateway.own_record(false);
+    let is_elected = gateway.roster.borrow().is_elected(&record, gateway.hub_limit());
+    match is_elected {
+        true => feed.begin_hub().await,
+        false => {
+            feed.announce(false).await;
+            gateway.become_leaf();
+            gateway.leaf.attach_due.notify_one();
+        }
+    }
+    log::info!(is_hub = gateway.is_hub(); "role among the entries decided");
+    loop {
+        tokio::select! {
+            () = tokio::time::sleep(Duration::from_millis(POLL_MS)) => {}
+            () = gateway.roster_due.notified() => {}
+        }
+        if gateway.hub_wanted.take() && gateway.is_leaf() {
+            feed.begin_hub().await;
+        }
+        if feed.read().await.is_ok() {
+            feed.add_hubs_to_peers();
+        }
+    }
+}
+
+struct RosterFeed {
+    gateway: Rc<Gateway>,
+    position: Option<Position>,
+    failing: bool,
+}
+
+impl RosterFeed {
+    /// Announces this entry as a hub, then reads which others there are, and makes it one. Of two
+    /// hubs that begin together, the later announced one thus knows the other.
+    async fn begin_hub(&mut self) {
+        self.announce(true).await;
+        self.read_until_answered().await;
+        self.gateway.become_hub();
+        self.add_hubs_to_peers();
+    }
+
+    async fn announce(&mut self, is_hub: bool) {
+        let record = self.gateway.own_record(is_hub);
+        while let Err(fault) =
+            call_store(STORE_CALL_TIMEOUT_MS, self.gateway.store.announce(&record)).await
+        {
+            self.log_failure(&fault);
+            tokio::time::sleep(Duration::from_millis(RETRY_MS)).await;
+        }
+    }
+
+    /// Reads the announcements until the store answers.
+    async fn read_until_answered(&mut self) -> bool {
+        loop {
+            match self.read().await {
+                Ok(has_changed) => return has_changed,
+                Err(_) => tokio::time::sleep(Duration::from_millis(RETRY_MS)).await,
+            }
+        }
+    }
+
+    async fn read_until_complete(&mut self) {
+        for _ in 0..MAX_SETTLE_READS {
+            if !self.read_until_answered().await {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(SETTLE_MS)).await;
+        }
+    }
+
+    /// Reads what was announced since the last read. Returns whether an entry was added.
+    async fn read(&mut self) -> Result<bool, StoreError> {
+        let peers = self.gateway.store.peers(self.position);
+        match call_store(STORE_CALL_TIMEOUT_MS, peers).await {
+            Ok(feed) => {
+                self.failing = false;
+                self.position = Some(feed.next);
+                let mut roster = self.gateway.roster.borrow_mut();
+                let added = feed.items.into_iter().filter(|record| roster.upsert(record.clone()));
+                Ok(added.count() > 0)
+            }
+            Err(StoreError::Expired) if self.position.take().is_some() => Ok(true),
+            Err(fault) => {
+                self.log_failure(&fault);
+                Err(fault)
+            }
+        }
+    }
+
+    /// Adds the hubs to the entries that messages are sent to, if this entry is one.
+    fn add_hubs_to_peers(&self) {
+        if !self.gateway.is_hub() {
+            return;
+        }
+        let (roster, now) = (self.gateway.roster.borrow(), self.gateway.now());
+        let mut peers = self.gateway.peers.borrow_mut();
+        let others = roster.hubs().filter(|hub| hub.address != self.gateway.settings.peers);
+        others.for_each(|hub| peers.upsert(now, hub.clone()));
+        drop(peers);
+        self.gateway.gossip_due.notify_one();
+    }
+
+    fn log_failure(&mut self, fault: &StoreError) {
+        if !std::mem::replace(&mut self.failing, true) {
+            log::warn!(fault:display; "announcing this entry or reading the others failed; retrying");
+        }
+    }
+}
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -37,6 +37,11 @@
     pub peers: SocketAddr,
     /// Listen address of the metrics, if they are served.
     pub metrics: Option<SocketAddr>,
+    /// The CPU time that the VM gets, in thousandths of a core.
+    pub cpu_millicores: u32,
+    /// The most entries that exchange messages each to all and own shards, in all failure domains
+    /// together. With fewer entries, all of them do.
+    pub max_hubs: usize,
     /// Limits to keep.
     pub bounds: Bounds,
     /// The memory that the process may use, if what it buffers for slow readers is to be limited.
--- a/src/gateway/shard_table.rs
+++ b/src/gateway/shard_table.rs
@@ -102,6 +102,12 @@
         self.remote.borrow().get(&shard).copied()
     }
 
+    /// The shards that other entries own: number, epoch and address of the owner.
+    pub(super) fn remote_owners_by_shard(&self) -> Vec<(u32, u64, SocketAddr)> {
+        let remote = self.remote.borrow();
+        remote.iter().map(|(shard, owner)| (*shard, owner.epoch, owner.address)).collect()
+    }
+
     /// The addresses of all other entries that own shards, sorted.
     pub(super) fn remote_owners(&self) -> Vec<SocketAddr> {
         let mut addresses: Vec<_> = self.remote.borrow().values().map(|o| o.address).collect();
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -3,6 +3,7 @@
 mod endpoint_reports;
 mod fakes;
 mod gossip;
+mod hubs;
 mod load_admission;
 mod load_metrics;
 mod load_reports;
@@ -20,11 +21,13 @@
 
 use super::PeerRecord;
 use super::endpoint_feed::follow_endpoint_list;
-use super::gossip::{announce_and_follow_peers, apply_message, instance_id};
+use super::gossip::apply_message;
 use super::membership::Membership;
 use super::message::{EvacuationState, GossipMessage, WorkspaceUsage};
 use super::peers::Peers;
 use super::rates::{RateLimiter, SenderAge};
+use super::roster_feed::announce_and_follow_roster;
+use super::state::instance_id;
 use super::suspects::Suspects;
 use super::wait_until::wait_until;
 use crate::catalog::{Regions, Workspace};
@@ -182,7 +185,7 @@
 async fn an_entry_that_starts_while_the_store_is_silent_finds_the_others() {
     let gateway = fakes::gateway(FakeStore::ignoring_first_calls());
     let tasks = tokio::task::LocalSet::new();
-    tasks.spawn_local(announce_and_follow_peers(gateway.clone()));
+    tasks.spawn_local(announce_and_follow_roster(gateway.clone()));
     let found = async {
         while gateway.peers.borrow().addresses().is_empty() {
             gateway.gossip_due.notified().await;
@@ -243,7 +246,14 @@
 
 fn peer(port: u16, region: Option<&str>) -> PeerRecord {
     let address = ([127, 0, 0, 1], port).into();
-    PeerRecord { name: format!("entry-{port}").into(), address, region: region.map(Arc::from) }
+    PeerRecord {
+        name: format!("entry-{port}").into(),
+        address,
+        region: region.map(Arc::from),
+        domain: None,
+        cpu_millicores: 500,
+        is_hub: true,
+    }
 }
 
 // A request must not be sent to an entry in a region that its operator does not allow, nor to one
--- a/src/gateway/tests/fakes.rs
+++ b/src/gateway/tests/fakes.rs
@@ -166,10 +166,20 @@
         self.answer(&self.announced, ())
     }
 
-    fn peers(&self) -> StoreFuture<'_, Vec<PeerRecord>> {
-        let other =
-            PeerRecord { name: "other".into(), address: ([127, 0, 0, 2], 1).into(), region: None };
-        self.answer(&self.peers_read, vec![other])
+    fn peers(&self, from: Option<Position>) -> StoreFuture<'_, Feed<PeerRecord>> {
+        let other = PeerRecord {
+            name: "other".into(),
+            address: ([127, 0, 0, 2], 1).into(),
+            region: None,
+            domain: None,
+            cpu_millicores: 500,
+            is_hub: true,
+        };
+        let items = if from.is_none() { vec![other] } else { vec![] };
+        self.answer(
+            &self.peers_read,
+            Feed { items, is_snapshot: from.is_none(), next: Position(1) },
+        )
     }
 }
 
@@ -252,12 +262,16 @@
         peers: any_port,
         metrics: None,
         bounds,
+        cpu_millicores: 500,
+        max_hubs: 48,
         memory_limit_bytes,
         mechanisms: Mechanisms::default(),
         endpoint_choice: EndpointChoice::default(),
         polls_endpoints: false,
     };
-    Gateway::open(settings, store, Rc::new(NullProtocol))
+    let gateway = Gateway::open(settings, store, Rc::new(NullProtocol));
+    gateway.become_hub();
+    gateway
 }
 
 /// A decision for a request of the workspace `w` to the service `s`, which may run once.
--- a/src/quota/shared_window.rs
+++ b/src/quota/shared_window.rs
@@ -256,7 +256,8 @@
         self.is_known(now).then(|| self.window_total.total())
     }
 
-    fn is_known(&self, now: TimeMs) -> bool {
+    /// Whether this entry knows what all entries have admitted in the window.
+    pub fn is_known(&self, now: TimeMs) -> bool {
         self.report_adopted || now >= self.fully_observed_at
     }
 
