Leaves follow the configuration and the endpoint list through their hubs

Change: a hub's answer to an attached leaf says how far it has read and how old that is; a leaf that lacks something gets the configuration and the changes of the list from the hub by HTTP, inside the failure domain. Freshness counts from when the leaf asked, on a clock that counts suspension. A leaf that nothing is confirmed to reads the store itself, and one whose hub has lost the store attaches to another. Leaves move to the hub that they prefer, and read the announcements again while they know no hub.

--- a/src/catalog/configuration.rs
+++ b/src/catalog/configuration.rs
@@ -5,7 +5,7 @@
 use crate::prelude::*;
 
 /// A configuration as the operator has written it.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct Configuration {
     /// Version; a higher one is newer.
     pub version: u64,
--- a/src/catalog/route.rs
+++ b/src/catalog/route.rs
@@ -36,7 +36,7 @@
 }
 
 /// One of the services that share the requests of a route.
-#[value]
+#[wire]
 pub struct Backend {
     /// The service.
     pub service: Arc<str>,
@@ -45,7 +45,7 @@
 }
 
 /// The services and limits for the requests of one host and path prefix.
-#[value]
+#[wire]
 pub struct Route {
     /// The host that requests are addressed to.
     pub host: Arc<str>,
@@ -99,7 +99,7 @@
 }
 
 /// The configuration of a service.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct Service {
     /// Maximum number of connections that one of its endpoints accepts from all callers together.
     pub max_connections: u32,
--- a/src/catalog/workspace.rs
+++ b/src/catalog/workspace.rs
@@ -2,7 +2,7 @@
 use crate::prelude::*;
 
 /// A workspace and its limits.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct Workspace {
     /// Its name.
     pub name: Arc<str>,
@@ -17,7 +17,7 @@
 }
 
 /// Limits on the size of a caller's request and on the time that it may take.
-#[value]
+#[wire]
 #[derive(Copy)]
 pub struct Limits {
     /// Maximum size of a request's head in bytes.
--- a/src/gateway/attach_message.rs
+++ b/src/gateway/attach_message.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use super::feed_message::FeedStatus;
 use super::message::EvacuationState;
 use crate::prelude::*;
 
@@ -16,11 +17,18 @@
     Attach(Attach),
     /// The hub's answer if its state has changed since the one that the leaf has, and what it sends
     /// by itself when its state changes.
-    State(HubState),
+    State {
+        /// The state.
+        state: HubState,
+        /// How far the hub has read the feeds, if this is an answer.
+        feeds: Option<FeedStatus>,
+    },
     /// The hub's answer if the leaf has its state.
     Unchanged {
         /// The version that both have.
         version: u64,
+        /// How far the hub has read the feeds.
+        feeds: FeedStatus,
     },
     /// The answer of an entry that is no hub, or is shutting down.
     NotHub,
@@ -45,6 +53,8 @@
 pub(super) struct Attach {
     /// The version of the hub's state that the leaf has; zero if it has none.
     pub(super) version: u64,
+    /// When the leaf sends this, by its clock, which counts time during which it is suspended.
+    pub(super) sent_at_ms: u64,
     /// Requests suspected of crashing endpoints: hash of the request, crashes.
     pub(super) suspects: Vec<(u64, u32)>,
 }
--- a/src/gateway/endpoint_feed.rs
+++ b/src/gateway/endpoint_feed.rs
@@ -4,10 +4,11 @@
 
 use super::call_store::call_store;
 use super::endpoint_list::ListVersion;
+use super::leaf_feed::endpoints_come_from_hub;
 use super::state::Gateway;
-use super::{Feed, Position, StoreError};
+use super::{Feed, StoreError};
 use crate::prelude::*;
-use crate::replicas::{ChangeOutcome, EndpointChange};
+use crate::replicas::{ChangeOutcome, Directory, EndpointChange};
 
 /// Maximum pause between two reads of the endpoint list: how late a crashed or new endpoint may be
 /// noticed, traded against the cost of a read.
@@ -30,13 +31,27 @@
     let pause_ms = MAX_POLL_PAUSE_MS.min(gateway.settings.bounds.drain_ms / MIN_POLLS_PER_DRAIN);
     let mut from = None;
     let mut failed_reads = 0_u32;
+    let mut reads_itself = false;
     loop {
+        if endpoints_come_from_hub(&gateway) {
+            from = None;
+            reads_itself = false;
+            remove_expired(&gateway);
+            tokio::time::sleep(Duration::from_millis(pause_ms / RETRY_PAUSE_DIVISOR)).await;
+            continue;
+        }
+        if gateway.is_leaf() && !std::mem::replace(&mut reads_itself, true) {
+            log::info!("no hub confirms the endpoint list; reading the store");
+        }
         let read_at = gateway.now();
         let pause_ms = match call_store(READ_TIMEOUT_MS, gateway.store.endpoints(from)).await {
             Ok(feed) => {
                 from = Some(feed.next);
-                record_read(&gateway, read_at, feed.next, std::mem::take(&mut failed_reads));
-                apply(&gateway, feed);
+                gateway.reachability.record_success(gateway.now());
+                let version = ListVersion { position: feed.next, read_at };
+                let previous = record_list_read(&gateway, version);
+                log_end_of_failures(previous, read_at, std::mem::take(&mut failed_reads));
+                apply_changes(&gateway, feed);
                 pause_ms
             }
             Err(StoreError::Expired) if from.take().is_some() => {
@@ -50,22 +65,31 @@
                 pause_ms / RETRY_PAUSE_DIVISOR
             }
         };
-        gateway.directory.borrow_mut().remove_expired(gateway.now());
-        gateway.placement.borrow_mut().forget_removed(&gateway.directory.borrow());
-        gateway.connections.remove_expired(gateway.now());
+        remove_expired(&gateway);
         tokio::time::sleep(Duration::from_millis(pause_ms)).await;
     }
 }
 
-/// Records a read that began at `read_at`, after `failed_reads` failed ones in a row.
-fn record_read(gateway: &Gateway, read_at: TimeMs, position: Position, failed_reads: u32) {
-    gateway.reachability.record_success(gateway.now());
-    let previous = gateway.endpoint_list.record_read(ListVersion { position, read_at });
+/// Removes endpoints and connections whose time is over.
+fn remove_expired(gateway: &Gateway) {
+    let removed = gateway.directory.borrow_mut().remove_expired(gateway.now());
+    let mut changes = gateway.endpoint_changes.borrow_mut();
+    removed.into_iter().for_each(|id| changes.append(EndpointChange::Removed(id)));
+    gateway.placement.borrow_mut().forget_removed(&gateway.directory.borrow());
+    gateway.connections.remove_expired(gateway.now());
+}
+
+/// Records a read of the list, before its changes are applied. Returns the one before.
+pub(super) fn record_list_read(gateway: &Gateway, version: ListVersion) -> Option<ListVersion> {
+    gateway.directory.borrow_mut().record_list_read(gateway.now(), version.read_at);
+    gateway.endpoint_list.record_read(version)
+}
+
+fn log_end_of_failures(previous: Option<ListVersion>, read_at: TimeMs, failed_reads: u32) {
     if failed_reads > 0 {
         let unread_ms = previous.map_or(0, |previous| read_at.since(previous.read_at));
         log::info!(failed_reads, unread_ms; "endpoint list readable again");
     }
-    gateway.directory.borrow_mut().record_list_read(gateway.now(), read_at);
 }
 
 /// Records the last of `failed_reads` failed reads in a row.
@@ -79,7 +103,8 @@
     }
 }
 
-fn apply(gateway: &Gateway, feed: Feed<EndpointChange>) {
+/// Applies changes of the endpoint list, and keeps for the leaves those that they need.
+pub(super) fn apply_changes(gateway: &Gateway, feed: Feed<EndpointChange>) {
     let now = gateway.now();
     let mut directory = gateway.directory.borrow_mut();
     let mut changes = feed.items;
@@ -90,11 +115,25 @@
         changes.splice(..0, unlisted.collect::<Vec<_>>());
     }
     for change in changes {
+        let is_news = is_news(&directory, &change);
         let outcome = directory.apply(now, change.clone());
         log_change(&change, outcome);
+        let has_effect = matches!(outcome, ChangeOutcome::Announced | ChangeOutcome::Removed);
+        if is_news && has_effect {
+            gateway.endpoint_changes.borrow_mut().append(change);
+        }
     }
 }
 
+/// Whether a change says more than that an endpoint is alive.
+fn is_news(directory: &Directory, change: &EndpointChange) -> bool {
+    let EndpointChange::Announcement(id, announcement) = change else {
+        return true;
+    };
+    let known = directory.find(id).and_then(|key| directory.get(key));
+    known.is_none_or(|replica| announcement.differs_from(&replica.announcement))
+}
+
 /// The endpoint that the change announces; `None` if it removes one.
 fn announced_id(change: &EndpointChange) -> Option<Arc<str>> {
     match change {
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -244,7 +244,7 @@
 
 /// Applies a message between a leaf and a hub, and answers it if it asks for an answer.
 async fn receive_attach_message(
-    gateway: &Gateway,
+    gateway: &Rc<Gateway>,
     socket: &UdpSocket,
     from: SocketAddr,
     datagram: &[u8],
@@ -253,9 +253,11 @@
         Ok(AttachMessage::Attach(attach)) => answer_attach(gateway, from, &attach),
         Ok(AttachMessage::Question(question)) => answer_question(gateway, from, &question),
         Ok(AttachMessage::Refund { number }) => return hub::refund(gateway, from, number),
-        Ok(AttachMessage::State(state)) => return leaf::apply_state(gateway, from, state),
-        Ok(AttachMessage::Unchanged { version }) => {
-            return leaf::confirm_state(gateway, from, version);
+        Ok(AttachMessage::State { state, feeds }) => {
+            return leaf::apply_state(gateway, from, state, feeds);
+        }
+        Ok(AttachMessage::Unchanged { version, feeds }) => {
+            return leaf::confirm_state(gateway, from, version, feeds);
         }
         Ok(AttachMessage::NotHub) => return leaf::give_up_hub(gateway, from),
         Ok(AttachMessage::Answer { number, decision }) => {
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -10,6 +10,7 @@
 
 use super::attach_message::{Attach, AttachMessage, Decision, HubRow, HubState, Question};
 use super::gossip::{MAX_ROWS, SUSPECT_GOSSIP_MS};
+use super::hub_feed::feed_status;
 use super::hubs::{AskedQuestion, GrantedQuestions};
 use super::message::{EvacuationState, rotating_slice};
 use super::owned_shard::Stage;
@@ -70,7 +71,8 @@
 
 async fn send_state(gateway: &Gateway, socket: &UdpSocket) {
     let leaves = gateway.leaves.addresses(gateway.now());
-    let state = AttachMessage::State(gateway.leaves.state.borrow().clone());
+    let state = gateway.leaves.state.borrow().clone();
+    let state = AttachMessage::State { state, feeds: None };
     for leaf in leaves {
         send(socket, leaf, &state).await;
     }
@@ -154,9 +156,10 @@
     let mut suspects = gateway.suspects.borrow_mut();
     attach.suspects.iter().for_each(|(request, crashes)| suspects.merge(now, *request, *crashes));
     let state = gateway.leaves.state.borrow();
+    let feeds = feed_status(gateway, attach.sent_at_ms);
     match attach.version == state.version {
-        true => AttachMessage::Unchanged { version: state.version },
-        false => AttachMessage::State(state.clone()),
+        true => AttachMessage::Unchanged { version: state.version, feeds },
+        false => AttachMessage::State { state: state.clone(), feeds: Some(feeds) },
     }
 }
 
--- a/src/gateway/hubs/attachment.rs
+++ b/src/gateway/hubs/attachment.rs
@@ -11,15 +11,22 @@
 /// A silent hub is not tried again for this long, as long as there is another one.
 const AVOID_SILENT_MS: u64 = 5_000;
 
+/// A leaf stays with a hub that answers for at least this long.
+const MIN_ATTACHED_MS: u64 = 5_000;
+
 /// The hub that a leaf is attached to. Each leaf prefers the hubs in another order, so that they
 /// have about the same number of leaves, also after one of them is gone.
 #[derive(Debug, Default)]
 pub struct Attachment {
     hub: Option<SocketAddr>,
+    /// When the hub was chosen.
+    chosen_at: TimeMs,
     /// When the hub was chosen or last answered.
     heard_at: TimeMs,
     /// When the last answer of any hub came.
     last_answer_at: Option<TimeMs>,
+    /// When a hub was first looked for.
+    begun_at: Option<TimeMs>,
     /// The hubs that were given up because they were silent, and when.
     silent: HashMap<SocketAddr, TimeMs>,
 }
@@ -47,9 +54,29 @@
         self.hub.is_some() && self.last_answer_at.is_some_and(|at| now.since(at) < SILENT_AFTER_MS)
     }
 
-    /// For how long no hub has answered.
+    /// For how long no hub has answered, since the first was looked for.
     pub fn unanswered_ms(&self, now: TimeMs) -> u64 {
-        now.since(self.last_answer_at.unwrap_or_default())
+        self.last_answer_at.or(self.begun_at).map_or(0, |at| now.since(at))
+    }
+
+    /// Moves to the preferred one of the `live` hubs if that is another one: hubs that started late,
+    /// or were gone for a while, would otherwise have few leaves.
+    pub fn rebalance<'a>(
+        &mut self,
+        now: TimeMs,
+        own_hash: u64,
+        domain: &str,
+        live: impl Iterator<Item = &'a PeerRecord>,
+    ) {
+        if self.hub.is_none() || now.since(self.chosen_at) < MIN_ATTACHED_MS {
+            return;
+        }
+        let preferred = self.preferred(now, own_hash, domain, live);
+        if preferred.is_some() && preferred != self.hub {
+            self.hub = preferred;
+            self.chosen_at = now;
+            self.heard_at = now;
+        }
     }
 
     /// The hub to send the next message to, out of `hubs`. Changes if the last one is silent.
@@ -65,8 +92,10 @@
         {
             self.give_up(now, hub);
         }
+        self.begun_at.get_or_insert(now);
         if self.hub.is_none() {
             self.hub = self.preferred(now, own_hash, domain, hubs);
+            self.chosen_at = now;
             self.heard_at = now;
         }
         self.hub
--- a/src/gateway/leaf.rs
+++ b/src/gateway/leaf.rs
@@ -3,7 +3,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,11 +11,14 @@
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, oneshot};
 
-use super::attach_message::{Attach, AttachMessage, Decision, HubState, Question};
+use super::attach_message::{Attach, AttachMessage, Decision, HubRow, HubState, Question};
+use super::feed_message::{FeedStatus, ListPosition};
 use super::gossip::{MAX_ROWS, SUSPECT_GOSSIP_MS};
 use super::hub::send;
 use super::hubs::{Attachment, Recruitment};
+use super::leaf_feed::apply_status;
 use super::message::rotating_slice;
+use super::operator_feed::boot_time_ms;
 use super::shard_table::Owner;
 use super::state::Gateway;
 use crate::catalog::Workspace;
@@ -29,6 +32,9 @@
 /// Shortest time between two of them.
 const MIN_ATTACH_PAUSE_MS: u64 = 20;
 
+/// While no hub is known, the announcements are read again in one of this many intervals.
+const UNATTACHED_READS: usize = 4;
+
 /// Pause before a question is asked again, for each time that it is asked. The first time it goes to
 /// one hub; then also to another one, as a datagram may be lost or the hub may have died.
 const QUESTION_TIMEOUTS_MS: [u64; 4] = [60, 100, 140, 200];
@@ -55,6 +61,10 @@
     /// Notified when the hub should be asked for its state at once.
     pub(super) attach_due: Notify,
     round: Cell<usize>,
+    /// How far the leaf has the hub's changes of the endpoint list.
+    pub(super) endpoints: Cell<ListPosition>,
+    /// Whether the leaf is reading what it lacks from its hub.
+    pub(super) is_fetching: Cell<bool>,
 }
 
 impl LeafState {
@@ -120,6 +130,10 @@
 async fn attach(gateway: &Gateway, socket: &UdpSocket) {
     let now = gateway.now();
     let Some(hub) = choose_hub(gateway) else {
+        if gateway.leaf.round.replace(gateway.leaf.round.get() + 1).is_multiple_of(UNATTACHED_READS)
+        {
+            gateway.roster_due.notify_one();
+        }
         return;
     };
     let round = gateway.leaf.round.get();
@@ -130,7 +144,8 @@
         false => 0,
     };
     let suspects = rotating_slice(suspects, round, MAX_ROWS);
-    send(socket, hub, &AttachMessage::Attach(Attach { version, suspects })).await;
+    let attach = Attach { version, sent_at_ms: boot_time_ms(), suspects };
+    send(socket, hub, &AttachMessage::Attach(attach)).await;
 }
 
 /// The hub that the leaf is attached to, or that it now tries to attach to.
@@ -143,23 +158,45 @@
 }
 
 /// Applies the state of a hub, if the leaf is attached to it.
-pub(super) fn apply_state(gateway: &Gateway, hub: SocketAddr, state: HubState) {
+pub(super) fn apply_state(
+    gateway: &Rc<Gateway>,
+    hub: SocketAddr,
+    state: HubState,
+    feeds: Option<FeedStatus>,
+) {
     let is_attached = gateway.leaf.attachment.borrow_mut().record_answer(gateway.now(), hub);
     if !gateway.is_leaf() || !is_attached {
         return;
     }
     let is_short = is_short_of_hubs(gateway, &state);
     gateway.leaf.is_short_of_hubs.set(is_short);
+    rebalance(gateway, &state);
     gateway.leaf.hub_state.replace(state);
     apply_hub_state(gateway);
+    if let Some(feeds) = feeds {
+        apply_status(gateway, hub, feeds);
+    }
+    if is_better_attached_elsewhere(&gateway.leaf.hub_state.borrow(), hub) {
+        log::info!(hub:display; "the hub can't reach the store; attaching to another one");
+        give_up_hub(gateway, hub);
+    }
 }
 
 /// Confirms the state that the leaf has, if it is the hub's.
-pub(super) fn confirm_state(gateway: &Gateway, hub: SocketAddr, version: u64) {
+pub(super) fn confirm_state(
+    gateway: &Rc<Gateway>,
+    hub: SocketAddr,
+    version: u64,
+    feeds: FeedStatus,
+) {
     let is_attached = gateway.leaf.attachment.borrow_mut().record_answer(gateway.now(), hub);
-    if gateway.is_leaf() && is_attached && gateway.leaf.hub_state.borrow().version == version {
+    if !gateway.is_leaf() || !is_attached {
+        return;
+    }
+    if gateway.leaf.hub_state.borrow().version == version {
         apply_hub_state(gateway);
     }
+    apply_status(gateway, hub, feeds);
 }
 
 /// Gives up a hub that is none any more.
@@ -184,6 +221,24 @@
     state.suspects.iter().for_each(|(request, crashes)| suspects.merge(now, *request, *crashes));
 }
 
+/// Moves to the hub that this leaf prefers among those that reach the store.
+fn rebalance(gateway: &Gateway, state: &HubState) {
+    let reach_store = state.hubs.iter().filter(|hub| !hub.leaving && !hub.store_unreachable);
+    let reach_store: HashSet<_> = reach_store.map(|hub| hub.address).collect();
+    let roster = gateway.roster.borrow();
+    let live = roster.hubs().filter(|hub| reach_store.contains(&hub.address));
+    let domain = &gateway.settings.topology.domain;
+    let mut attachment = gateway.leaf.attachment.borrow_mut();
+    attachment.rebalance(gateway.now(), gateway.name_hash(), domain, live);
+}
+
+/// Whether a hub can't reach the store while others can: it confirms no configuration.
+fn is_better_attached_elsewhere(state: &HubState, hub: SocketAddr) -> bool {
+    let is_cut_off = |row: &HubRow| row.address == hub && row.store_unreachable;
+    let reaches_store = |row: &HubRow| !row.store_unreachable && !row.leaving;
+    state.hubs.iter().any(is_cut_off) && state.hubs.iter().any(reaches_store)
+}
+
 fn is_short_of_hubs(gateway: &Gateway, state: &HubState) -> bool {
     let roster = gateway.roster.borrow();
     let domain = &gateway.settings.topology.domain;
--- a/src/gateway/operator_feed.rs
+++ b/src/gateway/operator_feed.rs
@@ -6,6 +6,7 @@
 use tokio::sync::Notify;
 
 use super::call_store::call_store;
+use super::leaf_feed::configuration_comes_from_hub;
 use super::state::Gateway;
 use super::{Position, StoreError};
 use crate::catalog::{Catalog, Configuration, Instruction};
@@ -30,6 +31,8 @@
 #[derive(Default)]
 pub(super) struct ActiveConfig {
     catalog: RefCell<Option<Rc<Catalog>>>,
+    /// The same as the operator has written it, for the leaves.
+    configuration: RefCell<Option<Rc<Configuration>>>,
     confirmed_at_ms: Cell<Option<u64>>,
     /// Notified each time a read confirms that the configuration is the newest.
     pub(super) confirmed: Notify,
@@ -41,6 +44,19 @@
         self.catalog.borrow().clone()
     }
 
+    /// The configuration in force as the operator has written it.
+    pub(super) fn configuration(&self) -> Option<Rc<Configuration>> {
+        self.configuration.borrow().clone()
+    }
+
+    /// Records that a read that began at `started_ms` has confirmed the configuration to be the
+    /// newest, in time since the VM booted.
+    pub(super) fn confirm(&self, started_ms: u64) {
+        let latest = self.confirmed_at_ms.get().map_or(started_ms, |at| at.max(started_ms));
+        self.confirmed_at_ms.set(Some(latest));
+        self.confirmed.notify_waiters();
+    }
+
     /// Whether the configuration was confirmed to be the newest less than `within_ms` ago, counted
     /// from the start of the read that confirmed it. Time during which the VM was suspended counts
     /// too: a key may have been withdrawn meanwhile.
@@ -57,7 +73,7 @@
 }
 
 /// Time since the VM booted, including the time during which it was suspended.
-fn boot_time_ms() -> u64 {
+pub(super) fn boot_time_ms() -> u64 {
     let now = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
     now.tv_sec as u64 * 1_000 + now.tv_nsec as u64 / 1_000_000
 }
@@ -67,7 +83,17 @@
 pub(super) async fn follow_operator_record(gateway: Rc<Gateway>) {
     let mut from = None;
     let mut failing = false;
+    let mut reads_itself = false;
     loop {
+        if configuration_comes_from_hub(&gateway) {
+            from = None;
+            reads_itself = false;
+            tokio::time::sleep(Duration::from_millis(RETRY_MS)).await;
+            continue;
+        }
+        if gateway.is_leaf() && !std::mem::replace(&mut reads_itself, true) {
+            log::info!("no hub confirms the configuration; reading the store");
+        }
         match read_once(&gateway, from, failing).await {
             Ok(next) => {
                 gateway.reachability.record_success(gateway.now());
@@ -122,15 +148,14 @@
         }
     }
     gateway.directory.borrow_mut().update_evacuations(gateway.now(), feed.next.0, evacuated);
-    gateway.active_config.confirmed_at_ms.set(Some(started_ms));
-    gateway.active_config.confirmed.notify_waiters();
+    gateway.active_config.confirm(started_ms);
     Ok(feed.next)
 }
 
 pub(super) fn apply_configuration(gateway: &Gateway, configuration: Configuration) {
     let version = configuration.version;
     let current = gateway.active_config.catalog();
-    match Catalog::build_if_newer(current.as_deref(), configuration) {
+    match Catalog::build_if_newer(current.as_deref(), configuration.clone()) {
         Ok(catalog) => {
             log::info!(version; "new configuration in force");
             let mut rates = gateway.rates.borrow_mut();
@@ -144,6 +169,7 @@
                 .retain(|service, _| catalog.load_controlled().contains(service));
             gateway.placement.borrow_mut().set_load_controlled(catalog.load_controlled());
             *gateway.active_config.catalog.borrow_mut() = Some(Rc::new(catalog));
+            gateway.active_config.configuration.replace(Some(Rc::new(configuration)));
         }
         Err(fault) => log::debug!(fault:display; "configuration ignored"),
     }
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -14,9 +14,11 @@
 use tokio::sync::watch;
 
 use super::current_response::CurrentResponse;
+use super::feed_message::FEEDS_PATH;
 use super::find_turn::{FIND_TURN_PATH, search_owned_shards};
 use super::forward::RELAYED_HEADER;
 use super::handoff::{HANDOFF_PATH, accept_handoff};
+use super::hub_feed::answer_feed_request;
 use super::message::FindTurn;
 use super::serve::{serve_caller, serve_forwarded, serve_relayed};
 use super::state::Gateway;
@@ -177,6 +179,9 @@
         ListenerKind::Peers if request.uri().path() == FIND_TURN_PATH => {
             find_turn(&gateway, request).await
         }
+        ListenerKind::Peers if request.uri().path() == FEEDS_PATH => {
+            answer_feed_request(&gateway, request).await
+        }
         ListenerKind::Peers if request.uri().path() == HANDOFF_PATH => {
             accept_handoff(&gateway, request).await
         }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -25,7 +25,7 @@
 use crate::load::{ProgramAdmission, ServiceLoad, TurnSample, Work};
 use crate::mechanisms::Mechanism;
 use crate::prelude::*;
-use crate::replicas::{Directory, Placement, PlacementRequest, ReplicaKey};
+use crate::replicas::{ChangeLog, Directory, Placement, PlacementRequest, ReplicaKey};
 use crate::time::Clock;
 
 /// The state shared by the tasks of a gateway, all of which run on one thread.
@@ -37,6 +37,8 @@
     pub(super) reachability: StoreReachability,
     pub(super) endpoint_list: EndpointListStatus,
     pub(super) directory: RefCell<Directory>,
+    /// What has changed in the directory, for the leaves.
+    pub(super) endpoint_changes: RefCell<ChangeLog>,
     pub(super) placement: RefCell<Placement>,
     pub(super) connections: Rc<ConnectionPool>,
     pub(super) rates: RefCell<RateLimiter>,
@@ -67,6 +69,8 @@
     pub(super) renewal_due: Notify,
     /// Whether the process is shutting down. Set on SIGTERM.
     pub(super) draining: Cell<bool>,
+    /// Identifies the process instance.
+    pub(super) process_instance: u64,
     /// The number from which the batches of each epoch count up; differs between process instances.
     /// Epochs derive from the generation of the assignment: a process that restarts without being
     /// able to deregister at the store may get its shards under the epoch that it had before. If
@@ -99,6 +103,8 @@
             reachability: StoreReachability::default(),
             endpoint_list: EndpointListStatus::default(),
             directory: RefCell::new(Directory::open(seed)),
+            endpoint_changes: RefCell::default(),
+            process_instance: instance_id(&settings.name, clock.unix()),
             placement: RefCell::new(placement),
             connections: Rc::default(),
             rates: RefCell::new(RateLimiter::open(settings.bounds.rate_window_ms)),
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -3,6 +3,7 @@
 mod endpoint_reports;
 mod fakes;
 mod gossip;
+mod hub_feeds;
 mod hubs;
 mod load_admission;
 mod load_metrics;
--- a/src/gateway/tests/hubs.rs
+++ b/src/gateway/tests/hubs.rs
@@ -11,6 +11,7 @@
 use crate::catalog::{Regions, Workspace};
 use crate::gateway::PeerRecord;
 use crate::gateway::attach_message::{Attach, AttachMessage, Decision, HubRow, HubState, Question};
+use crate::gateway::feed_message::{FeedStatus, ListPosition};
 use crate::gateway::hub::{answer_attach, answer_question, refund, update_state};
 use crate::gateway::hubs::{Attachment, HubLimit, Recruitment, Roster};
 use crate::gateway::leaf;
@@ -105,6 +106,26 @@
     assert!(after.values().all(|count| *count < 4 * mean), "{after:?}");
 }
 
+// Leaves that had attached to the first hub that started stayed there: it served all of them, and hubs
+// that came later none.
+#[test]
+fn a_leaf_moves_to_the_hub_that_it_prefers_once_that_is_there() {
+    let hubs = elected(1_240);
+    let (leaf, domain) = (name_hash("leaf"), domain(0));
+    let preferred = Attachment::default().choose(TimeMs(0), leaf, &domain, hubs.iter());
+    let others = || hubs.iter().filter(|hub| Some(hub.address) != preferred);
+    let mut attachment = Attachment::default();
+    let first = attachment.choose(TimeMs(0), leaf, &domain, others()).expect("there are hubs");
+    for now in (0..6_000).step_by(250).map(TimeMs) {
+        attachment.record_answer(now, first);
+        attachment.rebalance(now, leaf, &domain, others());
+    }
+    attachment.rebalance(TimeMs(6_000), leaf, &domain, hubs.iter());
+    assert_eq!(attachment.choose(TimeMs(6_000), leaf, &domain, hubs.iter()), preferred);
+    let next = attachment.choose(TimeMs(6_800), leaf, &domain, hubs.iter());
+    assert_ne!(next, preferred, "it does not answer");
+}
+
 // With each hub counting for its own leaves, what the others had just admitted was only estimated, and
 // requests were refused although the rate had room. A hub that counts for many workspaces is slow.
 #[test]
@@ -204,10 +225,18 @@
         suspects: vec![(u64::MAX, 3); 12],
         ..HubState::default()
     };
-    let datagram = AttachMessage::State(state.clone()).encode().expect("can be encoded");
+    let feeds = FeedStatus {
+        asked_at_ms: u64::MAX,
+        config_version: u64::MAX,
+        config_age_ms: Some(u64::MAX),
+        endpoints: ListPosition { instance: u64::MAX, next: u64::MAX },
+        list_age_ms: Some(u64::MAX),
+    };
+    let message = AttachMessage::State { state, feeds: Some(feeds) };
+    let datagram = message.encode().expect("can be encoded");
     assert!(datagram.len() <= 1_400, "{} bytes", datagram.len());
     assert!(AttachMessage::is_in(&datagram));
-    assert_eq!(AttachMessage::decode(&datagram), Ok(AttachMessage::State(state)));
+    assert_eq!(AttachMessage::decode(&datagram), Ok(message));
 }
 
 // A leaf sends turns to the owners that its hub names, and only to those.
@@ -222,24 +251,27 @@
     }
     assert!(update_state(&hub));
     assert!(!update_state(&hub), "nothing has changed");
-    let attach = Attach { version: 0, suspects: vec![(55, 3)] };
-    let AttachMessage::State(state) = answer_attach(&hub, leaf_address(), &attach) else {
+    let attach = Attach { version: 0, sent_at_ms: 0, suspects: vec![(55, 3)] };
+    let AttachMessage::State { state, .. } = answer_attach(&hub, leaf_address(), &attach) else {
         panic!("the leaf has no state yet");
     };
     assert!(hub.is_poison_request(55));
     let version = state.version;
-    let attach = Attach { version, suspects: vec![] };
-    assert_eq!(answer_attach(&hub, leaf_address(), &attach), AttachMessage::Unchanged { version });
+    let attach = Attach { version, sent_at_ms: 0, suspects: vec![] };
+    assert!(matches!(
+        answer_attach(&hub, leaf_address(), &attach),
+        AttachMessage::Unchanged { version: answered, .. } if answered == version
+    ));
 
     let leaf = fakes::gateway(FakeStore::default());
     leaf.become_leaf();
     let hub_address = hub.settings.peers;
-    leaf::apply_state(&leaf, hub_address, state.clone());
+    leaf::apply_state(&leaf, hub_address, state.clone(), None);
     assert_eq!(leaf.shards.remote_owner(0), None, "not attached to that hub");
     let hub_record = PeerRecord { is_hub: true, address: hub_address, ..record(1) };
     leaf.roster.borrow_mut().upsert(hub_record);
     assert_eq!(leaf::choose_hub(&leaf), Some(hub_address));
-    leaf::apply_state(&leaf, hub_address, state);
+    leaf::apply_state(&leaf, hub_address, state, None);
     assert_eq!(leaf.shards.remote_owner(0).map(|owner| owner.epoch), Some(7));
     assert!(leaf.is_poison_request(99));
 }
--- a/src/replicas/announcement.rs
+++ b/src/replicas/announcement.rs
@@ -3,7 +3,7 @@
 use crate::prelude::*;
 
 /// The state that an endpoint publishes in the platform's endpoint list.
-#[value]
+#[wire]
 pub struct Announcement {
     /// The service that it belongs to.
     pub service: Arc<str>,
@@ -25,7 +25,7 @@
 }
 
 /// A change in the platform's endpoint list.
-#[value]
+#[wire]
 pub enum EndpointChange {
     /// An endpoint published a new or updated announcement.
     Announcement(Arc<str>, Announcement),
--- a/src/replicas/directory.rs
+++ b/src/replicas/directory.rs
@@ -199,14 +199,17 @@
         }
     }
 
-    /// Removes lapsed endpoints whose grace period is over.
-    pub fn remove_expired(&mut self, now: TimeMs) {
+    /// Removes lapsed endpoints whose grace period is over, and returns their ids.
+    pub fn remove_expired(&mut self, now: TimeMs) -> Vec<Arc<str>> {
         let is_expired = |replica: &Replica| replica.remove_at.is_some_and(|at| now > at);
         let expired: Vec<_> =
             self.replicas.iter().filter(|(_, r)| is_expired(r)).map(|(key, _)| key).collect();
-        for replica in expired.into_iter().filter_map(|key| self.remove(key)) {
-            log::info!(endpoint:% = replica.id; "lapsed endpoint was not listed again; removed");
+        let removed = expired.into_iter().filter_map(|key| self.remove(key));
+        let ids: Vec<_> = removed.map(|replica| replica.id).collect();
+        for id in &ids {
+            log::info!(endpoint:% = id; "lapsed endpoint was not listed again; removed");
         }
+        ids
     }
 
     fn remove(&mut self, key: ReplicaKey) -> Option<Replica> {
--- a/src/replicas/mod.rs
+++ b/src/replicas/mod.rs
@@ -2,6 +2,7 @@
 //! request of the gateway. The entries of [`crate::entry`] use [`crate::routing`] instead.
 
 mod announcement;
+mod change_log;
 mod cold_limits;
 mod directory;
 mod endpoint_choice;
@@ -14,6 +15,7 @@
 mod topology;
 
 pub use announcement::{Announcement, ChangeOutcome, EndpointChange};
+pub use change_log::ChangeLog;
 pub use cold_limits::{ColdLimits, SenderQuota};
 pub use directory::{Directory, ReplicaKey};
 pub use endpoint_choice::{EndpointChoice, SAMPLED_ENDPOINTS};
