Turns and starts of programs leave a tenth of a workspace's rate to calls

A turn is attempted up to six times in seconds, a call twice in a second and a half, and turns used up what their own calls needed.

Change: requests carry a third kind of claim; starts and turns are admitted up to 0.9 of the limit, calls up to all of it.

--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -107,7 +107,9 @@
         Claim::StartsProgram { .. } => {
             (route.target_ms as f64 * PROGRAM_START_WAIT_FRACTION) as u64
         }
-        Claim::Continues => ((left_ms as f64 * RATE_WAIT_FRACTION) as u64).min(MAX_RATE_WAIT_MS),
+        Claim::ContinuesProgram | Claim::Call => {
+            ((left_ms as f64 * RATE_WAIT_FRACTION) as u64).min(MAX_RATE_WAIT_MS)
+        }
     };
     loop {
         let acquired = match gateway.is_hub() {
@@ -143,12 +145,13 @@
 /// finished.
 fn claim_of(gateway: &Gateway, request_head: &RequestHead, route: &Route) -> Claim {
     if request_head.max_output_tokens == 0 || !gateway.is_enabled(Mechanism::ProgramAdmission) {
-        return Claim::Continues;
+        return Claim::Call;
     }
     match (&request_head.program, &request_head.previous, request_head.finish_ms) {
         (Some(_), None, Some(finish_ms)) if route.keeps_history => {
             Claim::StartsProgram { duration_ms: finish_ms.min(MAX_PROGRAM_MS) }
         }
-        _ => Claim::Continues,
+        (Some(_), _, _) => Claim::ContinuesProgram,
+        _ => Claim::Call,
     }
 }
--- a/src/gateway/attach_message.rs
+++ b/src/gateway/attach_message.rs
@@ -5,6 +5,7 @@
 use super::feed_message::FeedStatus;
 use super::message::EvacuationState;
 use crate::prelude::*;
+use crate::quota::Claim;
 
 /// How each of these datagrams begins. No gossip message does: the number that it begins with is
 /// never encoded this way.
@@ -96,8 +97,8 @@
     pub(super) number: u64,
     /// The hash of the workspace's name.
     pub(super) workspace: u64,
-    /// The expected duration of the program that the request starts, if it starts one.
-    pub(super) program_ms: Option<u64>,
+    /// How the request relates to a program.
+    pub(super) claim: Claim,
 }
 
 /// A hub's decision on a [`Question`].
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -16,7 +16,6 @@
 use super::owned_shard::Stage;
 use super::state::Gateway;
 use crate::prelude::*;
-use crate::quota::Claim;
 
 /// A leaf from which no message came for this long is no longer attached.
 const LEAF_SILENT_AFTER_MS: u64 = 2_000;
@@ -183,12 +182,9 @@
     if granted.contains(asked) {
         return Decision::Admitted;
     }
-    let claim = question
-        .program_ms
-        .map_or(Claim::Continues, |duration_ms| Claim::StartsProgram { duration_ms });
     let peer_counts = gateway.peers.borrow().peer_counts(now);
     let mut rates = gateway.rates.borrow_mut();
-    match rates.try_admit_for_leaf(now, question.workspace, peer_counts, claim) {
+    match rates.try_admit_for_leaf(now, question.workspace, peer_counts, question.claim) {
         None => Decision::Unknown,
         Some(Ok(grant)) => {
             granted.record(now, asked, question.workspace, grant);
@@ -196,7 +192,7 @@
         }
         Some(Err(retry_after_ms)) => {
             let (used, limit) = rates.used_by_hash(question.workspace);
-            log::info!(leaf:%, workspace_hash = question.workspace, claim = claim.name(),
+            log::info!(leaf:%, workspace_hash = question.workspace, claim = question.claim.name(),
                 retry_after_ms, used, limit, entries = peer_counts.entries,
                 heard = peer_counts.heard;
                 "workspace over its request rate; a leaf's request is not admitted");
--- a/src/gateway/leaf.rs
+++ b/src/gateway/leaf.rs
@@ -274,10 +274,7 @@
     let question = Question {
         number: gateway.leaf.take_number(),
         workspace: Digest::of(&[workspace.name.as_bytes()]).prefix(),
-        program_ms: match claim {
-            Claim::StartsProgram { duration_ms } => Some(duration_ms),
-            Claim::Continues => None,
-        },
+        claim,
     };
     let mut asked = Vec::new();
     for (attempt, timeout_ms) in QUESTION_TIMEOUTS_MS.into_iter().enumerate() {
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -114,7 +114,7 @@
     }
     let both_heard = PeerCounts { entries: 2, heard: 2 };
     let is_admitted =
-        |_: &u32| rates.try_admit(TimeMs(3_900), &workspace, both_heard, Claim::Continues).is_ok();
+        |_: &u32| rates.try_admit(TimeMs(3_900), &workspace, both_heard, Claim::Call).is_ok();
     let admitted = (0..100).filter(is_admitted).count();
     assert!((39..=44).contains(&admitted), "{admitted}");
 }
@@ -137,9 +137,8 @@
     let alone = PeerCounts { entries: 1, heard: 1 };
     let mut admit = |now, workspace| {
         for _ in 0..30 {
-            let _grant = rates
-                .try_admit(now, workspace, alone, Claim::Continues)
-                .expect("the rate has room");
+            let _grant =
+                rates.try_admit(now, workspace, alone, Claim::Call).expect("the rate has room");
         }
         rates.use_level(now, &workspace.name).is_over_share()
     };
--- a/src/gateway/tests/hubs.rs
+++ b/src/gateway/tests/hubs.rs
@@ -182,7 +182,7 @@
 }
 
 fn question(number: u64) -> Question {
-    Question { number, workspace: name_hash("w"), program_ms: None }
+    Question { number, workspace: name_hash("w"), claim: Claim::Call }
 }
 
 // A leaf that got no answer asks again. Counted twice, lost datagrams used up the workspaces' rates;
@@ -297,8 +297,7 @@
         }
         if random.random_bool(workspace.rate_per_s * 3.0 / 1_000.0) {
             let (_, _, rates) = &mut hubs[random.random_range(0..MAX_HUBS)];
-            let decision =
-                rates.try_admit_for_leaf(now, name_hash("w"), all_heard, Claim::Continues);
+            let decision = rates.try_admit_for_leaf(now, name_hash("w"), all_heard, Claim::Call);
             admitted.extend(decision.filter(Result::is_ok).map(|_| now));
         }
         for sender in 0..MAX_HUBS {
--- a/src/quota/claim.rs
+++ b/src/quota/claim.rs
@@ -1,15 +1,18 @@
 use crate::prelude::*;
 
 /// How a request relates to a program, which decides how much room its admission needs.
-#[key]
+#[wire]
+#[derive(Copy)]
 pub enum Claim {
     /// The request starts a program.
     StartsProgram {
         /// Time within which the program should finish.
         duration_ms: u64,
     },
-    /// The request belongs to a program that has already started, or to no program.
-    Continues,
+    /// The request is a turn of a program that has already started.
+    ContinuesProgram,
+    /// The request is a call that a program made within a turn, or belongs to no program.
+    Call,
 }
 
 impl Claim {
@@ -17,7 +20,19 @@
     pub fn name(self) -> &'static str {
         match self {
             Claim::StartsProgram { .. } => "begins",
-            Claim::Continues => "goes_on",
+            Claim::ContinuesProgram => "goes_on",
+            Claim::Call => "call",
+        }
+    }
+
+    /// The fraction of the limit up to which requests of this kind are admitted (trunk reservation).
+    ///
+    /// A program whose call is refused fails after few attempts; a turn is attempted more often, and
+    /// its calls follow it at once.
+    pub(super) fn limit_fraction(self) -> f64 {
+        match self {
+            Claim::StartsProgram { .. } | Claim::ContinuesProgram => 0.9,
+            Claim::Call => 1.0,
         }
     }
 }
--- a/src/quota/shared_window.rs
+++ b/src/quota/shared_window.rs
@@ -172,7 +172,7 @@
             return Ok(Grant { counted: false, booked_ms: None });
         }
         self.advance(now);
-        let limit = self.rate_limit.max_in_window();
+        let limit = self.rate_limit.max_in_window() * claim.limit_fraction();
         let excess = match peer_counts.hears_half() {
             true => {
                 self.window_total.total() + self.estimated_since_last_message() + 1.0
@@ -187,7 +187,7 @@
             Claim::StartsProgram { duration_ms } => {
                 Some(self.book_program(now, duration_ms, peer_counts, all_stats)?)
             }
-            Claim::Continues => None,
+            Claim::ContinuesProgram | Claim::Call => None,
         };
         let grant = Grant { counted: true, booked_ms };
         self.add(Slot { own: 1.0, ..Slot::default() });
--- a/src/quota/tests.rs
+++ b/src/quota/tests.rs
@@ -50,7 +50,7 @@
         for (entry, calls) in entries.iter_mut().zip(offered) {
             let accepted = (0..calls).filter(|_| {
                 entry
-                    .try_admit(TimeMs(now), peer_counts, Claim::Continues, &ProgramStats::default())
+                    .try_admit(TimeMs(now), peer_counts, Claim::Call, &ProgramStats::default())
                     .is_ok()
             });
             admitted[now as usize] += accepted.count() as u64;
@@ -89,7 +89,7 @@
     assert_eq!(
         (0..300)
             .filter(|_| shared
-                .try_admit(now, peer_counts, Claim::Continues, &ProgramStats::default())
+                .try_admit(now, peer_counts, Claim::Call, &ProgramStats::default())
                 .is_ok())
             .count(),
         204
@@ -115,9 +115,7 @@
     let mut shared = window(100.0, 50.0);
     for now in (1_000..5_000).step_by(20) {
         assert!(
-            shared
-                .try_admit(TimeMs(now), ALL_HEARD, Claim::Continues, &ProgramStats::default())
-                .is_ok()
+            shared.try_admit(TimeMs(now), ALL_HEARD, Claim::Call, &ProgramStats::default()).is_ok()
         );
     }
 }
@@ -143,7 +141,7 @@
         (0..50)
             .filter(|_| {
                 shared
-                    .try_admit(TimeMs(now), peer_counts, Claim::Continues, &ProgramStats::default())
+                    .try_admit(TimeMs(now), peer_counts, Claim::Call, &ProgramStats::default())
                     .is_ok()
             })
             .count()
@@ -162,17 +160,14 @@
 fn refusal_returns_the_retry_delay() {
     let mut shared = window(10.0, 10.0);
     let alone = PeerCounts { entries: 1, heard: 1 };
-    assert_eq!(
-        shared.try_admit(TimeMs(0), alone, Claim::Continues, &ProgramStats::default()),
-        Err(100)
-    );
+    assert_eq!(shared.try_admit(TimeMs(0), alone, Claim::Call, &ProgramStats::default()), Err(100));
 }
 
 #[test]
 fn zero_rate_means_no_limit() {
     let mut shared = window(0.0, 0.0);
     assert!((0..1_000).all(|_| {
-        shared.try_admit(TimeMs(0), ALL_HEARD, Claim::Continues, &ProgramStats::default()).is_ok()
+        shared.try_admit(TimeMs(0), ALL_HEARD, Claim::Call, &ProgramStats::default()).is_ok()
     }));
 }
 
@@ -184,7 +179,7 @@
     let now = TimeMs(10_000);
     remote.record_baseline(now, 1, local.admitted());
     let grant = local
-        .try_admit(now, ALL_HEARD, Claim::Continues, &ProgramStats::default())
+        .try_admit(now, ALL_HEARD, Claim::Call, &ProgramStats::default())
         .expect("the window has room");
     remote.apply_usage(now, 1, local.admitted());
     local.refund(grant);
@@ -192,7 +187,7 @@
     for shared in [&mut local, &mut remote] {
         let admitted = (0..100)
             .filter(|_| {
-                shared.try_admit(now, ALL_HEARD, Claim::Continues, &ProgramStats::default()).is_ok()
+                shared.try_admit(now, ALL_HEARD, Claim::Call, &ProgramStats::default()).is_ok()
             })
             .count();
         assert_eq!(admitted, 60);
@@ -208,13 +203,12 @@
     let now = TimeMs(10_000);
     assert_eq!(shared.in_window(now), Some(0.0));
     for _ in 0..50 {
-        let grant = shared.try_admit(now, ALL_HEARD, Claim::Continues, &ProgramStats::default());
+        let grant = shared.try_admit(now, ALL_HEARD, Claim::Call, &ProgramStats::default());
         shared.refund(grant.expect("a workspace without a limit is always admitted"));
     }
     shared.set_rate_limit(RateLimit { rate_per_s: 10.0, burst: 10.0, window_ms: 5_000 });
-    let is_admitted = |_: &u32| {
-        shared.try_admit(now, ALL_HEARD, Claim::Continues, &ProgramStats::default()).is_ok()
-    };
+    let is_admitted =
+        |_: &u32| shared.try_admit(now, ALL_HEARD, Claim::Call, &ProgramStats::default()).is_ok();
     assert_eq!((0..300).filter(is_admitted).count(), 60);
 }
 
@@ -226,9 +220,7 @@
     let now = TimeMs(10_000);
     (0..30).for_each(|instance| window.apply_usage(now, instance, totals(1)));
     let admitted = (0..100)
-        .filter(|_| {
-            window.try_admit(now, ALL_HEARD, Claim::Continues, &ProgramStats::default()).is_ok()
-        })
+        .filter(|_| window.try_admit(now, ALL_HEARD, Claim::Call, &ProgramStats::default()).is_ok())
         .count();
     assert!(admitted <= 30, "{admitted}");
 }
@@ -246,7 +238,7 @@
             .count()
     };
     let starts = admitted(Claim::StartsProgram { duration_ms: 2_000 });
-    let continued = admitted(Claim::Continues);
+    let continued = admitted(Claim::Call);
     assert!((1..=174).contains(&starts), "{starts}");
     assert_eq!(starts + continued, 180);
 }
@@ -260,7 +252,7 @@
     let now = TimeMs(500);
     let admitted = (0..100)
         .filter(|_| {
-            started.try_admit(now, ALL_HEARD, Claim::Continues, &ProgramStats::default()).is_ok()
+            started.try_admit(now, ALL_HEARD, Claim::Call, &ProgramStats::default()).is_ok()
         })
         .count();
     assert!((29..=33).contains(&admitted), "{admitted}");
@@ -271,9 +263,7 @@
 #[test]
 fn entries_that_start_together_assume_a_full_window() {
     let (mut local, mut remote) = (window(10.0, 10.0), window(10.0, 10.0));
-    assert!(
-        remote.try_admit(TimeMs(0), ALL_HEARD, Claim::Continues, &ProgramStats::default()).is_err()
-    );
+    assert!(remote.try_admit(TimeMs(0), ALL_HEARD, Claim::Call, &ProgramStats::default()).is_err());
     for now in (0..5).map(|round| TimeMs(round * 100)) {
         assert_eq!(local.in_window(now), None);
         assert_eq!(remote.in_window(now), None);
@@ -293,7 +283,7 @@
     let now = TimeMs(500);
     let admitted = (0..100)
         .filter(|_| {
-            started.try_admit(now, ALL_HEARD, Claim::Continues, &ProgramStats::default()).is_ok()
+            started.try_admit(now, ALL_HEARD, Claim::Call, &ProgramStats::default()).is_ok()
         })
         .count();
     assert!(admitted <= 15, "{admitted}");
--- a/src/quota/tests/programs.rs
+++ b/src/quota/tests/programs.rs
@@ -51,7 +51,7 @@
         for (at, program) in
             programs.iter_mut().enumerate().filter(|(_, p)| p.next_request_at <= now)
         {
-            let claim = if program.requests_made == 0 { first_claim() } else { Claim::Continues };
+            let claim = if program.requests_made == 0 { first_claim() } else { Claim::Call };
             let entry = &mut entries[(at + program.requests_made as usize) % ENTRIES];
             match entry.try_admit(TimeMs(now), all_heard, claim, &ProgramStats::default()) {
                 Ok(_) => {
@@ -88,10 +88,26 @@
     let outcomes = simulate(2.0 * CARRIED_PER_S, program_start);
     assert!(outcomes.finished * 10 >= carried * 8, "{carried} carried, {outcomes:?}");
     assert!(outcomes.aborted * 10 <= outcomes.finished + outcomes.aborted, "{outcomes:?}");
-    let one_by_one = simulate(2.0 * CARRIED_PER_S, || Claim::Continues);
+    let one_by_one = simulate(2.0 * CARRIED_PER_S, || Claim::Call);
     assert!(one_by_one.finished < outcomes.finished, "{one_by_one:?}, {outcomes:?}");
 }
 
+// A workspace's turns used its whole window, and their calls, which callers attempt only twice, were
+// refused: the programs failed although few more requests were made than the rate allows.
+#[test]
+fn turns_leave_room_in_the_window_for_calls() {
+    let mut window = window(20.0, 0.0);
+    let mut admit = |claim| {
+        let admitted = window.try_admit(TimeMs(10_000), ALL_HEARD, claim, &ProgramStats::default());
+        admitted.is_ok()
+    };
+    let turns = (0..200).filter(|_| admit(Claim::ContinuesProgram)).count();
+    assert_eq!(turns, 90);
+    assert!(!admit(program_start()));
+    let calls = (0..200).filter(|_| admit(Claim::Call)).count();
+    assert_eq!(calls, 10);
+}
+
 // Bookings must not refuse programs that the rate can carry.
 #[test]
 fn below_the_rate_every_program_starts_and_finishes() {
