A hub without counts admits what a workspace's rate has room for in any case

Cause: after all entries were killed together, a hub answered a leaf's question that it did not know the window, until it had watched a whole one: five seconds without admissions.

Change: a hub that does not know the window counts it as full and admits what has left it since, as entries without leaves do; if that has no room, the leaf asks the next hub before it refuses.

--- a/src/gateway/attach_message.rs
+++ b/src/gateway/attach_message.rs
@@ -112,8 +112,12 @@
         /// Time until there may be room.
         retry_after_ms: u64,
     },
-    /// The hub does not know yet what the workspace has used.
-    Unknown,
+    /// The hub has not admitted it, as it does not know yet what the workspace has used. Another one
+    /// may.
+    Unknown {
+        /// Time until there is room here, even if the workspace has used all of its rate.
+        retry_after_ms: u64,
+    },
 }
 
 impl AttachMessage {
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -184,13 +184,14 @@
     }
     let peer_counts = gateway.peers.borrow().peer_counts(now);
     let mut rates = gateway.rates.borrow_mut();
-    match rates.try_admit_for_leaf(now, question.workspace, peer_counts, question.claim) {
-        None => Decision::Unknown,
-        Some(Ok(grant)) => {
+    let is_known = rates.is_window_known(now, question.workspace);
+    match rates.try_admit_by_hash(now, question.workspace, peer_counts, question.claim) {
+        Ok(grant) => {
             granted.record(now, asked, question.workspace, grant);
             Decision::Admitted
         }
-        Some(Err(retry_after_ms)) => {
+        Err(retry_after_ms) if !is_known => Decision::Unknown { retry_after_ms },
+        Err(retry_after_ms) => {
             let (used, limit) = rates.used_by_hash(question.workspace);
             log::info!(leaf:%, workspace_hash = question.workspace, claim = question.claim.name(),
                 retry_after_ms, used, limit, entries = peer_counts.entries,
--- a/src/gateway/leaf.rs
+++ b/src/gateway/leaf.rs
@@ -39,6 +39,9 @@
 /// one hub; then also to another one, as a datagram may be lost or the hub may have died.
 const QUESTION_TIMEOUTS_MS: [u64; 4] = [60, 100, 140, 200];
 
+/// The most hubs that are asked for one admission.
+const MAX_HUBS_ASKED: usize = 2;
+
 /// Retry delay if no hub has answered. By then, the leaf is attached to another one.
 const NO_HUB_RETRY_MS: u64 = 400;
 
@@ -277,15 +280,16 @@
         claim,
     };
     let mut asked = Vec::new();
+    let mut unknown_at = Vec::new();
     for (attempt, timeout_ms) in QUESTION_TIMEOUTS_MS.into_iter().enumerate() {
         let (sender, answer) = oneshot::channel();
         gateway.leaf.unanswered.borrow_mut().insert(question.number, sender);
-        for hub in hubs_to_ask(gateway, question.workspace, attempt) {
-            send_question(gateway, hub, question).await;
-            if !asked.contains(&hub) {
-                asked.push(hub);
-            }
+        let mut hubs = hubs_to_ask(gateway, question.workspace, attempt);
+        hubs.retain(|hub| !unknown_at.contains(hub));
+        for hub in &hubs {
+            send_question(gateway, *hub, question).await;
         }
+        asked.extend(hubs.iter().copied().filter(|hub| !asked.contains(hub)).collect::<Vec<_>>());
         match tokio::time::timeout(Duration::from_millis(timeout_ms), answer).await {
             Ok(Ok((hub, Decision::Admitted))) => {
                 asked.retain(|other| *other != hub);
@@ -295,7 +299,13 @@
             Ok(Ok((_, Decision::NoRoom { retry_after_ms }))) => {
                 return Err(NotAdmitted::NoRoom { retry_after_ms });
             }
-            Ok(Ok((_, Decision::Unknown)) | Err(_)) | Err(_) => {}
+            Ok(Ok((hub, Decision::Unknown { retry_after_ms }))) => {
+                unknown_at.push(hub);
+                if unknown_at.len() == MAX_HUBS_ASKED {
+                    return Err(NotAdmitted::NoRoom { retry_after_ms });
+                }
+            }
+            Ok(Err(_)) | Err(_) => {}
         }
     }
     gateway.leaf.unanswered.borrow_mut().remove(&question.number);
@@ -310,7 +320,7 @@
 fn hubs_to_ask(gateway: &Gateway, workspace: u64, attempt: usize) -> Vec<SocketAddr> {
     let state = gateway.leaf.hub_state.borrow();
     let live = state.hubs.iter().filter(|hub| !hub.leaving).map(|hub| hub.address);
-    let count = if attempt == 0 { 1 } else { 2 };
+    let count = if attempt == 0 { 1 } else { MAX_HUBS_ASKED };
     preferred_hubs(workspace, live, count)
 }
 
--- a/src/gateway/rates.rs
+++ b/src/gateway/rates.rs
@@ -86,26 +86,19 @@
         claim: Claim,
     ) -> Result<Grant, u64> {
         self.tracked_window(now, workspace);
-        self.admit_in_window(now, workspace_hash(&workspace.name), peer_counts, claim)
+        self.try_admit_by_hash(now, workspace_hash(&workspace.name), peer_counts, claim)
     }
 
-    /// Admits one request that arrived at a leaf. `None` if this hub does not know the workspace, or
-    /// not yet what it has used.
-    pub(super) fn try_admit_for_leaf(
-        &mut self,
-        now: TimeMs,
-        workspace: u64,
-        peer_counts: PeerCounts,
-        claim: Claim,
-    ) -> Option<Result<Grant, u64>> {
-        let tracked = self.windows.get(&workspace)?;
-        tracked
-            .window
-            .is_known(now)
-            .then(|| self.admit_in_window(now, workspace, peer_counts, claim))
+    /// Whether this hub knows what all entries have admitted for a workspace.
+    pub(super) fn is_window_known(&self, now: TimeMs, workspace: u64) -> bool {
+        self.windows.get(&workspace).is_some_and(|tracked| tracked.window.is_known(now))
     }
 
-    fn admit_in_window(
+    /// Admits one request for a workspace whose name has this hash.
+    ///
+    /// # Errors
+    /// If there is no room, or the workspace is not known: the milliseconds until there may be room.
+    pub(super) fn try_admit_by_hash(
         &mut self,
         now: TimeMs,
         workspace: u64,
