--- a/soak/src/bin/trefoil-soak.rs
+++ b/soak/src/bin/trefoil-soak.rs
@@ -26,6 +26,8 @@
     /// Length of each run under faults.
     seconds: u64,
     gateways: usize,
+    /// The most gateways that are hubs.
+    max_hubs: usize,
     workers: u64,
     /// Whether programs under load control run as well.
     load: bool,
@@ -37,6 +39,7 @@
     options.optopt("", "seeds", "number of consecutive seeds [default: 1]", "N");
     options.optopt("", "seconds", "length of each run under faults [default: 8]", "S");
     options.optopt("", "gateways", "number of gateways [default: 4]", "N");
+    options.optopt("", "hubs", "most gateways that are hubs [default: 48]", "N");
     options.optopt("", "lines", "number of programs running at once [default: 12]", "N");
     options.optflag("", "load", "adds programs under load control and surges of callers");
     let args: Vec<String> = std::env::args().skip(1).collect();
@@ -48,15 +51,17 @@
         }
     };
     let number = |name: &str, default: u64| flags.opt_get_default(name, default);
-    let numbers = [("seed", 1), ("seeds", 1), ("seconds", 8), ("gateways", 4), ("lines", 12)]
-        .map(|(name, default)| number(name, default));
-    let [Ok(seed), Ok(seeds), Ok(seconds), Ok(gateways), Ok(workers)] = numbers else {
+    let numbers =
+        [("seed", 1), ("seeds", 1), ("seconds", 8), ("gateways", 4), ("hubs", 48), ("lines", 12)];
+    let numbers = numbers.map(|(name, default)| number(name, default));
+    let [Ok(seed), Ok(seeds), Ok(seconds), Ok(gateways), Ok(max_hubs), Ok(workers)] = numbers
+    else {
         eprintln!("the value of each flag must be a whole number");
         return ExitCode::from(2);
     };
-    let gateways = gateways as usize;
+    let (gateways, max_hubs) = (gateways as usize, max_hubs as usize);
     let load = flags.opt_present("load");
-    let settings = SoakSettings { seconds, gateways, workers, load };
+    let settings = SoakSettings { seconds, gateways, max_hubs, workers, load };
     let runtime = match tokio::runtime::Runtime::new() {
         Ok(runtime) => runtime,
         Err(fault) => {
@@ -84,8 +89,9 @@
 }
 
 async fn soak(seed: u64, settings: &SoakSettings) -> std::io::Result<bool> {
-    let &SoakSettings { seconds, gateways, workers, load } = settings;
-    let world_settings = WorldSettings { program: program()?, gateways, revoke_ms: 5_000, load };
+    let &SoakSettings { seconds, gateways, max_hubs, workers, load } = settings;
+    let program = program()?;
+    let world_settings = WorldSettings { program, gateways, max_hubs, revoke_ms: 5_000, load };
     let mut world = World::start(&world_settings).await?;
     let until = Instant::now() + Duration::from_secs(seconds);
     let entries: Vec<_> = world.gateways.iter().map(|gateway| gateway.callers).collect();
--- a/soak/src/gateways.rs
+++ b/soak/src/gateways.rs
@@ -1,11 +1,12 @@
 use std::io::{BufRead, BufReader, Read};
 use std::net::{SocketAddr, TcpListener};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use crate::world::WorldSettings;
 use serde_json::json;
 
 /// Maximum number of log lines kept per gateway for failure reports.
@@ -40,6 +41,15 @@
     Err(std::io::Error::other("all listener ports are in use"))
 }
 
+/// How a gateway reaches the store.
+#[derive(Debug, Clone, Copy)]
+pub struct StoreLink {
+    /// The address of the store, or of a proxy before it.
+    pub address: SocketAddr,
+    /// The number of partitions of each topic.
+    pub parts: usize,
+}
+
 /// A gateway process. It is killed when the handle is dropped.
 pub struct Gateway {
     /// The name of its VM.
@@ -47,21 +57,17 @@
     /// Address for callers' requests.
     pub callers: SocketAddr,
     program: PathBuf,
+    max_hubs: usize,
     settings: PathBuf,
     child: Option<Child>,
     lines: Arc<Mutex<Vec<String>>>,
 }
 
 impl Gateway {
-    /// Writes a settings file and starts a gateway with it. `store` is the address of the store,
-    /// `parts` its number of partitions.
-    pub fn spawn(
-        name: &str,
-        program: &Path,
-        store: SocketAddr,
-        parts: usize,
-        revoke_ms: u64,
-    ) -> std::io::Result<Gateway> {
+    /// Writes a settings file and starts a gateway with it.
+    pub fn spawn(name: &str, world: &WorldSettings, store: StoreLink) -> std::io::Result<Gateway> {
+        let StoreLink { address: store, parts } = store;
+        let revoke_ms = world.revoke_ms;
         let local = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
         let callers = local(free_port()?);
         let peers = free_port()?;
@@ -76,7 +82,8 @@
         let mut gateway = Gateway {
             name: name.to_string(),
             callers,
-            program: program.to_path_buf(),
+            program: world.program.clone(),
+            max_hubs: world.max_hubs,
             settings: file,
             child: None,
             lines: Arc::default(),
@@ -89,6 +96,7 @@
     pub fn start(&mut self) -> std::io::Result<()> {
         let _guard = SPAWN_LOCK.lock().expect("not poisoned");
         let mut child = Command::new(&self.program)
+            .args(["--max-hubs", &self.max_hubs.to_string()])
             .env("TREFOILPROXY_BOOT", &self.settings)
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
--- a/src/gateway/leaf.rs
+++ b/src/gateway/leaf.rs
@@ -13,7 +13,7 @@
 
 use super::attach_message::{Attach, AttachMessage, Decision, HubRow, HubState, Question};
 use super::feed_message::{FeedStatus, ListPosition};
-use super::gossip::{MAX_ROWS, SUSPECT_GOSSIP_MS};
+use super::gossip::{MAX_ROWS, SUSPECT_GOSSIP_MS, forget_silent_entries};
 use super::hub::send;
 use super::hubs::{Attachment, Recruitment};
 use super::leaf_feed::apply_status;
@@ -82,6 +82,11 @@
         self.attachment.borrow().is_established(now)
     }
 
+    /// Drops the questions of requests whose callers have left.
+    fn drop_abandoned_questions(&self) {
+        self.unanswered.borrow_mut().retain(|_, sender| !sender.is_closed());
+    }
+
     fn take_number(&self) -> u64 {
         let number = self.next_number.get();
         self.next_number.set(number + 1);
@@ -120,7 +125,8 @@
         if gateway.is_leaf() {
             attach(&gateway, &socket).await;
             check_recruitment(&gateway);
-            super::gossip::forget_silent_entries(&gateway, gateway.now());
+            forget_silent_entries(&gateway, gateway.now());
+            gateway.leaf.drop_abandoned_questions();
         }
         tokio::time::sleep(Duration::from_millis(MIN_ATTACH_PAUSE_MS)).await;
         tokio::select! {
--- a/src/quota/programs.rs
+++ b/src/quota/programs.rs
@@ -122,6 +122,14 @@
         std::mem::take(&mut self.new_stats)
     }
 
+    /// Whether a window with this limit is large enough to carry several programs, so that their needs
+    /// can be forecast.
+    pub(super) fn is_forecast_used(&self, limit: f64, all_stats: &ProgramStats) -> bool {
+        let requests_per_ms = self.program_stats.requests_per_ms(all_stats);
+        let per_program = requests_per_ms * self.program_stats.mean_duration_ms();
+        limit / per_program.max(1.0) >= MIN_PROGRAMS_FOR_FORECAST
+    }
+
     /// Delay in milliseconds until a program may start so that it fits into the window beside the
     /// programs in flight; zero if it may start now. `remaining` returns how many of the requests
     /// now in the window are still in it after the given time, and `all_stats` holds the statistics
@@ -135,9 +143,9 @@
         remaining: impl Fn(u64) -> f64,
     ) -> u64 {
         let requests_per_ms = self.program_stats.requests_per_ms(all_stats);
-        let carried_programs =
-            window_limit.limit / (requests_per_ms * self.program_stats.mean_duration_ms()).max(1.0);
-        if self.bookings.programs(now) == 0.0 || carried_programs < MIN_PROGRAMS_FOR_FORECAST {
+        if self.bookings.programs(now) == 0.0
+            || !self.is_forecast_used(window_limit.limit, all_stats)
+        {
             return 0;
         }
         let need_per_ms = requests_per_ms * NEED_MARGIN;
--- a/src/quota/shared_window.rs
+++ b/src/quota/shared_window.rs
@@ -172,7 +172,7 @@
             return Ok(Grant { counted: false, booked_ms: None });
         }
         self.advance(now);
-        let limit = self.rate_limit.max_in_window() * claim.limit_fraction();
+        let limit = self.limit_for(claim, peer_counts, all_stats);
         let excess = match peer_counts.hears_half() {
             true => {
                 self.window_total.total() + self.estimated_since_last_message() + 1.0
@@ -196,6 +196,18 @@
         Ok(grant)
     }
 
+    /// The part of the limit up to which a request is admitted. Where a start is admitted by the
+    /// forecast, that keeps room for what running programs need; a window too small for it reserves
+    /// a part of the limit instead.
+    fn limit_for(&self, claim: Claim, peer_counts: PeerCounts, all_stats: &ProgramStats) -> f64 {
+        let limit = self.rate_limit.max_in_window();
+        let usable = limit * peer_counts.heard_fraction();
+        match self.programs.is_forecast_used(usable, all_stats) {
+            true => limit,
+            false => limit * claim.limit_fraction(),
+        }
+    }
+
     /// Books the time of a program, or returns in how many milliseconds it may start.
     fn book_program(
         &mut self,
