Admission by a hub and the role of an entry in files of their own; messages without news of evacuations cost no pass over the endpoints

Each message of a hub walked all endpoints to find those of restored failure domains, of which there mostly are none.

--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::leaf::{HubGrant, NotAdmitted, ask_hub, refund};
+use super::ask_hub::{HubGrant, NotAdmitted, ask_hub, refund};
 use super::observe::RequestSummary;
 use super::state::Gateway;
 use super::{Refusal, RequestHead};
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -4,6 +4,7 @@
 
 use tokio::net::UdpSocket;
 
+use super::ask_hub::apply_answer;
 use super::attach_message::AttachMessage;
 use super::forward::deregister;
 use super::hub::{self, answer_attach, answer_question};
@@ -261,7 +262,7 @@
         }
         Ok(AttachMessage::NotHub) => return leaf::give_up_hub(gateway, from),
         Ok(AttachMessage::Answer { number, decision }) => {
-            return leaf::apply_answer(gateway, from, number, decision);
+            return apply_answer(gateway, from, number, decision);
         }
         Err(fault) => {
             log::warn!(from:display, fault:display;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 //! headers and responses that callers and endpoints use.
 
 mod admit;
+mod ask_hub;
 mod attach_message;
 mod attempt;
 mod buffered;
@@ -51,6 +52,7 @@
 mod request_types;
 mod reservation;
 mod response_body;
+mod role;
 mod roster_feed;
 mod serve;
 mod server;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -9,7 +9,7 @@
 use super::endpoint_list::EndpointListStatus;
 use super::endpoint_polls::EndpointPolls;
 use super::hub::AttachedLeaves;
-use super::hubs::{HubLimit, Role, Roster};
+use super::hubs::{Role, Roster};
 use super::leaf::LeafState;
 use super::observe::{count_pace_sample, record_pace_change};
 use super::operator_feed::ActiveConfig;
@@ -17,9 +17,10 @@
 use super::rates::RateLimiter;
 use super::reachability::StoreReachability;
 use super::reader_limits::ReaderLimits;
+use super::role::instance_id;
 use super::shard_table::ShardTable;
 use super::suspects::Suspects;
-use super::{GatewaySettings, PeerRecord, Protocol, Store};
+use super::{GatewaySettings, Protocol, Store};
 use crate::catalog::Regions;
 use crate::http::ConnectionPool;
 use crate::load::{ProgramAdmission, ServiceLoad, TurnSample, Work};
@@ -56,7 +57,7 @@
     pub(super) roster_due: Notify,
     /// Whether this leaf is to become a hub.
     pub(super) hub_wanted: Cell<bool>,
-    role: Cell<Role>,
+    pub(super) role: Cell<Role>,
     /// Notified when this entry becomes a hub.
     pub(super) hub_begun: Notify,
     /// What this entry knows as a leaf.
@@ -140,73 +141,6 @@
         self.clock.unix()
     }
 
-    /// The hash of this entry's name.
-    pub(super) fn name_hash(&self) -> u64 {
-        Digest::of(&[self.settings.name.as_bytes()]).prefix()
-    }
-
-    /// How the other entries reach this one.
-    pub(super) fn own_record(&self, is_hub: bool) -> PeerRecord {
-        PeerRecord {
-            name: self.settings.name.clone(),
-            address: self.settings.peers,
-            region: Some(self.settings.topology.region.clone()),
-            domain: Some(self.settings.topology.domain.clone()),
-            cpu_millicores: self.settings.cpu_millicores,
-            is_hub,
-        }
-    }
-
-    /// How many entries are hubs.
-    pub(super) fn hub_limit(&self) -> HubLimit {
-        HubLimit::new(self.settings.max_hubs, self.settings.topology.regions.len())
-    }
-
-    /// The part that this entry plays among the entries.
-    pub(super) fn role(&self) -> Role {
-        self.role.get()
-    }
-
-    pub(super) fn is_hub(&self) -> bool {
-        matches!(self.role.get(), Role::Hub { .. })
-    }
-
-    pub(super) fn is_leaf(&self) -> bool {
-        self.role.get() == Role::Leaf
-    }
-
-    /// Makes this entry a leaf, at its start.
-    pub(super) fn become_leaf(&self) {
-        self.role.set(Role::Leaf);
-    }
-
-    /// Makes this entry a hub. It counts the workspaces' rates anew and knows none of the others
-    /// but those that were announced.
-    pub(super) fn become_hub(&self) {
-        let now = self.now();
-        let instance = instance_id(&self.settings.name, self.unix());
-        if self.is_leaf() {
-            self.peers.borrow_mut().clear();
-            if let Some(catalog) = self.active_config.catalog() {
-                self.rates.borrow_mut().reset(now, catalog.workspaces());
-            }
-        }
-        self.role.set(Role::Hub { instance, since: now });
-        self.hub_begun.notify_waiters();
-        self.gossip_due.notify_one();
-    }
-
-    /// Whether this entry has been a hub for less than a rate window, so that all that it has
-    /// admitted as one lies within the window.
-    pub(super) fn is_recent_hub(&self) -> bool {
-        match self.role.get() {
-            Role::Hub { since, .. } => {
-                self.now().since(since) < self.settings.bounds.rate_window_ms
-            }
-            Role::Undecided | Role::Leaf => false,
-        }
-    }
-
     /// The address and id of an endpoint.
     pub(super) fn endpoint(&self, key: ReplicaKey) -> Option<(SocketAddr, Arc<str>)> {
         let directory = self.directory.borrow();
@@ -380,13 +314,6 @@
     }
 }
 
-/// The id of a process instance as a hub. It differs from those of earlier instances on the same
-/// VM, and of other VMs, some of which start within the same millisecond: the counts of entries
-/// that shared an id would be mixed up, and rates exceeded. Ids have no order.
-pub(super) fn instance_id(vm: &str, started: UnixMs) -> u64 {
-    Digest::of(&[vm.as_bytes(), &started.0.to_be_bytes()]).prefix()
-}
-
 /// Guard that counts a request as being served.
 pub(super) struct Running(Rc<Gateway>);
 
--- a/src/gateway/tests/hubs.rs
+++ b/src/gateway/tests/hubs.rs
@@ -10,6 +10,7 @@
 use super::fakes::{self, FakeStore};
 use crate::catalog::{Regions, Workspace};
 use crate::gateway::PeerRecord;
+use crate::gateway::ask_hub::preferred_hubs;
 use crate::gateway::attach_message::{Attach, AttachMessage, Decision, HubRow, HubState, Question};
 use crate::gateway::feed_message::{FeedStatus, ListPosition};
 use crate::gateway::hub::{answer_attach, answer_question, refund, update_state};
@@ -134,9 +135,9 @@
     let mut workspaces = HashMap::new();
     for number in 0..3_300_u64 {
         let workspace = name_hash(&format!("w{number}"));
-        let preferred = leaf::preferred_hubs(workspace, hubs.iter().copied(), 2);
+        let preferred = preferred_hubs(workspace, hubs.iter().copied(), 2);
         let remaining = hubs.iter().copied().filter(|hub| *hub != preferred[0]);
-        assert_eq!(leaf::preferred_hubs(workspace, remaining, 1), preferred[1..]);
+        assert_eq!(preferred_hubs(workspace, remaining, 1), preferred[1..]);
         *workspaces.entry(preferred[0]).or_insert(0) += 1;
     }
     assert!(workspaces.values().all(|count| *count < 2 * 3_300 / MAX_HUBS), "{workspaces:?}");
--- a/src/replicas/directory.rs
+++ b/src/replicas/directory.rs
@@ -66,6 +66,9 @@
     /// served no requests meanwhile, and their announcements show that only later.
     pub fn update_evacuations(&mut self, now: TimeMs, as_of: u64, domains: BTreeSet<Arc<str>>) {
         let restored = self.evacuations.replace(as_of, domains);
+        if restored.is_empty() {
+            return;
+        }
         let keys: Vec<_> = self.replicas.keys().collect();
         for key in keys {
             if restored.contains(&self.replicas[key].announcement.failure_domain) {
