--- a/src/quota/tests.rs
+++ b/src/quota/tests.rs
@@ -1,3 +1,4 @@
+mod incident_quota;
 mod programs;
 
 use test_case::test_case;
