A refusal for the rate tells the parts of its window's count; loss of contact and the age of refunds are recorded

To tell the hypotheses on QUOTA apart: own, others, assumed and known in the line of a refusal, a line when an entry begins or ceases to hear half of the others, and the histogram trefoil_rate_refund_age_ms. No change of logic.

--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::ask_hub::{HubGrant, NotAdmitted, ask_hub, refund};
-use super::observe::RequestSummary;
+use super::observe::{self, RequestSummary};
 use super::state::Gateway;
 use super::{Refusal, RequestHead};
 use crate::catalog::{Catalog, Route, Workspace};
@@ -48,6 +48,7 @@
     pub(super) fn refund(self, gateway: &Gateway) {
         match (self.workspace, self.grant) {
             (Some(workspace), Some(Admitted::Here(grant))) => {
+                observe::record_rate_refund(grant.age_ms(gateway.now()));
                 gateway.rates.borrow_mut().refund(gateway.now(), &workspace.name, grant);
             }
             (_, Some(Admitted::ByHub(grant))) => refund(gateway, grant),
@@ -79,11 +80,14 @@
             Err(Refusal::Unavailable { retry_after_ms })
         }
         Err(NotAdmitted::NoRoom { retry_after_ms }) => {
-            let (used, limit) = gateway.rates.borrow().used(&workspace.name);
-            let peer_counts = gateway.peers.borrow().peer_counts(gateway.now());
+            let now = gateway.now();
+            let usage = gateway.rates.borrow_mut().usage(now, &workspace.name);
+            let peer_counts = gateway.peers.borrow().peer_counts(now);
             let finish_ms = request_head.finish_ms.unwrap_or(u64::MAX);
             log::info!(request:% = request_head.request, workspace:% = workspace.name,
-                claim = claim.name(), finish_ms, retry_after_ms, used, limit,
+                claim = claim.name(), finish_ms, retry_after_ms, used = usage.used(),
+                limit = usage.limit, own = usage.own, others = usage.others,
+                assumed = usage.assumed, known = usage.is_known,
                 entries = peer_counts.entries, heard = peer_counts.heard,
                 config = catalog.version();
                 "workspace over its request rate; request refused");
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -55,6 +55,7 @@
     let mut last_sent = None;
     let mut last_sent_at = TimeMs::default();
     let mut round = 0;
+    let mut hears_half = true;
     loop {
         let Role::Hub { instance, .. } = gateway.role() else {
             gateway.hub_begun.notified().await;
@@ -74,6 +75,7 @@
         let heard_entry_hashes = gateway.peers.borrow().heard_entry_hashes();
         gateway.directory.borrow_mut().update_entries(now, heard_entry_hashes);
         forget_silent_entries(&gateway, now);
+        hears_half = record_contact(&gateway, now, hears_half);
         tokio::time::sleep(Duration::from_millis(MIN_GOSSIP_PAUSE_MS)).await;
         tokio::select! {
             () = tokio::time::sleep(Duration::from_millis(pause_ms - MIN_GOSSIP_PAUSE_MS)) => {}
@@ -82,6 +84,18 @@
     }
 }
 
+/// Logs when this entry begins or ceases to hear at least half of the others, which changes how it
+/// admits requests. Returns whether it hears them now.
+fn record_contact(gateway: &Gateway, now: TimeMs, heard_before: bool) -> bool {
+    let peer_counts = gateway.peers.borrow().peer_counts(now);
+    let hears_half = peer_counts.hears_half();
+    if hears_half != heard_before {
+        log::info!(hears_half, entries = peer_counts.entries, heard = peer_counts.heard;
+            "contact with half of the entries lost or regained; it decides how rates are kept");
+    }
+    hears_half
+}
+
 /// Forgets the shards and the running requests of entries from which no message came for too long.
 pub(super) fn forget_silent_entries(gateway: &Gateway, now: TimeMs) {
     let silent = gateway.peers.borrow_mut().take_silent(now);
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -13,6 +13,7 @@
 use super::hub_feed::feed_status;
 use super::hubs::{AskedQuestion, GrantedQuestions};
 use super::message::{EvacuationState, rotating_slice};
+use super::observe::record_rate_refund;
 use super::owned_shard::Stage;
 use super::state::Gateway;
 use crate::prelude::*;
@@ -192,10 +193,11 @@
         }
         Err(retry_after_ms) if !is_known => Decision::Unknown { retry_after_ms },
         Err(retry_after_ms) => {
-            let (used, limit) = rates.used_by_hash(question.workspace);
+            let usage = rates.usage_by_hash(now, question.workspace);
             log::info!(leaf:%, workspace_hash = question.workspace, claim = question.claim.name(),
-                retry_after_ms, used, limit, entries = peer_counts.entries,
-                heard = peer_counts.heard;
+                retry_after_ms, used = usage.used(), limit = usage.limit, own = usage.own,
+                others = usage.others, assumed = usage.assumed, known = usage.is_known,
+                entries = peer_counts.entries, heard = peer_counts.heard;
                 "workspace over its request rate; a leaf's request is not admitted");
             Decision::NoRoom { retry_after_ms }
         }
@@ -206,6 +208,7 @@
 pub(super) fn refund(gateway: &Gateway, leaf: SocketAddr, number: u64) {
     let taken = gateway.leaves.granted.borrow_mut().take(AskedQuestion { leaf, number });
     if let Some((workspace, grant)) = taken {
+        record_rate_refund(grant.age_ms(gateway.now()));
         gateway.rates.borrow_mut().refund_by_hash(gateway.now(), workspace, grant);
     }
 }
--- a/src/gateway/observe.rs
+++ b/src/gateway/observe.rs
@@ -53,6 +53,12 @@
         .record(took_ms as f64);
 }
 
+/// Records that a request which did not run gives its share of the rate back, `age_ms` after it was
+/// admitted.
+pub(super) fn record_rate_refund(age_ms: u64) {
+    histogram!("trefoil_rate_refund_age_ms").record(age_ms as f64);
+}
+
 /// Logs and counts a refused request.
 pub(super) fn record_refused(
     gateway: &Gateway,
--- a/src/gateway/rates.rs
+++ b/src/gateway/rates.rs
@@ -4,7 +4,7 @@
 use crate::catalog::Workspace;
 use crate::load::UseLevel;
 use crate::prelude::*;
-use crate::quota::{Claim, Grant, PeerCounts, ProgramStats, RateLimit, SharedWindow};
+use crate::quota::{Claim, Grant, PeerCounts, ProgramStats, RateLimit, SharedWindow, WindowUsage};
 
 /// A workspace's count is sent to the other entries for this long after each change: in at least
 /// three messages, so that two may be lost.
@@ -165,14 +165,15 @@
         }
     }
 
-    /// Requests admitted in the workspace's window by all entries, and the window's limit.
-    pub(super) fn used(&self, workspace: &str) -> (f64, f64) {
-        self.used_by_hash(workspace_hash(workspace))
+    /// What a workspace's window holds as counted here.
+    pub(super) fn usage(&mut self, now: TimeMs, workspace: &str) -> WindowUsage {
+        self.usage_by_hash(now, workspace_hash(workspace))
     }
 
     /// The same for a workspace whose name has this hash.
-    pub(super) fn used_by_hash(&self, workspace: u64) -> (f64, f64) {
-        self.windows.get(&workspace).map_or((0.0, 0.0), |tracked| tracked.window.used())
+    pub(super) fn usage_by_hash(&mut self, now: TimeMs, workspace: u64) -> WindowUsage {
+        let tracked = self.windows.get_mut(&workspace);
+        tracked.map_or_else(WindowUsage::default, |tracked| tracked.window.usage(now))
     }
 
     /// How far a workspace's use of its contracted rate lies above the mean use.
@@ -181,8 +182,8 @@
         let Some(tracked) = self.windows.get_mut(&workspace_hash(workspace)) else {
             return UseLevel::default();
         };
-        let (used, limit) = tracked.window.used_at(now);
-        UseLevel::of(used, limit * mean_use)
+        let usage = tracked.window.usage(now);
+        UseLevel::of(usage.used(), usage.limit * mean_use)
     }
 
     /// The part of their contracted rates that all workspaces together use. Computed anew only every
@@ -192,9 +193,9 @@
         if self.mean_use.is_some() && now.since(computed_at) < MEAN_USE_INTERVAL_MS {
             return mean_use;
         }
-        let all = self.windows.values_mut().map(|tracked| tracked.window.used_at(now));
+        let all = self.windows.values_mut().map(|tracked| tracked.window.usage(now));
         let (used, limit) =
-            all.fold((0.0, 0.0), |sum, (used, limit)| (sum.0 + used, sum.1 + limit));
+            all.fold((0.0, 0.0), |sum, usage| (sum.0 + usage.used(), sum.1 + usage.limit));
         let mean_use = if limit > 0.0 { used / limit } else { 0.0 };
         self.mean_use = Some((now, mean_use));
         mean_use
--- a/src/quota/claim.rs
+++ b/src/quota/claim.rs
@@ -42,8 +42,17 @@
 #[derive(Copy)]
 #[must_use]
 pub struct Grant {
+    /// When the request was admitted.
+    pub(super) admitted_at: TimeMs,
     /// Whether the request was counted; without a limit nothing is.
     pub(super) counted: bool,
     /// Time booked for the program that the request starts.
     pub(super) booked_ms: Option<u64>,
 }
+
+impl Grant {
+    /// For how long the request has been admitted.
+    pub fn age_ms(&self, now: TimeMs) -> u64 {
+        now.since(self.admitted_at)
+    }
+}
--- a/src/quota/mod.rs
+++ b/src/quota/mod.rs
@@ -7,11 +7,13 @@
 mod programs;
 mod shared_window;
 mod usage_totals;
+mod window_usage;
 
 pub use claim::{Claim, Grant};
 pub use program_stats::ProgramStats;
 pub use shared_window::{PeerCounts, RateLimit, SharedWindow};
 pub use usage_totals::UsageTotals;
+pub use window_usage::WindowUsage;
 
 #[cfg(test)]
 mod tests;
--- a/src/quota/shared_window.rs
+++ b/src/quota/shared_window.rs
@@ -14,7 +14,7 @@
 use super::program_stats::ProgramStats;
 use super::programs::{RunningPrograms, WindowLimit};
 use super::usage_totals::UsageTotals;
-use super::{Claim, Grant};
+use super::{Claim, Grant, WindowUsage};
 use crate::prelude::*;
 
 /// Length of the slots in which the window is counted. It equals the time between two messages;
@@ -169,7 +169,7 @@
         all_stats: &ProgramStats,
     ) -> Result<Grant, u64> {
         if self.rate_limit.rate_per_s <= 0.0 {
-            return Ok(Grant { counted: false, booked_ms: None });
+            return Ok(Grant { admitted_at: now, counted: false, booked_ms: None });
         }
         self.advance(now);
         let limit = self.limit_for(claim, peer_counts, all_stats);
@@ -189,7 +189,7 @@
             }
             Claim::ContinuesProgram | Claim::Call => None,
         };
-        let grant = Grant { counted: true, booked_ms };
+        let grant = Grant { admitted_at: now, counted: true, booked_ms };
         self.add(Slot { own: 1.0, ..Slot::default() });
         self.admitted.add(grant);
         self.programs.record_requests(now, 1.0, self.is_crowded());
@@ -273,15 +273,16 @@
         self.report_adopted || now >= self.fully_observed_at
     }
 
-    /// Requests of all entries in the window as counted here, and the limit.
-    pub fn used(&self) -> (f64, f64) {
-        (self.window_total.total(), self.rate_limit.max_in_window())
-    }
-
-    /// The same, after removing what has left the window since the last request.
-    pub fn used_at(&mut self, now: TimeMs) -> (f64, f64) {
+    /// What the window holds, after removing what has left it.
+    pub fn usage(&mut self, now: TimeMs) -> WindowUsage {
         self.advance(now);
-        self.used()
+        WindowUsage {
+            own: self.window_total.own,
+            others: self.window_total.others,
+            assumed: self.window_total.assumed,
+            limit: self.rate_limit.max_in_window(),
+            is_known: self.is_known(now),
+        }
     }
 
     /// Merges the report of another entry that knows the window: the requests of all entries in it.
--- a/src/quota/tests/incident_quota.rs
+++ b/src/quota/tests/incident_quota.rs
@@ -23,7 +23,7 @@
     let grants: Vec<_> =
         (0..100).filter_map(|_| admit_at(&mut window, 10_000, ALL_HEARD)).collect();
     assert_eq!(grants.len(), 100);
-    window.used_at(TimeMs(14_000));
+    window.usage(TimeMs(14_000));
     grants.into_iter().for_each(|grant| window.refund(grant));
     let ran: usize = [14_000, 15_200, 18_000, 18_900]
         .map(|now| admitted_at(&mut window, now, ALL_HEARD))
