A refund is taken from the slot of its admission, here and at the entries that hear of it

Callers of a workspace got more than its limit: once the slot of a refunded request had left the window, its refund stayed in a newer slot and left room for one request too many, for as long as the refund had been late.

Cause: SharedWindow::refund took one from the newest slot, and entries reported net totals, whose fall others booked in the slot of the message. A turn waits in its owner's list for up to seconds before it is refused, so in a surge these are dozens at once.

Change: a grant knows when it was admitted, and its refund goes to that slot. Entries report what they admitted without subtracting refunds, and behind the load report of the same datagram the refunds still in the window by the age of their requests; absolute counts, so that the next message makes up for a lost one.

Tests that refund call the new functions; their assertions are unchanged. The local net totals and append_load_report are gone.

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -11,7 +11,7 @@
 use super::hubs::Role;
 use super::leaf;
 use super::load_reports::{apply_load_report, compose_load_report};
-use super::message::{EvacuationState, GossipMessage, LoadReport, rotating_slice};
+use super::message::{Datagram, EvacuationState, GossipMessage, RefundReport, rotating_slice};
 use super::owned_shard::Stage;
 use super::rates::{RowSelection, SenderAge};
 use super::shard_table::Owner;
@@ -181,15 +181,15 @@
 
 /// Encodes the message, with fewer rows in each list until it fits into a datagram.
 fn encode(gateway: &Gateway, instance: u64, round: usize) -> Option<(GossipMessage, Vec<u8>)> {
+    let load = compose_load_report(gateway, round).unwrap_or_default();
     let mut rows = MAX_ROWS;
     while rows > 0 {
         let gossip = compose(gateway, instance, round, rows);
-        match postcard::to_allocvec(&gossip) {
-            Ok(bytes) if bytes.len() <= MAX_DATAGRAM_BYTES => {
-                let bytes = append_load_report(gateway, bytes, round);
-                return Some((gossip, bytes));
-            }
-            Ok(_) => rows /= 2,
+        let refunds = compose_refunds(gateway, &gossip);
+        let datagram = Datagram { gossip, load: load.clone(), refunds };
+        match datagram.encode(MAX_DATAGRAM_BYTES) {
+            Ok(Some(bytes)) => return Some((datagram.gossip, bytes)),
+            Ok(None) => rows /= 2,
             Err(fault) => {
                 log::error!(fault:display; "encoding a gossip message failed; sending nothing");
                 return None;
@@ -200,17 +200,11 @@
     None
 }
 
-/// Appends the load report of this round to an encoded message, if there is one and it fits.
-fn append_load_report(gateway: &Gateway, mut message: Vec<u8>, round: usize) -> Vec<u8> {
-    let Some(report) = compose_load_report(gateway, round) else {
-        return message;
-    };
-    match postcard::to_allocvec(&report) {
-        Ok(bytes) if message.len() + bytes.len() <= MAX_DATAGRAM_BYTES => message.extend(bytes),
-        Ok(bytes) => log::debug!(bytes = bytes.len(); "load report does not fit; left out"),
-        Err(fault) => log::error!(fault:display; "encoding a load report failed; left out"),
-    }
-    message
+/// The refunds of the workspaces in a message.
+fn compose_refunds(gateway: &Gateway, gossip: &GossipMessage) -> RefundReport {
+    let mut rates = gateway.rates.borrow_mut();
+    let workspaces = gossip.admitted.iter().map(|row| row.workspace);
+    RefundReport { rows: rates.refunds_to_send(gateway.now(), workspaces) }
 }
 
 async fn send_to_peers(gateway: &Gateway, socket: &UdpSocket, bytes: &[u8]) {
@@ -244,12 +238,12 @@
     if !gateway.is_hub() {
         return;
     }
-    match decode(datagram) {
-        Ok((gossip, report)) => {
+    match Datagram::decode(datagram) {
+        Ok(Datagram { gossip, load, refunds }) => {
             apply_message(gateway, from, &gossip);
-            if let Some(report) = report {
-                apply_load_report(gateway, gossip.instance, &report);
-            }
+            let now = gateway.now();
+            gateway.rates.borrow_mut().apply_refunds(now, gossip.instance, &refunds.rows);
+            apply_load_report(gateway, gossip.instance, &load);
         }
         Err(fault) => {
             log::warn!(from:display, fault:display; "discarding an undecodable gossip message")
@@ -287,23 +281,6 @@
     hub::send(socket, from, &answer).await;
 }
 
-/// Decodes a datagram: a message and, if the sender has a service under load control, a load
-/// report. A report that can't be decoded, as one of another version, does not affect the message.
-pub(super) fn decode(
-    datagram: &[u8],
-) -> Result<(GossipMessage, Option<LoadReport>), postcard::Error> {
-    let (gossip, rest) = postcard::take_from_bytes(datagram)?;
-    let report = match rest {
-        [] => None,
-        rest => postcard::from_bytes(rest)
-            .inspect_err(
-                |fault| log::debug!(fault:display; "discarding an undecodable load report"),
-            )
-            .ok(),
-    };
-    Ok((gossip, report))
-}
-
 /// Updates what this entry knows of the others from a message of one of them.
 pub(super) fn apply_message(gateway: &Rc<Gateway>, from: SocketAddr, gossip: &GossipMessage) {
     let now = gateway.now();
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -2,7 +2,7 @@
 
 use crate::load::EndpointReport;
 use crate::prelude::*;
-use crate::quota::UsageTotals;
+use crate::quota::{RefundCount, UsageTotals};
 use crate::turns::{Turn, TurnKey};
 
 /// A gossip message, by which an entry reports its state to the others in one datagram. All values
@@ -66,6 +66,83 @@
     }
 }
 
+/// The refunds of the workspaces whose counts are in a [`GossipMessage`]. Follows the
+/// [`LoadReport`] in the same datagram, which is then there even if it is empty. Without it, the
+/// refunded requests stay counted.
+#[wire]
+#[derive(Default)]
+pub(super) struct RefundReport {
+    /// The workspaces with refunds.
+    pub(super) rows: Vec<RefundRow>,
+}
+
+/// The requests of one workspace that the sender has refunded, of those still in the window.
+#[wire]
+pub(super) struct RefundRow {
+    /// The hash of the workspace's name.
+    pub(super) workspace: u64,
+    /// The refunds by the age of the requests.
+    pub(super) refunds: Vec<RefundCount>,
+}
+
+/// What one datagram between hubs holds.
+#[value]
+pub(super) struct Datagram {
+    /// The message.
+    pub(super) gossip: GossipMessage,
+    /// What the sender tells of endpoints under load control.
+    pub(super) load: LoadReport,
+    /// What it has refunded.
+    pub(super) refunds: RefundReport,
+}
+
+impl Datagram {
+    /// Encodes the datagram with what fits into `max_bytes`; the load report is left out first.
+    /// None if the rest does not fit either.
+    ///
+    /// # Errors
+    /// If a part can't be encoded.
+    pub(super) fn encode(&self, max_bytes: usize) -> Result<Option<Vec<u8>>, postcard::Error> {
+        let mut bytes = postcard::to_allocvec(&self.gossip)?;
+        let refunds = match self.refunds.rows.is_empty() {
+            true => vec![],
+            false => postcard::to_allocvec(&self.refunds)?,
+        };
+        let mut load = postcard::to_allocvec(&self.load)?;
+        if bytes.len() + load.len() + refunds.len() > max_bytes {
+            log::debug!(bytes = load.len(); "load report does not fit; left out");
+            load = postcard::to_allocvec(&LoadReport::default())?;
+        }
+        if !self.load.is_empty() || !refunds.is_empty() {
+            bytes.extend(load);
+            bytes.extend(refunds);
+        }
+        Ok((bytes.len() <= max_bytes).then_some(bytes))
+    }
+
+    /// Decodes a datagram. Reports that can't be decoded, as those of another version, do not affect
+    /// the message.
+    ///
+    /// # Errors
+    /// If the message can't be decoded.
+    pub(super) fn decode(bytes: &[u8]) -> Result<Datagram, postcard::Error> {
+        let (gossip, rest) = postcard::take_from_bytes(bytes)?;
+        let (load, rest) = take_report(rest);
+        let (refunds, _) = take_report(rest);
+        Ok(Datagram { gossip, load, refunds })
+    }
+}
+
+fn take_report<'a, T: Default + serde::Deserialize<'a>>(bytes: &'a [u8]) -> (T, &'a [u8]) {
+    if bytes.is_empty() {
+        return (T::default(), bytes);
+    }
+    postcard::take_from_bytes(bytes).unwrap_or_else(|fault| {
+        log::debug!(fault:display; "discarding an undecodable report in a gossip message");
+        (T::default(), &[])
+    })
+}
+
 /// The totals of the sender's measurements of one endpoint. They are absolute, like all gossip.
 #[wire]
 pub(super) struct PaceRow {
--- a/src/gateway/rates.rs
+++ b/src/gateway/rates.rs
@@ -1,6 +1,6 @@
 use std::collections::HashMap;
 
-use super::message::{WorkspaceUsage, rotating_slice};
+use super::message::{RefundRow, WorkspaceUsage, rotating_slice};
 use crate::catalog::Workspace;
 use crate::load::UseLevel;
 use crate::prelude::*;
@@ -160,7 +160,7 @@
     /// The same for a workspace whose name has this hash.
     pub(super) fn refund_by_hash(&mut self, now: TimeMs, workspace: u64, grant: Grant) {
         if let Some(tracked) = self.windows.get_mut(&workspace) {
-            tracked.window.refund(grant);
+            tracked.window.refund(now, grant);
             tracked.changed_at = now;
         }
     }
@@ -230,6 +230,28 @@
         rows
     }
 
+    /// The refunds of those of these workspaces that have any.
+    pub(super) fn refunds_to_send(
+        &mut self,
+        now: TimeMs,
+        workspaces: impl Iterator<Item = u64>,
+    ) -> Vec<RefundRow> {
+        let rows = workspaces.filter_map(|workspace| {
+            let refunds = self.windows.get_mut(&workspace)?.window.refunds(now);
+            (!refunds.is_empty()).then_some(RefundRow { workspace, refunds })
+        });
+        rows.collect()
+    }
+
+    /// Applies the refunds of another entry's process instance.
+    pub(super) fn apply_refunds(&mut self, now: TimeMs, instance: u64, rows: &[RefundRow]) {
+        for row in rows {
+            if let Some(tracked) = self.windows.get_mut(&row.workspace) {
+                tracked.window.apply_refunds(now, instance, &row.refunds);
+            }
+        }
+    }
+
     /// Applies the counts of another entry's process instance, which are totals since its start.
     ///
     /// The first count that arrives for a workspace is added to the window only if it must be
--- a/src/gateway/tests/gossip.rs
+++ b/src/gateway/tests/gossip.rs
@@ -3,8 +3,11 @@
 use std::time::Duration;
 
 use super::{fakes, gossip_message};
-use crate::gateway::gossip::{apply_message, compose, decode, forget_silent_entries};
-use crate::gateway::message::GossipMessage;
+use crate::gateway::gossip::{apply_message, compose, forget_silent_entries};
+use crate::gateway::message::{
+    Datagram, GossipMessage, LoadReport, PaceRow, RefundReport, RefundRow,
+};
+use crate::quota::RefundCount;
 use crate::replicas::EndpointChange;
 use crate::replicas::tests::announcement;
 
@@ -60,5 +63,26 @@
     let message = gossip_message(1, false);
     let mut datagram = postcard::to_allocvec(&message).expect("a message can be encoded");
     datagram.extend([200, 255]);
-    assert_eq!(decode(&datagram), Ok((message, None)));
+    let (load, refunds) = (LoadReport::default(), RefundReport::default());
+    assert_eq!(Datagram::decode(&datagram), Ok(Datagram { gossip: message, load, refunds }));
+}
+
+// A version without reports of refunds takes what follows a message for a load report. With the
+// refunds in its place, it would have taken them for measurements.
+#[test]
+fn refunds_follow_a_load_report_even_if_that_is_empty() {
+    let refunds = vec![RefundCount { age_slots: 20, requests: 3 }];
+    let refunds = RefundReport { rows: vec![RefundRow { workspace: 7, refunds }] };
+    let paces = vec![PaceRow { endpoint: 1, events: 2, events_ms: 3 }; 20];
+    let load = LoadReport { paces, endpoints: vec![] };
+    let gossip = gossip_message(1, false);
+    let datagram = Datagram { gossip, load, refunds };
+    let bytes = datagram.encode(1_400).expect("can be encoded").expect("fits");
+    assert_eq!(Datagram::decode(&bytes), Ok(datagram.clone()));
+    let shorter = datagram.encode(60).expect("can be encoded").expect("fits without the paces");
+    let without_paces = Datagram { load: LoadReport::default(), ..datagram };
+    assert_eq!(Datagram::decode(&shorter), Ok(without_paces.clone()));
+    let (_, rest) = postcard::take_from_bytes::<GossipMessage>(&shorter).expect("a message");
+    assert_eq!(postcard::from_bytes::<LoadReport>(rest), Ok(without_paces.load.clone()));
+    assert_eq!(without_paces.encode(10).expect("can be encoded"), None);
 }
--- a/src/quota/mod.rs
+++ b/src/quota/mod.rs
@@ -12,7 +12,7 @@
 pub use claim::{Claim, Grant};
 pub use program_stats::ProgramStats;
 pub use shared_window::{PeerCounts, RateLimit, SharedWindow};
-pub use usage_totals::UsageTotals;
+pub use usage_totals::{RefundCount, UsageTotals};
 pub use window_usage::WindowUsage;
 
 #[cfg(test)]
--- a/src/quota/shared_window.rs
+++ b/src/quota/shared_window.rs
@@ -14,7 +14,7 @@
 use super::program_stats::ProgramStats;
 use super::programs::{RunningPrograms, WindowLimit};
 use super::usage_totals::UsageTotals;
-use super::{Claim, Grant, WindowUsage};
+use super::{Claim, Grant, RefundCount, WindowUsage};
 use crate::prelude::*;
 
 /// Length of the slots in which the window is counted. It equals the time between two messages;
@@ -89,12 +89,21 @@
     others: f64,
     /// Requests assumed to have been admitted before this entry started.
     assumed: f64,
+    /// Requests of this entry that were taken from `own` again, as they have not run.
+    refunded: f64,
 }
 
 impl Slot {
     fn total(&self) -> f64 {
         self.own + self.others + self.assumed
     }
+
+    fn add(&mut self, added: &Slot) {
+        self.own += added.own;
+        self.others += added.others;
+        self.assumed += added.assumed;
+        self.refunded += added.refunded;
+    }
 }
 
 /// One entry's count of a workspace's requests in the sliding window.
@@ -117,6 +126,10 @@
     admitted: UsageTotals,
     /// The newest totals of the other entries and when they came, by process instance.
     peer_totals: HashMap<u64, (UsageTotals, TimeMs)>,
+    /// From when on the requests of another process instance are counted, if not all of them are.
+    counted_from: HashMap<u64, TimeMs>,
+    /// The refunds that other process instances have reported, by when the requests were admitted.
+    peer_refunds: HashMap<u64, Vec<(TimeMs, f64)>>,
     /// Mean time between two reports of an entry. With many workspaces a count is not in every
     /// message.
     report_interval_ms: f64,
@@ -142,6 +155,8 @@
             largest_report: None,
             admitted: UsageTotals::default(),
             peer_totals: HashMap::new(),
+            counted_from: HashMap::new(),
+            peer_refunds: HashMap::new(),
             report_interval_ms: MIN_REPORT_INTERVAL_MS,
             programs: RunningPrograms::new(now),
             others_recent: 0.0,
@@ -240,24 +255,41 @@
         self.window_total.total() > self.rate_limit.max_in_window() * CROWDED_FRACTION
     }
 
-    /// Refunds a request that has not run and will not run.
-    pub fn refund(&mut self, grant: Grant) {
+    /// Refunds a request that has not run and will not run. It is taken from the slot in which it was
+    /// admitted: if it stayed there, it would leave the window while the refund is still in it, and
+    /// one request too many would be admitted.
+    pub fn refund(&mut self, now: TimeMs, grant: Grant) {
         if !grant.counted {
             return;
         }
-        self.add(Slot { own: -1.0, ..Slot::default() });
-        self.admitted.subtract(grant);
+        self.advance(now);
+        let refunded = Slot { own: -1.0, refunded: 1.0, ..Slot::default() };
+        self.add_at(grant.admitted_at, refunded);
+        self.admitted.cancel_program(grant);
         if let Some(booked_ms) = grant.booked_ms {
             self.programs.cancel(booked_ms);
         }
     }
 
+    /// The refunds of this entry's requests that are still in the window, by when the requests were
+    /// admitted.
+    pub fn refunds(&mut self, now: TimeMs) -> Vec<RefundCount> {
+        self.advance(now);
+        let by_age = self.slots.iter().rev().enumerate();
+        let counts =
+            by_age.filter(|(_, slot)| slot.refunded > 0.0).map(|(age, slot)| RefundCount {
+                age_slots: u8::try_from(age).unwrap_or(u8::MAX),
+                requests: slot.refunded as u32,
+            });
+        counts.collect()
+    }
+
     /// Returns the observations of programs since the last call.
     pub fn take_new_stats(&mut self) -> ProgramStats {
         self.programs.take_new_stats()
     }
 
-    /// Requests that this process instance has admitted, less those refunded.
+    /// What this process instance has admitted, with the requests refunded since.
     pub fn admitted(&self) -> UsageTotals {
         self.admitted
     }
@@ -311,7 +343,10 @@
     pub fn record_baseline(&mut self, now: TimeMs, instance: u64, totals: UsageTotals) {
         match self.peer_totals.contains_key(&instance) {
             true => self.apply_usage(now, instance, totals),
-            false => drop(self.peer_totals.insert(instance, (totals, now))),
+            false => {
+                self.peer_totals.insert(instance, (totals, now));
+                self.counted_from.insert(instance, now);
+            }
         }
     }
 
@@ -331,6 +366,31 @@
         self.programs.record_requests(now, delta.requests, self.is_crowded());
     }
 
+    /// Applies which of its requests another entry has refunded, of those still in the window.
+    pub fn apply_refunds(&mut self, now: TimeMs, instance: u64, refunds: &[RefundCount]) {
+        self.advance(now);
+        let earlier = self.peer_refunds.remove(&instance).unwrap_or_default();
+        let counted_from = self.counted_from.get(&instance).copied().unwrap_or_default();
+        let refunds = refunds.iter().filter_map(|refund| {
+            let age_ms = u64::from(refund.age_slots) * SLOT_MS;
+            let at = TimeMs(self.newest_slot_at.0.checked_sub(age_ms)?);
+            (at >= counted_from).then_some((at, f64::from(refund.requests)))
+        });
+        let refunds: Vec<_> = refunds.collect();
+        for (at, requests) in &earlier {
+            self.add_at(*at, Slot { others: *requests, ..Slot::default() });
+        }
+        for (at, requests) in &refunds {
+            self.add_at(*at, Slot { others: -requests, ..Slot::default() });
+        }
+        let total = |refunds: &[(TimeMs, f64)]| refunds.iter().map(|(_, requests)| requests).sum();
+        let (earlier, current): (f64, f64) = (total(&earlier), total(&refunds));
+        self.others_recent = (self.others_recent - (current - earlier).max(0.0)).max(0.0);
+        if !refunds.is_empty() {
+            self.peer_refunds.insert(instance, refunds);
+        }
+    }
+
     /// Adds the time between two reports of an entry to the mean.
     fn record_report(&mut self, interval_ms: u64) {
         if interval_ms <= MAX_REPORT_INTERVAL_MS {
@@ -341,10 +401,17 @@
     }
 
     fn add(&mut self, added: Slot) {
-        for slot in self.slots.back_mut().into_iter().chain([&mut self.window_total]) {
-            slot.own += added.own;
-            slot.others += added.others;
-            slot.assumed += added.assumed;
+        self.add_at(self.newest_slot_at, added);
+    }
+
+    /// Adds to the slot of a time, unless that has left the window.
+    fn add_at(&mut self, at: TimeMs, added: Slot) {
+        let age_slots = self.newest_slot_at.since(at).div_ceil(SLOT_MS) as usize;
+        let Some(newest) = self.slots.len().checked_sub(age_slots + 1) else {
+            return;
+        };
+        for slot in self.slots.get_mut(newest).into_iter().chain([&mut self.window_total]) {
+            slot.add(&added);
         }
     }
 
@@ -357,11 +424,8 @@
             self.slots.push_back(Slot::default());
         }
         if elapsed_slots > 0 {
-            self.window_total = self.slots.iter().fold(Slot::default(), |sum, slot| Slot {
-                own: sum.own + slot.own,
-                others: sum.others + slot.others,
-                assumed: sum.assumed + slot.assumed,
-            });
+            self.window_total = Slot::default();
+            self.slots.iter().for_each(|slot| self.window_total.add(slot));
         }
     }
 
--- a/src/quota/tests.rs
+++ b/src/quota/tests.rs
@@ -183,8 +183,9 @@
         .try_admit(now, ALL_HEARD, Claim::Call, &ProgramStats::default())
         .expect("the window has room");
     remote.apply_usage(now, 1, local.admitted());
-    local.refund(grant);
+    local.refund(now, grant);
     remote.apply_usage(now, 1, local.admitted());
+    remote.apply_refunds(now, 1, &local.refunds(now));
     for shared in [&mut local, &mut remote] {
         let admitted = (0..100)
             .filter(|_| {
@@ -205,7 +206,7 @@
     assert_eq!(shared.in_window(now), Some(0.0));
     for _ in 0..50 {
         let grant = shared.try_admit(now, ALL_HEARD, Claim::Call, &ProgramStats::default());
-        shared.refund(grant.expect("a workspace without a limit is always admitted"));
+        shared.refund(now, grant.expect("a workspace without a limit is always admitted"));
     }
     shared.set_rate_limit(RateLimit { rate_per_s: 10.0, burst: 10.0, window_ms: 5_000 });
     let is_admitted =
--- a/src/quota/tests/incident_quota.rs
+++ b/src/quota/tests/incident_quota.rs
@@ -24,7 +24,7 @@
         (0..100).filter_map(|_| admit_at(&mut window, 10_000, ALL_HEARD)).collect();
     assert_eq!(grants.len(), 100);
     window.usage(TimeMs(14_000));
-    grants.into_iter().for_each(|grant| window.refund(grant));
+    grants.into_iter().for_each(|grant| window.refund(TimeMs(14_000), grant));
     let ran: usize = [14_000, 15_200, 18_000, 18_900]
         .map(|now| admitted_at(&mut window, now, ALL_HEARD))
         .iter()
@@ -39,8 +39,9 @@
     remote.record_baseline(TimeMs(9_000), 1, totals(0));
     let grants: Vec<_> = (0..100).filter_map(|_| admit_at(&mut local, 10_000, ALL_HEARD)).collect();
     remote.apply_usage(TimeMs(10_100), 1, local.admitted());
-    grants.into_iter().for_each(|grant| local.refund(grant));
+    grants.into_iter().for_each(|grant| local.refund(TimeMs(14_000), grant));
     remote.apply_usage(TimeMs(14_000), 1, local.admitted());
+    remote.apply_refunds(TimeMs(14_000), 1, &local.refunds(TimeMs(14_000)));
     let ran: usize = [14_000, 15_200, 18_000, 18_900]
         .map(|now| admitted_at(&mut remote, now, ALL_HEARD))
         .iter()
--- a/src/quota/tests/programs.rs
+++ b/src/quota/tests/programs.rs
@@ -142,8 +142,9 @@
             .try_admit(now, ALL_HEARD, program_start(), &ProgramStats::default())
             .expect("the program may start");
         remote.apply_usage(now, 1, local.admitted());
-        local.refund(grant);
+        local.refund(now, grant);
         remote.apply_usage(now, 1, local.admitted());
+        remote.apply_refunds(now, 1, &local.refunds(now));
     }
     assert!(remote.try_admit(now, ALL_HEARD, program_start(), &ProgramStats::default()).is_ok());
 }
--- a/src/quota/usage_totals.rs
+++ b/src/quota/usage_totals.rs
@@ -1,18 +1,28 @@
 use super::Grant;
 use crate::prelude::*;
 
-/// Totals of what one process instance of an entry has admitted for a workspace, less refunds.
+/// Totals of what one process instance of an entry has admitted for a workspace.
 #[wire]
 #[derive(Copy, Default)]
 pub struct UsageTotals {
-    /// Requests admitted.
+    /// Requests admitted, also those refunded since; see [`RefundCount`].
     pub requests: u64,
-    /// Programs started.
+    /// Programs started, less those that have not run.
     pub programs: u64,
     /// Time booked for these programs, in total.
     pub booked_ms: u64,
 }
 
+/// Requests admitted about the same time that were refunded, as they have not run.
+#[wire]
+#[derive(Copy)]
+pub struct RefundCount {
+    /// For how many slots of the window they have been admitted.
+    pub age_slots: u8,
+    /// Their number.
+    pub requests: u32,
+}
+
 impl UsageTotals {
     /// Adds an admitted request.
     pub(super) fn add(&mut self, grant: Grant) {
@@ -23,9 +33,8 @@
         }
     }
 
-    /// Subtracts a request that was added and is refunded.
-    pub(super) fn subtract(&mut self, grant: Grant) {
-        self.requests = self.requests.saturating_sub(1);
+    /// Subtracts the program of a request that was added and is refunded.
+    pub(super) fn cancel_program(&mut self, grant: Grant) {
         if let Some(booked_ms) = grant.booked_ms {
             self.programs = self.programs.saturating_sub(1);
             self.booked_ms = self.booked_ms.saturating_sub(booked_ms);
