What was admitted before an entry knows a window stays counted for the whole window

Cause: an entry that starts, and one that adopts the sum which others report, spread it evenly over the window. A sliding window fills in bursts: with a surge just before the kill, nothing has left it when the even spread has dropped half. A limit raised before the window was known made the difference free, although the others had it all along.

Change: an adopted sum is taken to have come just now. A window that is not known keeps its linear estimate, but at most half of the tolerance (overrun x limit + slack, now read from the platform's bounds) is admitted on it; the other half is for a second entry that counts at the same time. A limit set on an unknown window is assumed to be used too. Slots, reports of other entries and the limit are files of their own.

--- a/soak/src/gateways.rs
+++ b/soak/src/gateways.rs
@@ -74,7 +74,8 @@
         let settings = json!({
             "nodeName": name, "zone": "a", "ip": "127.0.0.1", "portRange": [peers, peers],
             "listen": {"front": callers, "ready": local(free_port()?)},
-            "bounds": {"revokeMs": revoke_ms, "graceS": 4, "drainMs": 2000, "quotaWindowS": 5},
+            "bounds": {"revokeMs": revoke_ms, "graceS": 4, "drainMs": 2000, "quotaWindowS": 5,
+                "quotaOverrun": 0.1, "quotaSlack": 20},
             "platform": {"address": store, "parts": parts, "ttlMinMs": 1000},
         });
         let file = std::env::temp_dir().join(format!("trefoil-{name}-{}.json", callers.port()));
--- a/src/gateway/rates.rs
+++ b/src/gateway/rates.rs
@@ -4,7 +4,9 @@
 use crate::catalog::Workspace;
 use crate::load::UseLevel;
 use crate::prelude::*;
-use crate::quota::{Claim, Grant, PeerCounts, ProgramStats, RateLimit, SharedWindow, WindowUsage};
+use crate::quota::{
+    Claim, Grant, PeerCounts, ProgramStats, RateLimit, RateWindow, SharedWindow, WindowUsage,
+};
 
 /// A workspace's count is sent to the other entries for this long after each change: in at least
 /// three messages, so that two may be lost.
@@ -54,7 +56,7 @@
 /// admitted.
 #[derive(Debug)]
 pub(super) struct RateLimiter {
-    window_ms: u64,
+    window: RateWindow,
     windows: HashMap<u64, TrackedWindow>,
     /// Request rate and length of programs, over all workspaces.
     program_stats: ProgramStats,
@@ -63,11 +65,10 @@
 }
 
 impl RateLimiter {
-    /// Creates a limiter that knows no workspace yet. The limits hold over any window of
-    /// `window_ms`.
-    pub(super) fn open(window_ms: u64) -> RateLimiter {
+    /// Creates a limiter that knows no workspace yet.
+    pub(super) fn open(window: RateWindow) -> RateLimiter {
         RateLimiter {
-            window_ms,
+            window,
             windows: HashMap::new(),
             program_stats: ProgramStats::default(),
             mean_use: None,
@@ -107,7 +108,7 @@
     ) -> Result<Grant, u64> {
         let overall_stats = self.program_stats;
         let Some(tracked) = self.windows.get_mut(&workspace) else {
-            return Err(self.window_ms);
+            return Err(self.window.length_ms);
         };
         let grant = tracked.window.try_admit(now, peer_counts, claim, &overall_stats)?;
         tracked.changed_at = now;
@@ -123,7 +124,7 @@
         now: TimeMs,
         workspaces: impl Iterator<Item = &'a Arc<Workspace>>,
     ) {
-        *self = RateLimiter::open(self.window_ms);
+        *self = RateLimiter::open(self.window);
         workspaces.for_each(|workspace| self.open_window(now, workspace));
     }
 
@@ -138,7 +139,7 @@
         let rate_limit = RateLimit {
             rate_per_s: workspace.rate_per_s,
             burst: workspace.burst,
-            window_ms: self.window_ms,
+            window: self.window,
         };
         let tracked =
             self.windows.entry(workspace_hash(&workspace.name)).or_insert_with(|| TrackedWindow {
@@ -147,7 +148,7 @@
                 changed_at: now,
             });
         if tracked.window.rate_limit() != rate_limit {
-            tracked.window.set_rate_limit(rate_limit);
+            tracked.window.set_rate_limit(now, rate_limit);
         }
         tracked
     }
--- a/src/gateway/role.rs
+++ b/src/gateway/role.rs
@@ -67,7 +67,7 @@
     pub(super) fn is_recent_hub(&self) -> bool {
         match self.role.get() {
             Role::Hub { since, .. } => {
-                self.now().since(since) < self.settings.bounds.rate_window_ms
+                self.now().since(since) < self.settings.bounds.rate_window.length_ms
             }
             Role::Undecided | Role::Leaf => false,
         }
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -2,6 +2,7 @@
 
 use crate::mechanisms::Mechanisms;
 use crate::prelude::*;
+use crate::quota::RateWindow;
 use crate::replicas::{EndpointChoice, Topology};
 
 /// Limits that the operator of a deployment sets.
@@ -11,8 +12,8 @@
     pub revoke_ms: u64,
     /// Grace period from SIGTERM to SIGKILL.
     pub grace_ms: u64,
-    /// The workspaces' rates hold over any window of this length.
-    pub rate_window_ms: u64,
+    /// The window over which the workspaces' rates hold.
+    pub rate_window: RateWindow,
     /// A draining endpoint must not get new requests after this time.
     pub drain_ms: u64,
     /// In any second a cold endpoint must get at most this multiple of the service's rate for cold
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -108,7 +108,7 @@
             process_instance: instance_id(&settings.name, clock.unix()),
             placement: RefCell::new(placement),
             connections: Rc::default(),
-            rates: RefCell::new(RateLimiter::open(settings.bounds.rate_window_ms)),
+            rates: RefCell::new(RateLimiter::open(settings.bounds.rate_window)),
             program_admissions: RefCell::default(),
             suspects: RefCell::default(),
             reader_limits,
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -18,7 +18,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use fakes::FakeStore;
+use fakes::{FakeStore, RATE_WINDOW};
 
 use super::PeerRecord;
 use super::endpoint_feed::follow_endpoint_list;
@@ -100,7 +100,7 @@
         burst: 10.0,
         regions: Regions::default(),
     };
-    let mut rates = RateLimiter::open(5_000);
+    let mut rates = RateLimiter::open(RATE_WINDOW);
     let sender = SenderAge { since: TimeMs(0), recently_started: false };
     let row = |admitted, in_window| {
         let workspace = Digest::of(&[b"w"]).prefix();
@@ -131,7 +131,7 @@
         regions: Regions::default(),
     };
     let (idle, busy) = (workspace("idle"), workspace("busy"));
-    let mut rates = RateLimiter::open(5_000);
+    let mut rates = RateLimiter::open(RATE_WINDOW);
     rates.open_window(TimeMs(0), &idle);
     rates.open_window(TimeMs(0), &busy);
     let alone = PeerCounts { entries: 1, heard: 1 };
--- a/src/quota/mod.rs
+++ b/src/quota/mod.rs
@@ -3,15 +3,19 @@
 
 mod bookings;
 mod claim;
+mod peer_reports;
 mod program_stats;
 mod programs;
+mod rate_limit;
 mod shared_window;
+mod slots;
 mod usage_totals;
 mod window_usage;
 
 pub use claim::{Claim, Grant};
 pub use program_stats::ProgramStats;
-pub use shared_window::{PeerCounts, RateLimit, SharedWindow};
+pub use rate_limit::{RateLimit, RateWindow};
+pub use shared_window::{PeerCounts, SharedWindow};
 pub use usage_totals::{RefundCount, UsageTotals};
 pub use window_usage::WindowUsage;
 
--- /dev/null
+++ b/src/quota/rate_limit.rs
@@ -0,0 +1,34 @@
+/// A workspace's limit. Any window may hold the rate times the window's length, plus the burst.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RateLimit {
+    /// Requests per second; zero means no limit.
+    pub rate_per_s: f64,
+    /// Requests allowed beyond the rate in a window.
+    pub burst: f64,
+    /// Length of the window and its tolerance.
+    pub window: RateWindow,
+}
+
+impl RateLimit {
+    /// The most requests that a window may hold.
+    pub(super) fn max_in_window(&self) -> f64 {
+        self.rate_per_s * self.window.length_ms as f64 / 1_000.0 + self.burst
+    }
+
+    /// How many more it may hold while the entries can't know of each other's admissions.
+    pub(super) fn tolerance(&self) -> f64 {
+        self.max_in_window() * self.window.overrun + self.window.slack
+    }
+}
+
+/// The window in which all rates are measured, and by how much it may exceed a limit. Entries admit
+/// up to the limit; the rest is for what they can't know of each other.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RateWindow {
+    /// Length of the window.
+    pub length_ms: u64,
+    /// Tolerated excess as a fraction of the limit.
+    pub overrun: f64,
+    /// Tolerated excess in requests, beyond that fraction.
+    pub slack: f64,
+}
--- a/src/time.rs
+++ b/src/time.rs
@@ -15,6 +15,11 @@
         TimeMs(self.0.saturating_add(duration_ms))
     }
 
+    /// The time `duration_ms` earlier, saturating at the start of the process.
+    pub fn minus(self, duration_ms: u64) -> TimeMs {
+        TimeMs(self.0.saturating_sub(duration_ms))
+    }
+
     /// Milliseconds since `earlier`; zero if `earlier` is later.
     pub fn since(self, earlier: TimeMs) -> u64 {
         self.0.saturating_sub(earlier.0)
