An entry that hears fewer than half of the others admits a share of the tolerance, not of the limit

Callers got more than the limit while entries were cut off from the others, by one share of it for each: its share came at once on top of a window that the others had filled, and for as long as they went on to use the whole limit.

Causes, one class: a share reckoned over those who are heard, while those who are not go on. (1) The share was valid from the first moment, although the others' admissions stay in the window for its whole length. (2) A silent entry that had been deregistered got no share in the others' reckoning, but used one. (3) An entry that started behind a cut counted only those whom it had heard, so itself, and used the whole limit after a window.

Change: alone, an entry admits tolerance / entries in a window, whatever the others do; the sum over all is at most the tolerance. The others take just that off the limit. Entries in contact have the whole limit but those shares, no longer only the part of the limit that falls to those heard.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -129,6 +129,7 @@
                 SendOutcome::ConnectFailed(fault) => {
                     gateway.shards.forget_owner(owner.address, None);
                     if fault == ConnectError::Refused {
+                        gateway.peers.borrow_mut().mark_dead(owner.address);
                         deregister_dead_entry(gateway, owner.address).await;
                     }
                 }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -15,6 +15,7 @@
 use super::owned_shard::Stage;
 use super::rates::{RowSelection, SenderAge};
 use super::shard_table::Owner;
+use super::silent_entries::probe_silent_entries;
 use super::state::Gateway;
 use super::writer::end_ownership;
 use crate::mechanisms::Mechanism;
@@ -76,6 +77,7 @@
         gateway.directory.borrow_mut().update_entries(now, heard_entry_hashes);
         forget_silent_entries(&gateway, now);
         hears_half = record_contact(&gateway, now, hears_half);
+        probe_silent_entries(&gateway);
         tokio::time::sleep(Duration::from_millis(MIN_GOSSIP_PAUSE_MS)).await;
         tokio::select! {
             () = tokio::time::sleep(Duration::from_millis(pause_ms - MIN_GOSSIP_PAUSE_MS)) => {}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -59,6 +59,7 @@
 mod service_state;
 mod settings;
 mod shard_table;
+mod silent_entries;
 mod state;
 mod status;
 mod stream_times;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -1,4 +1,4 @@
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
 use super::PeerRecord;
@@ -27,6 +27,9 @@
 /// messages in a row.
 const HEARD_RECENTLY_MS: u64 = 500;
 
+/// Pause before a silent entry is connected to again.
+const PROBE_INTERVAL_MS: u64 = 2_000;
+
 #[derive(Debug)]
 struct Peer {
     name: Arc<str>,
@@ -50,6 +53,12 @@
     /// The process instance that was deregistered because it seemed dead: it refused connections,
     /// or neither accepted a turn nor sent messages.
     deregistered_instance: Option<u64>,
+    /// The process instance that has ended: its VM refused connections.
+    dead_instance: Option<u64>,
+    /// When this entry last connected to it to learn whether it has ended.
+    probed_at: Option<TimeMs>,
+    /// Whether it was removed before, and has not been heard since.
+    was_removed: bool,
     /// When this entry last deregistered it because it was cut off from the store.
     deregistered_at: Option<TimeMs>,
 }
@@ -59,6 +68,11 @@
     fn is_heard_recently(&self, now: TimeMs) -> bool {
         self.heard_at.is_some_and(|at| now.since(at) < HEARD_RECENTLY_MS)
     }
+
+    /// Whether its newest known process instance has ended.
+    fn is_dead(&self) -> bool {
+        self.dead_instance == Some(self.instance)
+    }
 }
 
 /// What a message from an entry has changed.
@@ -86,6 +100,8 @@
     peers: HashMap<SocketAddr, Peer>,
     /// The number of requests that all of them together have running, by endpoint.
     running: HashMap<u64, u32>,
+    /// The entries that were removed, and have not been heard since.
+    removed: HashSet<SocketAddr>,
 }
 
 impl Peers {
@@ -105,6 +121,9 @@
             recently_started: false,
             running: HashMap::new(),
             deregistered_instance: None,
+            dead_instance: None,
+            probed_at: None,
+            was_removed: self.removed.contains(&address),
             deregistered_at: None,
         });
         peer.region = region.or(peer.region.take());
@@ -125,6 +144,10 @@
         if first_message {
             peer.first_heard_at = now;
         }
+        self.removed.remove(&address);
+        peer.was_removed = false;
+        peer.dead_instance = None;
+        peer.probed_at = None;
         peer.instance = gossip.instance;
         peer.heard_at = Some(now);
         peer.leaving = gossip.leaving;
@@ -198,8 +221,9 @@
             silent.addresses.push(*address);
             silent.changed_endpoints.extend(changed);
         }
-        self.peers
-            .retain(|_, p| p.heard_at.is_some() || now.since(p.last_known_at) < REMOVE_AFTER_MS);
+        let is_gone =
+            |p: &Peer| p.heard_at.is_none() && now.since(p.last_known_at) >= REMOVE_AFTER_MS;
+        self.removed.extend(self.peers.extract_if(|_, peer| is_gone(peer)).map(|(at, _)| at));
         silent
     }
 
@@ -298,14 +322,40 @@
         due
     }
 
+    /// The entries that are silent and have not been connected to for a while, to learn whether they
+    /// have ended.
+    pub(super) fn take_unprobed(&mut self, now: TimeMs) -> Vec<SocketAddr> {
+        let is_due = |peer: &Peer| {
+            let is_silent = now.since(peer.heard_at.unwrap_or(peer.last_known_at));
+            let is_silent = is_silent >= HEARD_RECENTLY_MS && !peer.is_dead();
+            is_silent && peer.probed_at.is_none_or(|at| now.since(at) >= PROBE_INTERVAL_MS)
+        };
+        let due = self.peers.iter_mut().filter(|(_, peer)| is_due(peer));
+        let due = due.map(|(address, peer)| {
+            peer.probed_at = Some(now);
+            *address
+        });
+        due.collect()
+    }
+
+    /// Records that the entry's current process instance has ended. A message from it shows that it
+    /// has not.
+    pub(super) fn mark_dead(&mut self, address: SocketAddr) {
+        if let Some(peer) = self.peers.get_mut(&address) {
+            peer.dead_instance = Some(peer.instance);
+        }
+    }
+
     /// How many entries share the workspaces' rates now, and how many of them were heard recently.
-    /// A deregistered entry gets no share.
+    /// One that is silent may be cut off and still admit requests, unless its process has ended. One
+    /// that was announced and never heard may be so too, until it has been silent for long.
     pub(super) fn peer_counts(&self, now: TimeMs) -> PeerCounts {
-        let has_share = |peer: &&Peer| {
-            peer.instance != 0 && !peer.leaving && peer.deregistered_instance != Some(peer.instance)
+        let may_admit = |peer: &&Peer| {
+            let is_gone = peer.instance == 0 && peer.was_removed;
+            !peer.leaving && !peer.is_dead() && !is_gone
         };
         let (mut others, mut heard) = (0, 0);
-        for peer in self.peers.values().filter(has_share) {
+        for peer in self.peers.values().filter(may_admit) {
             others += 1;
             let recent = peer.is_heard_recently(now);
             heard += u32::from(recent);
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -1,4 +1,5 @@
 mod attempts;
+mod contact;
 mod endpoint_list;
 mod endpoint_reports;
 mod fakes;
--- a/src/quota/mod.rs
+++ b/src/quota/mod.rs
@@ -3,6 +3,7 @@
 
 mod bookings;
 mod claim;
+mod peer_counts;
 mod peer_reports;
 mod program_stats;
 mod programs;
@@ -13,9 +14,10 @@
 mod window_usage;
 
 pub use claim::{Claim, Grant};
+pub use peer_counts::PeerCounts;
 pub use program_stats::ProgramStats;
 pub use rate_limit::{RateLimit, RateWindow};
-pub use shared_window::{PeerCounts, SharedWindow};
+pub use shared_window::SharedWindow;
 pub use usage_totals::{RefundCount, UsageTotals};
 pub use window_usage::WindowUsage;
 
--- a/src/quota/shared_window.rs
+++ b/src/quota/shared_window.rs
@@ -14,7 +14,7 @@
 use super::programs::{RunningPrograms, WindowLimit};
 use super::slots::{SLOT_MS, Slot, Slots};
 use super::usage_totals::UsageTotals;
-use super::{Claim, Grant, RateLimit, RefundCount, WindowUsage};
+use super::{Claim, Grant, PeerCounts, RateLimit, RefundCount, WindowUsage};
 use crate::prelude::*;
 
 /// How long an entry that does not know the window collects the reports of other entries before it
@@ -29,29 +29,6 @@
 /// Fraction of the limit above which a window is crowded: requests are refused, or soon will be.
 const CROWDED_FRACTION: f64 = 0.8;
 
-/// How many entries share a limit, and how many of them this entry receives messages from.
-#[key]
-pub struct PeerCounts {
-    /// Entries that share the limit, including this one.
-    pub entries: u32,
-    /// Entries whose messages arrive, including this one.
-    pub heard: u32,
-}
-
-impl PeerCounts {
-    /// Whether messages arrive from at least half of the entries, which is enough to rely on them.
-    pub fn hears_half(self) -> bool {
-        self.heard * 2 >= self.entries
-    }
-
-    /// The fraction of the limit that the entries in contact may use. An entry that is cut off
-    /// continues with its own share; if the others used the whole limit, both sides together would
-    /// exceed it.
-    fn heard_fraction(self) -> f64 {
-        f64::from(self.heard) / f64::from(self.entries.max(1))
-    }
-}
-
 /// One entry's count of a workspace's requests in the sliding window.
 #[derive(Debug, Clone)]
 pub struct SharedWindow {
@@ -118,13 +95,13 @@
             return Ok(Grant { admitted_at: now, counted: false, booked_ms: None });
         }
         self.slots.advance(now);
-        let limit = self.limit_for(claim, peer_counts, all_stats);
         let excess = match peer_counts.hears_half() {
             true => {
-                self.slots.total().total() + self.peer_reports.estimated_unreported(now) + 1.0
-                    - limit * peer_counts.heard_fraction()
+                let unreported = self.peer_reports.estimated_unreported(now);
+                let limit = self.limit_for(claim, peer_counts, all_stats);
+                self.slots.total().total() + unreported + 1.0 - limit
             }
-            false => self.slots.total().own + 1.0 - limit / f64::from(peer_counts.entries),
+            false => self.slots.total().own + 1.0 - peer_counts.share_alone(self.rate_limit),
         };
         if excess > 0.0 {
             return Err(self.slots.freed_after_ms(now, excess));
@@ -157,9 +134,8 @@
     /// forecast, that keeps room for what running programs need; a window too small for it reserves
     /// a part of the limit instead.
     fn limit_for(&self, claim: Claim, peer_counts: PeerCounts, all_stats: &ProgramStats) -> f64 {
-        let limit = self.rate_limit.max_in_window();
-        let usable = limit * peer_counts.heard_fraction();
-        match self.programs.is_forecast_used(usable, all_stats) {
+        let limit = peer_counts.limit_together(self.rate_limit);
+        match self.programs.is_forecast_used(limit, all_stats) {
             true => limit,
             false => limit * claim.limit_fraction(),
         }
@@ -175,7 +151,7 @@
     ) -> Result<u64, u64> {
         let required_ms = self.programs.required_ms(duration_ms);
         if peer_counts.hears_half() {
-            let limit = self.rate_limit.max_in_window() * peer_counts.heard_fraction();
+            let limit = peer_counts.limit_together(self.rate_limit);
             let window_limit = WindowLimit { limit, window_ms: self.rate_limit.window.length_ms };
             let remaining = |in_ms| self.slots.remaining_after(in_ms);
             match self.programs.start_delay_ms(now, required_ms, window_limit, all_stats, remaining)
