A surge is recorded in the store before more of it is admitted

Windows that empty evenly need no such hold.

Change: hubs measure how far a workspace is ahead of its rate (token bucket). Beyond half of the tolerance its hash goes into the hub's announcement before more is admitted, one call for each surge, taken out when the surge has left the window. An entry that starts reads the announcements anyway: it holds back only these workspaces. With the bucket's bound, the even estimate of all others exceeds no limit by more than half of the tolerance, whenever the kill came.

The model records surges too: kills of all entries are among its events.

--- a/src/gateway/count_here.rs
+++ b/src/gateway/count_here.rs
@@ -11,7 +11,8 @@
 /// then, another one counts.
 const UNKNOWN_RETRY_MS: u64 = 400;
 
-/// Retry delay while the others have not been told yet of what was admitted just now.
+/// Retry delay while the others have not been told yet of what was admitted just now, or a surge is not
+/// recorded yet.
 const UNREPORTED_RETRY_MS: u64 = 25;
 
 /// Why a hub has not admitted a request.
@@ -61,7 +62,8 @@
         {
             return Err(unknown);
         }
-        if peer_counts.entries > 1 && self.rates.must_report_first(self.workspace) {
+        let is_unreported = peer_counts.entries > 1 && self.rates.must_report_first(self.workspace);
+        if is_unreported || self.rates.must_record_surge(self.now, self.workspace) {
             return Err(NotGranted::NoRoom { retry_after_ms: UNREPORTED_RETRY_MS });
         }
         let grant = self.rates.try_admit(self.now, self.workspace, peer_counts, self.claim);
@@ -125,5 +127,8 @@
     if rates.is_report_due(workspace) {
         gateway.gossip_due.notify_one();
     }
+    if rates.is_surge_record_due() {
+        gateway.roster_due.notify_one();
+    }
     granted
 }
--- a/src/gateway/hubs/roster.rs
+++ b/src/gateway/hubs/roster.rs
@@ -1,5 +1,5 @@
 use std::cmp::Reverse;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
 use super::HubLimit;
@@ -24,6 +24,16 @@
         self.by_name.contains_key(name)
     }
 
+    /// The surges that an entry has recorded.
+    pub fn surges_of(&self, name: &str) -> impl Iterator<Item = u64> {
+        self.by_name.get(name).into_iter().flat_map(|record| record.surges.iter().copied())
+    }
+
+    /// The surges that any entry has recorded.
+    pub fn all_surges(&self) -> HashSet<u64> {
+        self.by_name.values().flat_map(|record| record.surges.iter().copied()).collect()
+    }
+
     /// The entries that are hubs, as last announced.
     pub fn hubs(&self) -> impl Iterator<Item = &PeerRecord> {
         self.by_name.values().filter(|record| record.is_hub)
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -65,6 +65,7 @@
 mod state;
 mod status;
 mod stream_times;
+mod surges;
 mod suspects;
 mod turn;
 mod wait_until;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -30,7 +30,7 @@
 
 /// A hub counts for workspaces only while half of the others were heard for no longer than this: one
 /// that is cut off goes on to admit its own callers' requests until it notices.
-const HEARD_NOW_MS: u64 = 300;
+const HEARD_NOW_MS: u64 = 250;
 
 /// Pause before a silent entry is connected to again.
 const PROBE_INTERVAL_MS: u64 = 2_000;
@@ -408,7 +408,8 @@
 /// What is known of an entry that was heard of before its announcement was read.
 fn unlisted(name: Arc<str>, address: SocketAddr) -> PeerRecord {
     let (region, domain) = (None, None);
-    PeerRecord { name, address, region, domain, cpu_millicores: 0, is_hub: true }
+    let surges = vec![];
+    PeerRecord { name, address, region, domain, cpu_millicores: 0, is_hub: true, surges }
 }
 
 /// Updates the sum over all entries from the requests that one entry runs. Returns the endpoints
--- a/src/gateway/ports.rs
+++ b/src/gateway/ports.rs
@@ -117,6 +117,8 @@
     pub cpu_millicores: u32,
     /// Whether it exchanges messages with all others that do.
     pub is_hub: bool,
+    /// The workspaces, by the hash of their names, of which it admits a surge.
+    pub surges: Vec<u64>,
 }
 
 /// The pending result of a call to the store.
--- a/src/gateway/rates.rs
+++ b/src/gateway/rates.rs
@@ -1,7 +1,8 @@
 use std::cmp::Reverse;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use super::message::{RefundRow, WorkspaceUsage, rotating_slice};
+use super::surges::Surges;
 use crate::catalog::Workspace;
 use crate::load::UseLevel;
 use crate::prelude::*;
@@ -58,6 +59,8 @@
     changed_at: TimeMs,
     /// Requests that this entry has admitted since its last message with the count.
     unreported: u32,
+    /// When a request was last part of a surge.
+    surged_at: Option<TimeMs>,
 }
 
 /// Admits requests within the workspaces' rates, and counts what this entry and the others have
@@ -72,6 +75,7 @@
     mean_use: Option<(TimeMs, f64)>,
     /// When this entry last heard fewer than half of the others.
     out_of_contact_at: Option<TimeMs>,
+    surges: Surges,
 }
 
 impl RateLimiter {
@@ -83,6 +87,7 @@
             program_stats: ProgramStats::default(),
             mean_use: None,
             out_of_contact_at: None,
+            surges: Surges::default(),
         }
     }
 
@@ -144,6 +149,53 @@
         }
     }
 
+    /// Whether a surge of the workspace must be recorded in the store before more of its requests are
+    /// admitted.
+    pub(super) fn must_record_surge(&mut self, now: TimeMs, workspace: u64) -> bool {
+        let Some(tracked) = self.windows.get_mut(&workspace) else {
+            return false;
+        };
+        let is_surge = tracked.window.is_surge(now);
+        if is_surge {
+            tracked.surged_at = Some(now);
+        }
+        is_surge && !self.surges.is_recorded(workspace)
+    }
+
+    /// Whether surges are to be recorded in the store at once.
+    pub(super) fn is_surge_record_due(&self) -> bool {
+        self.surges.is_announcement_due()
+    }
+
+    /// The surges to record in the store.
+    pub(super) fn surges_to_record(&self, now: TimeMs) -> Vec<u64> {
+        let lasts = |workspace| {
+            let tracked = self.windows.get(&workspace);
+            let surged_at = tracked.and_then(|tracked| tracked.surged_at);
+            surged_at.is_some_and(|at| now.since(at) < self.window.length_ms)
+        };
+        self.surges.to_announce(lasts)
+    }
+
+    /// Whether the surges recorded in the store are not these.
+    pub(super) fn has_other_surges_recorded(&self, surges: &[u64]) -> bool {
+        self.surges.differs_from(surges)
+    }
+
+    /// Notes that these surges are recorded in the store.
+    pub(super) fn confirm_surges(&mut self, recorded: &[u64]) {
+        self.surges.confirm(recorded);
+    }
+
+    /// Sets the surges that any entry had recorded when this one started.
+    pub(super) fn set_surges_before_start(&mut self, surges: HashSet<u64>) {
+        self.surges.set_before_start(surges);
+        for (workspace, tracked) in &mut self.windows {
+            let may_have_surged = self.surges.may_have_surged_before_start(*workspace);
+            tracked.window.set_surged_before(may_have_surged);
+        }
+    }
+
     /// Records whether this entry hears at least half of the others. For a while after it has not, it
     /// lacks counts that they have told each other.
     pub(super) fn record_contact(&mut self, now: TimeMs, hears_half: bool) {
@@ -184,7 +236,10 @@
                 opened_at: now,
                 changed_at: now,
                 unreported: 0,
+                surged_at: None,
             });
+        let hash = workspace_hash(&workspace.name);
+        tracked.window.set_surged_before(self.surges.may_have_surged_before_start(hash));
         if tracked.window.rate_limit() != rate_limit {
             tracked.window.set_rate_limit(now, rate_limit);
         }
--- a/src/gateway/role.rs
+++ b/src/gateway/role.rs
@@ -20,9 +20,22 @@
             domain: Some(self.settings.topology.domain.clone()),
             cpu_millicores: self.settings.cpu_millicores,
             is_hub,
+            surges: self.surges_to_record(),
         }
     }
 
+    /// The surges to record in the store. As long as this entry does not know the windows, those that
+    /// its earlier process instance recorded stay.
+    pub(super) fn surges_to_record(&self) -> Vec<u64> {
+        let mut surges = self.rates.borrow().surges_to_record(self.now());
+        if self.role.get() == Role::Undecided || self.is_recent_hub() {
+            surges.extend(self.roster.borrow().surges_of(&self.settings.name));
+            surges.sort_unstable();
+            surges.dedup();
+        }
+        surges
+    }
+
     /// How many entries are hubs.
     pub(super) fn hub_limit(&self) -> HubLimit {
         HubLimit::new(self.settings.max_hubs, self.settings.topology.regions.len())
@@ -57,6 +70,8 @@
                 self.rates.borrow_mut().reset(now, catalog.workspaces());
             }
         }
+        let surges = self.roster.borrow().all_surges();
+        self.rates.borrow_mut().set_surges_before_start(surges);
         self.role.set(Role::Hub { instance, since: now });
         self.hub_begun.notify_waiters();
         self.gossip_due.notify_one();
--- a/src/gateway/roster_feed.rs
+++ b/src/gateway/roster_feed.rs
@@ -16,6 +16,9 @@
 /// of; further reads only find hubs that announced themselves at the same moment.
 const POLL_MS: u64 = 10_000;
 
+/// How often a hub checks whether the surges that it has recorded have ended.
+const SURGE_CHECK_MS: u64 = 2_000;
+
 /// Pause after which an entry that has never run before reads the list again, until no other one
 /// was added: when all start together, the first list is not complete.
 const SETTLE_MS: u64 = 100;
@@ -43,14 +46,20 @@
         }
     }
     log::info!(is_hub = gateway.is_hub(); "role among the entries decided");
+    let mut read_at = gateway.now();
     loop {
-        tokio::select! {
-            () = tokio::time::sleep(Duration::from_millis(POLL_MS)) => {}
-            () = gateway.roster_due.notified() => {}
-        }
+        let is_due = tokio::select! {
+            () = tokio::time::sleep(Duration::from_millis(SURGE_CHECK_MS)) => false,
+            () = gateway.roster_due.notified() => !gateway.rates.borrow().is_surge_record_due(),
+        };
         if gateway.hub_wanted.take() && gateway.is_leaf() {
             feed.begin_hub().await;
         }
+        feed.record_surges().await;
+        if !is_due && gateway.now().since(read_at) < POLL_MS {
+            continue;
+        }
+        read_at = gateway.now();
         if feed.read().await.is_ok() {
             feed.add_hubs_to_peers();
         }
@@ -73,6 +82,15 @@
         self.add_hubs_to_peers();
     }
 
+    /// Announces this hub again if it admits surges of other workspaces than it has announced.
+    async fn record_surges(&mut self) {
+        let surges = self.gateway.surges_to_record();
+        if self.gateway.is_hub() && self.gateway.rates.borrow().has_other_surges_recorded(&surges) {
+            log::info!(workspaces = surges.len(); "recording the workspaces that send a surge");
+            self.announce(true).await;
+        }
+    }
+
     async fn announce(&mut self, is_hub: bool) {
         let record = self.gateway.own_record(is_hub);
         while let Err(fault) =
@@ -81,6 +99,7 @@
             self.log_failure(&fault);
             tokio::time::sleep(Duration::from_millis(RETRY_MS)).await;
         }
+        self.gateway.rates.borrow_mut().confirm_surges(&record.surges);
     }
 
     /// Reads the announcements until the store answers.
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -256,6 +256,7 @@
         domain: None,
         cpu_millicores: 500,
         is_hub: true,
+        surges: vec![],
     }
 }
 
--- a/src/gateway/tests/fakes.rs
+++ b/src/gateway/tests/fakes.rs
@@ -179,6 +179,7 @@
             domain: None,
             cpu_millicores: 500,
             is_hub: true,
+            surges: vec![],
         };
         let items = if from.is_none() { vec![other] } else { vec![] };
         self.answer(
--- a/src/gateway/tests/hubs.rs
+++ b/src/gateway/tests/hubs.rs
@@ -34,6 +34,7 @@
         domain: Some(domain(number)),
         cpu_millicores: if number.is_multiple_of(3) { 500 } else { 90 },
         is_hub: false,
+        surges: vec![],
     }
 }
 
--- a/src/gateway/tests/rates_model/world.rs
+++ b/src/gateway/tests/rates_model/world.rs
@@ -85,6 +85,8 @@
     peers: Peers,
     rates: RateLimiter,
     granted: GrantedQuestions,
+    /// The surges that the hub has recorded in the store.
+    surges: Vec<u64>,
     sent_at: TimeMs,
     round: usize,
     inbox: Vec<Message>,
@@ -156,6 +158,8 @@
         others.for_each(|other| peers.upsert(self.now, peer(other as u16 + 1, None)));
         let mut rates = RateLimiter::open(RATE_WINDOW);
         rates.open_window(self.now, &limit.workspace());
+        let recorded = self.hubs.iter().flat_map(|hub| hub.surges.iter().copied());
+        rates.set_surges_before_start(recorded.collect());
         self.next_instance += 1;
         Hub {
             instance: self.next_instance,
@@ -166,6 +170,7 @@
             peers,
             rates,
             granted: GrantedQuestions::default(),
+            surges: vec![],
             sent_at: TimeMs(0),
             round: hub,
             inbox: vec![],
@@ -222,6 +227,7 @@
             self.serve_callers();
             self.read_messages();
             self.refund_requests();
+            self.record_surges();
             self.send_messages();
         }
     }
@@ -240,7 +246,8 @@
                 let known = self.limits.iter().rev().take(2).next_back().map(|(_, limit)| *limit);
                 let newest = self.limits.last().expect("there is one").1;
                 let started = self.start(hub, self.hubs.len(), known.unwrap_or(newest));
-                self.hubs[hub] = Hub { cut_until, ..started };
+                let surges = std::mem::take(&mut self.hubs[hub].surges);
+                self.hubs[hub] = Hub { cut_until, surges, ..started };
                 self.send_limit(hub);
                 self.learn_of_the_dead(hub);
             }
@@ -463,6 +470,20 @@
         }
     }
 
+    /// The store is reached by all hubs, and answers within a step.
+    fn record_surges(&mut self) {
+        let now = self.now;
+        let known = |hub: &Hub| now.since(hub.since) >= WINDOW_MS;
+        for hub in
+            self.hubs.iter_mut().filter(|hub| hub.down_until <= now && hub.frozen_until <= now)
+        {
+            let surges = hub.rates.surges_to_record(now);
+            let earlier = hub.surges.iter().filter(|_| !known(hub)).copied();
+            hub.surges = earlier.chain(surges).collect();
+            hub.rates.confirm_surges(&hub.surges);
+        }
+    }
+
     fn send_messages(&mut self) {
         for hub in 0..self.hubs.len() {
             let since_last_ms = self.now.since(self.hubs[hub].sent_at);
--- a/src/quota/mod.rs
+++ b/src/quota/mod.rs
@@ -10,6 +10,7 @@
 mod rate_limit;
 mod shared_window;
 mod slots;
+mod surge_meter;
 mod usage_totals;
 mod window_usage;
 
--- a/src/quota/rate_limit.rs
+++ b/src/quota/rate_limit.rs
@@ -29,6 +29,12 @@
         self.tolerance() / TOLERANCE_PARTS
     }
 
+    /// How far requests may be ahead of the rate for their window to empty evenly: what the other
+    /// parts are for does not matter once all entries have been killed.
+    pub(super) fn tolerance_uneven(&self) -> f64 {
+        self.tolerance() / 2.0
+    }
+
     /// The part for all entries together that hear fewer than half of the others.
     pub(super) fn tolerance_alone(&self) -> f64 {
         self.tolerance() / TOLERANCE_PARTS
--- a/src/quota/shared_window.rs
+++ b/src/quota/shared_window.rs
@@ -13,6 +13,7 @@
 use super::program_stats::ProgramStats;
 use super::programs::{RunningPrograms, WindowLimit};
 use super::slots::{SLOT_MS, Slot, Slots};
+use super::surge_meter::SurgeMeter;
 use super::usage_totals::UsageTotals;
 use super::{Claim, Grant, PeerCounts, RateLimit, RefundCount, WindowUsage};
 use crate::prelude::*;
@@ -42,6 +43,9 @@
     /// What the other entries have reported.
     peer_reports: PeerReports,
     programs: RunningPrograms,
+    surge: SurgeMeter,
+    /// Whether there may have been a surge just before this entry started.
+    may_have_surged_before: bool,
 }
 
 impl SharedWindow {
@@ -59,6 +63,8 @@
             admitted: UsageTotals::default(),
             peer_reports: PeerReports::open(now),
             programs: RunningPrograms::new(now),
+            surge: SurgeMeter::open(now),
+            may_have_surged_before: true,
         }
     }
 
@@ -114,17 +120,31 @@
         let grant = Grant { admitted_at: now, counted: true, booked_ms };
         self.slots.add(Slot { own: 1.0, ..Slot::default() });
         self.admitted.add(grant);
+        self.surge.record(now, 1.0, self.rate_limit.rate_per_s);
         self.programs.record_requests(now, 1.0, self.is_crowded());
         Ok(grant)
     }
 
-    /// Whether a request may be admitted although it is not known what the window holds. All that was
-    /// admitted before this entry started may have come just before, and then stays in the window as
-    /// long as what is admitted now. An entry that hears few of the others may have used its share
-    /// already, before it was restarted.
+    /// Whether a request may be admitted although it is not known what the window holds. After a surge,
+    /// all that was admitted before this entry started may have come just before, and then stays in the
+    /// window as long as what is admitted now. An entry that hears few of the others may have used its
+    /// share already, before it was restarted.
     fn may_admit_unknown(&self, peer_counts: PeerCounts) -> bool {
         let Slot { own, others, .. } = self.slots.total();
-        peer_counts.hears_half() && own + others + 1.0 <= self.rate_limit.tolerance_unknown()
+        let is_tolerated = own + others + 1.0 <= self.rate_limit.tolerance_unknown();
+        peer_counts.hears_half() && (!self.may_have_surged_before || is_tolerated)
+    }
+
+    /// Sets whether there may have been a surge just before this entry started.
+    pub fn set_surged_before(&mut self, may_have_surged: bool) {
+        self.may_have_surged_before = may_have_surged;
+    }
+
+    /// Whether the workspace sends a surge: its requests are so far ahead of its rate that the window
+    /// would not empty evenly.
+    pub fn is_surge(&self, now: TimeMs) -> bool {
+        let ahead = self.surge.ahead(now, self.rate_limit.rate_per_s);
+        self.rate_limit.rate_per_s > 0.0 && ahead + 1.0 > self.rate_limit.tolerance_uneven()
     }
 
     /// The part of the limit up to which a request is admitted. Where a start is admitted by the
@@ -175,6 +195,7 @@
         self.slots.advance(now);
         let refunded = Slot { own: -1.0, refunded: 1.0, ..Slot::default() };
         self.slots.add_at(grant.admitted_at, refunded);
+        self.surge.record(now, -1.0, self.rate_limit.rate_per_s);
         self.admitted.cancel_program(grant);
         if let Some(booked_ms) = grant.booked_ms {
             self.programs.cancel(booked_ms);
@@ -275,6 +296,7 @@
         self.slots.advance(now);
         let delta = self.peer_reports.record(now, instance, totals);
         self.slots.add(Slot { others: delta.requests, ..Slot::default() });
+        self.surge.record(now, delta.requests, self.rate_limit.rate_per_s);
         self.programs.apply_remote(now, &delta);
         self.programs.record_requests(now, delta.requests, self.is_crowded());
     }
