--- a/soak/src/bin/trefoil-soak.rs
+++ b/soak/src/bin/trefoil-soak.rs
@@ -6,8 +6,8 @@
 
 use getopts::Options;
 use trefoil_soak::{
-    Checks, Faults, LoadChecks, LoadPhases, Report, Turn, World, WorldSettings, run_load,
-    run_programs,
+    Checks, Faults, LoadChecks, LoadPhases, Report, Turn, World, WorldSettings, run_flood,
+    run_load, run_programs,
 };
 
 /// Maximum number of attempts to continue a program after the faults.
@@ -31,6 +31,8 @@
     workers: u64,
     /// Whether programs under load control run as well.
     load: bool,
+    /// Whether a workspace sends many times its rate.
+    flood: bool,
 }
 
 fn main() -> ExitCode {
@@ -42,6 +44,7 @@
     options.optopt("", "hubs", "most gateways that are hubs [default: 48]", "N");
     options.optopt("", "lines", "number of programs running at once [default: 12]", "N");
     options.optflag("", "load", "adds programs under load control and surges of callers");
+    options.optflag("", "flood", "adds a workspace that sends many times its rate, with refunds");
     let args: Vec<String> = std::env::args().skip(1).collect();
     let flags = match options.parse(&args) {
         Ok(flags) => flags,
@@ -61,7 +64,8 @@
     };
     let (gateways, max_hubs) = (gateways as usize, max_hubs as usize);
     let load = flags.opt_present("load");
-    let settings = SoakSettings { seconds, gateways, max_hubs, workers, load };
+    let flood = flags.opt_present("flood");
+    let settings = SoakSettings { seconds, gateways, max_hubs, workers, load, flood };
     let runtime = match tokio::runtime::Runtime::new() {
         Ok(runtime) => runtime,
         Err(fault) => {
@@ -89,7 +93,7 @@
 }
 
 async fn soak(seed: u64, settings: &SoakSettings) -> std::io::Result<bool> {
-    let &SoakSettings { seconds, gateways, max_hubs, workers, load } = settings;
+    let &SoakSettings { seconds, gateways, max_hubs, workers, load, flood } = settings;
     let program = program()?;
     let world_settings = WorldSettings { program, gateways, max_hubs, revoke_ms: 5_000, load };
     let mut world = World::start(&world_settings).await?;
@@ -101,6 +105,10 @@
         let entries = entries.clone();
         tokio::spawn(async move { run_load(&entries, seed, workers, phases).await })
     });
+    let flood = flood.then(|| {
+        let entries = entries.clone();
+        tokio::spawn(async move { run_flood(&entries, seed, until).await })
+    });
     let programs =
         tokio::spawn(async move { run_programs(&caller, &entries, seed, workers, until).await });
     let mut faults = Faults::open(seed, load);
@@ -111,10 +119,15 @@
         tokio::time::sleep(LATE_RUN_TIME).await;
     }
     let lost = continue_programs(&world, &report).await;
+    let flood = match flood {
+        Some(flood) => Some(flood.await.map_err(std::io::Error::other)?),
+        None => None,
+    };
     let runs = world.journal.runs();
     let load_checks = LoadChecks::open(&report.programs, phases);
     let mut violations = Checks::open(&report, &runs).violations();
     violations.extend(load_checks.violations());
+    violations.extend(flood.iter().flat_map(|flood| flood.violations(&runs)));
     let served = report.all_requests().filter(|sent| sent.answer.is_served()).count();
     println!(
         "seed {seed}: {} faults, {} requests, {served} served, {} programs continued, {} violations",
@@ -126,6 +139,7 @@
     if load {
         println!("  {load_checks}");
     }
+    flood.iter().for_each(|flood| println!("  {flood}"));
     violations.iter().for_each(|violation| println!("  {violation}"));
     lost.iter().for_each(|program| {
         println!("  a program continues after its last complete turn: {program}")
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -8,6 +8,7 @@
 
 use crate::caller::Caller;
 use crate::endpoint::{EndpointKind, PlatformEndpoint};
+use crate::flood::{FLOODED, FLOODED_RATE};
 use crate::gateways::{Gateway, StoreLink};
 use crate::journal::Journal;
 use crate::platform_store::{PARTS, PlatformStore};
@@ -127,8 +128,11 @@
             route("actions", "non_idempotent", "desk", &json!({"attempts": 1})),
         ];
         let mut services = vec![engine("llm"), json!({"name": "desk"})];
+        let (flooded_rate, flooded_burst) = FLOODED_RATE;
+        let flooded = json!({"name": FLOODED, "apiKeys": [key_of(FLOODED)],
+            "ratePerS": flooded_rate, "burst": flooded_burst});
         let mut workspaces =
-            vec![workspace("ours", keys, None), workspace("theirs", other_keys, None)];
+            vec![workspace("ours", keys, None), workspace("theirs", other_keys, None), flooded];
         if self.load {
             for (name, priority) in LOAD_ROUTES {
                 let extra = json!({"attempts": 1, "retentionS": 60.0, "priority": priority});
