--- a/src/gateway/attach_message.rs
+++ b/src/gateway/attach_message.rs
@@ -1,4 +1,5 @@
-//! The datagrams between a leaf and the hub that it is attached to.
+//! The datagrams between a leaf and the hub that it is attached to, and between any entry and the hub that
+//! counts a workspace's requests.
 
 use std::net::SocketAddr;
 
@@ -11,7 +12,7 @@
 /// never encoded this way.
 const TAG: [u8; 2] = [0x80, 0x00];
 
-/// A datagram between a leaf and a hub.
+/// A datagram between an entry and a hub, other than gossip.
 #[wire]
 pub(super) enum AttachMessage {
     /// A leaf attaches to a hub, or stays attached.
@@ -33,7 +34,7 @@
     },
     /// The answer of an entry that is no hub, or is shutting down.
     NotHub,
-    /// A leaf asks for the admission of a request.
+    /// An entry asks a hub for the admission of a request.
     Question(Question),
     /// The hub's answer to it.
     Answer {
@@ -42,7 +43,7 @@
         /// The decision.
         decision: Decision,
     },
-    /// A leaf returns an admission, as the request has not run and never will.
+    /// An entry returns an admission, as the request has not run and never will.
     Refund {
         /// The number of the question that was answered with the admission.
         number: u64,
@@ -92,7 +93,7 @@
 #[wire]
 #[derive(Copy)]
 pub(super) struct Question {
-    /// Identifies the question among all of the leaf, also of its earlier process instances. A
+    /// Identifies the question among all of the entry, also of its earlier process instances. A
     /// question that is asked again keeps its number.
     pub(super) number: u64,
     /// The hash of the workspace's name.
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -1,4 +1,5 @@
-//! What a hub does for the leaves that are attached to it.
+//! What a hub does for the leaves that are attached to it, and for all entries that ask it to admit
+//! requests.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
--- a/src/gateway/hubs/mod.rs
+++ b/src/gateway/hubs/mod.rs
@@ -3,8 +3,10 @@
 //! If every entry told every other one its state, what an entry sends and receives would grow with
 //! the number of entries. A bounded number of entries, the hubs, do so; only they own shards and
 //! count the workspaces' rates. All other entries are leaves: a leaf is attached to one hub in its
-//! failure domain, from which it learns the owners of the shards, and which admits its callers'
-//! requests. While the entries are few, all of them are hubs.
+//! failure domain, from which it learns the owners of the shards. While the entries are few, all of them
+//! are hubs.
+//!
+//! One hub counts the requests of a workspace, and all entries ask it to admit them.
 
 mod attachment;
 mod counting;
--- a/src/quota/mod.rs
+++ b/src/quota/mod.rs
@@ -1,4 +1,4 @@
-//! Rate and burst limit of a workspace across all entries, from the usage that the entries report
+//! Rate and burst limit of a workspace across all entries: what one hub counts, and what the hubs report
 //! to each other by gossip.
 
 mod bookings;
--- a/src/quota/shared_window.rs
+++ b/src/quota/shared_window.rs
@@ -1,13 +1,12 @@
-//! A workspace's rate limit, shared by all entries. Most workspaces stay well below their rate,
-//! while one at a time sends many times its own. Requests arrive in bursts, and at few entries.
-//! Below the limit no request may wait for a message, so each entry admits from its own count of
-//! the window and reports by gossip how much it has admitted. Between two messages it assumes that
-//! the other entries continue at the rate they had. An entry that is cut off keeps to its own share
-//! of the limit.
+//! One hub's count of a workspace's requests in the sliding window. Most workspaces stay well below their
+//! rate, while one at a time sends many times its own. Requests arrive in bursts, and at few entries.
 //!
-//! An entry that has just started does not know what was admitted before. It assumes a full window
-//! and refuses callers for some seconds after each restart, until entries that know the window have
-//! reported its content.
+//! One hub decides for all entries, and tells the other hubs by gossip what it has admitted. Several decide
+//! for a short time only, while another takes over; each then counts what the others have reported, and
+//! assumes that they go on at the rate they had. A hub that is cut off keeps to a part of the tolerance.
+//!
+//! A hub that has just started does not know what was admitted before. It assumes a full window that
+//! empties evenly, or, if there may have been a surge just before, not before all of it has left.
 
 use super::peer_reports::PeerReports;
 use super::program_stats::ProgramStats;
