--- a/src/gateway/tests/rates_model.rs
+++ b/src/gateway/tests/rates_model.rs
@@ -2,12 +2,14 @@
 //! order of admissions, late refunds, lost messages, cuts, freezes, kills, restarts and changes of the
 //! limit.
 
+mod limit;
 mod world;
 
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 
-use world::{Limit, World};
+use limit::Limit;
+use world::World;
 
 /// Something that happens to the entries.
 #[derive(Debug, Clone)]
