--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -1,5 +1,6 @@
 mod attempts;
 mod contact;
+mod counting;
 mod endpoint_list;
 mod endpoint_reports;
 mod fakes;
