A workspace without a limit is admitted without asking a hub

Its requests would have waited for a hub's answer, and been refused at a leaf that no hub answers, for a count that nobody needs.

--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -112,7 +112,7 @@
         }
     };
     loop {
-        let acquired = request_admission(gateway, &workspace.name, claim).await;
+        let acquired = request_admission(gateway, workspace, claim).await;
         let waited_ms = gateway.now().since(arrived);
         match acquired {
             Err(NotAdmitted::NoRoom { retry_after_ms })
--- a/src/gateway/ask_hub.rs
+++ b/src/gateway/ask_hub.rs
@@ -16,11 +16,14 @@
 use super::hubs::{CountingCandidate, Inquiry, InquiryStep, NotAdmitted, counting_order};
 use super::rates::workspace_hash;
 use super::state::Gateway;
+use crate::catalog::Workspace;
 use crate::prelude::*;
 use crate::quota::{Claim, Grant};
 
 /// Who has admitted a request.
 pub(super) enum Admitted {
+    /// Nobody needs to: the workspace has no limit.
+    Unlimited,
     /// This entry, a hub.
     Here(Grant),
     /// Another hub.
@@ -111,10 +114,13 @@
 /// admitted many times over before they hear of each other.
 pub(super) async fn request_admission(
     gateway: &Gateway,
-    workspace: &str,
+    workspace: &Workspace,
     claim: Claim,
 ) -> Result<Admitted, NotAdmitted> {
-    let workspace = workspace_hash(workspace);
+    if workspace.rate_per_s <= 0.0 {
+        return Ok(Admitted::Unlimited);
+    }
+    let workspace = workspace_hash(&workspace.name);
     let full_windows = &gateway.questions.full_windows;
     let now = gateway.now();
     let reused = full_windows.borrow().retry_after_ms(now, workspace, claim);
--- a/src/gateway/tests/counting.rs
+++ b/src/gateway/tests/counting.rs
@@ -5,8 +5,9 @@
 
 use test_case::test_case;
 
-use super::fakes::RATE_WINDOW;
+use super::fakes::{self, FakeStore, RATE_WINDOW};
 use crate::catalog::{Regions, Workspace};
+use crate::gateway::ask_hub::{Admitted, request_admission};
 use crate::gateway::attach_message::Decision;
 use crate::gateway::full_windows::FullWindows;
 use crate::gateway::hubs::{CountingCandidate, Inquiry, InquiryStep, NotAdmitted, counting_order};
@@ -79,17 +80,26 @@
     full_windows.retry_after_ms(TimeMs(1_000 + in_ms), 1, Claim::Call)
 }
 
+fn workspace(rate_per_s: f64) -> Workspace {
+    let (name, regions) = ("w".into(), Regions::default());
+    Workspace { name, priority: None, rate_per_s, burst: 50.0, regions }
+}
+
+// A workspace without a limit was refused at a leaf that no hub answered.
+#[tokio::test(start_paused = true)]
+async fn a_workspace_without_a_limit_needs_no_hub() {
+    let leaf = fakes::gateway(FakeStore::default());
+    leaf.become_leaf();
+    let unlimited = request_admission(&leaf, &workspace(0.0), Claim::Call).await;
+    assert!(matches!(unlimited, Ok(Admitted::Unlimited)));
+    let limited = request_admission(&leaf, &workspace(20.0), Claim::Call).await;
+    assert!(matches!(limited, Err(NotAdmitted::Undecided { .. })));
+}
+
 /// A hub that has observed the window of a workspace with a limit of 150, 35 above it tolerated.
 fn limiter() -> RateLimiter {
-    let workspace = Workspace {
-        name: "w".into(),
-        priority: None,
-        rate_per_s: 20.0,
-        burst: 50.0,
-        regions: Regions::default(),
-    };
     let mut rates = RateLimiter::open(RATE_WINDOW);
-    rates.open_window(TimeMs(0), &workspace);
+    rates.open_window(TimeMs(0), &workspace(20.0));
     rates
 }
 
