A hub leaves decisions only to one that says it knows the windows

Cause: hubs took others to know the windows five seconds after their start; after a loss of contact they did not, each left the decision to the others, and all answered that they did not know, for a tenth of a second. A workspace declared while the entries run met the same for five seconds, as no hub knows its window.

Change: messages carry, with the refunds, whether the sender has observed whole windows; a hub that has not leaves decisions only to one that has. If none has, the first in the order decides by what it may on an unknown window. A window that begins to be observed anew is assumed to be full again.

Evidence: hubs_leave_decisions_only_to_one_that_knows; all of the lib's tests, the model among them.

--- a/src/gateway/ask_hub.rs
+++ b/src/gateway/ask_hub.rs
@@ -10,7 +10,7 @@
 use tokio::sync::oneshot;
 
 use super::attach_message::{AttachMessage, Decision, Question};
-use super::count_here::{NotGranted, count_here};
+use super::count_here::{NotGranted, count_here, knows_windows};
 use super::full_windows::FullWindows;
 use super::hub::send;
 use super::hubs::{CountingCandidate, Inquiry, InquiryStep, NotAdmitted, counting_order};
@@ -208,7 +208,7 @@
         let candidates = live.map(|hub| CountingCandidate {
             address: hub.address,
             cpu_millicores: None,
-            recently_started: false,
+            knows_windows: true,
         });
         return candidates.collect();
     }
@@ -217,7 +217,7 @@
         candidates.push(CountingCandidate {
             address: gateway.settings.peers,
             cpu_millicores: Some(gateway.settings.cpu_millicores),
-            recently_started: gateway.is_recent_hub(),
+            knows_windows: knows_windows(gateway),
         });
     }
     candidates
--- a/src/gateway/count_here.rs
+++ b/src/gateway/count_here.rs
@@ -45,8 +45,8 @@
     pub(super) now: TimeMs,
     pub(super) peers: &'a Peers,
     pub(super) rates: &'a mut RateLimiter,
-    /// Whether it has been a hub for less than a rate window.
-    pub(super) recently_started: bool,
+    /// Whether it knows what the windows hold.
+    pub(super) knows_windows: bool,
     /// The hash of the workspace's name.
     pub(super) workspace: u64,
     pub(super) claim: Claim,
@@ -54,7 +54,7 @@
 
 impl Count<'_> {
     /// Decides on a request of this hub's own callers.
-    pub(super) fn decide(mut self) -> Result<Grant, NotGranted> {
+    pub(super) fn decide(self) -> Result<Grant, NotGranted> {
         let peer_counts = self.peers.peer_counts(self.now);
         let unknown = NotGranted::Unknown { retry_after_ms: UNKNOWN_RETRY_MS };
         if !self.rates.has_window(self.workspace)
@@ -73,12 +73,10 @@
         })
     }
 
-    /// Whether another hub knows the window better, or this one may have been cut off.
-    fn leaves_it_to_others(&mut self) -> bool {
-        let is_known = self.rates.usage(self.now, self.workspace).is_known
-            && self.rates.has_counts_of_others(self.now);
+    /// Whether another hub knows the windows and this one does not, or this one may have been cut off.
+    fn leaves_it_to_others(&self) -> bool {
         !self.peers.hears_half_now(self.now)
-            || (self.recently_started || !is_known) && self.peers.hears_experienced(self.now)
+            || !self.knows_windows && self.peers.hears_knowing(self.now)
     }
 
     /// Decides for another entry. A hub that hears too few of the others leaves the decision to one
@@ -109,18 +107,24 @@
     count(gateway, workspace, claim, |count| count.decide_for_other())
 }
 
+/// Whether this entry is a hub that knows what the windows hold.
+pub(super) fn knows_windows(gateway: &Gateway) -> bool {
+    !gateway.is_recent_hub() && gateway.rates.borrow().knows_windows(gateway.now())
+}
+
 fn count(
     gateway: &Gateway,
     workspace: u64,
     claim: Claim,
     decide: impl FnOnce(Count<'_>) -> Result<Grant, NotGranted>,
 ) -> Result<Grant, NotGranted> {
+    let knows_windows = knows_windows(gateway);
     let mut rates = gateway.rates.borrow_mut();
     let granted = decide(Count {
         now: gateway.now(),
         peers: &gateway.peers.borrow(),
         rates: &mut rates,
-        recently_started: gateway.is_recent_hub(),
+        knows_windows,
         workspace,
         claim,
     });
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -10,7 +10,7 @@
 use super::hubs::Role;
 use super::leaf;
 use super::load_reports::{apply_load_report, compose_load_report};
-use super::message::{Datagram, EvacuationState, GossipMessage, RefundReport, rotating_slice};
+use super::message::{CountReport, Datagram, EvacuationState, GossipMessage, rotating_slice};
 use super::owned_shard::Stage;
 use super::rates::{RowSelection, SenderAge};
 use super::shard_table::Owner;
@@ -184,8 +184,8 @@
     let mut rows = MAX_ROWS;
     while rows > 0 {
         let gossip = compose(gateway, instance, round, rows);
-        let refunds = compose_refunds(gateway, &gossip);
-        let datagram = Datagram { gossip, load: load.clone(), refunds };
+        let counts = Some(compose_counts(gateway, &gossip));
+        let datagram = Datagram { gossip, load: load.clone(), counts };
         match datagram.encode(MAX_DATAGRAM_BYTES) {
             Ok(Some(bytes)) => return Some((datagram.gossip, bytes)),
             Ok(None) => rows /= 2,
@@ -199,11 +199,13 @@
     None
 }
 
-/// The refunds of the workspaces in a message.
-fn compose_refunds(gateway: &Gateway, gossip: &GossipMessage) -> RefundReport {
+/// What belongs to the counts of workspaces in a message.
+fn compose_counts(gateway: &Gateway, gossip: &GossipMessage) -> CountReport {
+    let now = gateway.now();
     let mut rates = gateway.rates.borrow_mut();
     let workspaces = gossip.admitted.iter().map(|row| row.workspace);
-    RefundReport { rows: rates.refunds_to_send(gateway.now(), workspaces) }
+    let refunds = rates.refunds_to_send(now, workspaces);
+    CountReport { knows_windows: !gateway.is_recent_hub() && rates.knows_windows(now), refunds }
 }
 
 async fn send_to_peers(gateway: &Gateway, socket: &UdpSocket, bytes: &[u8]) {
@@ -238,10 +240,13 @@
         return;
     }
     match Datagram::decode(datagram) {
-        Ok(Datagram { gossip, load, refunds }) => {
+        Ok(Datagram { gossip, load, counts }) => {
             apply_message(gateway, from, &gossip);
-            let now = gateway.now();
-            gateway.rates.borrow_mut().apply_refunds(now, gossip.instance, &refunds.rows);
+            if let Some(counts) = counts {
+                let now = gateway.now();
+                gateway.peers.borrow_mut().record_knowledge(from, counts.knows_windows);
+                gateway.rates.borrow_mut().apply_refunds(now, gossip.instance, &counts.refunds);
+            }
             apply_load_report(gateway, gossip.instance, &load);
         }
         Err(fault) => {
--- a/src/gateway/hubs/counting.rs
+++ b/src/gateway/hubs/counting.rs
@@ -12,9 +12,8 @@
     pub address: SocketAddr,
     /// The CPU of its VM, if known.
     pub cpu_millicores: Option<u32>,
-    /// Whether it has been a hub for less than a rate window, and so does not know what the windows
-    /// hold.
-    pub recently_started: bool,
+    /// Whether it knows what the windows hold.
+    pub knows_windows: bool,
 }
 
 impl CountingCandidate {
@@ -30,7 +29,7 @@
 /// Hubs that know the windows come before those that have just started, and VMs with little CPU are
 /// left out: a surge of one workspace is answered by a single hub.
 pub fn counting_order(workspace: u64, candidates: Vec<CountingCandidate>) -> Vec<SocketAddr> {
-    let candidates = keep_if_any(candidates, |hub| !hub.recently_started);
+    let candidates = keep_if_any(candidates, |hub| hub.knows_windows);
     let most_cpu = candidates.iter().filter_map(|hub| hub.cpu_millicores).max().unwrap_or(0);
     let candidates = keep_if_any(candidates, |hub| hub.has_half_of(most_cpu));
     let weight = |hub: SocketAddr| {
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -66,14 +66,16 @@
     }
 }
 
-/// The refunds of the workspaces whose counts are in a [`GossipMessage`]. Follows the
-/// [`LoadReport`] in the same datagram, which is then there even if it is empty. Without it, the
-/// refunded requests stay counted.
+/// What belongs to the counts of workspaces in a [`GossipMessage`]. Follows the [`LoadReport`] in the
+/// same datagram, which is then there even if it is empty. Versions before have none; the requests that
+/// they refund stay counted.
 #[wire]
 #[derive(Default)]
-pub(super) struct RefundReport {
+pub(super) struct CountReport {
+    /// Whether the sender has observed whole windows.
+    pub(super) knows_windows: bool,
     /// The workspaces with refunds.
-    pub(super) rows: Vec<RefundRow>,
+    pub(super) refunds: Vec<RefundRow>,
 }
 
 /// The requests of one workspace that the sender has refunded, of those still in the window.
@@ -92,8 +94,8 @@
     pub(super) gossip: GossipMessage,
     /// What the sender tells of endpoints under load control.
     pub(super) load: LoadReport,
-    /// What it has refunded.
-    pub(super) refunds: RefundReport,
+    /// What belongs to its counts; none from a version without it.
+    pub(super) counts: Option<CountReport>,
 }
 
 impl Datagram {
@@ -104,18 +106,16 @@
     /// If a part can't be encoded.
     pub(super) fn encode(&self, max_bytes: usize) -> Result<Option<Vec<u8>>, postcard::Error> {
         let mut bytes = postcard::to_allocvec(&self.gossip)?;
-        let refunds = match self.refunds.rows.is_empty() {
-            true => vec![],
-            false => postcard::to_allocvec(&self.refunds)?,
-        };
+        let counts = self.counts.as_ref().map(postcard::to_allocvec).transpose()?;
+        let counts = counts.unwrap_or_default();
         let mut load = postcard::to_allocvec(&self.load)?;
-        if bytes.len() + load.len() + refunds.len() > max_bytes {
+        if bytes.len() + load.len() + counts.len() > max_bytes {
             log::debug!(bytes = load.len(); "load report does not fit; left out");
             load = postcard::to_allocvec(&LoadReport::default())?;
         }
-        if !self.load.is_empty() || !refunds.is_empty() {
+        if !self.load.is_empty() || !counts.is_empty() {
             bytes.extend(load);
-            bytes.extend(refunds);
+            bytes.extend(counts);
         }
         Ok((bytes.len() <= max_bytes).then_some(bytes))
     }
@@ -127,20 +127,23 @@
     /// If the message can't be decoded.
     pub(super) fn decode(bytes: &[u8]) -> Result<Datagram, postcard::Error> {
         let (gossip, rest) = postcard::take_from_bytes(bytes)?;
-        let (load, rest) = take_report(rest);
-        let (refunds, _) = take_report(rest);
-        Ok(Datagram { gossip, load, refunds })
+        let (load, rest) = take_report::<LoadReport>(rest);
+        let (counts, _) = take_report(rest);
+        Ok(Datagram { gossip, load: load.unwrap_or_default(), counts })
     }
 }
 
-fn take_report<'a, T: Default + serde::Deserialize<'a>>(bytes: &'a [u8]) -> (T, &'a [u8]) {
+fn take_report<'a, T: serde::Deserialize<'a>>(bytes: &'a [u8]) -> (Option<T>, &'a [u8]) {
     if bytes.is_empty() {
-        return (T::default(), bytes);
+        return (None, bytes);
+    }
+    match postcard::take_from_bytes(bytes) {
+        Ok((report, rest)) => (Some(report), rest),
+        Err(fault) => {
+            log::debug!(fault:display; "discarding an undecodable report in a gossip message");
+            (None, &[])
+        }
     }
-    postcard::take_from_bytes(bytes).unwrap_or_else(|fault| {
-        log::debug!(fault:display; "discarding an undecodable report in a gossip message");
-        (T::default(), &[])
-    })
 }
 
 /// The totals of the sender's measurements of one endpoint. They are absolute, like all gossip.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -48,6 +48,8 @@
     leaving: bool,
     store_unreachable: bool,
     recently_started: bool,
+    /// Whether it has observed whole windows of the workspaces' rates.
+    knows_windows: bool,
     /// The number of requests that it has running, by endpoint.
     running: HashMap<u64, u32>,
     /// The process instance that was deregistered because it seemed dead: it refused connections,
@@ -121,6 +123,7 @@
             leaving: false,
             store_unreachable: false,
             recently_started: false,
+            knows_windows: false,
             running: HashMap::new(),
             deregistered_instance: None,
             dead_instance: None,
@@ -156,6 +159,9 @@
         peer.leaving = gossip.leaving;
         peer.store_unreachable = gossip.store_unreachable;
         peer.recently_started = gossip.recently_started;
+        if first_message {
+            peer.knows_windows = !gossip.recently_started;
+        }
         let first_heard_at = peer.first_heard_at;
         let now_running = gossip.running.iter().copied().collect();
         let before = std::mem::replace(&mut peer.running, now_running);
--- a/src/gateway/peers/sharing.rs
+++ b/src/gateway/peers/sharing.rs
@@ -22,7 +22,7 @@
         let candidates = hubs.map(|(address, peer)| CountingCandidate {
             address: *address,
             cpu_millicores: peer.cpu_millicores,
-            recently_started: peer.recently_started,
+            knows_windows: peer.knows_windows,
         });
         candidates.collect()
     }
@@ -33,9 +33,20 @@
         self.count_sharing(is_heard).hears_half()
     }
 
-    /// Whether a hub is heard that has run for a whole rate window, and is not shutting down.
-    pub(in crate::gateway) fn hears_experienced(&self, now: TimeMs) -> bool {
-        self.counting_candidates(now).iter().any(|hub| !hub.recently_started)
+    /// Records whether an entry has observed whole windows.
+    pub(in crate::gateway) fn record_knowledge(
+        &mut self,
+        address: SocketAddr,
+        knows_windows: bool,
+    ) {
+        if let Some(peer) = self.peers.get_mut(&address) {
+            peer.knows_windows = knows_windows;
+        }
+    }
+
+    /// Whether a hub is heard that knows the windows, and is not shutting down.
+    pub(in crate::gateway) fn hears_knowing(&self, now: TimeMs) -> bool {
+        self.counting_candidates(now).iter().any(|hub| hub.knows_windows)
     }
 
     /// The entries that are silent and have not been connected to for a while, to learn whether they
--- a/src/gateway/rates.rs
+++ b/src/gateway/rates.rs
@@ -205,9 +205,12 @@
         }
     }
 
-    /// Whether the others have been heard for long enough to have all their counts.
-    pub(super) fn has_counts_of_others(&self, now: TimeMs) -> bool {
-        self.out_of_contact_at.is_none_or(|at| now.since(at) >= FULL_CYCLE_MS)
+    /// Whether this entry has observed windows for their whole length, and has all counts of the others.
+    /// A workspace that was declared just now is not known to any entry.
+    pub(super) fn knows_windows(&self, now: TimeMs) -> bool {
+        let has_counts = self.out_of_contact_at.is_none_or(|at| now.since(at) >= FULL_CYCLE_MS);
+        let knows_any = self.windows.values().any(|tracked| tracked.window.is_known(now));
+        has_counts && (knows_any || self.windows.is_empty())
     }
 
     /// Begins to count anew, as an entry that has just started: what was admitted while it was a
--- a/src/gateway/tests/counting.rs
+++ b/src/gateway/tests/counting.rs
@@ -6,14 +6,17 @@
 use test_case::test_case;
 
 use super::fakes::{self, FakeStore, RATE_WINDOW};
+use super::gossip_message;
 use crate::catalog::{Regions, Workspace};
 use crate::gateway::ask_hub::{Admitted, request_admission};
 use crate::gateway::attach_message::Decision;
+use crate::gateway::count_here::{Count, NotGranted};
 use crate::gateway::full_windows::FullWindows;
 use crate::gateway::hubs::{CountingCandidate, Inquiry, InquiryStep, NotAdmitted, counting_order};
+use crate::gateway::peers::Peers;
 use crate::gateway::rates::{RateLimiter, workspace_hash};
 use crate::prelude::*;
-use crate::quota::{Claim, PeerCounts};
+use crate::quota::{Claim, Grant, PeerCounts};
 
 const ALONE_IN_THE_WORLD: PeerCounts = PeerCounts { entries: 1, heard: 1 };
 
@@ -21,21 +24,21 @@
     ([127, 0, 0, 1], port).into()
 }
 
-fn hub(port: u16, cpu_millicores: u32, recently_started: bool) -> CountingCandidate {
+fn hub(port: u16, cpu_millicores: u32, knows_windows: bool) -> CountingCandidate {
     let cpu_millicores = Some(cpu_millicores);
-    CountingCandidate { address: address(port), cpu_millicores, recently_started }
+    CountingCandidate { address: address(port), cpu_millicores, knows_windows }
 }
 
 // A hub took over with a window that it had not observed; a small VM answered the flood of a workspace.
 #[test]
 fn hubs_that_know_the_windows_on_large_vms_count_first() {
-    let hubs = vec![hub(1, 500, true), hub(2, 90, false), hub(3, 500, false), hub(4, 300, false)];
+    let hubs = vec![hub(1, 500, false), hub(2, 90, true), hub(3, 500, true), hub(4, 300, true)];
     for workspace in 0..50 {
         let mut order = counting_order(workspace, hubs.clone());
         order.sort_unstable();
         assert_eq!(order, [address(3), address(4)]);
     }
-    let all_started = vec![hub(1, 500, true), hub(2, 90, true)];
+    let all_started = vec![hub(1, 500, false), hub(2, 90, false)];
     assert_eq!(counting_order(1, all_started), [address(1)]);
 }
 
@@ -135,3 +138,28 @@
     rates.set_surges_before_start(surges);
     (0..200).filter(|_| admit(&mut rates, 2_500)).count()
 }
+
+/// What a hub decides on a request of a workspace 8.6 s after its start, in contact with one other hub.
+fn decide(name: &str, knows_windows: bool, other_knows: bool) -> Result<Grant, NotGranted> {
+    let mut rates = limiter();
+    let declared_later = Workspace { name: "new".into(), ..workspace(20.0) };
+    rates.open_window(TimeMs(6_000), &declared_later);
+    rates.set_surges_before_start(HashSet::new());
+    let mut peers = Peers::default();
+    let now = TimeMs(8_600);
+    peers.record_message(now, address(1), &gossip_message(1, false));
+    peers.record_knowledge(address(1), other_knows);
+    let (workspace, claim) = (workspace_hash(name), Claim::Call);
+    Count { now, peers: &peers, rates: &mut rates, knows_windows, workspace, claim }.decide()
+}
+
+// After several hubs had started or regained contact together, each left all decisions to the others for a
+// tenth of a second, and requests far within the rate were refused with 429; those of a workspace that had
+// just been declared for five seconds.
+#[test]
+fn hubs_leave_decisions_only_to_one_that_knows() {
+    assert!(decide("w", true, true).is_ok());
+    assert!(decide("w", false, false).is_ok(), "nobody knows");
+    assert!(matches!(decide("w", false, true), Err(NotGranted::Unknown { .. })));
+    assert!(decide("new", true, true).is_ok(), "nobody knows the window of a new workspace");
+}
--- a/src/gateway/tests/gossip.rs
+++ b/src/gateway/tests/gossip.rs
@@ -5,7 +5,7 @@
 use super::{fakes, gossip_message};
 use crate::gateway::gossip::{apply_message, compose, forget_silent_entries};
 use crate::gateway::message::{
-    Datagram, GossipMessage, LoadReport, PaceRow, RefundReport, RefundRow,
+    CountReport, Datagram, GossipMessage, LoadReport, PaceRow, RefundRow,
 };
 use crate::quota::RefundCount;
 use crate::replicas::EndpointChange;
@@ -63,20 +63,21 @@
     let message = gossip_message(1, false);
     let mut datagram = postcard::to_allocvec(&message).expect("a message can be encoded");
     datagram.extend([200, 255]);
-    let (load, refunds) = (LoadReport::default(), RefundReport::default());
-    assert_eq!(Datagram::decode(&datagram), Ok(Datagram { gossip: message, load, refunds }));
+    let (load, counts) = (LoadReport::default(), None);
+    assert_eq!(Datagram::decode(&datagram), Ok(Datagram { gossip: message, load, counts }));
 }
 
-// A version without reports of refunds takes what follows a message for a load report. With the
+// A version without reports of counts takes what follows a message for a load report. With the
 // refunds in its place, it would have taken them for measurements.
 #[test]
-fn refunds_follow_a_load_report_even_if_that_is_empty() {
+fn counts_follow_a_load_report_even_if_that_is_empty() {
     let refunds = vec![RefundCount { age_slots: 20, requests: 3 }];
-    let refunds = RefundReport { rows: vec![RefundRow { workspace: 7, refunds }] };
+    let refunds = vec![RefundRow { workspace: 7, refunds }];
+    let counts = Some(CountReport { knows_windows: true, refunds });
     let paces = vec![PaceRow { endpoint: 1, events: 2, events_ms: 3 }; 20];
     let load = LoadReport { paces, endpoints: vec![] };
     let gossip = gossip_message(1, false);
-    let datagram = Datagram { gossip, load, refunds };
+    let datagram = Datagram { gossip, load, counts };
     let bytes = datagram.encode(1_400).expect("can be encoded").expect("fits");
     assert_eq!(Datagram::decode(&bytes), Ok(datagram.clone()));
     let shorter = datagram.encode(60).expect("can be encoded").expect("fits without the paces");
--- a/src/gateway/tests/hubs.rs
+++ b/src/gateway/tests/hubs.rs
@@ -133,7 +133,7 @@
     CountingCandidate {
         address: hub.address,
         cpu_millicores: Some(hub.cpu_millicores),
-        recently_started: false,
+        knows_windows: true,
     }
 }
 
--- a/src/gateway/tests/rates_model/world.rs
+++ b/src/gateway/tests/rates_model/world.rs
@@ -8,7 +8,7 @@
 
 use super::limit::{Limit, WINDOW_MS};
 use crate::gateway::hubs::{AskedQuestion, GrantedQuestions};
-use crate::gateway::message::{GossipMessage, RefundRow};
+use crate::gateway::message::{CountReport, GossipMessage};
 use crate::gateway::peers::Peers;
 use crate::gateway::rates::{RateLimiter, RowSelection, SenderAge, workspace_hash};
 use crate::gateway::tests::fakes::RATE_WINDOW;
@@ -45,7 +45,7 @@
     pub(super) refused: usize,
 }
 
-type Message = (SocketAddr, GossipMessage, Vec<RefundRow>);
+type Message = (SocketAddr, GossipMessage, CountReport);
 
 struct Hub {
     instance: u64,
@@ -321,6 +321,7 @@
 
     fn send_message(&mut self, sender: usize) {
         let (now, recently_started) = (self.now, self.is_recent(sender));
+        let knows_windows = self.knows_windows(sender);
         let hub = &mut self.hubs[sender];
         hub.sent_at = now;
         hub.round += 1;
@@ -328,6 +329,7 @@
         let selection = RowSelection { round: hub.round, include_all, max_rows: 50 };
         let admitted = hub.rates.rows_to_send(now, selection);
         let refunds = hub.rates.refunds_to_send(now, admitted.iter().map(|row| row.workspace));
+        let counts = CountReport { knows_windows, refunds };
         hub.rates.mark_reported(&admitted);
         let gossip = GossipMessage {
             name: format!("entry-{}", sender + 1).into(),
@@ -340,7 +342,7 @@
             let is_lost = self.random.random_bool(self.loss);
             let receiver = &mut self.hubs[receiver];
             if !is_lost && !is_cut && receiver.cut_until <= now && receiver.down_until <= now {
-                receiver.inbox.push((address(sender), gossip.clone(), refunds.clone()));
+                receiver.inbox.push((address(sender), gossip.clone(), counts.clone()));
             }
         }
     }
@@ -351,12 +353,13 @@
                 continue;
             }
             let (now, hub) = (self.now, &mut self.hubs[at]);
-            for (from, gossip, refunds) in std::mem::take(&mut hub.inbox) {
+            for (from, gossip, counts) in std::mem::take(&mut hub.inbox) {
                 let outcome = hub.peers.record_message(now, from, &gossip);
                 let recently_started = gossip.recently_started;
                 let sender = SenderAge { since: outcome.first_heard_at, recently_started };
                 hub.rates.apply_remote(now, gossip.instance, &gossip.admitted, sender);
-                hub.rates.apply_refunds(now, gossip.instance, &refunds);
+                hub.peers.record_knowledge(from, counts.knows_windows);
+                hub.rates.apply_refunds(now, gossip.instance, &counts.refunds);
             }
             hub.peers.take_silent(now);
             hub.rates.record_contact(now, hub.peers.peer_counts(now).hears_half());
--- a/src/gateway/tests/rates_model/world/asking.rs
+++ b/src/gateway/tests/rates_model/world/asking.rs
@@ -91,24 +91,28 @@
     }
 
     fn candidates(&self, entry: usize, is_hub: bool) -> Vec<CountingCandidate> {
-        let candidate = |hub: usize, recently_started| CountingCandidate {
+        let candidate = |hub: usize, knows_windows| CountingCandidate {
             address: address(hub),
             cpu_millicores: None,
-            recently_started,
+            knows_windows,
         };
         match is_hub {
             true => {
                 let mut candidates = self.hubs[entry].peers.counting_candidates(self.now);
-                candidates.push(candidate(entry, self.is_recent(entry)));
+                candidates.push(candidate(entry, self.knows_windows(entry)));
                 candidates
             }
             false => (0..self.hubs.len())
                 .filter(|hub| self.is_up(*hub) && self.hubs[*hub].cut_until <= self.now)
-                .map(|hub| candidate(hub, false))
+                .map(|hub| candidate(hub, true))
                 .collect(),
         }
     }
 
+    pub(super) fn knows_windows(&self, hub: usize) -> bool {
+        !self.is_recent(hub) && self.hubs[hub].rates.knows_windows(self.now)
+    }
+
     pub(super) fn is_recent(&self, hub: usize) -> bool {
         self.now.since(self.hubs[hub].since) < WINDOW_MS
     }
@@ -120,10 +124,10 @@
     }
 
     fn count(&mut self, hub: usize) -> Count<'_> {
-        let (now, recently_started) = (self.now, self.is_recent(hub));
+        let (now, knows_windows) = (self.now, self.knows_windows(hub));
         let Hub { peers, rates, .. } = &mut self.hubs[hub];
         let workspace = workspace_hash("w");
-        Count { now, peers, rates, recently_started, workspace, claim: Claim::Call }
+        Count { now, peers, rates, knows_windows, workspace, claim: Claim::Call }
     }
 
     /// The first answer of these hubs that arrives.
--- a/src/quota/shared_window.rs
+++ b/src/quota/shared_window.rs
@@ -225,10 +225,12 @@
     }
 
     /// Records that this entry does not hear the others: a window that it does not know yet begins to be
-    /// observed only when it does.
+    /// observed only when it does, and may be full until then.
     pub fn lose_contact(&mut self, now: TimeMs) {
         if !self.is_known(now) {
             self.observed_since = now;
+            self.slots.advance(now);
+            self.slots.assume_before(now, self.rate_limit.max_in_window());
         }
     }
 
