--- a/src/quota/tests.rs
+++ b/src/quota/tests.rs
@@ -116,8 +116,7 @@
     assert!((560..=680).contains(&max_admitted), "{max_admitted}");
 }
 
-// An entry that starts alone admitted nothing for a whole window, or, after it was changed to forget half
-// of an unknown window in half of its time, more than the rule allows beside a surge before the start.
+// An entry that did not know its window admitted more than is tolerated beside a surge before its start.
 #[test]
 fn an_entry_that_starts_alone_admits_a_part_of_the_tolerance_until_it_knows_the_window() {
     let mut shared = window(100.0, 50.0);
