--- a/review/oversized.rs
+++ b/review/oversized.rs
@@ -5,14 +5,14 @@
 use std::thread;
 use std::time::Duration;
 
-use crate::{Channel, Config, Journal, Message, World, new_id};
+use crate::{Channel, Config, Journal, KAURI_DRAW, Message, World, new_id};
 
 /// Length of the traffic.
-const TRAFFIC_MS: u64 = 60_000;
+const TRAFFIC_MS: u64 = 90_000;
 /// When the large turns begin, how many there are, and their pace.
-const UPLOADS_FROM_MS: u64 = 4_000;
-const UPLOADS: u64 = 48;
-const UPLOAD_GAP_MS: u64 = 170;
+const UPLOADS_FROM_MS: u64 = 2_000;
+const UPLOADS: u64 = 120;
+const UPLOAD_GAP_MS: u64 = 100;
 /// Input of a large turn: under `maxBodyBytes` (4,194,304), over `recordBytes` (262,144).
 const LARGE_BYTES: usize = 300_000;
 /// The same without the trouble.
@@ -20,7 +20,7 @@
 /// Pace of the other tenants' programs and calls.
 const PROGRAM_GAP_MS: u64 = 160;
 const CALL_GAP_MS: u64 = 50;
-const TIME_LIMIT_MS: u64 = 3_000;
+const TIME_LIMIT_MS: u64 = KAURI_DRAW.turn_limit_ms;
 
 const UPLOADER: &str = "tenant1";
 const WRITER: &str = "tenant2";
@@ -118,7 +118,7 @@
             ("Trefoilproxy-Session-Id", format!("s-{program}")),
             ("Trefoilproxy-Finish-Ms", "20000".to_string()),
             ("Trefoilproxy-Token-Budget", "5000".to_string()),
-            ("Trefoilproxy-Token-Count", "500,80".to_string()),
+            ("Trefoilproxy-Token-Count", format!("{},80", input.len())),
         ];
         if let Some(previous) = previous {
             headers.push(("Trefoilproxy-Previous-Turn", previous.to_string()));
@@ -139,10 +139,14 @@
         }
     }
 
+    /// A program whose second turn, on the same channel, has the large input.
     fn upload(&self, number: u64, bytes: usize) {
         let program = new_id("program");
         let mut channel = Channel::new(self.fronts[number as usize % self.fronts.len()]);
-        self.turn(&mut channel, (UPLOADER, &program), None, &vec![b'x'; bytes]);
+        let first = self.turn(&mut channel, (UPLOADER, &program), None, b"first input");
+        if let Some(first) = first {
+            self.turn(&mut channel, (UPLOADER, &program), Some(&first), &vec![b'x'; bytes]);
+        }
     }
 
     fn call(&self, number: u64) {
@@ -183,7 +187,8 @@
 pub fn play(journal: Arc<Journal>, is_trouble: bool) -> Option<bool> {
     let tenants = [UPLOADER, WRITER, CALLER];
     let tenants = tenants.map(|tenant| (tenant.to_string(), vec![key_of(tenant)])).to_vec();
-    let world = World::start(journal.clone(), &Config { version: 1, idle_routes: 8, tenants })?;
+    let config = Config { site: &KAURI_DRAW, version: 1, idle_routes: 8, tenants };
+    let world = World::start(journal.clone(), &config)?;
     // The shards get their owners within a second of the machines' start.
     thread::sleep(Duration::from_millis(3_000));
     let consumers = Consumers {
--- a/review/revoked.rs
+++ b/review/revoked.rs
@@ -6,7 +6,7 @@
 use std::thread;
 use std::time::Duration;
 
-use crate::{Channel, Config, Journal, STOP, Treatment, World, new_id};
+use crate::{Channel, Config, HIMA_PATRAK, Journal, STOP, Treatment, World, new_id};
 
 /// `revokeMs` of the settings.
 const REVOKE_MS: u64 = 5_000;
@@ -34,7 +34,7 @@
         keys.push(LOST_KEY.to_string());
     }
     tenants.push(("hule930".to_string(), keys));
-    Config { version, idle_routes: IDLE_ROUTES, tenants }
+    Config { site: &HIMA_PATRAK, version, idle_routes: IDLE_ROUTES, tenants }
 }
 
 type Sent = Arc<Mutex<HashMap<String, u64>>>;
--- a/review/standins.rs
+++ b/review/standins.rs
@@ -555,13 +555,23 @@
     }
 }
 
-/// Starts a replica that registers itself and serves turns (`events` > 0) or calls.
+/// What a replica does with a request.
+#[derive(Clone, Copy)]
+pub struct Work {
+    /// Events of the answer to a turn; none for calls.
+    pub events: usize,
+    /// How long it takes, without the reading of a prompt.
+    pub ms: u64,
+    pub site: &'static Site,
+}
+
+/// Starts a replica that registers itself and serves turns or calls.
 pub fn start_replica(
     store: &Arc<Store>,
     runs: &Arc<Runs>,
     (id, service, zone): (&str, &str, &str),
     address: SocketAddr,
-    (events, work_ms): (usize, u64),
+    work: Work,
 ) {
     let (journal, runs) = (store.journal.clone(), runs.clone());
     let own = id.to_string();
@@ -590,8 +600,8 @@
                 ("Trefoilproxy-Request-Id", request_id.as_str()),
                 ("Trefoilproxy-Server-Stamp", "3e1b.07.5a2.600.0.c9f2a4d1"),
             ];
-            if events == 0 {
-                thread::sleep(Duration::from_millis(work_ms));
+            if work.events == 0 {
+                thread::sleep(Duration::from_millis(work.ms));
                 answer(to, "200 OK", &headers, request_id.as_bytes())?;
                 return Ok(true);
             }
@@ -601,8 +611,11 @@
             }
             head.push_str("Transfer-Encoding: chunked\r\n\r\n");
             to.write_all(head.as_bytes())?;
-            for event in 0..events {
-                thread::sleep(Duration::from_millis(work_ms / events as u64));
+            // The prompt is read first, at one token a byte.
+            let reading_ms = request.body.len() / work.site.prompt_tokens_per_ms;
+            thread::sleep(Duration::from_millis(reading_ms as u64));
+            for event in 0..work.events {
+                thread::sleep(Duration::from_millis(work.ms / work.events as u64));
                 let piece = format!("id: {event}\ndata: {request_id} {event}\n\n");
                 to.write_all(format!("{:x}\r\n{piece}\r\n", piece.len()).as_bytes())?;
             }
@@ -613,14 +626,15 @@
     serve(address, handler);
     let (store, born) = (store.clone(), unix_ms());
     let (key, service, zone) = (id.to_string(), service.to_string(), zone.to_string());
+    let slots = if work.events == 0 { 6 } else { work.site.engine_slots };
     thread::spawn(move || {
         for beat in 1.. {
             let entry = format!(
                 concat!(
-                    r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","slots":8,"#,
+                    r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","slots":{},"#,
                     r#""state":"ready","coldLeftMs":0,"seqNo":{},"born":{}}}"#
                 ),
-                service, address, zone, beat, born
+                service, address, zone, slots, beat, born
             );
             store.put("keyed.servers", &key, &entry);
             thread::sleep(Duration::from_millis(BEAT_MS));
@@ -723,25 +737,32 @@
 }
 
 /// Starts the process of an edge machine, with settings as the platform renders them.
-pub fn start_edge(store: &Arc<Store>, scratch: &Scratch, net: Net, number: u8, zone: &str) -> Edge {
-    let (host, store_host) = (10 + number, 30 + number);
+pub fn start_edge(
+    store: &Arc<Store>,
+    scratch: &Scratch,
+    net: Net,
+    number: usize,
+    site: &Site,
+) -> Edge {
+    let zone = site.zones[number];
+    let (host, store_host) = (11 + number as u8, 31 + number as u8);
     let (front, ready) = (net.address(host, FRONT_PORT), net.address(host, READY_PORT));
     let store_address = net.address(store_host, STORE_PORT);
     let treatment = store.listen(store_address);
-    let name = format!("edge-{zone}-{number}");
+    let name = format!("edge-{zone}-1");
+    let regions = site.zones.map(|zone| format!(r#""{zone}":"{}""#, site.region)).join(",");
     let ip = front.ip();
     let settings = format!(
         concat!(
             r#"{{"nodeName":"{name}","role":"entry","machineClass":"edge","serves":["edge"],"#,
-            r#""ip":"{ip}","zone":"{zone}","region":"kutch-west","zones":{{"kutch-a":"kutch-west","#,
-            r#""kutch-b":"kutch-west","kutch-c":"kutch-west","kutch-d":"kutch-west"}},"#,
+            r#""ip":"{ip}","zone":"{zone}","region":"{region}","zones":{{{regions}}},"#,
             r#""listen":{{"front":"{front}","ready":"{ready}"}},"portRange":[{first},{last}],"#,
             r#""seeds":[],"bootstrap":true,"lossCounts":false,"limits":{{"cpuShare":0.5,"cores":1,"#,
-            r#""memoryMb":120,"maxFds":8200,"linkMbps":1000.0,"diskMb":0}},"dataDir":null,"#,
+            r#""memoryMb":{memory_mb},"maxFds":8200,"linkMbps":1000.0,"diskMb":0}},"dataDir":null,"#,
             r#""discovery":"platform","entry":"vip","beatMs":1200,"contracts":["base","drain","#,
             r#""config","cost","recover","agent","stream","engine","tenants","quota","platform"],"#,
             r#""faultTolerance":{{"machines":1,"zones":0,"regions":0}},"bounds":{{"seedLagS":3,"#,
-            r#""reuseAfterS":2,"contactMs":3000,"ackMs":4000,"catchUpS":4.3,"drainMs":2000,"#,
+            r#""reuseAfterS":2,"contactMs":3000,"ackMs":4000,"catchUpS":{catch_up_s},"drainMs":2000,"#,
             r#""graceS":8,"lossSlackMs":200,"configMs":2000,"rollbackSlackMs":250,"#,
             r#""maxSkewMs":5000,"failClosed":true,"revokeMs":5000,"quotaWindowS":5,"#,
             r#""quotaOverrun":0.1,"quotaSlack":20,"recoverS":12,"passMs":120,"againS":0,"#,
@@ -753,6 +774,10 @@
         name = name,
         ip = ip,
         zone = zone,
+        region = site.region,
+        regions = regions,
+        memory_mb = site.memory_mb,
+        catch_up_s = site.catch_up_s,
         front = front,
         ready = ready,
         first = PEER_PORTS.0,
@@ -854,10 +879,49 @@
 pub static STOP: AtomicBool = AtomicBool::new(false);
 
 // ---------------------------------------------------------------------------------------------
-// Configs.
+// Sites and configs.
+
+/// What differs between the sites whose settings are used.
+pub struct Site {
+    pub region: &'static str,
+    pub zones: [&'static str; 4],
+    pub memory_mb: u32,
+    pub catch_up_s: &'static str,
+    /// The time limit of turns, `timeoutMs` of their route.
+    pub turn_limit_ms: u64,
+    /// Slots and memory of a model replica, and what it reads of a prompt in a millisecond.
+    pub engine_slots: u32,
+    pub kv_tokens: u64,
+    pub prompt_tokens_per_ms: usize,
+}
+
+/// `sites/hima-patrak.toml`.
+pub const HIMA_PATRAK: Site = Site {
+    region: "kutch-west",
+    zones: ["kutch-a", "kutch-b", "kutch-c", "kutch-d"],
+    memory_mb: 120,
+    catch_up_s: "4.3",
+    turn_limit_ms: 3_000,
+    engine_slots: 8,
+    kv_tokens: 90_416,
+    prompt_tokens_per_ms: 168,
+};
+
+/// `further/kauri-draw.toml`.
+pub const KAURI_DRAW: Site = Site {
+    region: "nz-north",
+    zones: ["hamilton-a", "auckland-b", "tauranga-c", "rotorua-d"],
+    memory_mb: 130,
+    catch_up_s: "4.7",
+    turn_limit_ms: 4_000,
+    engine_slots: 48,
+    kv_tokens: 1_181_151,
+    prompt_tokens_per_ms: 205,
+};
 
 /// Routes, services, limits and tenants of a config. Each tenant has a list of keys.
 pub struct Config {
+    pub site: &'static Site,
     pub version: u64,
     /// Routes that nobody uses, which make the config large.
     pub idle_routes: usize,
@@ -870,12 +934,12 @@
             format!(
                 concat!(
                     r#"{{"name":"r-{}","hostname":"ficu95.example","pathPrefix":"/{}/","#,
-                    r#""routeType":"streaming","timeoutMs":3000,"targetLatencyMs":200,"#,
+                    r#""routeType":"streaming","timeoutMs":{},"targetLatencyMs":200,"#,
                     r#""priority":1,"service":"huvo11a","attempts":2,"stateful":true,"#,
                     r#""retentionS":60.0,"public":false,"sticky":true,"resumable":false,"#,
                     r#""gapAimMs":150}}"#
                 ),
-                name, prefix
+                name, prefix, self.site.turn_limit_ms
             )
         };
         let call = |name: &str, prefix: &str, kind: &str| {
@@ -911,13 +975,15 @@
             concat!(
                 r#"{{"version":{},"routes":[{}],"services":[{{"name":"huvo11a","#,
                 r#""healthPath":"/healthz","maxConns":140,"protocol":"h1","tls":false,"#,
-                r#""engine":{{"slots":8,"kvTokens":90416,"stride":14}}}},{{"name":"wuno96b","#,
+                r#""engine":{{"slots":{},"kvTokens":{},"stride":14}}}},{{"name":"wuno96b","#,
                 r#""healthPath":"/healthz","maxConns":100,"protocol":"h1","tls":false}}],"#,
                 r#""limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"#,
                 r#""headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{}]}}"#
             ),
             self.version,
             routes.join(","),
+            self.site.engine_slots,
+            self.site.kv_tokens,
             tenants.join(",")
         )
     }
@@ -934,7 +1000,8 @@
     _scratch: Scratch,
 }
 
-pub const ZONES: [&str; 3] = ["kutch-a", "kutch-b", "kutch-c"];
+/// Edge machines, each in a zone of its own, and replicas of each service.
+const MACHINES: usize = 3;
 
 impl World {
     /// Starts everything, with this config in force.
@@ -942,17 +1009,18 @@
         let (net, scratch) = (Net::choose(), Scratch::create());
         let (store, runs) = (Store::open(&journal), Arc::new(Runs::default()));
         store.put("keyed.op", "config", &config.json());
-        for (number, zone) in ZONES.iter().enumerate() {
+        let site = config.site;
+        for (number, zone) in site.zones.iter().take(MACHINES).enumerate() {
             let host = 1 + number as u8;
             let engine = (format!("i-engine{number}"), net.address(host, REPLICA_PORT));
             let desk = (format!("i-desk{number}"), net.address(host, REPLICA_PORT + 1));
-            start_replica(&store, &runs, (&engine.0, "huvo11a", zone), engine.1, (5, 60));
-            start_replica(&store, &runs, (&desk.0, "wuno96b", zone), desk.1, (0, 20));
+            let turns = Work { events: 5, ms: 60, site };
+            let calls = Work { events: 0, ms: 20, site };
+            start_replica(&store, &runs, (&engine.0, "huvo11a", zone), engine.1, turns);
+            start_replica(&store, &runs, (&desk.0, "wuno96b", zone), desk.1, calls);
         }
-        let edges: Vec<Edge> = ZONES
-            .iter()
-            .enumerate()
-            .map(|(number, zone)| start_edge(&store, &scratch, net, number as u8 + 1, zone))
+        let edges: Vec<Edge> = (0..MACHINES)
+            .map(|number| start_edge(&store, &scratch, net, number, site))
             .collect();
         let is_ready = wait_ready(&journal, &edges);
         is_ready.then_some(World { journal, store, runs, edges, _scratch: scratch })
