Review case: a chain of over 1 MiB can't be continued by programs of other shards

An entry reads at most 1 MiB of a chain that another entry has found, takes a longer one for a failed lookup, and answers 503 at each try.

--- a/review/standins.rs
+++ b/review/standins.rs
@@ -16,8 +16,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-mod revoked;
+mod longchain;
 mod oversized;
+mod revoked;
 
 /// Ports of a machine, as in the example of the users' settings.
 const FRONT_PORT: u16 = 8368;
@@ -565,6 +566,29 @@
     pub site: &'static Site,
 }
 
+/// The prompts that a model replica keeps; the oldest yield.
+#[derive(Default)]
+struct KeptPrompts(Mutex<VecDeque<Vec<u8>>>);
+
+impl KeptPrompts {
+    /// How much of the beginning of a prompt is kept.
+    fn longest(&self, prompt: &[u8]) -> usize {
+        let common =
+            |kept: &Vec<u8>| kept.iter().zip(prompt).take_while(|(one, other)| one == other).count();
+        self.0.lock().unwrap().iter().map(common).max().unwrap_or(0)
+    }
+
+    fn keep(&self, prompt: &[u8]) {
+        const MOST: usize = 4;
+        let mut kept = self.0.lock().unwrap();
+        kept.retain(|known| !prompt.starts_with(known));
+        kept.push_back(prompt.to_vec());
+        if kept.len() > MOST {
+            kept.pop_front();
+        }
+    }
+}
+
 /// Starts a replica that registers itself and serves turns or calls.
 pub fn start_replica(
     store: &Arc<Store>,
@@ -575,6 +599,7 @@
 ) {
     let (journal, runs) = (store.journal.clone(), runs.clone());
     let own = id.to_string();
+    let kept = KeptPrompts::default();
     let handler = {
         let journal = journal.clone();
         move |request: &Message, to: &mut TcpStream| {
@@ -611,9 +636,11 @@
             }
             head.push_str("Transfer-Encoding: chunked\r\n\r\n");
             to.write_all(head.as_bytes())?;
-            // The prompt is read first, at one token a byte.
-            let reading_ms = request.body.len() / work.site.prompt_tokens_per_ms;
+            // What is not kept of the prompt is read first, at one token a byte.
+            let unread = request.body.len() - kept.longest(&request.body);
+            let reading_ms = unread / work.site.prompt_tokens_per_ms;
             thread::sleep(Duration::from_millis(reading_ms as u64));
+            kept.keep(&request.body);
             for event in 0..work.events {
                 thread::sleep(Duration::from_millis(work.ms / work.events as u64));
                 let piece = format!("id: {event}\ndata: {request_id} {event}\n\n");
@@ -1038,6 +1065,7 @@
     journal.say(&format!("case {case}, {} the disruption", if is_trouble { "with" } else { "without" }));
     let broken = match case.as_str() {
         "revoked" => revoked::play(journal, is_trouble),
+        "longchain" => longchain::play(journal, is_trouble),
         "oversized" => oversized::play(journal, is_trouble),
         _ => None,
     };
