--- /dev/null
+++ b/review/standins-2/cases/mod.rs
@@ -0,0 +1,7 @@
+//! The cases. Each returns whether its rule held.
+
+pub mod false_402;
+pub mod large_turn;
+pub mod long_history;
+pub mod lost_parent;
+pub mod poison;
