--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -34,6 +34,7 @@
         "large-turn" => cases::large_turn::run,
         "false-402" => cases::false_402::run,
         "long-history" => cases::long_history::run,
+        "late-record" => cases::late_record::run,
         "poison" => cases::poison::run,
         _ => {
             eprintln!("{case}: no such case");
--- a/review/standins-2/replica.rs
+++ b/review/standins-2/replica.rs
@@ -24,6 +24,7 @@
 #[derive(Clone)]
 pub struct Run {
     pub request: String,
+    pub at_ms: u64,
     pub body_hash: u64,
 }
 
@@ -32,6 +33,10 @@
 pub struct Runs(Arc<Mutex<Vec<Run>>>);
 
 impl Runs {
+    pub fn all(&self) -> Vec<Run> {
+        self.0.lock().unwrap().clone()
+    }
+
     pub fn of(&self, request: &str) -> Vec<Run> {
         let runs = self.0.lock().unwrap();
         runs.iter().filter(|run| run.request == request).cloned().collect()
@@ -149,7 +154,11 @@
         if name.is_empty() {
             return answer(to, 400, &[("Trefoilproxy-Not-Executed", "1")], b"");
         }
-        let run = Run { request: name.clone(), body_hash: hash(&request.body) };
+        let run = Run {
+            request: name.clone(),
+            at_ms: self.record.now_ms(),
+            body_hash: hash(&request.body),
+        };
         self.runs.0.lock().unwrap().push(run);
         let bytes = request.body.len();
         self.record.add(&format!("run    {name} at {id}, {bytes} bytes"));
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -125,8 +125,21 @@
     groups: HashMap<String, Group>,
     /// Appends that were answered with neither 200 nor 409, by their status.
     refused: BTreeMap<u16, u64>,
+    /// Whether the answer of the next append to this topic is lost, and the append done late.
+    loses_next: Option<String>,
+    held: Option<Held>,
 }
 
+/// An append whose answer is lost.
+struct Held {
+    at: Instant,
+    is_released: bool,
+    is_done: bool,
+}
+
+/// An append without an answer is done so much later.
+const LATE_MS: std::ops::RangeInclusive<u64> = 1_000..=6_000;
+
 #[derive(Clone, Default)]
 pub struct Store {
     state: Arc<(Mutex<State>, Condvar)>,
@@ -156,8 +169,73 @@
         self.state.0.lock().unwrap().refused.values().sum()
     }
 
+    /// Loses the answer of the next append to this topic. It is done when it is released, but 1 to 6
+    /// seconds after it came.
+    pub fn lose_next(&self, topic: &str) {
+        self.state.0.lock().unwrap().loses_next = Some(topic.to_string());
+    }
+
+    /// Does the append whose answer was lost, and returns how late it was done.
+    pub fn do_late(&self) -> Option<u64> {
+        let (state, changed) = &*self.state;
+        let mut state = state.lock().unwrap();
+        state.held.as_mut()?.is_released = true;
+        changed.notify_all();
+        while !state.held.as_ref()?.is_done {
+            state = changed.wait(state).unwrap();
+        }
+        Some(state.held.as_ref()?.at.elapsed().as_millis() as u64)
+    }
+
+    /// All records of a topic's first partition so far, as text.
+    pub fn records_of(&self, topic: &str) -> Vec<(String, String)> {
+        let state = self.state.0.lock().unwrap();
+        let part = state.parts.get(&(topic.to_string(), 0));
+        let records = part.map_or(&[][..], |part| &part.records);
+        let text = |value: &[u8]| String::from_utf8_lossy(value).to_string();
+        records.iter().map(|(key, value)| (key.clone(), text(value))).collect()
+    }
+
+    /// Waits until an append whose answer is lost is to be done. Whoever sent it hears nothing more.
+    fn hold(&self, request: &Request) {
+        let (state, changed) = &*self.state;
+        let mut state = state.lock().unwrap();
+        let topic = request.parameter("topic").unwrap_or_default();
+        if state.loses_next.as_deref() != Some(topic) {
+            return;
+        }
+        state.loses_next = None;
+        state.held = Some(Held { at: Instant::now(), is_released: false, is_done: false });
+        loop {
+            let held = state.held.as_ref().unwrap();
+            let age_ms = held.at.elapsed().as_millis() as u64;
+            if age_ms >= *LATE_MS.end() || held.is_released && age_ms >= *LATE_MS.start() {
+                break;
+            }
+            state = changed.wait_timeout(state, Duration::from_millis(5)).unwrap().0;
+        }
+        drop(state);
+    }
+
+    fn is_held(&self, request: &Request) -> bool {
+        let state = self.state.0.lock().unwrap();
+        let topic = request.parameter("topic").unwrap_or_default();
+        state.loses_next.as_deref() == Some(topic)
+    }
+
     fn serve(&self, request: &Request, to: &mut TcpStream) -> io::Result<Next> {
         match request.path.as_str() {
+            "/v1/log-append" if self.is_held(request) => {
+                self.hold(request);
+                // The append is done, and its answer goes nowhere.
+                let (mut nowhere, _other_end) = nowhere()?;
+                self.append(request, &mut nowhere)?;
+                let (state, changed) = &*self.state;
+                state.lock().unwrap().held.as_mut().unwrap().is_done = true;
+                changed.notify_all();
+                std::thread::sleep(Duration::from_secs(10));
+                Ok(Next::Close)
+            }
             "/v1/log-append" => self.append(request, to),
             "/v1/log-read" => self.read(request, to),
             "/v1/log-newest" => self.newest(request, to),
@@ -305,6 +383,13 @@
     }
 }
 
+/// A channel that nobody reads.
+fn nowhere() -> io::Result<(TcpStream, TcpStream)> {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
+    let writer = TcpStream::connect(listener.local_addr()?)?;
+    Ok((writer, listener.accept()?.0))
+}
+
 fn json(to: &mut TcpStream, status: u16, body: &str) -> io::Result<Next> {
     answer(to, status, &[("Content-Type", "application/json")], body.as_bytes())
 }
--- a/review/standins-2/world.rs
+++ b/review/standins-2/world.rs
@@ -2,6 +2,7 @@
 
 use std::fs;
 use std::io;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
@@ -17,6 +18,8 @@
 pub const CONTACT: Duration = Duration::from_millis(3_000);
 /// `retentionS` of the route of turns.
 pub const RETENTION_S: u64 = 60;
+/// How long a consumer waits for an idempotent request.
+const LOOK_DEADLINE_MS: u64 = 1_500;
 const KEY: &str = "3fexd9dnn2ctnfzs989a";
 
 pub struct World {
@@ -43,12 +46,14 @@
     pub memory_mb: u32,
     /// The longest time of a turn.
     pub timeout_ms: u64,
+    /// The allowance of the tenant, a second, and its burst; none if zero.
+    pub rate_per_s: u32,
 }
 
 pub const HIMA_PATRAK: Site =
-    Site { slots: 8, kv_tokens: 90_416, memory_mb: 120, timeout_ms: 3_000 };
+    Site { slots: 8, kv_tokens: 90_416, memory_mb: 120, timeout_ms: 3_000, rate_per_s: 0 };
 pub const KAURI_DRAW: Site =
-    Site { slots: 48, kv_tokens: 1_181_151, memory_mb: 130, timeout_ms: 4_000 };
+    Site { slots: 48, kv_tokens: 1_181_151, memory_mb: 130, timeout_ms: 4_000, rate_per_s: 0 };
 
 impl World {
     pub fn start(
@@ -102,7 +107,8 @@
             Ok(mut channel) => self.attempt_on(&mut channel, machine, turn, id),
             Err(_) => {
                 let answer = Answer::default();
-                self.record_answer(id, &self.machines[machine % self.machines.len()].name, &answer);
+                let machine = &self.machines[machine % self.machines.len()].name;
+                record_answer(&self.record, id, machine, &answer);
                 answer
             }
         }
@@ -138,16 +144,10 @@
             turn.program
         ));
         let answer = channel.send("POST", "/turns/1", &headers, turn.input.as_bytes());
-        self.record_answer(id, machine, &answer);
+        record_answer(&self.record, id, machine, &answer);
         answer
     }
 
-    fn record_answer(&self, id: &str, machine: &str, answer: &Answer) {
-        let retry = answer.retry_after_ms().map(|ms| format!(", again after {ms} ms"));
-        let retry = retry.unwrap_or_default();
-        self.record.add(&format!("answer {id} from {machine}: {}{retry}", answer.text()));
-    }
-
     /// Sends a turn as a program does: a consumer retries once after a promise, at another machine,
     /// and a turn that has failed is sent again at most twice.
     pub fn turn(&self, machine: usize, turn: &Turn) -> Sent {
@@ -179,12 +179,16 @@
 
     /// Sends an idempotent request to a machine, once.
     pub fn look(&self, machine: usize, path: &str, id: &str) -> Answer {
-        let machine = &self.machines[machine];
-        self.record.add(&format!("send   {id} to {}: GET {path}", machine.name));
-        let limit = Duration::from_millis(self.deadline_ms);
-        let headers = common_headers(id, self.deadline_ms);
-        let answer = send(machine.front, "GET", path, &headers, b"", limit);
-        self.record_answer(id, &machine.name, &answer);
+        World::look_at(&self.record, self.machines[machine].front, path, id)
+    }
+
+    /// The same for a machine's address.
+    pub fn look_at(record: &Record, front: SocketAddr, path: &str, id: &str) -> Answer {
+        record.add(&format!("send   {id} to {front}: GET {path}"));
+        let limit = Duration::from_millis(LOOK_DEADLINE_MS);
+        let headers = common_headers(id, LOOK_DEADLINE_MS);
+        let answer = send(front, "GET", path, &headers, b"", limit);
+        record_answer(record, id, &front.to_string(), &answer);
         answer
     }
 
@@ -230,6 +234,12 @@
     }
 }
 
+fn record_answer(record: &Record, id: &str, machine: &str, answer: &Answer) {
+    let retry = answer.retry_after_ms().map(|ms| format!(", again after {ms} ms"));
+    let retry = retry.unwrap_or_default();
+    record.add(&format!("answer {id} from {machine}: {}{retry}", answer.text()));
+}
+
 fn common_headers(id: &str, deadline_ms: u64) -> Vec<(String, String)> {
     let headers = [
         ("Host", "desk.example".to_string()),
@@ -302,9 +312,9 @@
 }
 
 fn configuration(site: &Site) -> String {
-    let Site { slots, kv_tokens, timeout_ms, .. } = site;
+    let Site { slots, kv_tokens, timeout_ms, rate_per_s, .. } = site;
     let version = unix_ms() / 1_000;
     format!(
-        r#"{{"version":{version},"routes":[{{"name":"r-turns","hostname":"desk.example","pathPrefix":"/turns/","routeType":"streaming","timeoutMs":{timeout_ms},"targetLatencyMs":200,"priority":1,"service":"engines","attempts":2,"stateful":true,"retentionS":{RETENTION_S}.0,"public":false,"sticky":true,"resumable":false,"gapAimMs":150}},{{"name":"r-look","hostname":"desk.example","pathPrefix":"/look/","routeType":"idempotent","timeoutMs":1500,"targetLatencyMs":250,"priority":2,"service":"desk","attempts":1,"public":false,"sticky":false}}],"services":[{{"name":"engines","healthPath":"/healthz","maxConns":140,"protocol":"h1","tls":false,"engine":{{"slots":{slots},"kvTokens":{kv_tokens},"kvBytes":18432,"linkMbps":130000.0,"moves":true,"backups":true,"stride":14,"most":12,"pinMs":4000.0,"holdMs":2000.0,"handle_s":5.0,"models":[{{"name":"m"}}]}}}},{{"name":"desk","healthPath":"/healthz","maxConns":100,"protocol":"h1","tls":false}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{{"name":"hule930","apiKeys":["{KEY}"],"priority":1,"ratePerS":0,"burst":0}}]}}"#
+        r#"{{"version":{version},"routes":[{{"name":"r-turns","hostname":"desk.example","pathPrefix":"/turns/","routeType":"streaming","timeoutMs":{timeout_ms},"targetLatencyMs":200,"priority":1,"service":"engines","attempts":2,"stateful":true,"retentionS":{RETENTION_S}.0,"public":false,"sticky":true,"resumable":false,"gapAimMs":150}},{{"name":"r-look","hostname":"desk.example","pathPrefix":"/look/","routeType":"idempotent","timeoutMs":1500,"targetLatencyMs":250,"priority":2,"service":"desk","attempts":1,"public":false,"sticky":false}}],"services":[{{"name":"engines","healthPath":"/healthz","maxConns":140,"protocol":"h1","tls":false,"engine":{{"slots":{slots},"kvTokens":{kv_tokens},"kvBytes":18432,"linkMbps":130000.0,"moves":true,"backups":true,"stride":14,"most":12,"pinMs":4000.0,"holdMs":2000.0,"handle_s":5.0,"models":[{{"name":"m"}}]}}}},{{"name":"desk","healthPath":"/healthz","maxConns":100,"protocol":"h1","tls":false}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{{"name":"hule930","apiKeys":["{KEY}"],"priority":1,"ratePerS":{rate_per_s},"burst":{rate_per_s}}}]}}"#
     )
 }
