--- a/review/standins-2/cases/long_history.rs
+++ b/review/standins-2/cases/long_history.rs
@@ -13,6 +13,9 @@
 const INPUT_BYTES: usize = 100_000;
 const NEW_PROGRAMS: usize = 12;
 const TOKENS: u64 = 70;
+/// When the new programs begin after the machines are back: one after the other.
+const BEGIN: Duration = Duration::from_millis(1_000);
+const BEGIN_EVERY: Duration = Duration::from_millis(500);
 /// `recoverS` of the settings.
 const RECOVER: Duration = Duration::from_secs(12);
 /// The span at the end of the recovery in which other turns have to be served.
@@ -74,6 +77,8 @@
             let body = format!("{text}{input}");
             let next = turn(format!("new-{number}"), program, previous.clone(), input);
             let mut tries = 0;
+            let begins = BEGIN + BEGIN_EVERY * number as u32;
+            std::thread::sleep(begins.saturating_sub(back.elapsed()));
             while back.elapsed() < RECOVER {
                 let id = format!("new-{number}.{}", tries + 1);
                 let answer = world.attempt(number + tries, &next, &id);
