--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -32,6 +32,7 @@
     let run = match case.as_str() {
         "lost-parent" => cases::lost_parent::run,
         "false-402" => cases::false_402::run,
+        "innocent" => cases::innocent::run,
         "late-record" => cases::late_record::run,
         "poison" => cases::poison::run,
         _ => {
--- a/review/standins-2/replica.rs
+++ b/review/standins-2/replica.rs
@@ -14,7 +14,11 @@
 /// Tokens in one event of a stream.
 pub const STRIDE: u64 = 14;
 const BEAT_MS: u64 = 1_200;
+/// The pause before each event of a stream.
 const EVENT_MS: u64 = 2;
+/// The same for turns whose input is [`LONG_INPUT`].
+const LONG_EVENT_MS: u64 = 60;
+pub const LONG_INPUT: &str = "continue";
 /// How long a replica is away after a request has crashed it.
 const CRASHED_MS: u64 = 2_000;
 /// A request with this path crashes the replica that begins to run it.
@@ -24,6 +28,8 @@
 #[derive(Clone)]
 pub struct Run {
     pub request: String,
+    /// The id of the replica.
+    pub replica: String,
     pub at_ms: u64,
     pub body_hash: u64,
 }
@@ -70,6 +76,24 @@
     /// The lifetime that runs now; its number is part of the id.
     lifetime: AtomicU64,
     channels: Mutex<Vec<TcpStream>>,
+    /// The id of the lifetime that runs now, and what ends it.
+    current: Mutex<(String, Arc<AtomicBool>)>,
+}
+
+/// A replica that runs.
+#[derive(Clone)]
+pub struct Replica(Arc<State>);
+
+impl Replica {
+    /// Ends the lifetime that runs now with all its channels. The next one begins `away` later.
+    pub fn crash(&self, away: Duration) {
+        let (id, stop) = self.0.current.lock().unwrap().clone();
+        self.0.crash(&id, &stop, away);
+    }
+
+    pub fn is(&self, id: &str) -> bool {
+        self.0.current.lock().unwrap().0 == id
+    }
 }
 
 pub fn start(
@@ -78,7 +102,7 @@
     store: &Store,
     record: &Record,
     runs: &Runs,
-) -> io::Result<()> {
+) -> io::Result<Replica> {
     let state = Arc::new(State {
         name: name.to_string(),
         service,
@@ -90,8 +114,10 @@
         runs: runs.clone(),
         lifetime: AtomicU64::new(0),
         channels: Mutex::default(),
+        current: Mutex::default(),
     });
-    begin_lifetime(&state)
+    begin_lifetime(&state)?;
+    Ok(Replica(state))
 }
 
 fn begin_lifetime(state: &Arc<State>) -> io::Result<()> {
@@ -106,6 +132,7 @@
         move |channel| opened.channels.lock().unwrap().push(channel),
         move |request, to| serving.serve(&serving_id, &serving_stop, request, to),
     )?;
+    *state.current.lock().unwrap() = (id.clone(), stop.clone());
     let (state, born) = (state.clone(), unix_ms());
     std::thread::spawn(move || {
         for sequence in 1_u64.. {
@@ -156,6 +183,7 @@
         }
         let run = Run {
             request: name.clone(),
+            replica: id.to_string(),
             at_ms: self.record.now_ms(),
             body_hash: hash(&request.body),
         };
@@ -163,7 +191,7 @@
         let bytes = request.body.len();
         self.record.add(&format!("run    {name} at {id}, {bytes} bytes"));
         if request.path == CRASHING_PATH {
-            self.crash(id, stop);
+            self.crash(id, stop, Duration::from_millis(CRASHED_MS));
             return Ok(Next::Close);
         }
         match self.service {
@@ -188,8 +216,10 @@
             self.name
         );
         to.write_all(head.as_bytes())?;
+        let is_long = request.body.ends_with(LONG_INPUT.as_bytes());
+        let pause_ms = if is_long { LONG_EVENT_MS } else { EVENT_MS };
         for event in 0..events_of(tokens) {
-            std::thread::sleep(Duration::from_millis(EVENT_MS));
+            std::thread::sleep(Duration::from_millis(pause_ms));
             let text = format!("id: {event}\ndata: {name}-{event}\n\n");
             to.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())?;
         }
@@ -198,7 +228,7 @@
     }
 
     /// Ends this lifetime with all its channels; the next one begins some seconds later.
-    fn crash(self: &Arc<State>, id: &str, stop: &Arc<AtomicBool>) {
+    fn crash(self: &Arc<State>, id: &str, stop: &Arc<AtomicBool>, away: Duration) {
         if stop.swap(true, Ordering::SeqCst) {
             return;
         }
@@ -210,7 +240,7 @@
         }
         let state = self.clone();
         std::thread::spawn(move || {
-            std::thread::sleep(Duration::from_millis(CRASHED_MS));
+            std::thread::sleep(away);
             while begin_lifetime(&state).is_err() {
                 std::thread::sleep(Duration::from_millis(50));
             }
--- a/review/standins-2/world.rs
+++ b/review/standins-2/world.rs
@@ -9,7 +9,7 @@
 use crate::http::{Answer, Channel, send};
 use crate::machine::{Machine, Network, REPLICA, STORE};
 use crate::record::Record;
-use crate::replica::{self, Runs};
+use crate::replica::{self, Replica, Runs};
 use crate::store::Store;
 
 /// Traffic starts this long after the machines do.
@@ -27,6 +27,7 @@
     pub runs: Runs,
     pub record: Record,
     pub machines: Vec<Machine>,
+    pub replicas: Vec<Replica>,
     /// How long a consumer waits for one attempt.
     deadline_ms: u64,
     folder: PathBuf,
@@ -66,13 +67,16 @@
         let store = Store::start(network.address(100, STORE))?;
         store.put("keyed.op", "config", &configuration(&site));
         let runs = Runs::default();
+        let mut running = Vec::new();
         for number in 0..replicas.engines + replicas.apps {
             let service = if number < replicas.engines { "engines" } else { "desk" };
             let zone = format!("zone-{}", char::from(b'a' + number % 4));
             let address = network.address(101 + number, REPLICA);
             let name = format!("{service}{number}");
             let slots = if service == "engines" { site.slots } else { 6 };
-            replica::start((&name, service, &zone, slots), address, &store, &record, &runs)?;
+            let started =
+                replica::start((&name, service, &zone, slots), address, &store, &record, &runs)?;
+            running.push(started);
         }
         let machines: io::Result<Vec<_>> = (0..machines)
             .map(|number| {
@@ -90,6 +94,7 @@
             runs,
             record,
             machines: machines?,
+            replicas: running,
             deadline_ms: site.timeout_ms,
             folder,
         };
