--- a/soak/tests/turns.rs
+++ b/soak/tests/turns.rs
@@ -74,6 +74,40 @@
     assert_eq!(prompt_of(&world, &next), format!("say t0;{}say t1;", output("t0")));
 }
 
+// Copies of another program's turn that a refused turn left in the owner's memory alone were lost with it, and
+// with them the turns that continue them.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_turn_refused_for_its_budget_costs_no_later_turn_its_history() {
+    let mut world = world(3).await;
+    assert!(world.caller.turn(world.entry(0), &turn("t0", "p", None)).await.is_served());
+    for number in 0..12 {
+        let program = format!("spent-{number}");
+        let first = Turn { budget: 1, ..turn(&format!("{program}-0"), &program, None) };
+        assert!(world.caller.turn(world.entry(number), &first).await.is_served());
+        let next = Turn { budget: 1, ..turn(&format!("{program}-1"), &program, Some("t0")) };
+        let refused = world.caller.turn(world.entry(number), &next).await;
+        assert_eq!(refused.status, Some(402), "{refused:?}");
+    }
+    for number in 0..12 {
+        let id = format!("n{number}");
+        let answer = world.caller.turn(world.entry(number), &turn(&id, &id, Some("t0"))).await;
+        assert!(answer.is_served(), "{answer:?}");
+    }
+    for gateway in &mut world.gateways {
+        gateway.kill().expect("killed");
+        gateway.start().expect("started");
+    }
+    world.wait_serving().await.expect("it serves again");
+    for number in 0..12 {
+        let (id, previous) = (format!("m{number}"), format!("n{number}"));
+        let next = turn(&id, &previous, Some(&previous));
+        let answer = world.caller.turn(world.entry(number), &next).await;
+        assert!(answer.is_served(), "{id}: {answer:?}");
+        let history = format!("say t0;{}say {previous};{}", output("t0"), output(&previous));
+        assert_eq!(prompt_of(&world, &id), format!("{history}say {id};"));
+    }
+}
+
 // A process restarts while the store is unreachable, so that it can't deregister its earlier process
 // instance, and is assigned its shards under the same epoch. Its first batches had the sequence numbers
 // of the earlier instance's, and the store took them for repeats: turns were acknowledged and completed
--- a/src/gateway/find_turn.rs
+++ b/src/gateway/find_turn.rs
@@ -14,7 +14,7 @@
 use super::owned_shard::{OwnedShard, Stage};
 use super::state::Gateway;
 use crate::http::RequestBody;
-use crate::turns::{Record, Turn, TurnKey};
+use crate::turns::{Turn, TurnKey};
 
 /// Path at which an entry answers turn lookups of its peers.
 pub(super) const FIND_TURN_PATH: &str = "/find-turn";
@@ -45,10 +45,9 @@
 const SEARCH_INTERVAL_MS: u64 = 60;
 
 /// A turn and its predecessors, oldest first.
-type Chain = Vec<(TurnKey, Turn)>;
+pub(super) type Chain = Vec<(TurnKey, Turn)>;
 
-/// Returns a turn and all its predecessors. Turns found in another shard are copied into `shard`,
-/// and the records that make the copies durable are added to `records`.
+/// Returns a turn and all its predecessors, from `shard` or from another one.
 ///
 /// A search misses a shard that has no owner at the moment, or whose owner this entry does not know
 /// yet. It is repeated for a while: an immediate refusal would deny a turn that exists and can be
@@ -57,7 +56,6 @@
     gateway: &Rc<Gateway>,
     shard: &OwnedShard,
     turn: TurnKey,
-    records: &mut Vec<Record>,
 ) -> Result<Chain, Refusal> {
     if let Some(chain) = local_chain(shard, turn) {
         return Ok(chain);
@@ -65,10 +63,7 @@
     let started = gateway.now();
     loop {
         match search_all_shards(gateway, turn).await {
-            SearchResult::Found(chain) => {
-                records.extend(shard.ledger.borrow_mut().import_turns(chain.clone()));
-                return Ok(chain);
-            }
+            SearchResult::Found(chain) => return Ok(chain),
             SearchResult::NotFound => return Err(Refusal::NoSuchTurn),
             SearchResult::Incomplete(shards) if gateway.now().since(started) >= MAX_SEARCH_MS => {
                 log::info!(searched = shards, shards = gateway.shards.count();
@@ -118,7 +113,7 @@
 }
 
 fn local_chain(shard: &OwnedShard, turn: TurnKey) -> Option<Chain> {
-    let ledger = shard.ledger.borrow();
+    let ledger = shard.ledger();
     let chain = ledger.chain(turn)?;
     Some(chain.into_iter().map(|(key, turn)| (key, turn.clone())).collect())
 }
--- a/src/gateway/handoff.rs
+++ b/src/gateway/handoff.rs
@@ -20,7 +20,7 @@
 use crate::catalog::Regions;
 use crate::http::RequestBody;
 use crate::prelude::*;
-use crate::turns::{Ledger, ProgramKey, Record, Turn, TurnKey};
+use crate::turns::{BudgetExhausted, Ledger, ProgramKey, Record, Turn, TurnKey};
 
 /// The path of requests that hand off a turn to another entry.
 pub(super) const HANDOFF_PATH: &str = "/record-turn";
@@ -108,31 +108,32 @@
 /// turn whose tokens were never reserved and no longer fit the budget: other turns of the same
 /// program may have started here in the meantime.
 async fn record(shard: &OwnedShard, handoff: &TurnHandoff) -> bool {
-    let records = {
-        let mut ledger = shard.ledger.borrow_mut();
+    let (is_accepted, recorded) = shard.change(|ledger, records| {
         let parent = handoff.turn.as_ref().and_then(|(_, turn)| turn.parent);
         if parent.is_some_and(|parent| ledger.turn(parent).is_none()) {
             return false;
         }
-        // The previous owner's append may have succeeded although it got no answer. An empty append
-        // then only confirms that this process still owns the shard.
+        // The previous owner's append may have succeeded although it got no answer.
         let already_recorded =
             handoff.turn.as_ref().is_some_and(|(key, _)| ledger.turn(*key).is_some());
-        if already_recorded { Some(Vec::new()) } else { records_to_append(&mut ledger, handoff) }
-    };
-    match records {
-        Some(records) => shard.writer.append(records).await.is_ok(),
-        None => false,
-    }
+        already_recorded || charge_and_complete(ledger, handoff, records).is_ok()
+    });
+    // An empty append only confirms that this process still owns the shard.
+    let recorded = recorded.unwrap_or_else(|| shard.writer.append(Vec::new()));
+    is_accepted && recorded.await.is_ok()
 }
 
-/// The records that make a turn durable; `None` if its tokens do not fit the budget.
-fn records_to_append(ledger: &mut Ledger, handoff: &TurnHandoff) -> Option<Vec<Record>> {
+/// Charges a turn's tokens and stores the turn, unless its tokens do not fit the budget.
+fn charge_and_complete(
+    ledger: &mut Ledger,
+    handoff: &TurnHandoff,
+    records: &mut Vec<Record>,
+) -> Result<(), BudgetExhausted> {
     let TurnHandoff { program, budget, unreserved, kept_until, .. } = *handoff;
-    let charged = ledger.charge(program, budget, unreserved, kept_until).ok()?;
+    records.extend(ledger.charge(program, budget, unreserved, kept_until)?);
     let turn = handoff.turn.clone();
-    let completed = turn.map(|(key, turn)| ledger.complete(key, turn));
-    Some(charged.into_iter().chain(completed).collect())
+    records.extend(turn.map(|(key, turn)| ledger.complete(key, turn)));
+    Ok(())
 }
 
 /// Serves the request of another entry that hands off a turn.
--- a/src/gateway/load_admission.rs
+++ b/src/gateway/load_admission.rs
@@ -37,7 +37,7 @@
     let arrived = gateway.now();
     let max_hold_ms = (routing.target_ms as f64 * HOLD_FRACTION) as u64;
     loop {
-        if shard.ledger.borrow().has_account(program) {
+        if shard.ledger().has_account(program) {
             return Ok(());
         }
         let now = gateway.now();
--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -218,9 +218,8 @@
     loop {
         let page =
             retry(shard, || gateway.store.newest_records(shard.number, after.clone())).await?;
-        let mut ledger = shard.ledger.borrow_mut();
         for (key, value) in &page.items {
-            if let Err(fault) = ledger.load(key, value) {
+            if let Err(fault) = shard.load(key, value) {
                 log::error!(shard = shard.number, fault:display;
                     "skipping a record that can't be loaded");
             }
@@ -253,9 +252,6 @@
 async fn remove_expired_records(gateway: &Gateway, shard: &OwnedShard) {
     loop {
         tokio::time::sleep(Duration::from_millis(EXPIRY_INTERVAL_MS)).await;
-        let dropped = shard.ledger.borrow_mut().expire(gateway.unix());
-        if !dropped.is_empty() {
-            drop(shard.writer.append(dropped));
-        }
+        shard.change(|ledger, records| records.extend(ledger.expire(gateway.unix())));
     }
 }
--- a/src/gateway/owned_shard.rs
+++ b/src/gateway/owned_shard.rs
@@ -1,8 +1,8 @@
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, Ref, RefCell};
 use std::rc::Rc;
 
-use super::writer::Writer;
-use crate::turns::Ledger;
+use super::writer::{AppendAck, Writer};
+use crate::turns::{AccountVersion, Ledger, ProgramKey, Record, RecordFault};
 
 /// The stages of owning a shard, from taking it over to losing it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -22,7 +22,7 @@
     pub(super) number: u32,
     /// Fencing number of the appends: the store rejects them once it has seen a later epoch.
     pub(super) epoch: u64,
-    pub(super) ledger: RefCell<Ledger>,
+    ledger: RefCell<Ledger>,
     pub(super) writer: Writer,
     stage: Cell<Stage>,
     turns_in_flight: Cell<u32>,
@@ -51,6 +51,35 @@
         }
     }
 
+    /// The shard's turns and accounts.
+    pub(super) fn ledger(&self) -> Ref<'_, Ledger> {
+        self.ledger.borrow()
+    }
+
+    /// Loads a record that the store holds.
+    pub(super) fn load(&self, key: &str, value: &[u8]) -> Result<(), RecordFault> {
+        self.ledger.borrow_mut().load(key, value)
+    }
+
+    /// Notes that a record of a program's account is durable.
+    pub(super) fn mark_durable(&self, program: ProgramKey, version: AccountVersion) {
+        self.ledger.borrow_mut().mark_durable(program, version);
+    }
+
+    /// Changes the ledger and queues the records that `change` adds, also if it fails. Everything in
+    /// the ledger is therefore durable or queued for the store, ahead of all that is based on it.
+    ///
+    /// Returns the result and, if there are records, what completes once they are durable.
+    pub(super) fn change<T>(
+        &self,
+        change: impl FnOnce(&mut Ledger, &mut Vec<Record>) -> T,
+    ) -> (T, Option<AppendAck>) {
+        let mut records = Vec::new();
+        let result = change(&mut self.ledger.borrow_mut(), &mut records);
+        let recorded = (!records.is_empty()).then(|| self.writer.append(records));
+        (result, recorded)
+    }
+
     pub(super) fn turns_in_flight(&self) -> u32 {
         self.turns_in_flight.get()
     }
--- a/src/gateway/reservation.rs
+++ b/src/gateway/reservation.rs
@@ -1,9 +1,11 @@
 use std::rc::Rc;
 
 use super::Refusal;
+use super::find_turn::Chain;
 use super::owned_shard::OwnedShard;
+use super::writer::AppendAck;
 use crate::prelude::*;
-use crate::turns::{AccountVersion, ProgramKey, Record};
+use crate::turns::{AccountVersion, BudgetExhausted, ProgramKey, Turn, TurnKey};
 
 /// Tokens reserved for a turn in progress. If it is dropped without [`Reservation::settle`], it
 /// charges the tokens generated so far and releases the rest, so that a turn that breaks off does
@@ -17,35 +19,62 @@
     pub(super) used: u64,
 }
 
+/// A reservation that has just been made.
+pub(super) struct OpenedReservation {
+    pub(super) reservation: Reservation,
+    /// Completes when the reservation and the turns copied from other shards are durable; none if
+    /// an earlier record already covers the reservation and no turns were copied.
+    pub(super) recorded: Option<AppendAck>,
+    /// The version of the program's account that the reservation's record makes durable.
+    pub(super) version: Option<AccountVersion>,
+}
+
 impl Reservation {
-    /// Reserves the maximum that a turn may generate from its program's budget. Also returns the
-    /// record that makes the reservation durable, if one is needed.
+    /// Reserves the maximum that a turn may generate from its program's budget, and copies the
+    /// turns that it continues into the shard if that does not hold them.
     pub(super) fn open(
         shard: &Rc<OwnedShard>,
         program: ProgramKey,
         (budget, max_tokens): (u64, u64),
         kept_until: UnixMs,
-    ) -> Result<(Reservation, Option<(Record, AccountVersion)>), Refusal> {
-        let reserved = shard.ledger.borrow_mut().reserve(program, budget, max_tokens, kept_until);
-        let record = reserved.map_err(|spent| {
+        chain: Chain,
+    ) -> Result<OpenedReservation, Refusal> {
+        let (reserved, recorded) = shard.change(|ledger, records| {
+            let reserved = ledger.reserve(program, budget, max_tokens, kept_until)?;
+            records.extend(ledger.import_turns(chain));
+            Ok(reserved.map(|(record, version)| {
+                records.push(record);
+                version
+            }))
+        });
+        let version = reserved.map_err(|spent: BudgetExhausted| {
             log::info!(used = spent.used, budget;
                 "token budget of the program is used up; request refused");
             Refusal::BudgetExhausted
         })?;
         let shard = shard.clone();
-        Ok((Reservation { shard, program, max_tokens, settled: false, used: 0 }, record))
+        let reservation = Reservation { shard, program, max_tokens, settled: false, used: 0 };
+        Ok(OpenedReservation { reservation, recorded, version })
     }
 
     /// Notes that a record of the program's account is durable.
     pub(super) fn mark_durable(&self, version: AccountVersion) {
-        self.shard.ledger.borrow_mut().mark_durable(self.program, version);
+        self.shard.mark_durable(self.program, version);
     }
 
-    /// Ends the reservation: charges the tokens used and releases the rest. Returns the record of
-    /// it.
-    pub(super) fn settle(&mut self) -> (Record, AccountVersion) {
+    /// Ends the reservation: charges the tokens used and releases the rest, and stores the turn if
+    /// it is to be kept.
+    pub(super) fn settle(
+        &mut self,
+        completed: Option<(TurnKey, Turn)>,
+    ) -> (AccountVersion, Option<AppendAck>) {
         self.settled = true;
-        self.shard.ledger.borrow_mut().settle(self.program, self.max_tokens, self.used)
+        self.shard.change(|ledger, records| {
+            records.extend(completed.map(|(key, turn)| ledger.complete(key, turn)));
+            let (settled, version) = ledger.settle(self.program, self.max_tokens, self.used);
+            records.push(settled);
+            version
+        })
     }
 }
 
@@ -54,13 +83,14 @@
         if self.settled {
             return;
         }
-        let (record, version) = self.settle();
-        let recorded = self.shard.writer.append(vec![record]);
+        let (version, Some(recorded)) = self.settle(None) else {
+            return;
+        };
         let (shard, program) = (self.shard.clone(), self.program);
         // Until this record is known to be durable, later turns need records of their own.
         tokio::task::spawn_local(async move {
             if recorded.await.is_ok() {
-                shard.ledger.borrow_mut().mark_durable(program, version);
+                shard.mark_durable(program, version);
             }
         });
     }
--- a/src/gateway/tests/load_admission.rs
+++ b/src/gateway/tests/load_admission.rs
@@ -72,7 +72,8 @@
 async fn at_full_load_first_turns_are_refused_unsent_and_later_turns_pass() {
     let (gateway, shard, endpoint) = owner(20);
     let begun = ProgramKey::of("w", "begun");
-    shard.ledger.borrow_mut().reserve(begun, 100, 10, UnixMs(1)).expect("there is budget");
+    let reserved = shard.change(|ledger, _| ledger.reserve(begun, 100, 10, UnixMs(1)));
+    reserved.0.expect("there is budget");
     let mut refused = 0;
     for number in 0..10 {
         let first = admit(&gateway, &shard, &format!("p{number}"), 1).await;
--- a/src/gateway/turn.rs
+++ b/src/gateway/turn.rs
@@ -15,14 +15,13 @@
 use super::owned_shard::OwnedShard;
 use super::read_body::{count_prompt, uncounted};
 use super::reader_limits::ReaderGone;
-use super::reservation::Reservation;
+use super::reservation::{OpenedReservation, Reservation};
 use super::state::Gateway;
-use super::writer::AppendAck;
 use super::{Refusal, ResponseBody};
 use crate::mechanisms::Mechanism;
 use crate::prelude::*;
 use crate::replicas::ReplicaKey;
-use crate::turns::{AccountVersion, EventReader, ProgramKey, Turn, TurnKey};
+use crate::turns::{EventReader, ProgramKey, Turn, TurnKey};
 
 /// Retry delay while the shard's records cannot be written. Callers accept a retry delay of at most
 /// a third of their timeout.
@@ -182,7 +181,7 @@
         }
         while let Some(chunk) = next {
             let chunk = caller.hold(&gateway, chunk)?;
-            charge.reservation.used =
+            charge.opened.reservation.used =
                 events.events_begun() * self.turn_request.endpoint_request.routing.tokens_per_event;
             match durable {
                 true => caller.send_chunk(Some(chunk)).await,
@@ -210,24 +209,18 @@
     /// budget.
     async fn reserve(&mut self) -> Result<Charge, Refusal> {
         let (gateway, shard) = (&self.gateway, &self.shard);
-        let mut records = Vec::new();
+        let mut chain = Vec::new();
         if let Some(previous) = self.turn_request.previous {
-            let chain = find_chain(gateway, shard, previous, &mut records).await?;
+            chain = find_chain(gateway, shard, previous).await?;
             self.turn_request.prepend_history(gateway, &chain);
         }
         let turn_request = &self.turn_request;
         let kept_until =
             UnixMs(gateway.unix().0 + turn_request.endpoint_request.routing.retention_ms);
         let tokens = (turn_request.budget, turn_request.max_output_tokens);
-        let (reservation, reserved) =
-            Reservation::open(shard, turn_request.program, tokens, kept_until)?;
-        let version = reserved.map(|(record, version)| {
-            records.push(record);
-            version
-        });
+        let opened = Reservation::open(shard, turn_request.program, tokens, kept_until, chain)?;
         let needs_store =
-            turn_request.endpoint_request.routing.keeps_history || !records.is_empty();
-        let recorded = (!records.is_empty()).then(|| shard.writer.append(records));
+            turn_request.endpoint_request.routing.keeps_history || opened.recorded.is_some();
         let left_ms = turn_request.endpoint_request.deadline.since(gateway.now());
         let waits = needs_store && gateway.waits_for_store();
         if waits && !shard.writer.wait_until_writable(left_ms).await {
@@ -235,7 +228,7 @@
                 "store unreachable for longer than the turn may wait; turn refused as unavailable");
             return Err(Refusal::Unavailable { retry_after_ms: STORE_UNREACHABLE_RETRY_MS });
         }
-        Ok(Charge { reservation, recorded, version, kept_until })
+        Ok(Charge { opened, kept_until })
     }
 
     /// Makes the tokens used by a completed turn durable and, if its history is kept, the turn
@@ -246,7 +239,7 @@
         completed_response: CompletedResponse,
         durable: bool,
     ) -> Result<(), Refusal> {
-        let Charge { mut reservation, kept_until, .. } = charge;
+        let Charge { opened: OpenedReservation { mut reservation, .. }, kept_until } = charge;
         let keeps_history = self.turn_request.endpoint_request.routing.keeps_history;
         if !keeps_history && durable {
             // The durable reservation covers the tokens used, so there is no need to wait for the
@@ -269,14 +262,14 @@
             unreserved: if durable { 0 } else { reservation.used },
             kept_until,
         };
-        let (settled, version) = reservation.settle();
-        if durable {
-            let completed = shard.ledger.borrow_mut().complete(self.turn_request.key, turn);
-            let recorded = shard.writer.append(vec![completed, settled]);
-            if until_deadline(gateway, deadline, recorded).await?.is_ok() {
-                reservation.mark_durable(version);
-                return Ok(());
-            }
+        // A shard that was lost before the reservation was durable accepts no records.
+        let completed = durable.then_some((self.turn_request.key, turn));
+        let (version, recorded) = reservation.settle(completed);
+        if let Some(recorded) = recorded.filter(|_| durable)
+            && until_deadline(gateway, deadline, recorded).await?.is_ok()
+        {
+            reservation.mark_durable(version);
+            return Ok(());
         }
         let request = &self.turn_request.endpoint_request.request;
         let recorded = gateway.is_enabled(Mechanism::Handoffs)
@@ -312,12 +305,7 @@
 
 /// A turn's tokens, reserved from its program's budget.
 struct Charge {
-    reservation: Reservation,
-    /// Completes when the reservation and the turns copied from other shards are durable; none if
-    /// an earlier record already covers the reservation and no turns were copied.
-    recorded: Option<AppendAck>,
-    /// The version of the program's account that the reservation's record makes durable.
-    version: Option<AccountVersion>,
+    opened: OpenedReservation,
     kept_until: UnixMs,
 }
 
@@ -325,12 +313,12 @@
     /// Waits for the reservation's record. Returns whether it is durable; if not, it can no longer
     /// become durable under this epoch.
     async fn wait_until_durable(&mut self) -> bool {
-        let durable = match self.recorded.take() {
+        let durable = match self.opened.recorded.take() {
             Some(recorded) => recorded.await.is_ok(),
             None => true,
         };
-        if let (true, Some(version)) = (durable, self.version) {
-            self.reservation.mark_durable(version);
+        if let (true, Some(version)) = (durable, self.opened.version) {
+            self.opened.reservation.mark_durable(version);
         }
         durable
     }
