--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -135,12 +135,7 @@
             slots,
             answers: AtomicU64::new(0),
         });
-        let serving = state.clone();
-        let running = serve(SocketAddr::from(([127, 0, 0, 1], 0)), move |request| {
-            let state = serving.clone();
-            async move { state.answer(request).await }
-        })
-        .await?;
+        let running = listen(SocketAddr::from(([127, 0, 0, 1], 0)), &state).await?;
         let renewal =
             keep_registered(store.clone(), kind, id.to_string(), service, running.address, "ready");
         Ok(PlatformEndpoint { id: id.to_string(), store, state, running, renewal })
@@ -163,12 +158,33 @@
         self.renewal = keep_registered(store, kind, id.to_string(), service, address, "ready");
     }
 
+    /// Breaks off all requests and closes all connections, as a crash does. Its record stays in the
+    /// list.
+    pub async fn crash(&mut self) {
+        self.running.stop().await;
+    }
+
+    /// Starts again at the same address.
+    pub async fn restart(&mut self) -> std::io::Result<()> {
+        self.running = listen(self.running.address, &self.state).await?;
+        Ok(())
+    }
+
     /// Sets the endpoint's fault.
     pub fn set_fault(&self, fault: EndpointFault) {
         *self.state.fault.lock().expect("not poisoned") = fault;
     }
 }
 
+async fn listen(address: SocketAddr, state: &Arc<State>) -> std::io::Result<Running> {
+    let state = state.clone();
+    serve(address, move |request| {
+        let state = state.clone();
+        async move { state.answer(request).await }
+    })
+    .await
+}
+
 impl Drop for PlatformEndpoint {
     fn drop(&mut self) {
         self.renewal.abort();
--- a/soak/tests/endpoints.rs
+++ b/soak/tests/endpoints.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use trefoil_soak::{EndpointFault, StoreFault};
+use trefoil_soak::{EndpointFault, StoreFault, Turn, World};
 
 use common::{served, turn, world};
 
@@ -118,6 +118,49 @@
     assert_eq!(late.count(), 0);
 }
 
+// Endpoints crashed while they ran turns with the same input and different histories. The input counted as
+// the request, and was refused in every program of the workspace.
+#[tokio::test(flavor = "multi_thread")]
+async fn crashes_under_turns_with_one_input_refuse_no_other_program() {
+    let mut world = world(2).await;
+    let mut begun = Vec::new();
+    for number in 0..8 {
+        begun.push(
+            served(&world, number, turn(&format!("b{number}"), &number.to_string(), None)).await,
+        );
+    }
+    let next = |number: usize| Turn {
+        input: "go on;".to_string(),
+        ..turn(&format!("n{number}"), &number.to_string(), Some(&begun[number]))
+    };
+    for number in 0..3 {
+        world.endpoints.iter().for_each(|endpoint| endpoint.set_fault(EndpointFault::Silent));
+        let (caller, entry, asked) = (world.caller.clone(), world.entry(number), next(number));
+        let broken = tokio::spawn(async move { caller.turn(entry, &asked).await });
+        let at = running_at(&world, &format!("n{number}")).await;
+        let endpoint = world.endpoints.iter_mut().find(|endpoint| endpoint.id == at);
+        let endpoint = endpoint.expect("it is one of them");
+        endpoint.crash().await;
+        assert!(!broken.await.expect("no panic").is_served());
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        endpoint.restart().await.expect("it starts again");
+    }
+    world.endpoints.iter().for_each(|endpoint| endpoint.set_fault(EndpointFault::None));
+    for number in 3..8 {
+        served(&world, number, next(number)).await;
+    }
+}
+
+/// Waits until a request runs, and returns the ID of the endpoint that runs it.
+async fn running_at(world: &World, request: &str) -> String {
+    loop {
+        if let Some(run) = world.journal.runs().into_iter().find(|run| run.request == request) {
+            return run.endpoint;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
 // An endpoint exits, and its address is reused by one of another service while its own record is still
 // listed. Turns must not run at the other service, whose lookups must be served.
 #[tokio::test(flavor = "multi_thread")]
--- a/src/gateway/attach_message.rs
+++ b/src/gateway/attach_message.rs
@@ -5,6 +5,7 @@
 
 use super::feed_message::FeedStatus;
 use super::message::EvacuationState;
+use super::suspects::CrashKey;
 use crate::prelude::*;
 use crate::quota::Claim;
 
@@ -58,7 +59,7 @@
     /// When the leaf sends this, by its clock, which counts time during which it is suspended.
     pub(super) sent_at_ms: u64,
     /// Requests suspected of crashing endpoints: hash of the request, crashes.
-    pub(super) suspects: Vec<(u64, u32)>,
+    pub(super) suspects: Vec<(CrashKey, u32)>,
 }
 
 /// What a hub tells the leaves that are attached to it.
@@ -74,7 +75,7 @@
     /// The evacuated failure domains, as far as the hub knows.
     pub(super) evacuated: EvacuationState,
     /// Requests suspected of crashing endpoints: hash of the request, crashes.
-    pub(super) suspects: Vec<(u64, u32)>,
+    pub(super) suspects: Vec<(CrashKey, u32)>,
 }
 
 /// One of the hubs.
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -7,6 +7,7 @@
 
 use super::ports::RequestContext;
 use super::state::Gateway;
+use super::suspects::CrashKey;
 use super::{ResponseKind, RoutingDecision};
 use crate::http::{ConnectError, Connection, RequestBody};
 use crate::load::Work;
@@ -22,16 +23,25 @@
     pub(super) uri: Uri,
     /// The caller's headers, without those that must not reach an endpoint.
     pub(super) headers: HeaderMap,
+    /// What the endpoint runs: the caller's body, after the history if that is kept.
     pub(super) body: Bytes,
     pub(super) routing: RoutingDecision,
     /// Parts of the prompt: hash and number of tokens of each.
     pub(super) parts: Vec<(u64, u64)>,
     /// Key under which endpoint crashes caused by this request are counted.
-    pub(super) crash_key: u64,
+    pub(super) crash_key: CrashKey,
     /// The request's deadline.
     pub(super) deadline: TimeMs,
 }
 
+impl EndpointRequest {
+    /// Replaces the body, and with it what the request may be suspected of.
+    pub(super) fn set_body(&mut self, body: Bytes) {
+        self.crash_key = CrashKey::of(&self.routing.workspace, self.uri.path(), &body);
+        self.body = body;
+    }
+}
+
 /// An endpoint counts as silent after this many times the route's target latency without a byte. A
 /// loaded endpoint takes up to about twice the target.
 const SILENCE_TARGET_FACTOR: u64 = 3;
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -1,5 +1,6 @@
 use std::collections::BTreeSet;
 
+use super::suspects::CrashKey;
 use crate::load::EndpointReport;
 use crate::prelude::*;
 use crate::quota::{RefundCount, UsageTotals};
@@ -33,7 +34,7 @@
     /// The evacuated failure domains, as far as the sender knows.
     pub(super) evacuated: EvacuationState,
     /// Requests suspected of crashing endpoints: hash of the request, crashes.
-    pub(super) suspects: Vec<(u64, u32)>,
+    pub(super) suspects: Vec<(CrashKey, u32)>,
 }
 
 /// Limits a list to `max_rows` rows, and selects the next ones in each round until all were
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -18,6 +18,7 @@
 use super::read_body::{NO_WORKSPACE, read_body};
 use super::relay::{relay, relay_targets};
 use super::state::Gateway;
+use super::suspects::CrashKey;
 use super::turn::{TurnRequest, serve_turn, until_deadline};
 use super::wait_until::wait_until;
 use super::{Refusal, RequestHead, ResponseBody, RoutingDecision};
@@ -176,7 +177,8 @@
     gateway: &Rc<Gateway>,
     admitted: AdmittedRequest<'_>,
 ) -> Result<Response<ResponseBody>, Refusal> {
-    if gateway.is_poison_request(admitted.crash_key()) {
+    // Only the owner of its shard knows what a turn with a history makes an endpoint run.
+    if admitted.previous_turn().is_none() && gateway.is_poison_request(admitted.crash_key()) {
         return Err(Refusal::CrashesEndpoints);
     }
     if admitted.needs_owner() {
@@ -239,11 +241,16 @@
 }
 
 impl AdmittedRequest<'_> {
-    /// Key under which endpoint crashes caused by this request are counted. It depends only on the
-    /// workspace, path and body, so it stays the same when the caller retries.
-    fn crash_key(&self) -> u64 {
-        let workspace = self.routing.workspace.as_bytes();
-        Digest::of(&[workspace, self.head.uri.path().as_bytes(), &self.body]).prefix()
+    /// Key under which endpoint crashes caused by this request are counted, unless it continues a
+    /// turn.
+    fn crash_key(&self) -> CrashKey {
+        CrashKey::of(&self.routing.workspace, self.head.uri.path(), &self.body)
+    }
+
+    /// The turn that this one continues, if the history is kept.
+    fn previous_turn(&self) -> Option<TurnKey> {
+        let previous = self.request_head.previous.as_ref().filter(|_| self.routing.keeps_history);
+        previous.map(|id| TurnKey::of(&self.routing.workspace, id))
     }
 
     fn program_key(&self) -> ProgramKey {
@@ -318,12 +325,10 @@
     shard: Rc<OwnedShard>,
     admitted: AdmittedRequest<'_>,
 ) -> Result<Response<ResponseBody>, Refusal> {
-    let (request_head, workspace) = (admitted.request_head, admitted.routing.workspace.clone());
-    let previous = request_head.previous.as_ref().filter(|_| admitted.routing.keeps_history);
-    let previous = previous.map(|id| TurnKey::of(&workspace, id));
+    let request_head = admitted.request_head;
     let turn = TurnRequest {
-        key: TurnKey::of(&workspace, &request_head.request),
-        previous,
+        key: TurnKey::of(&admitted.routing.workspace, &request_head.request),
+        previous: admitted.previous_turn(),
         program: admitted.program_key(),
         budget: request_head.budget.unwrap_or(u64::MAX),
         max_output_tokens: request_head.max_output_tokens,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -20,7 +20,7 @@
 use super::reader_limits::ReaderLimits;
 use super::role::instance_id;
 use super::shard_table::ShardTable;
-use super::suspects::Suspects;
+use super::suspects::{CrashKey, Suspects};
 use super::{GatewaySettings, Protocol, Store};
 use crate::catalog::Regions;
 use crate::http::ConnectionPool;
@@ -258,12 +258,12 @@
     }
 
     /// Whether a request has crashed too many endpoints to be sent again.
-    pub(super) fn is_poison_request(&self, crash_key: u64) -> bool {
+    pub(super) fn is_poison_request(&self, crash_key: CrashKey) -> bool {
         self.suspects.borrow().is_poison(self.now(), crash_key)
     }
 
     /// Clears the crash count of a request that was answered.
-    pub(super) fn clear_suspect(&self, crash_key: u64) {
+    pub(super) fn clear_suspect(&self, crash_key: CrashKey) {
         self.suspects.borrow_mut().clear_suspect(crash_key);
     }
 
--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -1,5 +1,5 @@
-//! Poison requests, which crash the endpoints that run them. They are identified by a hash of their
-//! content, since each retry by the caller has a new id.
+//! Poison requests, which crash the endpoints that run them. They are identified by a hash of what
+//! the endpoints run, since each retry by the caller has a new id.
 //!
 //! Entries send each other a count for some seconds after it has grown. A message renews a count only
 //! if it is higher than the known one, so a count expires at each entry [`CRASH_RETENTION_MS`] after it
@@ -21,6 +21,18 @@
 /// quarter of `CRASH_RETENTION_MS` are evicted.
 const MAX_SUSPECTS: usize = 10_000;
 
+/// Identifies what an endpoint runs: a hash of workspace, path and body, with the history that is
+/// sent before a turn's input. Turns of several programs with the same input are different, and the
+/// retries of one request are the same.
+#[wire_key]
+pub(super) struct CrashKey(pub(super) u64);
+
+impl CrashKey {
+    pub(super) fn of(workspace: &str, path: &str, body: &[u8]) -> CrashKey {
+        CrashKey(Digest::of(&[workspace.as_bytes(), path.as_bytes(), body]).prefix())
+    }
+}
+
 #[derive(Debug, Clone, Copy, Default)]
 struct Suspect {
     /// All crashes, as sent to the other entries.
@@ -41,13 +53,13 @@
 /// entries.
 #[derive(Debug, Default)]
 pub(super) struct Suspects {
-    by_request: HashMap<u64, Suspect>,
+    by_request: HashMap<CrashKey, Suspect>,
 }
 
 impl Suspects {
     /// Records that an endpoint crashed while running the request. Returns the number of crashes so
     /// far.
-    pub(super) fn record_crash(&mut self, now: TimeMs, request: u64) -> u32 {
+    pub(super) fn record_crash(&mut self, now: TimeMs, request: CrashKey) -> u32 {
         if self.by_request.len() >= MAX_SUSPECTS {
             self.by_request.retain(|_, suspect| suspect.is_within(now, CRASH_RETENTION_MS / 4));
         }
@@ -58,7 +70,7 @@
     }
 
     /// Merges the number of crashes that another entry has counted.
-    pub(super) fn merge(&mut self, now: TimeMs, request: u64, crashes: u32) {
+    pub(super) fn merge(&mut self, now: TimeMs, request: CrashKey, crashes: u32) {
         let known = self.current(now, request);
         if crashes > known.crashes {
             self.by_request.insert(request, Suspect { crashes, grown_at: now, ..known });
@@ -66,26 +78,26 @@
     }
 
     /// Forgets the crashes of a request that was answered: it did not cause them.
-    pub(super) fn clear_suspect(&mut self, request: u64) {
+    pub(super) fn clear_suspect(&mut self, request: CrashKey) {
         if let Some(suspect) = self.by_request.get_mut(&request) {
             suspect.cleared = suspect.crashes;
         }
     }
 
     /// Whether the request has crashed too many endpoints to be sent again.
-    pub(super) fn is_poison(&self, now: TimeMs, request: u64) -> bool {
+    pub(super) fn is_poison(&self, now: TimeMs, request: CrashKey) -> bool {
         let known = self.current(now, request);
         known.crashes - known.cleared >= MAX_CRASHES
     }
 
     /// What is known of the request; nothing if its crashes have expired.
-    fn current(&self, now: TimeMs, request: u64) -> Suspect {
+    fn current(&self, now: TimeMs, request: CrashKey) -> Suspect {
         let known = self.by_request.get(&request).copied();
         known.filter(|known| known.is_within(now, CRASH_RETENTION_MS)).unwrap_or_default()
     }
 
     /// The counts that have grown within the last `within_ms`, for the other entries.
-    pub(super) fn recent(&self, now: TimeMs, within_ms: u64) -> Vec<(u64, u32)> {
+    pub(super) fn recent(&self, now: TimeMs, within_ms: u64) -> Vec<(CrashKey, u32)> {
         let recent =
             self.by_request.iter().filter(|(_, suspect)| suspect.is_within(now, within_ms));
         recent.map(|(request, suspect)| (*request, suspect.crashes)).collect()
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -32,7 +32,7 @@
 use super::rates::{RateLimiter, SenderAge, workspace_hash};
 use super::role::instance_id;
 use super::roster_feed::announce_and_follow_roster;
-use super::suspects::Suspects;
+use super::suspects::{CrashKey, Suspects};
 use super::wait_until::wait_until;
 use crate::catalog::{Regions, Workspace};
 use crate::prelude::*;
@@ -51,13 +51,13 @@
 #[test]
 fn a_request_is_not_sent_again_after_three_crashes_seen_by_any_entry() {
     let mut suspects = Suspects::default();
-    suspects.record_crash(TimeMs(0), 1);
-    suspects.record_crash(TimeMs(0), 1);
-    assert!(!suspects.is_poison(TimeMs(0), 1));
-    suspects.merge(TimeMs(0), 1, 3);
-    assert!(suspects.is_poison(TimeMs(1), 1));
-    suspects.clear_suspect(1);
-    assert!(!suspects.is_poison(TimeMs(1), 1));
+    suspects.record_crash(TimeMs(0), CrashKey(1));
+    suspects.record_crash(TimeMs(0), CrashKey(1));
+    assert!(!suspects.is_poison(TimeMs(0), CrashKey(1)));
+    suspects.merge(TimeMs(0), CrashKey(1), 3);
+    assert!(suspects.is_poison(TimeMs(1), CrashKey(1)));
+    suspects.clear_suspect(CrashKey(1));
+    assert!(!suspects.is_poison(TimeMs(1), CrashKey(1)));
 }
 
 // Two running entries renewed each other's counts: a request that had crashed three endpoints was
@@ -71,23 +71,27 @@
             rows.iter().for_each(|(request, crashes)| entry.merge(now, *request, *crashes));
         }
     };
-    for request in [1, 2] {
+    for request in [CrashKey(1), CrashKey(2)] {
         for crashes in 1..=3 {
             assert_eq!(entries[0].record_crash(TimeMs(0), request), crashes);
         }
     }
     exchange(&mut entries, TimeMs(100));
-    entries[0].clear_suspect(2);
+    entries[0].clear_suspect(CrashKey(2));
     for now in (200..80_000).step_by(200).map(TimeMs) {
         exchange(&mut entries, now);
-        assert!(entries.iter().all(|entry| entry.is_poison(now, 1)));
-        assert!(!entries[0].is_poison(now, 2));
+        assert!(entries.iter().all(|entry| entry.is_poison(now, CrashKey(1))));
+        assert!(!entries[0].is_poison(now, CrashKey(2)));
     }
     for now in (80_000..200_000).step_by(200).map(TimeMs) {
         exchange(&mut entries, now);
     }
-    assert!(!entries.iter().any(|entry| entry.is_poison(TimeMs(91_000), 1)));
-    assert_eq!(entries[1].record_crash(TimeMs(200_000), 1), 1, "the earlier crashes have expired");
+    assert!(!entries.iter().any(|entry| entry.is_poison(TimeMs(91_000), CrashKey(1))));
+    assert_eq!(
+        entries[1].record_crash(TimeMs(200_000), CrashKey(1)),
+        1,
+        "the earlier crashes have expired"
+    );
 }
 
 // An entry that starts while the store is unreachable receives gossip messages for seconds before
--- a/src/gateway/tests/attempts.rs
+++ b/src/gateway/tests/attempts.rs
@@ -13,6 +13,7 @@
 use crate::gateway::dispatch::Dispatch;
 use crate::gateway::event_stream::{EventStream, ResponseStart};
 use crate::gateway::state::Gateway;
+use crate::gateway::suspects::CrashKey;
 use crate::prelude::*;
 use crate::replicas::{Announcement, ColdLimits, EndpointChange, ReplicaKey};
 use crate::turns::EventReader;
@@ -26,7 +27,7 @@
         body: "x".into(),
         routing: fakes::routing_decision(),
         parts: vec![],
-        crash_key: 0,
+        crash_key: CrashKey(0),
         deadline: TimeMs(60_000),
     }
 }
--- a/src/gateway/tests/hubs.rs
+++ b/src/gateway/tests/hubs.rs
@@ -19,6 +19,7 @@
 use crate::gateway::leaf;
 use crate::gateway::rates::{RateLimiter, RowSelection, SenderAge};
 use crate::gateway::state::Gateway;
+use crate::gateway::suspects::CrashKey;
 use crate::prelude::*;
 use crate::quota::{Claim, PeerCounts};
 
@@ -249,7 +250,7 @@
         version: u64::MAX,
         hubs: (0..MAX_HUBS).map(row).collect(),
         shards: (0..24).map(|number| (number, u64::from(u32::MAX), 47)).collect(),
-        suspects: vec![(u64::MAX, 3); 12],
+        suspects: vec![(CrashKey(u64::MAX), 3); 12],
         ..HubState::default()
     };
     let feeds = FeedStatus {
@@ -274,15 +275,15 @@
     shard.set_stage(crate::gateway::owned_shard::Stage::Serving);
     hub.shards.insert_owned(shard);
     for _ in 0..3 {
-        hub.suspects.borrow_mut().record_crash(hub.now(), 99);
+        hub.suspects.borrow_mut().record_crash(hub.now(), CrashKey(99));
     }
     assert!(update_state(&hub));
     assert!(!update_state(&hub), "nothing has changed");
-    let attach = Attach { version: 0, sent_at_ms: 0, suspects: vec![(55, 3)] };
+    let attach = Attach { version: 0, sent_at_ms: 0, suspects: vec![(CrashKey(55), 3)] };
     let AttachMessage::State { state, .. } = answer_attach(&hub, leaf_address(), &attach) else {
         panic!("the leaf has no state yet");
     };
-    assert!(hub.is_poison_request(55));
+    assert!(hub.is_poison_request(CrashKey(55)));
     let version = state.version;
     let attach = Attach { version, sent_at_ms: 0, suspects: vec![] };
     assert!(matches!(
@@ -300,7 +301,7 @@
     assert_eq!(leaf::choose_hub(&leaf), Some(hub_address));
     leaf::apply_state(&leaf, hub_address, state, None);
     assert_eq!(leaf.shards.remote_owner(0).map(|owner| owner.epoch), Some(7));
-    assert!(leaf.is_poison_request(99));
+    assert!(leaf.is_poison_request(CrashKey(99)));
 }
 
 /// When the requests of one workspace were admitted that arrived at leaves of `HUBS` hubs, three times
--- a/src/gateway/turn.rs
+++ b/src/gateway/turn.rs
@@ -51,7 +51,7 @@
         }
         prompt.extend_from_slice(&self.input);
         let prompt = count_prompt(gateway, &self.endpoint_request.routing.workspace, prompt);
-        Rc::make_mut(&mut self.endpoint_request).body = prompt;
+        Rc::make_mut(&mut self.endpoint_request).set_body(prompt);
     }
 
     /// Records that the endpoint now has the prompt in its cache.
@@ -215,6 +215,9 @@
             self.turn_request.prepend_history(gateway, &chain);
         }
         let turn_request = &self.turn_request;
+        if gateway.is_poison_request(turn_request.endpoint_request.crash_key) {
+            return Err(Refusal::CrashesEndpoints);
+        }
         let kept_until =
             UnixMs(gateway.unix().0 + turn_request.endpoint_request.routing.retention_ms);
         let tokens = (turn_request.budget, turn_request.max_output_tokens);
--- a/standins/src/http.rs
+++ b/standins/src/http.rs
@@ -34,6 +34,12 @@
 }
 
 impl Running {
+    /// Stops the stand-in and closes its connections.
+    pub async fn stop(&mut self) {
+        self.task.abort();
+        let _ = (&mut self.task).await;
+    }
+
     /// Waits until the stand-in stops.
     pub async fn wait(mut self) {
         let _ = (&mut self.task).await;
