--- a/soak/src/platform_store.rs
+++ b/soak/src/platform_store.rs
@@ -40,6 +40,19 @@
     groups: HashMap<String, Group>,
     fault: StoreFault,
     writes: u64,
+    late_append: LateAppend,
+}
+
+/// One append that is executed late, and whose answer is lost.
+#[derive(Debug, Default)]
+enum LateAppend {
+    /// There is none.
+    #[default]
+    None,
+    /// The next append to this topic.
+    Next(String),
+    /// This one, with its query and body. It has not been executed yet.
+    Held(HashMap<String, String>, Bytes),
 }
 
 /// An in-memory stand-in for the platform's store. It loses nothing that it has acknowledged.
@@ -56,6 +69,7 @@
             groups: HashMap::new(),
             fault: StoreFault::None,
             writes: 0,
+            late_append: LateAppend::None,
         };
         let store = PlatformStore { state: Arc::new(Mutex::new(state)) };
         let serving = store.clone();
@@ -84,6 +98,40 @@
         partition.append(vec![(key.to_string(), value)], None);
     }
 
+    /// The newest value of a key.
+    pub fn newest_value(&self, topic: &str, key: &str) -> Option<Value> {
+        let mut state = self.lock();
+        let partition = state.partitions.entry((topic.to_string(), 0)).or_default();
+        let newest = partition.newest();
+        newest.get(key).and_then(|(value, _)| serde_json::from_slice(value).ok())
+    }
+
+    /// Holds the next append to a topic, whose answer is lost, until [`PlatformStore::execute_held`].
+    pub fn hold_next_append(&self, topic: &str) {
+        self.lock().late_append = LateAppend::Next(topic.to_string());
+    }
+
+    /// Executes the append that was held. Returns whether there was one.
+    pub fn execute_held(&self) -> bool {
+        let held = std::mem::take(&mut self.lock().late_append);
+        let LateAppend::Held(query, body) = held else {
+            return false;
+        };
+        self.append(&query, &body);
+        true
+    }
+
+    /// Holds an append if it is the one to be executed late.
+    fn hold(&self, path: &str, query: &HashMap<String, String>, body: &Bytes) -> bool {
+        let mut state = self.lock();
+        let is_held = path == "/v1/log-append"
+            && matches!(&state.late_append, LateAppend::Next(topic) if *topic == query["topic"]);
+        if is_held {
+            state.late_append = LateAppend::Held(query.clone(), body.clone());
+        }
+        is_held
+    }
+
     /// Reassigns all shards without a request of a member.
     pub fn reassign_shards(&self) {
         self.lock().groups.values_mut().for_each(Group::reassign);
@@ -106,6 +154,10 @@
             StoreFault::Slow(ms) => tokio::time::sleep(Duration::from_millis(ms)).await,
             StoreFault::None | StoreFault::LosesAnswers(_) => {}
         }
+        if self.hold(&path, &query, &body) {
+            tokio::time::sleep(SILENCE).await;
+            return status(StatusCode::SERVICE_UNAVAILABLE);
+        }
         let answer = match path.as_str() {
             "/v1/log-append" => self.append(&query, &body),
             "/v1/log-read" => self.read(&query).await,
--- a/soak/tests/outages.rs
+++ b/soak/tests/outages.rs
@@ -25,6 +25,9 @@
 /// Pause between two attempts.
 const TRY_PAUSE: Duration = Duration::from_millis(250);
 
+/// The topic in which entries announce themselves.
+const PEERS_TOPIC: &str = "keyed.peers";
+
 /// Requests a turn as callers do: up to three attempts, each of which retries once after a refusal, after
 /// at most a third of the time that it has left.
 async fn serves(world: &World, caller: Caller, entry: usize, asked: Turn) -> bool {
@@ -164,3 +167,42 @@
     let answer = world.caller.look_up(world.entry(0), "after").await;
     assert!(answer.is_served(), "{answer:?}");
 }
+
+// The write that noted the end of a surge was executed after the one that noted the next surge, and replaced
+// it. After a kill of all processes the workspace had far more requests run than its limit allows.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_late_write_replaces_no_newer_announcement() {
+    let world = world(1).await;
+    let notes_surge = || {
+        let record = world.store.newest_value(PEERS_TOPIC, "entry-0").expect("it is announced");
+        record.get("surges").is_some()
+    };
+    let mut requests = 0;
+    send_until(&world, &mut requests, notes_surge).await;
+    world.store.hold_next_append(PEERS_TOPIC);
+    wait_until(|| !notes_surge()).await;
+    send_until(&world, &mut requests, notes_surge).await;
+    assert!(world.store.execute_held());
+    assert!(notes_surge(), "an older announcement is the newest record");
+}
+
+/// Sends lookups of the workspace with a low rate until the condition holds.
+async fn send_until(world: &World, requests: &mut usize, is_met: impl Fn() -> bool) {
+    let caller = Caller { key: "key-of-flooded".to_string() };
+    let send = async {
+        loop {
+            *requests += 1;
+            caller.look_up(world.entry(0), &format!("look-{requests}")).await;
+        }
+    };
+    tokio::select! {
+        () = send => {}
+        () = wait_until(is_met) => {}
+    }
+}
+
+async fn wait_until(is_met: impl Fn() -> bool) {
+    while !is_met() {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
--- a/src/gateway/hubs/roster.rs
+++ b/src/gateway/hubs/roster.rs
@@ -24,6 +24,11 @@
         self.by_name.contains_key(name)
     }
 
+    /// The epoch of an entry's last announcement; zero if there is none.
+    pub fn epoch_of(&self, name: &str) -> u64 {
+        self.by_name.get(name).map_or(0, |record| record.epoch)
+    }
+
     /// The surges that an entry has recorded.
     pub fn surges_of(&self, name: &str) -> impl Iterator<Item = u64> {
         self.by_name.get(name).into_iter().flat_map(|record| record.surges.iter().copied())
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -340,7 +340,7 @@
 fn unlisted(name: Arc<str>, address: SocketAddr) -> PeerRecord {
     let (region, domain) = (None, None);
     let surges = vec![];
-    PeerRecord { name, address, region, domain, cpu_millicores: 0, is_hub: true, surges }
+    PeerRecord { name, address, region, domain, cpu_millicores: 0, is_hub: true, surges, epoch: 0 }
 }
 
 /// Updates the sum over all entries from the requests that one entry runs. Returns the endpoints
--- a/src/gateway/ports.rs
+++ b/src/gateway/ports.rs
@@ -119,6 +119,8 @@
     pub is_hub: bool,
     /// The workspaces, by the hash of their names, of which it admits a surge.
     pub surges: Vec<u64>,
+    /// Counts the process instances that announced the entry; zero before its first announcement.
+    pub epoch: u64,
 }
 
 /// The pending result of a call to the store.
@@ -147,8 +149,10 @@
     ) -> StoreFuture<'_, Feed<Instruction>>;
     /// Reads the changes of the list of endpoints since `from`.
     fn endpoints(&self, from: Option<Position>) -> StoreFuture<'_, Feed<EndpointChange>>;
-    /// Publishes how the other entries can reach this one.
-    fn announce<'a>(&'a self, peer: &'a PeerRecord) -> StoreFuture<'a, ()>;
+    /// Publishes how the other entries can reach this one. The announcements of an epoch are numbered
+    /// without gaps. One with a number already seen is taken for a repeat, and one of an earlier epoch
+    /// is rejected, also if the store executes the call late.
+    fn announce<'a>(&'a self, peer: &'a PeerRecord, sequence: u64) -> StoreFuture<'a, ()>;
     /// Reads the announcements of entries since `from`; from the start, the last one of each entry
     /// that was ever announced, including those that no longer run.
     fn peers(&self, from: Option<Position>) -> StoreFuture<'_, Feed<PeerRecord>>;
--- a/src/gateway/role.rs
+++ b/src/gateway/role.rs
@@ -11,7 +11,7 @@
         Digest::of(&[self.settings.name.as_bytes()]).prefix()
     }
 
-    /// How the other entries reach this one.
+    /// How the other entries reach this one. The epoch is set when it is announced.
     pub(super) fn own_record(&self, is_hub: bool) -> PeerRecord {
         PeerRecord {
             name: self.settings.name.clone(),
@@ -21,6 +21,7 @@
             cpu_millicores: self.settings.cpu_millicores,
             is_hub,
             surges: self.surges_to_record(),
+            epoch: 0,
         }
     }
 
--- a/src/gateway/roster_feed.rs
+++ b/src/gateway/roster_feed.rs
@@ -6,7 +6,7 @@
 
 use super::call_store::{STORE_CALL_TIMEOUT_MS, call_store};
 use super::state::Gateway;
-use super::{Position, StoreError};
+use super::{PeerRecord, Position, StoreError};
 
 /// Pause before a failed call is retried. The list matters only to an entry that starts, and more
 /// frequent calls would add to the load of a store in trouble.
@@ -28,8 +28,15 @@
 
 /// Announces this entry and follows the announcements of the others until the process ends.
 pub(super) async fn announce_and_follow_roster(gateway: Rc<Gateway>) {
-    let mut feed = RosterFeed { gateway: gateway.clone(), position: None, failing: false };
+    let mut feed = RosterFeed {
+        gateway: gateway.clone(),
+        position: None,
+        epoch: 0,
+        sequence: gateway.first_sequence,
+        failing: false,
+    };
     feed.read_until_answered().await;
+    feed.begin_epoch();
     let has_run_before = gateway.roster.borrow().contains(&gateway.settings.name);
     if !has_run_before {
         feed.announce(false).await;
@@ -69,6 +76,10 @@
 struct RosterFeed {
     gateway: Rc<Gateway>,
     position: Option<Position>,
+    /// The epoch of this entry's announcements, and the number of the last one. By them the store
+    /// executes an announcement whose answer was lost at most once, and not after a later one.
+    epoch: u64,
+    sequence: u64,
     failing: bool,
 }
 
@@ -91,17 +102,34 @@
         }
     }
 
+    /// Announces this entry, until the store answers. A repeat keeps its number.
     async fn announce(&mut self, is_hub: bool) {
-        let record = self.gateway.own_record(is_hub);
-        while let Err(fault) =
-            call_store(STORE_CALL_TIMEOUT_MS, self.gateway.store.announce(&record)).await
-        {
+        self.sequence += 1;
+        let mut record = PeerRecord { epoch: self.epoch, ..self.gateway.own_record(is_hub) };
+        while let Err(fault) = self.try_announce(&record).await {
             self.log_failure(&fault);
             tokio::time::sleep(Duration::from_millis(RETRY_MS)).await;
+            if matches!(fault, StoreError::Fenced | StoreError::OutOfSequence { .. }) {
+                self.read_until_answered().await;
+                self.begin_epoch();
+                record.epoch = self.epoch;
+            }
         }
         self.gateway.rates.borrow_mut().confirm_surges(&record.surges);
     }
 
+    async fn try_announce(&self, record: &PeerRecord) -> Result<(), StoreError> {
+        let announced = self.gateway.store.announce(record, self.sequence);
+        call_store(STORE_CALL_TIMEOUT_MS, announced).await
+    }
+
+    /// Begins an epoch of announcements, later than all that were read. One that an earlier process
+    /// instance has begun without its announcement having been read is left after a rejection.
+    fn begin_epoch(&mut self) {
+        let announced = self.gateway.roster.borrow().epoch_of(&self.gateway.settings.name);
+        self.epoch = self.epoch.max(announced) + 1;
+    }
+
     /// Reads the announcements until the store answers.
     async fn read_until_answered(&mut self) -> bool {
         loop {
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -32,6 +32,7 @@
 use super::rates::{RateLimiter, SenderAge, workspace_hash};
 use super::role::instance_id;
 use super::roster_feed::announce_and_follow_roster;
+use super::state::Gateway;
 use super::suspects::{CrashKey, Suspects};
 use super::wait_until::wait_until;
 use crate::catalog::{Regions, Workspace};
@@ -192,6 +193,19 @@
 #[tokio::test(start_paused = true)]
 async fn an_entry_that_starts_while_the_store_is_silent_finds_the_others() {
     let gateway = fakes::gateway(FakeStore::ignoring_first_calls());
+    assert!(learns_of_others(gateway).await);
+}
+
+// The store has seen announcements of an earlier process instance that this one has not read. It rejects
+// those of this one, which is then unknown to all others.
+#[tokio::test(start_paused = true)]
+async fn an_entry_announces_itself_in_a_later_epoch_after_a_rejection() {
+    let gateway = fakes::gateway(FakeStore::rejecting_epochs_before(3));
+    assert!(learns_of_others(gateway).await);
+}
+
+/// Whether an entry that starts announces itself and learns of another one.
+async fn learns_of_others(gateway: Rc<Gateway>) -> bool {
     let tasks = tokio::task::LocalSet::new();
     tasks.spawn_local(announce_and_follow_roster(gateway.clone()));
     let found = async {
@@ -200,10 +214,7 @@
         }
     };
     let found = tokio::time::timeout(Duration::from_secs(5), found);
-    assert!(
-        tasks.run_until(found).await.is_ok(),
-        "the entry has not learned of another one within 5 s"
-    );
+    tasks.run_until(found).await.is_ok()
 }
 
 // If requests were refused at once while the store is unreachable, a caller would use up its
@@ -262,6 +273,7 @@
         cpu_millicores: 500,
         is_hub: true,
         surges: vec![],
+        epoch: 0,
     }
 }
 
--- a/src/gateway/tests/fakes.rs
+++ b/src/gateway/tests/fakes.rs
@@ -109,6 +109,8 @@
     ignores_first_calls: bool,
     joins: Cell<u32>,
     announced: Cell<bool>,
+    /// Announcements of earlier epochs are rejected.
+    first_valid_epoch: u64,
     peers_read: Cell<bool>,
 }
 
@@ -126,6 +128,11 @@
         FakeStore { ignores_first_calls: true, ..FakeStore::default() }
     }
 
+    /// A store that rejects announcements of epochs before this one.
+    pub(super) fn rejecting_epochs_before(first_valid_epoch: u64) -> FakeStore {
+        FakeStore { first_valid_epoch, ..FakeStore::default() }
+    }
+
     fn answer<'a, T: 'a>(&self, was_called: &Cell<bool>, answer: T) -> StoreFuture<'a, T> {
         match self.ignores_first_calls && !was_called.replace(true) {
             true => pending().boxed_local(),
@@ -167,7 +174,10 @@
         self.endpoint_list.read(from)
     }
 
-    fn announce<'a>(&'a self, _: &'a PeerRecord) -> StoreFuture<'a, ()> {
+    fn announce<'a>(&'a self, peer: &'a PeerRecord, _: u64) -> StoreFuture<'a, ()> {
+        if peer.epoch < self.first_valid_epoch {
+            return ready(Err(StoreError::Fenced)).boxed_local();
+        }
         self.answer(&self.announced, ())
     }
 
@@ -180,6 +190,7 @@
             cpu_millicores: 500,
             is_hub: true,
             surges: vec![],
+            epoch: 0,
         };
         let items = if from.is_none() { vec![other] } else { vec![] };
         self.answer(
--- a/src/gateway/tests/hubs.rs
+++ b/src/gateway/tests/hubs.rs
@@ -36,6 +36,7 @@
         cpu_millicores: if number.is_multiple_of(3) { 500 } else { 90 },
         is_hub: false,
         surges: vec![],
+        epoch: 0,
     }
 }
 
