--- a/src/gateway/endpoint_feed.rs
+++ b/src/gateway/endpoint_feed.rs
@@ -2,7 +2,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use super::call_store::call_store;
+use super::call_store::{NEXT_PART_PAUSE_MS, call_store};
 use super::endpoint_list::ListVersion;
 use super::leaf_feed::endpoints_come_from_hub;
 use super::state::Gateway;
@@ -48,6 +48,11 @@
             Ok(feed) => {
                 from = Some(feed.next);
                 gateway.reachability.record_success(gateway.now());
+                if !feed.reaches_end() {
+                    apply_part(&gateway, feed, read_at);
+                    tokio::time::sleep(Duration::from_millis(NEXT_PART_PAUSE_MS)).await;
+                    continue;
+                }
                 let version = ListVersion { position: feed.next, read_at };
                 let previous = record_list_read(&gateway, version);
                 log_end_of_failures(previous, read_at, std::mem::take(&mut failed_reads));
@@ -79,7 +84,14 @@
     gateway.connections.remove_expired(gateway.now());
 }
 
-/// Records a read of the list, before its changes are applied. Returns the one before.
+/// Applies changes after which there are more. The store can be read again, but what is known of the
+/// list is as old as before.
+fn apply_part(gateway: &Gateway, feed: Feed<EndpointChange>, read_at: TimeMs) {
+    gateway.directory.borrow_mut().record_list_read(gateway.now(), read_at);
+    apply_changes(gateway, feed);
+}
+
+/// Records a read of the whole list, before its changes are applied. Returns the one before.
 pub(super) fn record_list_read(gateway: &Gateway, version: ListVersion) -> Option<ListVersion> {
     gateway.directory.borrow_mut().record_list_read(gateway.now(), version.read_at);
     gateway.endpoint_list.record_read(version)
--- a/src/gateway/endpoint_list.rs
+++ b/src/gateway/endpoint_list.rs
@@ -6,7 +6,7 @@
 use super::wait_until::wait_until;
 use crate::prelude::*;
 
-/// The last successful read of the endpoint list.
+/// The last read that reached the end of the endpoint list.
 #[value]
 #[derive(Copy)]
 pub(super) struct ListVersion {
--- a/src/gateway/leaf_feed.rs
+++ b/src/gateway/leaf_feed.rs
@@ -110,6 +110,7 @@
         apply_configuration(gateway, configuration);
     }
     let next = Position(update.endpoints.next);
-    apply_changes(gateway, Feed { items: update.changes, is_snapshot: update.is_snapshot, next });
+    let FeedUpdate { changes: items, is_snapshot, .. } = update;
+    apply_changes(gateway, Feed { items, is_snapshot, next, end: next });
     gateway.leaf.endpoints.set(update.endpoints);
 }
--- a/src/gateway/operator_feed.rs
+++ b/src/gateway/operator_feed.rs
@@ -5,7 +5,7 @@
 
 use tokio::sync::Notify;
 
-use super::call_store::call_store;
+use super::call_store::{NEXT_PART_PAUSE_MS, call_store};
 use super::leaf_feed::configuration_comes_from_hub;
 use super::state::Gateway;
 use super::{Position, StoreError};
@@ -49,8 +49,8 @@
         self.configuration.borrow().clone()
     }
 
-    /// Records that a read that began at `started_ms` has confirmed the configuration to be the
-    /// newest, in time since the VM booted.
+    /// Records that a read that began at `started_ms`, in time since the VM booted, and reached the
+    /// end of the operator's record has confirmed the configuration to be the newest.
     pub(super) fn confirm(&self, started_ms: u64) {
         let latest = self.confirmed_at_ms.get().map_or(started_ms, |at| at.max(started_ms));
         self.confirmed_at_ms.set(Some(latest));
@@ -138,6 +138,7 @@
         true => BTreeSet::new(),
         false => gateway.directory.borrow().evacuations().domains().clone(),
     };
+    let reaches_end = feed.reaches_end();
     for instruction in feed.items {
         match instruction {
             Instruction::Configuration(configuration) => {
@@ -148,7 +149,10 @@
         }
     }
     gateway.directory.borrow_mut().update_evacuations(gateway.now(), feed.next.0, evacuated);
-    gateway.active_config.confirm(started_ms);
+    match reaches_end {
+        true => gateway.active_config.confirm(started_ms),
+        false => tokio::time::sleep(Duration::from_millis(NEXT_PART_PAUSE_MS)).await,
+    }
     Ok(feed.next)
 }
 
--- a/src/gateway/ports.rs
+++ b/src/gateway/ports.rs
@@ -91,7 +91,7 @@
 #[key]
 pub struct Position(pub u64);
 
-/// The changes read from a feed.
+/// The changes read from a feed. A read is limited in size, so there may be more.
 #[value]
 pub struct Feed<T> {
     /// The changes, oldest first.
@@ -100,6 +100,16 @@
     pub is_snapshot: bool,
     /// Where the next read starts.
     pub next: Position,
+    /// Where the feed ended when it was read.
+    pub end: Position,
+}
+
+impl<T> Feed<T> {
+    /// Whether all that had been written when the read began is known with it. Otherwise what is
+    /// known may be outdated, however recent the read.
+    pub fn reaches_end(&self) -> bool {
+        self.next >= self.end
+    }
 }
 
 /// How to reach another entry, and which part it plays.
--- a/src/gateway/roster_feed.rs
+++ b/src/gateway/roster_feed.rs
@@ -4,9 +4,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use super::call_store::{STORE_CALL_TIMEOUT_MS, call_store};
+use super::call_store::{NEXT_PART_PAUSE_MS, STORE_CALL_TIMEOUT_MS, call_store};
 use super::state::Gateway;
-use super::{PeerRecord, Position, StoreError};
+use super::{Feed, PeerRecord, Position, StoreError};
 
 /// Pause before a failed call is retried. The list matters only to an entry that starts, and more
 /// frequent calls would add to the load of a store in trouble.
@@ -149,25 +149,36 @@
         }
     }
 
-    /// Reads what was announced since the last read. Returns whether an entry was added.
+    /// Reads all that was announced since the last read. Returns whether an entry was added.
     async fn read(&mut self) -> Result<bool, StoreError> {
-        let peers = self.gateway.store.peers(self.position);
-        match call_store(STORE_CALL_TIMEOUT_MS, peers).await {
-            Ok(feed) => {
-                self.failing = false;
-                self.position = Some(feed.next);
-                let mut roster = self.gateway.roster.borrow_mut();
-                let added = feed.items.into_iter().filter(|record| roster.upsert(record.clone()));
-                Ok(added.count() > 0)
-            }
-            Err(StoreError::Expired) if self.position.take().is_some() => Ok(true),
-            Err(fault) => {
-                self.log_failure(&fault);
-                Err(fault)
+        let mut has_changed = false;
+        loop {
+            let peers = self.gateway.store.peers(self.position);
+            match call_store(STORE_CALL_TIMEOUT_MS, peers).await {
+                Ok(feed) => {
+                    has_changed |= self.apply(&feed);
+                    if feed.reaches_end() {
+                        return Ok(has_changed);
+                    }
+                    tokio::time::sleep(Duration::from_millis(NEXT_PART_PAUSE_MS)).await;
+                }
+                Err(StoreError::Expired) if self.position.take().is_some() => has_changed = true,
+                Err(fault) => {
+                    self.log_failure(&fault);
+                    return Err(fault);
+                }
             }
         }
     }
 
+    /// Takes announcements over. Returns whether an entry was added.
+    fn apply(&mut self, feed: &Feed<PeerRecord>) -> bool {
+        self.failing = false;
+        self.position = Some(feed.next);
+        let mut roster = self.gateway.roster.borrow_mut();
+        feed.items.iter().filter(|record| roster.upsert((*record).clone())).count() > 0
+    }
+
     /// Adds the hubs to the entries that messages are sent to, if this entry is one.
     fn add_hubs_to_peers(&self) {
         if !self.gateway.is_hub() {
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -4,6 +4,7 @@
 mod endpoint_list;
 mod endpoint_reports;
 mod fakes;
+mod feeds;
 mod gossip;
 mod hub_feeds;
 mod hubs;
--- a/src/gateway/tests/fakes.rs
+++ b/src/gateway/tests/fakes.rs
@@ -40,6 +40,8 @@
 #[derive(Debug, Default)]
 pub(super) struct FakeList {
     changes: RefCell<Vec<EndpointChange>>,
+    /// The most changes that one read returns; none if there is no limit.
+    max_read: Cell<Option<usize>>,
     /// The oldest position that can still be read.
     first_retained: Cell<u64>,
     /// The faults that the next reads meet, one each.
@@ -58,6 +60,11 @@
         self.first_retained.set(self.changes.borrow().len() as u64);
     }
 
+    /// Limits how many changes one read returns.
+    pub(super) fn limit_reads(&self, max_read: usize) {
+        self.max_read.set(Some(max_read));
+    }
+
     pub(super) fn fail_next_reads(&self, faults: &[ReadFault]) {
         self.next_faults.borrow_mut().extend(faults);
     }
@@ -78,12 +85,14 @@
 
     fn answer(&self, from: Option<Position>) -> Result<Feed<EndpointChange>, StoreError> {
         let changes = self.changes.borrow();
-        let next = Position(changes.len() as u64);
+        let end = Position(changes.len() as u64);
         match from {
             Some(Position(from)) if from < self.first_retained.get() => Err(StoreError::Expired),
             Some(Position(from)) => {
-                let items = changes[from as usize..].to_vec();
-                Ok(Feed { items, is_snapshot: false, next })
+                let read = &changes[from as usize..];
+                let read = &read[..read.len().min(self.max_read.get().unwrap_or(usize::MAX))];
+                let (items, next) = (read.to_vec(), Position(from + read.len() as u64));
+                Ok(Feed { items, is_snapshot: false, next, end })
             }
             None => {
                 let mut newest = BTreeMap::new();
@@ -95,17 +104,20 @@
                         }
                     };
                 }
-                Ok(Feed { items: newest.into_values().collect(), is_snapshot: true, next })
+                let items = newest.into_values().collect();
+                Ok(Feed { items, is_snapshot: true, next: end, end })
             }
         }
     }
 }
 
 /// A store that answers at once, except for the faults that it is created with. The operator's
-/// instructions can never be read.
+/// instructions can be read only if the test sets the answers.
 #[derive(Default)]
 pub(super) struct FakeStore {
     pub(super) endpoint_list: FakeList,
+    /// The answers to the next reads of the operator's instructions.
+    pub(super) instructions: RefCell<VecDeque<Feed<Instruction>>>,
     ignores_first_calls: bool,
     joins: Cell<u32>,
     announced: Cell<bool>,
@@ -167,7 +179,10 @@
     }
 
     fn instructions(&self, _: Option<Position>, _: u64) -> StoreFuture<'_, Feed<Instruction>> {
-        ready(Err(StoreError::Refused(503))).boxed_local()
+        match self.instructions.borrow_mut().pop_front() {
+            Some(feed) => ready(Ok(feed)).boxed_local(),
+            None => ready(Err(StoreError::Refused(503))).boxed_local(),
+        }
     }
 
     fn endpoints(&self, from: Option<Position>) -> StoreFuture<'_, Feed<EndpointChange>> {
@@ -195,7 +210,7 @@
         let items = if from.is_none() { vec![other] } else { vec![] };
         self.answer(
             &self.peers_read,
-            Feed { items, is_snapshot: from.is_none(), next: Position(1) },
+            Feed { items, is_snapshot: from.is_none(), next: Position(1), end: Position(1) },
         )
     }
 }
--- a/src/gateway/tests/hub_feeds.rs
+++ b/src/gateway/tests/hub_feeds.rs
@@ -25,7 +25,8 @@
 }
 
 fn apply(gateway: &Gateway, items: Vec<EndpointChange>) {
-    apply_changes(gateway, Feed { items, is_snapshot: false, next: Position(0) });
+    let next = Position(0);
+    apply_changes(gateway, Feed { items, is_snapshot: false, next, end: next });
 }
 
 fn leaf() -> Rc<Gateway> {
