Give up endpoints whose bytes never end

Callers would see: requests that wait until their time is over for an endpoint that sends bytes without end which are no answer, and an entry that runs out of memory meanwhile.

Cause: a body was read for as long as the request had time, and silence was judged before the head only; the line of an event, kept output and the body of an error had no limit; responses with status 1xx are skipped by the HTTP client however many there are. Heads, headers, trailers, chunk extensions and bodies of lookups were bounded by the client or by us already.

Change: a silence within a buffered body counts against the endpoint and, where the request may run again, another endpoint is tried, as for streams; after 20 responses with status 1xx or 4 MiB of one event, of kept output or of an error's body the endpoint has failed. Bodies are collected in one piece: small chunks kept one by one take many times their size.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -1,9 +1,11 @@
 use std::cell::Cell;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use http::{HeaderMap, Method, Request, StatusCode, Uri, response};
 use hyper::body::{Bytes, Incoming};
+use tokio::sync::Notify;
 
 use super::ports::RequestContext;
 use super::state::Gateway;
@@ -50,6 +52,10 @@
 /// packet.
 const MIN_SILENCE_MS: u64 = 500;
 
+/// The most informational responses (status 1xx) before a response. Endpoints have no reason to send
+/// more than a few.
+const MAX_INFORMATIONAL_RESPONSES: u32 = 20;
+
 /// Extra wait before an endpoint is judged silent. Its response may have arrived while this process
 /// was paused; a busy process takes this long to read everything that is queued.
 const READ_BACKLOG_MS: u64 = 30;
@@ -217,7 +223,7 @@
             return AttemptOutcome::NeverSent { stale_connection: false };
         }
     };
-    let Some(request) = build_request(gateway, endpoint_request, &id, last_event) else {
+    let Some(mut request) = build_request(gateway, endpoint_request, &id, last_event) else {
         gateway.connections.put_back(gateway.now(), connection);
         log::info!(request:% = endpoint_request.request, endpoint:% = id;
             "request's deadline passed before it was sent");
@@ -232,16 +238,18 @@
     }
     log_sent(gateway, endpoint_request, &id);
     let mut in_flight = InFlightGuard::open(gateway, endpoint_request, endpoint, id);
+    let too_many_informational = limit_informational_responses(&mut request);
     let response = connection.sender.try_send_request(request);
-    let response = match wait_for_response(
-        &in_flight,
-        response,
-        endpoint_request.routing.repeat.may_run_again(),
-    )
-    .await
-    {
-        Some(response) => response,
-        None => return AttemptOutcome::Silent,
+    let may_repeat = endpoint_request.routing.repeat.may_run_again();
+    let response = tokio::select! {
+        response = wait_for_response(&in_flight, response, may_repeat) => response,
+        () = too_many_informational.notified() => {
+            in_flight.abandon();
+            return AttemptOutcome::Unknown;
+        }
+    };
+    let Some(response) = response else {
+        return AttemptOutcome::Silent;
     };
     match response {
         Ok(response) => {
@@ -269,6 +277,27 @@
     }
 }
 
+/// Waits for a part of a response. When the endpoint is silent, it is counted as failed unless it is
+/// busy, and if `may_give_up`, [`None`] is returned.
+pub(super) async fn wait_unless_silent<T>(
+    in_flight: &InFlightGuard,
+    may_give_up: bool,
+    part: impl Future<Output = T>,
+) -> Option<T> {
+    let mut part = std::pin::pin!(part);
+    let silent_after = Duration::from_millis(in_flight.silent_after_ms);
+    loop {
+        tokio::select! {
+            biased;
+            part = part.as_mut() => return Some(part),
+            () = tokio::time::sleep(silent_after) => {}
+        }
+        if in_flight.check_silence() && may_give_up {
+            return None;
+        }
+    }
+}
+
 /// Waits for a response. When it does not arrive in time, the endpoint is counted as failed unless
 /// it is busy. A request that may be repeated then gives up on it (returns [`None`]), even if it is
 /// busy; any other request waits on, and a busy endpoint is judged again.
@@ -293,6 +322,19 @@
     }
 }
 
+/// Limits the informational responses to a request, which the client skips. Returns what is notified
+/// when there are more.
+fn limit_informational_responses(request: &mut Request<RequestBody>) -> Arc<Notify> {
+    let exceeded = Arc::new(Notify::new());
+    let (received, notify) = (AtomicU32::new(0), exceeded.clone());
+    hyper::ext::on_informational(request, move |_| {
+        if received.fetch_add(1, Ordering::Relaxed) == MAX_INFORMATIONAL_RESPONSES {
+            notify.notify_one();
+        }
+    });
+    exceeded
+}
+
 /// Logs which endpoint gets a request, and the state of the endpoint list that it was chosen by.
 fn log_sent(gateway: &Gateway, endpoint_request: &EndpointRequest, endpoint: &str) {
     let version = gateway.endpoint_list.version();
--- a/src/gateway/buffered.rs
+++ b/src/gateway/buffered.rs
@@ -1,9 +1,10 @@
 use std::rc::Rc;
 
 use http::{Response, StatusCode, response};
-use hyper::body::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::{Bytes, Incoming};
 
-use super::attempt::{EndpointRequest, EndpointResponse};
+use super::attempt::{EndpointRequest, EndpointResponse, InFlightGuard, wait_unless_silent};
 use super::collect_response::{CollectError, collect_response};
 use super::dispatch::Dispatch;
 use super::reader_limits::Reader;
@@ -20,8 +21,8 @@
     loop {
         let EndpointResponse { head, body, in_flight } = dispatch.next_response().await?;
         let endpoint = in_flight.endpoint;
-        in_flight.start_silence_timer();
-        match collect_response(body, || gateway.now(), reader.as_ref()).await {
+        let may_give_up = dispatch.may_try_another();
+        match collect_unless_silent(gateway, &in_flight, body, reader.as_ref(), may_give_up).await {
             Ok(body) => {
                 in_flight.finish(head.status);
                 gateway.clear_suspect(endpoint_request.crash_key);
@@ -37,6 +38,8 @@
                 in_flight.abandon();
                 return Err(Refusal::OutcomeUnknown);
             }
+            // The silence was counted against the endpoint when it was noticed.
+            Err(CollectError::Silent) => in_flight.abandon(),
             Err(CollectError::Broken) => {
                 in_flight.abandon();
                 dispatch.record_broken_attempt(endpoint).await;
@@ -48,6 +51,24 @@
     }
 }
 
+/// Reads a response's body. A silence of the endpoint is counted against it, and ends the response if
+/// another endpoint may be tried. Bytes that never become a part of the body are a silence too.
+async fn collect_unless_silent(
+    gateway: &Gateway,
+    in_flight: &InFlightGuard,
+    body: Incoming,
+    reader: Option<&Reader>,
+    may_give_up: bool,
+) -> Result<Bytes, CollectError> {
+    in_flight.start_silence_timer();
+    let body = body.map_frame(|frame| {
+        in_flight.start_silence_timer();
+        frame
+    });
+    let collected = collect_response(body, || gateway.now(), reader);
+    wait_unless_silent(in_flight, may_give_up, collected).await.unwrap_or(Err(CollectError::Silent))
+}
+
 /// Registers the response to a request, if slow readers are limited.
 fn open_reader(gateway: &Gateway, endpoint_request: &EndpointRequest) -> Option<Reader> {
     let EndpointRequest { request, routing, .. } = endpoint_request;
--- a/src/gateway/collect_response.rs
+++ b/src/gateway/collect_response.rs
@@ -6,8 +6,8 @@
 use super::reader_limits::{Counted, Reader, ReaderGone};
 use crate::prelude::*;
 
-/// Limit for the body of a buffered response.
-const MAX_RESPONSE_BYTES: usize = 4 << 20;
+/// Limit for the body of a buffered response, and for what is kept of a stream.
+pub(super) const MAX_RESPONSE_BYTES: usize = 4 << 20;
 
 /// Why a response is not complete.
 #[value]
@@ -15,6 +15,8 @@
 pub(super) enum CollectError {
     /// The endpoint broke the response off, or it is too long.
     Broken,
+    /// The endpoint sent nothing of the body for too long.
+    Silent,
     /// The response was disconnected by the limits on slow readers.
     ReaderGone,
 }
@@ -31,7 +33,7 @@
 {
     let body = Limited::new(body, MAX_RESPONSE_BYTES);
     let Some(reader) = reader else {
-        return Ok(body.collect().await.map_err(|_| CollectError::Broken)?.to_bytes());
+        return collect_contiguous(body).await;
     };
     tokio::select! {
         collected = collect_counted(body, now, reader) => collected,
@@ -39,6 +41,20 @@
     }
 }
 
+/// Joins the chunks as they arrive: kept one by one, small ones would take many times their size.
+async fn collect_contiguous<B>(mut body: B) -> Result<Bytes, CollectError>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    let mut bytes = Vec::new();
+    while let Some(frame) = body.frame().await {
+        if let Ok(chunk) = frame.map_err(|_| CollectError::Broken)?.into_data() {
+            bytes.extend_from_slice(&chunk);
+        }
+    }
+    Ok(bytes.into())
+}
+
 async fn collect_counted<B>(
     mut body: B,
     now: impl Fn() -> TimeMs,
--- a/src/gateway/event_stream.rs
+++ b/src/gateway/event_stream.rs
@@ -1,14 +1,14 @@
 //! The event stream of one response, which may come from several endpoints in succession.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use http::{StatusCode, response};
 use http_body_util::BodyExt;
 use hyper::body::{Bytes, Incoming};
 
 use super::Refusal;
-use super::attempt::{EndpointRequest, EndpointResponse, InFlightGuard};
+use super::attempt::{EndpointRequest, EndpointResponse, InFlightGuard, wait_unless_silent};
+use super::collect_response::MAX_RESPONSE_BYTES;
 use super::dispatch::Dispatch;
 use super::state::Gateway;
 use super::stream_times::StreamTimes;
@@ -52,7 +52,8 @@
 /// Why an endpoint's response did not reach its end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Fault {
-    /// The connection failed, or the response ended within an event or without any.
+    /// The connection failed, the response ended within an event or without any, or an event or the
+    /// output to be kept is too long.
     Broken,
     /// The endpoint sent nothing for too long.
     Silent,
@@ -139,7 +140,10 @@
         loop {
             match self.read_chunk().await {
                 Ok(Some(chunk)) => {
-                    if let Some(bytes) = self.complete_events(chunk) {
+                    let bytes = self.complete_events(chunk);
+                    if self.reader.holds_more_than(MAX_RESPONSE_BYTES) {
+                        self.resume_elsewhere(Fault::Broken).await?;
+                    } else if let Some(bytes) = bytes {
                         return Ok(Some(bytes));
                     }
                 }
@@ -203,7 +207,7 @@
         }
         let next = until_deadline(&self.gateway, self.endpoint_request.deadline, next_data(body));
         let chunk = match self.dispatch.may_try_another() {
-            true => wait_unless_silent(in_flight, next).await,
+            true => wait_unless_silent(in_flight, true, next).await,
             false => Some(next.await),
         };
         in_flight.stop_silence_timer();
@@ -262,26 +266,6 @@
     }
 }
 
-/// Waits for data from an endpoint; returns [`None`] if the endpoint is silent. If it is only busy,
-/// the wait goes on until it is silent for as long again.
-async fn wait_unless_silent<T>(
-    in_flight: &InFlightGuard,
-    future: impl Future<Output = T>,
-) -> Option<T> {
-    let mut future = std::pin::pin!(future);
-    let silent_after = Duration::from_millis(in_flight.silent_after_ms());
-    loop {
-        tokio::select! {
-            biased;
-            output = future.as_mut() => return Some(output),
-            () = tokio::time::sleep(silent_after) => {}
-        }
-        if in_flight.check_silence() {
-            return None;
-        }
-    }
-}
-
 /// The next data of a body; [`None`] at its end. Trailers and empty frames are skipped.
 pub(super) async fn next_data(body: &mut Incoming) -> Result<Option<Bytes>, Refusal> {
     loop {
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -1,6 +1,7 @@
 mod attempts;
 mod contact;
 mod counting;
+mod endless_bytes;
 mod endpoint_list;
 mod endpoint_reports;
 mod fakes;
--- a/src/gateway/tests/attempts.rs
+++ b/src/gateway/tests/attempts.rs
@@ -18,7 +18,7 @@
 use crate::replicas::{Announcement, ColdLimits, EndpointChange, ReplicaKey};
 use crate::turns::EventReader;
 
-fn endpoint_request() -> EndpointRequest {
+pub(super) fn endpoint_request() -> EndpointRequest {
     EndpointRequest {
         request: "r".into(),
         method: Method::POST,
@@ -32,7 +32,7 @@
     }
 }
 
-fn announcement(listener: &TcpListener, draining: bool) -> Announcement {
+pub(super) fn announcement(listener: &TcpListener, draining: bool) -> Announcement {
     Announcement {
         service: "s".into(),
         address: listener.local_addr().expect("the listener is bound"),
--- a/src/gateway/turn.rs
+++ b/src/gateway/turn.rs
@@ -2,13 +2,13 @@
 use std::time::Duration;
 
 use http::{Response, response};
-use http_body_util::BodyExt;
 use hyper::body::Bytes;
 use tokio::sync::oneshot;
 
 use super::attempt::{EndpointRequest, EndpointResponse};
 use super::buffered::strip_hop_by_hop_headers;
 use super::chunk_channel::{ChunkSender, chunk_channel};
+use super::collect_response::collect_response;
 use super::event_stream::{CompletedResponse, EventStream, ResponseStart};
 use super::find_turn::find_chain;
 use super::handoff::{TurnHandoff, hand_off};
@@ -295,10 +295,11 @@
         caller: &mut Caller,
     ) -> Result<(), Refusal> {
         let deadline = self.turn_request.endpoint_request.deadline;
-        let body = until_deadline(&self.gateway, deadline, response.body.collect()).await?;
+        let body = collect_response(response.body, || self.gateway.now(), None);
+        let body = until_deadline(&self.gateway, deadline, body).await?;
         let body = body.map_err(|_| Refusal::OutcomeUnknown)?;
         response.in_flight.finish(response.head.status);
-        let body = caller.hold(&self.gateway, body.to_bytes())?;
+        let body = caller.hold(&self.gateway, body)?;
         caller.send_head(Ok(response.head));
         caller.send_chunk(Some(body)).await;
         caller.send_chunk(None).await;
--- a/src/turns/events.rs
+++ b/src/turns/events.rs
@@ -7,6 +7,8 @@
     has_data: bool,
     has_field: bool,
     id: Option<Vec<u8>>,
+    /// The bytes received of an incomplete event.
+    partial_bytes: usize,
     last_id: Option<Vec<u8>>,
     events: u64,
     output: Option<Vec<u8>>,
@@ -28,6 +30,10 @@
                 _ => self.line.push(*byte),
             }
         }
+        self.partial_bytes = match complete_len {
+            0 => self.partial_bytes + bytes.len(),
+            _ => bytes.len() - complete_len,
+        };
         complete_len
     }
 
@@ -38,6 +44,7 @@
         self.has_data = false;
         self.has_field = false;
         self.id = None;
+        self.partial_bytes = 0;
     }
 
     /// Processes a complete line. Returns true for a blank line, which ends an event.
@@ -89,6 +96,12 @@
         self.last_id.as_deref()
     }
 
+    /// Whether it holds more than `max_bytes` of an incomplete event, or of output.
+    pub fn holds_more_than(&self, max_bytes: usize) -> bool {
+        let output = self.output.as_ref().map_or(0, Vec::len);
+        self.partial_bytes.max(output) > max_bytes
+    }
+
     /// Whether none of the bytes received belongs to an incomplete event.
     pub fn at_event_boundary(&self) -> bool {
         self.line.is_empty() && !self.has_field
