An answer clears a request of crashes at all entries

Cause: entries tell each other how many crashes a request was part of, and not that it was answered since. Only the entry that has the answer clears its count; the others refuse the request and so never have one.

Change: an entry tells the others how many crashes it has cleared, for 5 s, in a report at the end of its messages; leaves and hubs in a message of its own. What crashes each endpoint is never answered and stays refused after three crashes. An answer with status 500 no longer clears.

Evidence: a_lookup_that_one_entry_has_answered_is_refused_by_none fails before (503) and passes after.

--- a/soak/tests/endpoints.rs
+++ b/soak/tests/endpoints.rs
@@ -151,6 +151,30 @@
     }
 }
 
+// Each of three lookups of one path was answered after a crash. The entry that answered them knew that the
+// lookup was not the cause; the others refused the path for 90 s.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lookup_that_one_entry_has_answered_is_refused_by_none() {
+    let mut world = world(2).await;
+    for number in 0..3 {
+        world.endpoints.iter().for_each(|endpoint| endpoint.set_fault(EndpointFault::Silent));
+        let (caller, entry, id) = (world.caller.clone(), world.entry(0), format!("look-{number}"));
+        let request = id.clone();
+        let asked = tokio::spawn(async move { caller.look_up(entry, &request).await });
+        let at = running_at(&world, &id).await;
+        world.endpoints.iter().for_each(|endpoint| endpoint.set_fault(EndpointFault::None));
+        let endpoint = world.endpoints.iter_mut().find(|endpoint| endpoint.id == at);
+        let endpoint = endpoint.expect("it is one of them");
+        endpoint.crash().await;
+        let answer = asked.await.expect("no panic");
+        assert!(answer.is_served(), "{answer:?}");
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        endpoint.restart().await.expect("it starts again");
+    }
+    let answer = world.caller.look_up(world.entry(1), "look-elsewhere").await;
+    assert!(answer.is_served(), "{answer:?}");
+}
+
 /// Waits until a request runs, and returns the ID of the endpoint that runs it.
 async fn running_at(world: &World, request: &str) -> String {
     loop {
--- a/src/gateway/attach_message.rs
+++ b/src/gateway/attach_message.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use super::feed_message::FeedStatus;
-use super::message::EvacuationState;
+use super::message::{ClearedReport, EvacuationState};
 use super::suspects::CrashKey;
 use crate::prelude::*;
 use crate::quota::Claim;
@@ -49,6 +49,8 @@
         /// The number of the question that was answered with the admission.
         number: u64,
     },
+    /// What the sender, a leaf or its hub, knows of crashes that had another cause.
+    Cleared(ClearedReport),
 }
 
 /// What a leaf tells the hub that it is attached to.
--- a/src/gateway/buffered.rs
+++ b/src/gateway/buffered.rs
@@ -25,9 +25,12 @@
         match collect_unless_silent(gateway, &in_flight, body, reader.as_ref(), may_give_up).await {
             Ok(body) => {
                 in_flight.finish(head.status);
-                gateway.clear_suspect(endpoint_request.crash_key);
-                // Status 500 is the endpoint's own error: another endpoint may succeed.
+                // Status 500 is the endpoint's own error: another endpoint may succeed. It does not
+                // show that the request is harmless.
                 let failed = head.status == StatusCode::INTERNAL_SERVER_ERROR;
+                if !failed {
+                    gateway.clear_suspect(endpoint_request.crash_key);
+                }
                 if !failed || !dispatch.may_try_another() {
                     return Ok(build_response(head, body, reader));
                 }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -6,11 +6,13 @@
 
 use super::attach_message::AttachMessage;
 use super::forward::deregister;
-use super::hub::{self, answer_attach, answer_question};
+use super::hub::{self, answer_question};
 use super::hubs::Role;
 use super::leaf;
 use super::load_reports::{apply_load_report, compose_load_report};
-use super::message::{CountReport, Datagram, EvacuationState, GossipMessage, rotating_slice};
+use super::message::{
+    ClearedReport, CountReport, Datagram, EvacuationState, GossipMessage, rotating_slice,
+};
 use super::owned_shard::Stage;
 use super::rates::{RowSelection, SenderAge};
 use super::shard_table::Owner;
@@ -185,7 +187,9 @@
     while rows > 0 {
         let gossip = compose(gateway, instance, round, rows);
         let counts = Some(compose_counts(gateway, &gossip));
-        let datagram = Datagram { gossip, load: load.clone(), counts };
+        let cleared = gateway.suspects.borrow().recently_cleared(gateway.now(), SUSPECT_GOSSIP_MS);
+        let cleared = ClearedReport { cleared: rotating_slice(cleared, round, rows) };
+        let datagram = Datagram { gossip, load: load.clone(), counts, cleared };
         match datagram.encode(MAX_DATAGRAM_BYTES) {
             Ok(Some(bytes)) => return Some((datagram.gossip, bytes)),
             Ok(None) => rows /= 2,
@@ -240,8 +244,9 @@
         return;
     }
     match Datagram::decode(datagram) {
-        Ok(Datagram { gossip, load, counts }) => {
+        Ok(Datagram { gossip, load, counts, cleared }) => {
             apply_message(gateway, from, &gossip);
+            gateway.merge_cleared_suspects(&cleared.cleared);
             if let Some(counts) = counts {
                 let now = gateway.now();
                 gateway.peers.borrow_mut().record_knowledge(from, counts.knows_windows);
@@ -263,7 +268,12 @@
     datagram: &[u8],
 ) {
     let answer = match AttachMessage::decode(datagram) {
-        Ok(AttachMessage::Attach(attach)) => answer_attach(gateway, from, &attach),
+        Ok(AttachMessage::Attach(attach)) => {
+            return hub::attach(gateway, socket, from, &attach).await;
+        }
+        Ok(AttachMessage::Cleared(report)) => {
+            return gateway.merge_cleared_suspects(&report.cleared);
+        }
         Ok(AttachMessage::Question(question)) => answer_question(gateway, from, &question),
         Ok(AttachMessage::Refund { number }) => return hub::refund(gateway, from, number),
         Ok(AttachMessage::State { state, feeds }) => {
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -14,7 +14,7 @@
 use super::gossip::{MAX_ROWS, SUSPECT_GOSSIP_MS};
 use super::hub_feed::feed_status;
 use super::hubs::{AskedQuestion, GrantedQuestions};
-use super::message::{EvacuationState, rotating_slice};
+use super::message::{ClearedReport, EvacuationState, rotating_slice};
 use super::observe::record_rate_refund;
 use super::owned_shard::Stage;
 use super::state::Gateway;
@@ -92,6 +92,21 @@
     }
 }
 
+/// Tells a leaf, or the hub of a leaf, which requests were cleared just now, if there are any.
+/// They are sent in parts, by `round`.
+pub(super) async fn send_cleared(
+    gateway: &Gateway,
+    socket: &UdpSocket,
+    to: SocketAddr,
+    round: usize,
+) {
+    let cleared = gateway.suspects.borrow().recently_cleared(gateway.now(), SUSPECT_GOSSIP_MS);
+    if !cleared.is_empty() {
+        let report = ClearedReport { cleared: rotating_slice(cleared, round, MAX_ROWS) };
+        send(socket, to, &AttachMessage::Cleared(report)).await;
+    }
+}
+
 /// Updates the state for the leaves. Returns whether it has changed.
 pub(super) fn update_state(gateway: &Gateway) -> bool {
     let round = gateway.leaves.round.get();
@@ -148,6 +163,19 @@
     }
 }
 
+/// Answers a leaf that attaches.
+pub(super) async fn attach(
+    gateway: &Gateway,
+    socket: &UdpSocket,
+    leaf: SocketAddr,
+    attach: &Attach,
+) {
+    send(socket, leaf, &answer_attach(gateway, leaf, attach)).await;
+    if gateway.is_hub() {
+        send_cleared(gateway, socket, leaf, gateway.leaves.round.get()).await;
+    }
+}
+
 /// The answer to a leaf that attaches.
 pub(super) fn answer_attach(gateway: &Gateway, leaf: SocketAddr, attach: &Attach) -> AttachMessage {
     if !gateway.is_hub() || gateway.draining.get() {
--- a/src/gateway/leaf.rs
+++ b/src/gateway/leaf.rs
@@ -12,7 +12,7 @@
 use super::attach_message::{Attach, AttachMessage, HubRow, HubState};
 use super::feed_message::{FeedStatus, ListPosition};
 use super::gossip::{MAX_ROWS, SUSPECT_GOSSIP_MS, forget_silent_entries};
-use super::hub::send;
+use super::hub::{send, send_cleared};
 use super::hubs::{Attachment, Recruitment};
 use super::leaf_feed::apply_status;
 use super::message::rotating_slice;
@@ -94,6 +94,7 @@
     let suspects = rotating_slice(suspects, round, MAX_ROWS);
     let attach = Attach { version, sent_at_ms: boot_time_ms(), suspects };
     send(socket, hub, &AttachMessage::Attach(attach)).await;
+    send_cleared(gateway, socket, hub, round).await;
 }
 
 /// The hub that the leaf is attached to, or that it now tries to attach to.
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -88,6 +88,16 @@
     pub(super) refunds: Vec<RefundCount>,
 }
 
+/// Requests whose crashes the sender knows to have had another cause. Follows the [`CountReport`] in the
+/// same datagram, which is then there. Versions before have none, and keep their counts until they
+/// expire.
+#[wire]
+#[derive(Default)]
+pub(super) struct ClearedReport {
+    /// Hash of the request, number of crashes.
+    pub(super) cleared: Vec<(CrashKey, u32)>,
+}
+
 /// What one datagram between hubs holds.
 #[value]
 pub(super) struct Datagram {
@@ -97,6 +107,8 @@
     pub(super) load: LoadReport,
     /// What belongs to its counts; none from a version without it.
     pub(super) counts: Option<CountReport>,
+    /// The requests that it has cleared.
+    pub(super) cleared: ClearedReport,
 }
 
 impl Datagram {
@@ -108,7 +120,10 @@
     pub(super) fn encode(&self, max_bytes: usize) -> Result<Option<Vec<u8>>, postcard::Error> {
         let mut bytes = postcard::to_allocvec(&self.gossip)?;
         let counts = self.counts.as_ref().map(postcard::to_allocvec).transpose()?;
-        let counts = counts.unwrap_or_default();
+        let mut counts = counts.unwrap_or_default();
+        if !counts.is_empty() && !self.cleared.cleared.is_empty() {
+            counts.extend(postcard::to_allocvec(&self.cleared)?);
+        }
         let mut load = postcard::to_allocvec(&self.load)?;
         if bytes.len() + load.len() + counts.len() > max_bytes {
             log::debug!(bytes = load.len(); "load report does not fit; left out");
@@ -129,8 +144,10 @@
     pub(super) fn decode(bytes: &[u8]) -> Result<Datagram, postcard::Error> {
         let (gossip, rest) = postcard::take_from_bytes(bytes)?;
         let (load, rest) = take_report::<LoadReport>(rest);
-        let (counts, _) = take_report(rest);
-        Ok(Datagram { gossip, load: load.unwrap_or_default(), counts })
+        let (counts, rest) = take_report(rest);
+        let (cleared, _) = take_report::<ClearedReport>(rest);
+        let (load, cleared) = (load.unwrap_or_default(), cleared.unwrap_or_default());
+        Ok(Datagram { gossip, load, counts, cleared })
     }
 }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -262,9 +262,19 @@
         self.suspects.borrow().is_poison(self.now(), crash_key)
     }
 
-    /// Clears the crash count of a request that was answered.
+    /// Clears the crash count of a request that was answered, here and at the other entries.
     pub(super) fn clear_suspect(&self, crash_key: CrashKey) {
-        self.suspects.borrow_mut().clear_suspect(crash_key);
+        if self.suspects.borrow_mut().clear_suspect(self.now(), crash_key) {
+            self.gossip_due.notify_one();
+        }
+    }
+
+    /// Merges what another entry has cleared.
+    pub(super) fn merge_cleared_suspects(&self, cleared: &[(CrashKey, u32)]) {
+        let mut suspects = self.suspects.borrow_mut();
+        for (request, crashes) in cleared {
+            suspects.merge_cleared(self.now(), *request, *crashes);
+        }
     }
 
     /// Has the membership renewed at once, to get the current assignment of shards.
--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -3,8 +3,8 @@
 //!
 //! Entries send each other a count for some seconds after it has grown. A message renews a count only
 //! if it is higher than the known one, so a count expires at each entry [`CRASH_RETENTION_MS`] after it
-//! last grew there. An entry that clears a request counts only crashes beyond those known then; the
-//! others keep their counts until these expire.
+//! last grew there. A request that is answered has not caused the crashes known then: the entry that
+//! answered it tells the others how many these are, and all count only those beyond.
 
 use std::collections::HashMap;
 
@@ -41,6 +41,8 @@
     cleared: u32,
     /// When the number of crashes last grew.
     grown_at: TimeMs,
+    /// When the number of cleared ones last grew.
+    cleared_at: TimeMs,
 }
 
 impl Suspect {
@@ -77,11 +79,25 @@
         }
     }
 
-    /// Forgets the crashes of a request that was answered: it did not cause them.
-    pub(super) fn clear_suspect(&mut self, request: CrashKey) {
-        if let Some(suspect) = self.by_request.get_mut(&request) {
-            suspect.cleared = suspect.crashes;
+    /// Clears the crashes of a request that was answered: it did not cause them. Returns whether there
+    /// were any.
+    pub(super) fn clear_suspect(&mut self, now: TimeMs, request: CrashKey) -> bool {
+        let crashes = self.current(now, request).crashes;
+        self.merge_cleared(now, request, crashes)
+    }
+
+    /// Merges the number of crashes that another entry has cleared. Returns whether it is higher than
+    /// the known one.
+    pub(super) fn merge_cleared(&mut self, now: TimeMs, request: CrashKey, cleared: u32) -> bool {
+        let known = self.current(now, request);
+        let is_news = cleared > known.cleared;
+        if is_news {
+            let crashes = known.crashes.max(cleared);
+            let grown_at = if crashes > known.crashes { now } else { known.grown_at };
+            let suspect = Suspect { crashes, cleared, grown_at, cleared_at: now };
+            self.by_request.insert(request, suspect);
         }
+        is_news
     }
 
     /// Whether the request has crashed too many endpoints to be sent again.
@@ -102,4 +118,15 @@
             self.by_request.iter().filter(|(_, suspect)| suspect.is_within(now, within_ms));
         recent.map(|(request, suspect)| (*request, suspect.crashes)).collect()
     }
+
+    /// The numbers of cleared crashes that have grown within the last `within_ms`, for the other
+    /// entries.
+    pub(super) fn recently_cleared(&self, now: TimeMs, within_ms: u64) -> Vec<(CrashKey, u32)> {
+        let is_recent =
+            |suspect: &Suspect| suspect.cleared > 0 && now.since(suspect.cleared_at) < within_ms;
+        let recent = self.by_request.iter().filter(|(_, suspect)| is_recent(suspect));
+        let mut recent: Vec<_> = recent.map(|(request, s)| (*request, s.cleared)).collect();
+        recent.sort_unstable();
+        recent
+    }
 }
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -59,7 +59,7 @@
     assert!(!suspects.is_poison(TimeMs(0), CrashKey(1)));
     suspects.merge(TimeMs(0), CrashKey(1), 3);
     assert!(suspects.is_poison(TimeMs(1), CrashKey(1)));
-    suspects.clear_suspect(CrashKey(1));
+    suspects.clear_suspect(TimeMs(1), CrashKey(1));
     assert!(!suspects.is_poison(TimeMs(1), CrashKey(1)));
 }
 
@@ -80,7 +80,7 @@
         }
     }
     exchange(&mut entries, TimeMs(100));
-    entries[0].clear_suspect(CrashKey(2));
+    entries[0].clear_suspect(TimeMs(100), CrashKey(2));
     for now in (200..80_000).step_by(200).map(TimeMs) {
         exchange(&mut entries, now);
         assert!(entries.iter().all(|entry| entry.is_poison(now, CrashKey(1))));
--- a/src/gateway/tests/gossip.rs
+++ b/src/gateway/tests/gossip.rs
@@ -5,8 +5,9 @@
 use super::{fakes, gossip_message};
 use crate::gateway::gossip::{apply_message, compose, forget_silent_entries};
 use crate::gateway::message::{
-    CountReport, Datagram, GossipMessage, LoadReport, PaceRow, RefundRow,
+    ClearedReport, CountReport, Datagram, GossipMessage, LoadReport, PaceRow, RefundRow,
 };
+use crate::gateway::suspects::CrashKey;
 use crate::quota::RefundCount;
 use crate::replicas::EndpointChange;
 use crate::replicas::tests::announcement;
@@ -64,7 +65,10 @@
     let mut datagram = postcard::to_allocvec(&message).expect("a message can be encoded");
     datagram.extend([200, 255]);
     let (load, counts) = (LoadReport::default(), None);
-    assert_eq!(Datagram::decode(&datagram), Ok(Datagram { gossip: message, load, counts }));
+    assert_eq!(
+        Datagram::decode(&datagram),
+        Ok(Datagram { gossip: message, load, counts, cleared: ClearedReport::default() })
+    );
 }
 
 // A version without reports of counts takes what follows a message for a load report. With the
@@ -77,7 +81,8 @@
     let paces = vec![PaceRow { endpoint: 1, events: 2, events_ms: 3 }; 20];
     let load = LoadReport { paces, endpoints: vec![] };
     let gossip = gossip_message(1, false);
-    let datagram = Datagram { gossip, load, counts };
+    let cleared = ClearedReport { cleared: vec![(CrashKey(3), 2)] };
+    let datagram = Datagram { gossip, load, counts, cleared };
     let bytes = datagram.encode(1_400).expect("can be encoded").expect("fits");
     assert_eq!(Datagram::decode(&bytes), Ok(datagram.clone()));
     let shorter = datagram.encode(60).expect("can be encoded").expect("fits without the paces");
