Turns are kept from their end, and while a turn continues them

Callers would see: a turn that ran long is answered 404 before its retention is over, or a program loses its history since the turn before the last expired while the last one ran.

Cause: retention was counted from the start of a turn, and a turn extended that of the turns before it at its end only. The grace of 10 s hid it for turns that together run for less than that.

Change: a turn is kept from its deadline on, the latest at which it ends, and the turns that it continues are kept as long from its start on.

Evidence: a_running_turn_keeps_the_turns_before_it (the new function is what it tests, so it can't run on the code before).

--- a/src/gateway/reservation.rs
+++ b/src/gateway/reservation.rs
@@ -41,7 +41,9 @@
     ) -> Result<OpenedReservation, Refusal> {
         let (reserved, recorded) = shard.change(|ledger, records| {
             let reserved = ledger.reserve(program, budget, max_tokens, kept_until)?;
+            let previous = chain.last().map(|(key, _)| *key);
             records.extend(ledger.import_turns(chain));
+            ledger.keep_chain(previous, kept_until);
             Ok(reserved.map(|(record, version)| {
                 records.push(record);
                 version
--- a/src/gateway/turn.rs
+++ b/src/gateway/turn.rs
@@ -218,8 +218,7 @@
         if gateway.is_poison_request(turn_request.endpoint_request.crash_key) {
             return Err(Refusal::CrashesEndpoints);
         }
-        let kept_until =
-            UnixMs(gateway.unix().0 + turn_request.endpoint_request.routing.retention_ms);
+        let kept_until = self.kept_until();
         let tokens = (turn_request.budget, turn_request.max_output_tokens);
         let opened = Reservation::open(shard, turn_request.program, tokens, kept_until, chain)?;
         let needs_store =
@@ -234,6 +233,13 @@
         Ok(Charge { opened, kept_until })
     }
 
+    /// Until when the turn is kept: it counts from its end, which is its deadline at the latest.
+    fn kept_until(&self) -> UnixMs {
+        let request = &self.turn_request.endpoint_request;
+        let left_ms = request.deadline.since(self.gateway.now());
+        UnixMs(self.gateway.unix().0 + left_ms + request.routing.retention_ms)
+    }
+
     /// Makes the tokens used by a completed turn durable and, if its history is kept, the turn
     /// itself. If this entry has lost the shard meanwhile, its next owner is asked to record them.
     async fn settle(
--- a/src/turns/ledger.rs
+++ b/src/turns/ledger.rs
@@ -216,8 +216,15 @@
         let before = self.turns.get(&key).map(|turn| turn.kept_until);
         let needed = self.missing_parents.remove(&key);
         turn.kept_until = turn.kept_until.max(before.max(needed).unwrap_or_default());
-        let (kept_until, mut next) = (turn.kept_until, turn.parent);
+        let (kept_until, parent) = (turn.kept_until, turn.parent);
         self.turns.insert(key, turn);
+        self.keep_chain(parent, kept_until);
+    }
+
+    /// Keeps a turn and all before it for at least as long. A turn that runs keeps those that it
+    /// continues, although it is in the log only after its end.
+    pub fn keep_chain(&mut self, last: Option<TurnKey>, kept_until: UnixMs) {
+        let mut next = last;
         while let Some(key) = next {
             let Some(parent) = self.turns.get_mut(&key) else {
                 let needed = self.missing_parents.entry(key).or_default();
--- a/src/turns/tests.rs
+++ b/src/turns/tests.rs
@@ -83,6 +83,19 @@
     }
 }
 
+// A turn began shortly before the one that it continues expired. That one was gone when it ended, and its
+// chain had a gap.
+#[test]
+fn a_running_turn_keeps_the_turns_before_it() {
+    let mut ledger = Ledger::default();
+    ledger.complete(key("1"), turn(None, "a", 1_000));
+    ledger.complete(key("2"), turn(Some(key("1")), "b", 1_000));
+    ledger.keep_chain(Some(key("2")), UnixMs(60_000));
+    assert!(ledger.expire(UnixMs(30_000)).is_empty());
+    ledger.complete(key("3"), turn(Some(key("2")), "c", 60_000));
+    assert!(ledger.chain(key("3")).is_some());
+}
+
 #[test]
 fn budget_is_exceeded_by_less_than_one_turn() {
     let mut ledger = Ledger::default();
