--- a/src/gateway/writer.rs
+++ b/src/gateway/writer.rs
@@ -56,7 +56,8 @@
         !self.failing.get() || wait_until(left_ms, &self.recovered, || !self.failing.get()).await
     }
 
-    fn next_batch(&self) -> (Vec<Record>, Vec<oneshot::Sender<()>>) {
+    /// Takes the records of the next append, and what is to be notified once they are durable.
+    pub(super) fn next_batch(&self) -> (Vec<Record>, Vec<oneshot::Sender<()>>) {
         let mut queue = self.queue.borrow_mut();
         let mut bytes = 0;
         let fits = |(records, _): &&(Vec<Record>, oneshot::Sender<()>)| {
