A refused turn leaves no account, and what a turn's charge needs stands together

Reading the diff again: a refusal for want of budget made an empty account in the owner's memory that the log does not have, so that the program counted as begun; the balance is read before the account is made. An event stream checks its limits before it reads on, so that complete events it has parsed reach the caller first. The reservation, its records and the wait for them are one type, Charge, in one module; a handed-off turn that is rejected queues nothing.

--- a/src/gateway/event_stream.rs
+++ b/src/gateway/event_stream.rs
@@ -138,12 +138,12 @@
     /// The next bytes to pass on; [`None`] at the end of the response.
     pub(super) async fn next_chunk(&mut self) -> Result<Option<Bytes>, Refusal> {
         loop {
+            if self.reader.holds_more_than(MAX_RESPONSE_BYTES) {
+                self.resume_elsewhere(Fault::Broken).await?;
+            }
             match self.read_chunk().await {
                 Ok(Some(chunk)) => {
-                    let bytes = self.complete_events(chunk);
-                    if self.reader.holds_more_than(MAX_RESPONSE_BYTES) {
-                        self.resume_elsewhere(Fault::Broken).await?;
-                    } else if let Some(bytes) = bytes {
+                    if let Some(bytes) = self.complete_events(chunk) {
                         return Ok(Some(bytes));
                     }
                 }
--- a/src/gateway/handoff.rs
+++ b/src/gateway/handoff.rs
@@ -118,9 +118,11 @@
             handoff.turn.as_ref().is_some_and(|(key, _)| ledger.turn(*key).is_some());
         already_recorded || charge_and_complete(ledger, handoff, records).is_ok()
     });
+    if !is_accepted {
+        return false;
+    }
     // An empty append only confirms that this process still owns the shard.
-    let recorded = recorded.unwrap_or_else(|| shard.writer.append(Vec::new()));
-    is_accepted && recorded.await.is_ok()
+    recorded.unwrap_or_else(|| shard.writer.append(Vec::new())).await.is_ok()
 }
 
 /// Charges a turn's tokens and stores the turn, unless its tokens do not fit the budget.
--- a/src/gateway/reservation.rs
+++ b/src/gateway/reservation.rs
@@ -19,14 +19,36 @@
     pub(super) used: u64,
 }
 
-/// A reservation that has just been made.
-pub(super) struct OpenedReservation {
+/// A turn's tokens, reserved from its program's budget.
+pub(super) struct Charge {
     pub(super) reservation: Reservation,
     /// Completes when the reservation and the turns copied from other shards are durable; none if
     /// an earlier record already covers the reservation and no turns were copied.
-    pub(super) recorded: Option<AppendAck>,
+    recorded: Option<AppendAck>,
     /// The version of the program's account that the reservation's record makes durable.
-    pub(super) version: Option<AccountVersion>,
+    version: Option<AccountVersion>,
+    /// Until when the turn is kept, if it is, and the program's account.
+    pub(super) kept_until: UnixMs,
+}
+
+impl Charge {
+    /// Whether something has to be recorded before the turn's first token.
+    pub(super) fn is_recorded_first(&self) -> bool {
+        self.recorded.is_some()
+    }
+
+    /// Waits for the reservation's record. Returns whether it is durable; if not, it can no longer
+    /// become durable under this epoch.
+    pub(super) async fn wait_until_durable(&mut self) -> bool {
+        let durable = match self.recorded.take() {
+            Some(recorded) => recorded.await.is_ok(),
+            None => true,
+        };
+        if let (true, Some(version)) = (durable, self.version) {
+            self.reservation.mark_durable(version);
+        }
+        durable
+    }
 }
 
 impl Reservation {
@@ -38,7 +60,7 @@
         (budget, max_tokens): (u64, u64),
         kept_until: UnixMs,
         chain: Chain,
-    ) -> Result<OpenedReservation, Refusal> {
+    ) -> Result<Charge, Refusal> {
         let (reserved, recorded) = shard.change(|ledger, records| {
             let reserved = ledger.reserve(program, budget, max_tokens, kept_until)?;
             let previous = chain.last().map(|(key, _)| *key);
@@ -56,7 +78,7 @@
         })?;
         let shard = shard.clone();
         let reservation = Reservation { shard, program, max_tokens, settled: false, used: 0 };
-        Ok(OpenedReservation { reservation, recorded, version })
+        Ok(Charge { reservation, recorded, version, kept_until })
     }
 
     /// Notes that a record of the program's account is durable.
--- a/src/gateway/tests/ledger_model.rs
+++ b/src/gateway/tests/ledger_model.rs
@@ -102,8 +102,8 @@
         let budget = if matches!(ends, Ending::Refused) { 0 } else { u64::MAX };
         let program = ProgramKey::of("w", &format!("p{program}"));
         let owner = &self.owners[shard];
-        let opened = Reservation::open(owner, program, (budget, MAX_TOKENS), KEPT_UNTIL, chain);
-        let Ok(mut opened) = opened else {
+        let charge = Reservation::open(owner, program, (budget, MAX_TOKENS), KEPT_UNTIL, chain);
+        let Ok(mut charge) = charge else {
             return;
         };
         if matches!(ends, Ending::Complete) {
@@ -114,7 +114,7 @@
                 kept_until: KEPT_UNTIL,
                 ran_at: "e".into(),
             };
-            if let (_, Some(recorded)) = opened.reservation.settle(Some((key, turn))) {
+            if let (_, Some(recorded)) = charge.reservation.settle(Some((key, turn))) {
                 self.ending[shard].push((key, recorded));
                 self.shard_of.insert(key, shard);
             }
--- a/src/gateway/turn.rs
+++ b/src/gateway/turn.rs
@@ -15,7 +15,7 @@
 use super::owned_shard::OwnedShard;
 use super::read_body::{count_prompt, uncounted};
 use super::reader_limits::ReaderGone;
-use super::reservation::{OpenedReservation, Reservation};
+use super::reservation::{Charge, Reservation};
 use super::state::Gateway;
 use super::{Refusal, ResponseBody};
 use crate::mechanisms::Mechanism;
@@ -181,7 +181,7 @@
         }
         while let Some(chunk) = next {
             let chunk = caller.hold(&gateway, chunk)?;
-            charge.opened.reservation.used =
+            charge.reservation.used =
                 events.events_begun() * self.turn_request.endpoint_request.routing.tokens_per_event;
             match durable {
                 true => caller.send_chunk(Some(chunk)).await,
@@ -220,9 +220,9 @@
         }
         let kept_until = self.kept_until();
         let tokens = (turn_request.budget, turn_request.max_output_tokens);
-        let opened = Reservation::open(shard, turn_request.program, tokens, kept_until, chain)?;
+        let charge = Reservation::open(shard, turn_request.program, tokens, kept_until, chain)?;
         let needs_store =
-            turn_request.endpoint_request.routing.keeps_history || opened.recorded.is_some();
+            turn_request.endpoint_request.routing.keeps_history || charge.is_recorded_first();
         let left_ms = turn_request.endpoint_request.deadline.since(gateway.now());
         let waits = needs_store && gateway.waits_for_store();
         if waits && !shard.writer.wait_until_writable(left_ms).await {
@@ -230,7 +230,7 @@
                 "store unreachable for longer than the turn may wait; turn refused as unavailable");
             return Err(Refusal::Unavailable { retry_after_ms: STORE_UNREACHABLE_RETRY_MS });
         }
-        Ok(Charge { opened, kept_until })
+        Ok(charge)
     }
 
     /// Until when the turn is kept: it counts from its end, which is its deadline at the latest.
@@ -248,7 +248,7 @@
         completed_response: CompletedResponse,
         durable: bool,
     ) -> Result<(), Refusal> {
-        let Charge { opened: OpenedReservation { mut reservation, .. }, kept_until } = charge;
+        let Charge { mut reservation, kept_until, .. } = charge;
         let keeps_history = self.turn_request.endpoint_request.routing.keeps_history;
         if !keeps_history && durable {
             // The durable reservation covers the tokens used, so there is no need to wait for the
@@ -313,27 +313,6 @@
     }
 }
 
-/// A turn's tokens, reserved from its program's budget.
-struct Charge {
-    opened: OpenedReservation,
-    kept_until: UnixMs,
-}
-
-impl Charge {
-    /// Waits for the reservation's record. Returns whether it is durable; if not, it can no longer
-    /// become durable under this epoch.
-    async fn wait_until_durable(&mut self) -> bool {
-        let durable = match self.opened.recorded.take() {
-            Some(recorded) => recorded.await.is_ok(),
-            None => true,
-        };
-        if let (true, Some(version)) = (durable, self.opened.version) {
-            self.opened.reservation.mark_durable(version);
-        }
-        durable
-    }
-}
-
 /// Waits for a future until the request's deadline.
 pub(super) async fn until_deadline<T>(
     gateway: &Gateway,
--- a/src/turns/ledger.rs
+++ b/src/turns/ledger.rs
@@ -106,6 +106,11 @@
         self.accounts.contains_key(&key)
     }
 
+    /// The tokens that a program has spent or reserved for turns in flight.
+    fn used(&self, key: ProgramKey) -> u64 {
+        self.accounts.get(&key).map_or(0, |account| account.spent + account.in_flight)
+    }
+
     /// The completed turn with this key, if it is in the ledger.
     pub fn turn(&self, key: TurnKey) -> Option<&Turn> {
         self.turns.get(&key)
@@ -139,11 +144,11 @@
         max_tokens: u64,
         kept_until: UnixMs,
     ) -> Result<Option<(Record, AccountVersion)>, BudgetExhausted> {
-        let account = self.accounts.entry(key).or_default();
-        let used = account.spent + account.in_flight;
+        let used = self.used(key);
         if used >= budget {
             return Err(BudgetExhausted { used, budget });
         }
+        let account = self.accounts.entry(key).or_default();
         account.in_flight += max_tokens;
         account.kept_until = account.kept_until.max(kept_until);
         // Tokens spent by earlier turns count too: their records may not be durable yet.
@@ -179,11 +184,11 @@
         if tokens == 0 {
             return Ok(None);
         }
-        let account = self.accounts.entry(key).or_default();
-        let used = account.spent + account.in_flight;
+        let used = self.used(key);
         if used + tokens > budget {
             return Err(BudgetExhausted { used, budget });
         }
+        let account = self.accounts.entry(key).or_default();
         account.spent += tokens;
         account.kept_until = account.kept_until.max(kept_until);
         Ok(Some(account.next_record(key, 0).0))
