--- a/src/gateway/collect_response.rs
+++ b/src/gateway/collect_response.rs
@@ -32,44 +32,36 @@
     B: Body<Data = Bytes, Error: Into<Box<dyn std::error::Error + Send + Sync>>> + Unpin,
 {
     let body = Limited::new(body, MAX_RESPONSE_BYTES);
+    let collected = collect(body, now, reader);
     let Some(reader) = reader else {
-        return collect_contiguous(body).await;
+        return collected.await;
     };
     tokio::select! {
-        collected = collect_counted(body, now, reader) => collected,
+        collected = collected => collected,
         () = reader.wait_until_disconnected() => Err(CollectError::ReaderGone),
     }
 }
 
-/// Joins the chunks as they arrive: kept one by one, small ones would take many times their size.
-async fn collect_contiguous<B>(mut body: B) -> Result<Bytes, CollectError>
-where
-    B: Body<Data = Bytes> + Unpin,
-{
-    let mut bytes = Vec::new();
-    while let Some(frame) = body.frame().await {
-        if let Ok(chunk) = frame.map_err(|_| CollectError::Broken)?.into_data() {
-            bytes.extend_from_slice(&chunk);
-        }
-    }
-    Ok(bytes.into())
-}
-
-async fn collect_counted<B>(
+/// Joins the chunks as they arrive, under one hold: kept one by one, small ones would take many times
+/// their size.
+async fn collect<B>(
     mut body: B,
     now: impl Fn() -> TimeMs,
-    reader: &Reader,
+    reader: Option<&Reader>,
 ) -> Result<Bytes, CollectError>
 where
     B: Body<Data = Bytes> + Unpin,
 {
-    let (mut bytes, mut holds) = (Vec::new(), Vec::new());
+    let (mut bytes, mut hold) = (Vec::new(), None);
     while let Some(frame) = body.frame().await {
-        if let Ok(chunk) = frame.map_err(|_| CollectError::Broken)?.into_data() {
-            let hold = reader.reserve(now(), chunk.len());
-            holds.push(hold.map_err(|ReaderGone| CollectError::ReaderGone)?);
-            bytes.extend_from_slice(&chunk);
+        let Ok(chunk) = frame.map_err(|_| CollectError::Broken)?.into_data() else {
+            continue;
+        };
+        if let Some(reader) = reader {
+            let counted = reader.count(now(), &mut hold, chunk.len());
+            counted.map_err(|ReaderGone| CollectError::ReaderGone)?;
         }
+        bytes.extend_from_slice(&chunk);
     }
-    Ok(Bytes::from_owner(Counted { bytes, _hold: holds }))
+    Ok(Bytes::from_owner(Counted { bytes, _hold: hold }))
 }
--- a/src/gateway/ports.rs
+++ b/src/gateway/ports.rs
@@ -105,6 +105,11 @@
 }
 
 impl<T> Feed<T> {
+    /// All that there is. Later changes are read from `next`, which was the end when the read began.
+    pub fn snapshot(items: Vec<T>, next: Position) -> Feed<T> {
+        Feed { items, is_snapshot: true, next, end: next }
+    }
+
     /// Whether all that had been written when the read began is known with it. Otherwise what is
     /// known may be outdated, however recent the read.
     pub fn reaches_end(&self) -> bool {
--- a/src/gateway/reader_limits.rs
+++ b/src/gateway/reader_limits.rs
@@ -127,7 +127,7 @@
 
 impl Reader {
     /// Counts a chunk until the returned bytes are dropped, which is after they were written to the
-    /// reader's connection. Other responses may be disconnected for it.
+    /// reader's connection.
     pub(super) fn hold(&self, now: TimeMs, chunk: Bytes) -> Result<Bytes, ReaderGone> {
         let hold = self.reserve(now, chunk.len())?;
         let bytes = match chunk.len() < MIN_SHARED_CHUNK_BYTES {
@@ -137,11 +137,32 @@
         Ok(Bytes::from_owner(Counted { bytes, _hold: hold }))
     }
 
-    /// Counts `bytes` bytes until the returned guard is dropped.
-    pub(super) fn reserve(&self, now: TimeMs, bytes: usize) -> Result<ReaderHold, ReaderGone> {
+    /// Counts `bytes` bytes until the returned guard is dropped. Other responses may be disconnected
+    /// for them.
+    fn reserve(&self, now: TimeMs, bytes: usize) -> Result<ReaderHold, ReaderGone> {
+        self.make_room(|| self.response.try_hold(now, bytes))
+    }
+
+    /// Counts `bytes` more bytes under one hold, which the first ones begin.
+    pub(super) fn count(
+        &self,
+        now: TimeMs,
+        hold: &mut Option<ReaderHold>,
+        bytes: usize,
+    ) -> Result<(), ReaderGone> {
+        match hold {
+            Some(hold) => self.make_room(|| hold.try_grow(now, bytes)),
+            None => self.reserve(now, bytes).map(|begun| *hold = Some(begun)),
+        }
+    }
+
+    fn make_room<T>(
+        &self,
+        mut try_count: impl FnMut() -> Result<T, HoldError<ReaderHandle>>,
+    ) -> Result<T, ReaderGone> {
         loop {
-            match self.response.try_hold(now, bytes) {
-                Ok(hold) => return Ok(hold),
+            match try_count() {
+                Ok(counted) => return Ok(counted),
                 Err(HoldError::Exceeded(disconnect)) => self.limits.disconnect(disconnect),
                 Err(HoldError::Disconnected) => return Err(ReaderGone),
             }
--- a/src/gateway/tests/fakes.rs
+++ b/src/gateway/tests/fakes.rs
@@ -105,7 +105,7 @@
                     };
                 }
                 let items = newest.into_values().collect();
-                Ok(Feed { items, is_snapshot: true, next: end, end })
+                Ok(Feed::snapshot(items, end))
             }
         }
     }
--- a/src/load/held_bytes.rs
+++ b/src/load/held_bytes.rs
@@ -175,6 +175,16 @@
     chunk: u64,
 }
 
+impl<H> Hold<H> {
+    /// Counts `bytes` more bytes that arrived with those held, and are dropped with them.
+    ///
+    /// # Errors
+    /// As [`HeldResponse::try_hold`].
+    pub fn try_grow(&mut self, now: TimeMs, bytes: usize) -> Result<(), HoldError<H>> {
+        lock(&self.response.state).grow_chunk(now, self.response.key, self.chunk, bytes as u64)
+    }
+}
+
 impl<H> Drop for Hold<H> {
     fn drop(&mut self) {
         lock(&self.response.state).remove_chunk(self.response.key, self.chunk);
@@ -279,20 +289,32 @@
         key: ResponseKey,
         bytes: u64,
     ) -> Result<u64, HoldError<H>> {
+        let chunk = self.next_chunk;
+        self.grow_chunk(now, key, chunk, bytes)?;
+        self.next_chunk += 1;
+        Ok(chunk)
+    }
+
+    /// Adds bytes to a chunk, which begins with the first ones.
+    fn grow_chunk(
+        &mut self,
+        now: TimeMs,
+        key: ResponseKey,
+        chunk: u64,
+        bytes: u64,
+    ) -> Result<(), HoldError<H>> {
         let response = self.responses.get(key).filter(|response| response.handle.is_some());
         let workspace = response.ok_or(HoldError::Disconnected)?.workspace.clone();
         if let Some(victim) = self.victim(key, &workspace, bytes) {
             let disconnect = self.disconnect(now, victim).ok_or(HoldError::Disconnected)?;
             return Err(HoldError::Exceeded(disconnect));
         }
-        let chunk = self.next_chunk;
-        self.next_chunk += 1;
         if let Some(response) = self.responses.get_mut(key) {
-            response.chunks.insert(chunk, (now, bytes));
+            response.chunks.entry(chunk).or_insert((now, 0)).1 += bytes;
             response.bytes += bytes;
         }
         self.add(&workspace, Usage { responses: bytes, requests: 0 });
-        Ok(chunk)
+        Ok(())
     }
 
     fn remove_chunk(&mut self, key: ResponseKey, chunk: u64) {
--- a/src/load/tests/held_bytes.rs
+++ b/src/load/tests/held_bytes.rs
@@ -21,6 +21,29 @@
     }
 }
 
+// Each small chunk of a body was held with an overhead of its own, many times its bytes, and other responses
+// were disconnected for it.
+#[test]
+fn bytes_added_to_a_hold_count_until_it_is_dropped() {
+    let held = open();
+    let response = held.open_response(&"w".into(), 1);
+    let mut grown = response.try_hold(TimeMs(0), 1).expect("there is room");
+    let begun = held.bytes();
+    for _ in 0..100 {
+        grown.try_grow(TimeMs(5), CHUNK_BYTES / 4).expect("there is room");
+    }
+    assert_eq!(held.bytes(), begun + 25 * CHUNK_BYTES as u64);
+    let beyond = grown.try_grow(TimeMs(9), 40 * CHUNK_BYTES);
+    let Err(HoldError::Exceeded(disconnect)) = beyond else {
+        panic!("beyond the limit of the workspace");
+    };
+    assert_eq!((disconnect.handle, disconnect.held_ms), (1, 9), "held since the first byte");
+    assert_eq!(held.bytes(), 0);
+    assert!(matches!(grown.try_grow(TimeMs(9), 1), Err(HoldError::Disconnected)));
+    drop(grown);
+    assert_eq!(held.bytes(), 0, "bytes of a disconnected response are subtracted once");
+}
+
 // Readers that take what they get must not be cut off for one that does not, although they are
 // served for as long and get as much.
 #[test]
