Log what is in flight when a stopped gateway exits, and what it waits for

A stopped gateway exited with requests in flight and no line said so: neither which requests, nor what they waited for, nor how long after the signal its connections were closed and it exited.

RequestsInFlight replaces the counter of running requests. At exit each request in flight is named with what it waits for and its age; two lines give the times of the close and of the exit. No logic is changed.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -7,6 +7,7 @@
 use hyper::body::{Bytes, Incoming};
 use tokio::sync::Notify;
 
+use super::in_flight::{Progress, Wait};
 use super::ports::RequestContext;
 use super::state::Gateway;
 use super::suspects::CrashKey;
@@ -34,6 +35,7 @@
     pub(super) crash_key: CrashKey,
     /// The request's deadline.
     pub(super) deadline: TimeMs,
+    pub(super) progress: Rc<Progress>,
 }
 
 impl EndpointRequest {
@@ -237,6 +239,7 @@
         return AttemptOutcome::Withheld;
     }
     log_sent(gateway, endpoint_request, &id);
+    endpoint_request.progress.set_wait(Wait::Endpoint);
     let mut in_flight = InFlightGuard::open(gateway, endpoint_request, endpoint, id);
     let too_many_informational = limit_informational_responses(&mut request);
     let response = connection.sender.try_send_request(request);
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -13,6 +13,7 @@
 use super::call_store::{STORE_CALL_TIMEOUT_MS, call_store};
 use super::chunk_channel::{ChunkSender, chunk_channel};
 use super::event_stream::next_data;
+use super::in_flight::{Progress, Wait};
 use super::owned_shard::{OwnedShard, Stage};
 use super::state::Gateway;
 use super::turn::until_deadline;
@@ -75,6 +76,7 @@
     pub(super) body: Bytes,
     pub(super) target: ForwardTarget,
     pub(super) deadline: TimeMs,
+    pub(super) progress: Rc<Progress>,
 }
 
 /// Outcome of the search for the owner of a shard.
@@ -94,6 +96,7 @@
     shard: u32,
     forwarded: &ForwardedRequest,
 ) -> Result<OwnerResult, Refusal> {
+    forwarded.progress.set_wait(Wait::Entry);
     let arrived = gateway.now();
     let time_ms = forwarded.deadline.since(arrived);
     let wait_ms = ((time_ms as f64 * OWNER_WAIT_FRACTION) as u64).min(MAX_OWNER_WAIT_MS);
@@ -197,6 +200,7 @@
     address: std::net::SocketAddr,
     forwarded: &ForwardedRequest,
 ) -> Result<SendOutcome, Refusal> {
+    forwarded.progress.set_wait(Wait::Entry);
     let mut connection = match gateway.connections.take(gateway.now(), address).await {
         Ok(connection) => connection,
         Err(fault) => return Ok(SendOutcome::ConnectFailed(fault)),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -34,6 +34,7 @@
 mod hub;
 mod hub_feed;
 mod hubs;
+mod in_flight;
 mod leaf;
 mod leaf_feed;
 mod load_admission;
--- a/src/gateway/observe.rs
+++ b/src/gateway/observe.rs
@@ -118,7 +118,7 @@
 
 /// Sets the gauges of the process's state.
 pub(super) fn update_gauges(gateway: &Gateway) {
-    gauge!("trefoil_requests_running").set(f64::from(gateway.running.get()));
+    gauge!("trefoil_requests_running").set(gateway.requests.count() as f64);
     gauge!("trefoil_shards_owned").set(gateway.shards.all_owned().len() as f64);
     gauge!("trefoil_hub").set(f64::from(u8::from(gateway.is_hub())));
     gauge!("trefoil_leaves_attached").set(gateway.leaves.count() as f64);
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -123,8 +123,8 @@
 /// Shuts down without losing a request: hands the shards off to other entries, tells callers to go
 /// elsewhere, and finishes the responses in flight.
 async fn drain(gateway: &Rc<Gateway>, membership: &Membership, close: &watch::Sender<bool>) {
-    log::info!(running = gateway.running.get(); "shutting down; draining requests in flight");
     let started = gateway.now();
+    log::info!(running = gateway.requests.count(); "shutting down; draining requests in flight");
     gateway.draining.set(true);
     membership.leave().await;
     let grace_ms = gateway.settings.bounds.grace_ms as f64;
@@ -132,6 +132,9 @@
         ((grace_ms * ACCEPT_FRACTION) as u64, (grace_ms * EXIT_FRACTION) as u64);
     let elapsed_ms = |gateway: &Gateway| gateway.now().since(started);
     tokio::time::sleep(Duration::from_millis(accept_ms.saturating_sub(elapsed_ms(gateway)))).await;
+    let in_flight = gateway.requests.count();
+    log::info!(in_flight, draining_ms = elapsed_ms(gateway);
+        "taking no more requests; connections close after their request in flight");
     close.send_replace(true);
     // A request read just before its connection began to close may not be counted as running yet,
     // and the last bytes of a response may still be unsent when its count drops to zero. So the
@@ -139,6 +142,8 @@
     let mut idle_ms = 0;
     while idle_ms < IDLE_BEFORE_EXIT_MS && elapsed_ms(gateway) < exit_ms {
         tokio::time::sleep(Duration::from_millis(DRAIN_POLL_MS)).await;
-        idle_ms = if gateway.running.get() > 0 { 0 } else { idle_ms + DRAIN_POLL_MS };
+        idle_ms = if gateway.requests.count() > 0 { 0 } else { idle_ms + DRAIN_POLL_MS };
     }
+    gateway.requests.log_unanswered(gateway.now());
+    log::info!(unanswered = gateway.requests.count(), draining_ms = elapsed_ms(gateway); "drained");
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -13,6 +13,7 @@
 use hyper::body::{Bytes, Incoming};
 
 use super::forward::{ForwardTarget, ForwardedRequest, MAX_FORWARDED_BYTES, SendOutcome, send};
+use super::in_flight::{Progress, Wait};
 use super::observe::RequestSummary;
 use super::read_body::{NO_WORKSPACE, read_body};
 use super::serve::{check_held_bytes, refusal_response, refuse_and_record};
@@ -53,14 +54,16 @@
     relay_targets: &[SocketAddr],
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
-    let running = gateway.begin_request();
-    let arrived = gateway.now();
+    let (progress, running) = gateway.begin_request();
+    let arrived = progress.arrived();
     let (head, body) = request.into_parts();
     let Some(request_head) = gateway.protocol.parse_request(&head) else {
         return refusal_response(gateway, None, Refusal::BadRequest);
     };
+    progress.set_request(&request_head.request);
     let relayed =
-        read_and_relay(gateway, relay_targets, &request_head, (head, body), arrived).await;
+        read_and_relay(gateway, &progress, relay_targets, &request_head, (head, body)).await;
+    progress.set_wait(Wait::Caller);
     match relayed {
         Ok(response) => response.map(|body| body.with_running_guard(running)),
         Err(refusal) => {
@@ -71,14 +74,15 @@
 
 async fn read_and_relay(
     gateway: &Rc<Gateway>,
+    progress: &Rc<Progress>,
     relay_targets: &[SocketAddr],
     request_head: &RequestHead,
     (head, body): (request::Parts, Incoming),
-    arrived: TimeMs,
 ) -> Result<Response<ResponseBody>, Refusal> {
     check_held_bytes(gateway)?;
+    progress.set_wait(Wait::Body);
     let body = read_body(gateway, &NO_WORKSPACE.into(), body, MAX_FORWARDED_BYTES).await?;
-    let forwarded = forwarded_request(request_head, head, body, arrived);
+    let forwarded = forwarded_request(request_head, head, body, progress);
     try_targets(gateway, relay_targets, forwarded).await
 }
 
@@ -86,7 +90,7 @@
     request_head: &RequestHead,
     head: request::Parts,
     body: Bytes,
-    arrived: TimeMs,
+    progress: &Rc<Progress>,
 ) -> ForwardedRequest {
     ForwardedRequest {
         request: request_head.request.clone(),
@@ -96,7 +100,8 @@
         headers: head.headers,
         body,
         target: ForwardTarget::FreshConfig,
-        deadline: arrived.plus(request_head.wait_ms.unwrap_or(DEFAULT_TIMEOUT_MS)),
+        deadline: progress.arrived().plus(request_head.wait_ms.unwrap_or(DEFAULT_TIMEOUT_MS)),
+        progress: progress.clone(),
     }
 }
 
--- a/src/gateway/response_body.rs
+++ b/src/gateway/response_body.rs
@@ -5,8 +5,8 @@
 use hyper::body::{Body, Bytes, Frame, SizeHint};
 use tokio::sync::mpsc;
 
+use super::in_flight::Running;
 use super::reader_limits::Reader;
-use super::state::Running;
 
 /// Error of a response body that ended before it was complete.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -12,6 +12,7 @@
     ForwardTarget, ForwardedRequest, MAX_FORWARDED_BYTES, NOT_RUN_HEADER, OwnerResult,
     RELAYED_HEADER, ROUTING_HEADER, forward_to_owner, not_owner_response,
 };
+use super::in_flight::{Progress, Wait};
 use super::load_admission::admit_program;
 use super::observe::{self, RequestSummary};
 use super::owned_shard::{OwnedShard, Stage};
@@ -67,16 +68,18 @@
     request: Request<Incoming>,
     left_ms: Option<u64>,
 ) -> Response<ResponseBody> {
-    let running = gateway.begin_request();
-    let arrived = gateway.now();
+    let (progress, running) = gateway.begin_request();
+    let arrived = progress.arrived();
     let (head, body) = request.into_parts();
     let Some(mut request_head) = gateway.protocol.parse_request(&head) else {
         return refusal_response(&gateway, None, Refusal::BadRequest);
     };
+    progress.set_request(&request_head.request);
     request_head.wait_ms = left_ms.or(request_head.wait_ms);
     let mut summary = RequestSummary::default();
-    match admit_and_serve(&gateway, arrived, head, &request_head, body, &mut summary).await {
+    match admit_and_serve(&gateway, &progress, head, &request_head, body, &mut summary).await {
         Ok(response) => {
+            progress.set_wait(Wait::Caller);
             let took_ms = gateway.now().since(arrived);
             observe::record_answered(&request_head, &summary, response.status().as_u16(), took_ms);
             response.map(|body| body.with_running_guard(running))
@@ -119,7 +122,7 @@
 
 async fn admit_and_serve(
     gateway: &Rc<Gateway>,
-    arrived: TimeMs,
+    progress: &Rc<Progress>,
     head: request::Parts,
     request_head: &RequestHead,
     body: Incoming,
@@ -139,6 +142,7 @@
     let stale = Refusal::Unavailable { retry_after_ms: STALE_RETRY_MS };
     let limits = catalog.limits();
     let workspace = workspace_of(&catalog, request_head);
+    progress.set_wait(Wait::Body);
     let body = read_body(gateway, &workspace, body, limits.max_body_bytes).await?;
     // Reading the body may have taken long: decide by the configuration in force now.
     let catalog = gateway.active_config.catalog().unwrap_or(catalog);
@@ -151,15 +155,18 @@
     if !route.public && catalog.requires_keys() && !fresh {
         return Err(stale);
     }
+    progress.set_wait(Wait::Rate);
     let admission = admit(gateway, &catalog, &route, request_head, summary).await?;
     let workspace = admission.workspace.as_deref();
     let routing =
         decide_routing(gateway.settings.mechanisms, &catalog, &route, workspace, request_head);
     let mut served = match routing {
         Ok(routing) => {
-            let deadline = arrived.plus(routing.left_ms);
-            serve_admitted(gateway, AdmittedRequest { head, request_head, routing, body, deadline })
-                .await
+            let deadline = progress.arrived().plus(routing.left_ms);
+            let progress = progress.clone();
+            let admitted =
+                AdmittedRequest { head, request_head, routing, body, deadline, progress };
+            serve_admitted(gateway, admitted).await
         }
         Err(refusal) => Err(refusal),
     };
@@ -238,6 +245,7 @@
     routing: RoutingDecision,
     body: Bytes,
     deadline: TimeMs,
+    progress: Rc<Progress>,
 }
 
 impl AdmittedRequest<'_> {
@@ -278,6 +286,7 @@
             parts: self.request_head.parts.clone(),
             crash_key,
             deadline: self.deadline,
+            progress: self.progress,
         }
     }
 
@@ -291,6 +300,7 @@
             body: self.body.clone(),
             target: ForwardTarget::Owner(self.routing.clone()),
             deadline: self.deadline,
+            progress: self.progress.clone(),
         }
     }
 }
@@ -343,8 +353,7 @@
     gateway: &Rc<Gateway>,
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
-    let running = gateway.begin_request();
-    let arrived = gateway.now();
+    let (progress, running) = gateway.begin_request();
     let (mut head, body) = request.into_parts();
     let routing =
         head.headers.remove(ROUTING_HEADER).and_then(|value| decode_routing(value.as_bytes()));
@@ -352,6 +361,7 @@
     let (Some(routing), Some(request_head)) = (routing, request_head) else {
         return refusal_response(gateway, None, Refusal::BadRequest);
     };
+    progress.set_request(&request_head.request);
     let shard = program_key(&request_head, &routing).shard(gateway.shards.count());
     let Some(shard) = gateway.shards.owned(shard).filter(|s| s.stage() == Stage::Serving) else {
         return not_owner_response();
@@ -363,6 +373,7 @@
     if let Err(refusal) = admit_program(gateway, &shard, program, &request_head, &routing).await {
         return refuse_forwarded(gateway, &request_head, refusal);
     }
+    progress.set_wait(Wait::Body);
     let body = match read_body(gateway, &routing.workspace, body, MAX_FORWARDED_BYTES).await {
         Ok(body) => body,
         Err(refusal @ Refusal::Unavailable { .. }) => {
@@ -370,9 +381,17 @@
         }
         Err(refusal) => return refusal_response(gateway, Some(&request_head.request), refusal),
     };
-    let deadline = arrived.plus(routing.left_ms);
-    let admitted = AdmittedRequest { head, request_head: &request_head, routing, body, deadline };
+    let deadline = progress.arrived().plus(routing.left_ms);
+    let admitted = AdmittedRequest {
+        head,
+        request_head: &request_head,
+        routing,
+        body,
+        deadline,
+        progress: progress.clone(),
+    };
     let served = serve_owned_turn(gateway, shard, admitted).await;
+    progress.set_wait(Wait::Caller);
     let served = served.unwrap_or_else(|refusal| refuse_forwarded(gateway, &request_head, refusal));
     served.map(|body| body.with_running_guard(running))
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -11,6 +11,7 @@
 use super::endpoint_polls::EndpointPolls;
 use super::hub::AttachedLeaves;
 use super::hubs::{Role, Roster};
+use super::in_flight::{Progress, RequestsInFlight, Running};
 use super::leaf::LeafState;
 use super::observe::{count_pace_sample, record_pace_change};
 use super::operator_feed::ActiveConfig;
@@ -82,8 +83,8 @@
     /// acknowledge them without storing them. With another first number they are out of sequence
     /// instead, and the shard is taken again under a later epoch.
     pub(super) first_sequence: u64,
-    /// The number of requests from callers and other entries that are being served.
-    pub(super) running: Cell<u32>,
+    /// The requests from callers and other entries that are being served.
+    pub(super) requests: Rc<RequestsInFlight>,
     clock: Clock,
 }
 
@@ -129,7 +130,7 @@
             gossip_due: Notify::new(),
             renewal_due: Notify::new(),
             draining: Cell::new(false),
-            running: Cell::new(0),
+            requests: Rc::default(),
             clock,
             settings,
         })
@@ -309,10 +310,11 @@
             && self.peers.borrow().store_unreachable_for_most(self.now())
     }
 
-    /// Counts a request as being served until the returned guard is dropped.
-    pub(super) fn begin_request(self: &Rc<Self>) -> Running {
-        self.running.set(self.running.get() + 1);
-        Running(self.clone())
+    /// Counts a request that has arrived as being served until the returned guard is dropped.
+    pub(super) fn begin_request(&self) -> (Rc<Progress>, Running) {
+        let progress = Progress::open(self.now());
+        let running = self.requests.begin(progress.clone());
+        (progress, running)
     }
 
     /// Whether the load balancer should send callers here. It should stop well before the
@@ -327,18 +329,3 @@
         !self.draining.get() && takes_part && is_fresh
     }
 }
-
-/// Guard that counts a request as being served.
-pub(super) struct Running(Rc<Gateway>);
-
-impl std::fmt::Debug for Running {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("Running")
-    }
-}
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        self.0.running.set(self.0.running.get() - 1);
-    }
-}
--- a/src/gateway/tests/attempts.rs
+++ b/src/gateway/tests/attempts.rs
@@ -12,6 +12,7 @@
 use crate::gateway::attempt::{AttemptOutcome, EndpointRequest, attempt};
 use crate::gateway::dispatch::Dispatch;
 use crate::gateway::event_stream::{EventStream, ResponseStart};
+use crate::gateway::in_flight::Progress;
 use crate::gateway::state::Gateway;
 use crate::gateway::suspects::CrashKey;
 use crate::prelude::*;
@@ -29,6 +30,7 @@
         parts: vec![],
         crash_key: CrashKey(0),
         deadline: TimeMs(60_000),
+        progress: Progress::open(TimeMs(0)),
     }
 }
 
--- a/src/gateway/tests/slow_readers.rs
+++ b/src/gateway/tests/slow_readers.rs
@@ -17,6 +17,7 @@
 use crate::gateway::collect_response::collect_response;
 use crate::gateway::current_response::CurrentResponse;
 use crate::gateway::forward::{ForwardTarget, ForwardedRequest, SendOutcome, send};
+use crate::gateway::in_flight::Progress;
 use crate::gateway::read_body::read_counted;
 use crate::gateway::reader_limits::ReaderLimits;
 use crate::gateway::server::drive_connection;
@@ -196,6 +197,7 @@
         body: Bytes::new(),
         target: ForwardTarget::FreshConfig,
         deadline: TimeMs(60_000),
+        progress: Progress::open(NOW),
     }
 }
 
--- a/src/gateway/turn.rs
+++ b/src/gateway/turn.rs
@@ -12,6 +12,7 @@
 use super::event_stream::{CompletedResponse, EventStream, ResponseStart};
 use super::find_turn::find_chain;
 use super::handoff::{TurnHandoff, hand_off};
+use super::in_flight::Wait;
 use super::owned_shard::OwnedShard;
 use super::read_body::{count_prompt, uncounted};
 use super::reader_limits::ReaderGone;
@@ -157,6 +158,8 @@
     async fn run(&mut self, caller: &mut Caller) -> Result<(), Refusal> {
         let gateway = self.gateway.clone();
         let deadline = self.turn_request.endpoint_request.deadline;
+        let progress = self.turn_request.endpoint_request.progress.clone();
+        progress.set_wait(Wait::Store);
         let mut charge = self.reserve().await?;
         let reader = match self.turn_request.endpoint_request.routing.keeps_history {
             true => EventReader::collecting_output(),
@@ -171,11 +174,13 @@
             }
         };
         let mut next = events.next_chunk().await?;
+        progress.set_wait(Wait::Store);
         // The caller may receive tokens only after they are charged durably, or the shard's next
         // owner would grant the same budget again. If this owner can no longer record the charge,
         // the tokens are withheld until the next owner has.
         let durable = until_deadline(&gateway, deadline, charge.wait_until_durable()).await?;
         let mut withheld = Vec::new();
+        progress.set_wait(Wait::Endpoint);
         if durable {
             caller.send_head(Ok(head.clone()));
         }
@@ -196,6 +201,7 @@
             self.turn_request.program,
             completed_response.first_event_ms,
         );
+        progress.set_wait(Wait::Store);
         self.settle(charge, completed_response, durable).await?;
         caller.send_head(Ok(head));
         for chunk in withheld {
