Answer what is in flight before a stopped gateway exits

Cause: three bounds that nothing related to each other: until when a stopped gateway accepts requests (0.45 of the grace period), how long a request may last (its route's timeout, its caller's time limit), and when the process exits (0.92). A request that waits longer than the 0.47 in between, for an endpoint that never answers, for the rest of its own body, for the store, ended with the process.

Evidence: the log of the stopped gateway names the requests at its exit, waits_for 'endpoint' or 'body', at 3,681 ms of a grace period of 4 s; the cut comes then whatever the request's own time is.

Change: ShutdownSchedule holds the three times, the last of them split in two: when answers are due, and the exit, with a twentieth of the grace period in between to write them. The exit itself is where it was. Every request of a caller or another entry is served within until_answers_are_due, whatever it waits for. What is answered follows from Progress: 503 with a retry delay if the request was certainly not sent or every endpoint has refused it, 502 if it may have run. A request that was given up is not sent any more, nor is its body to another entry, so that the 503 stays true. Its share of the rate is returned. A line names each request that was given up, and what it waited for.

Why this suffices: answers are due for all requests at once and not at each place where one waits, so that a new wait needs no care. Not covered: a stream whose head has been sent can only be cut; a line names it.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -190,7 +190,8 @@
     /// The endpoint states that it has not run the request.
     NotRun,
     /// Nothing was sent: since the endpoint was chosen, it has left, its failure domain was
-    /// evacuated, or this entry's limit for it while it is cold was used up.
+    /// evacuated, or this entry's limit for it while it is cold was used up; or the request was given
+    /// up.
     Withheld,
     /// Nothing was sent: the request's deadline has passed. This says nothing about the endpoint.
     Expired,
@@ -238,8 +239,13 @@
         gateway.connections.put_back(gateway.now(), connection);
         return AttemptOutcome::Withheld;
     }
+    let progress = &endpoint_request.progress;
+    if !progress.begin_send() {
+        gateway.connections.put_back(gateway.now(), connection);
+        return AttemptOutcome::Withheld;
+    }
     log_sent(gateway, endpoint_request, &id);
-    endpoint_request.progress.set_wait(Wait::Endpoint);
+    progress.set_wait(Wait::Endpoint);
     let mut in_flight = InFlightGuard::open(gateway, endpoint_request, endpoint, id);
     let too_many_informational = limit_informational_responses(&mut request);
     let response = connection.sender.try_send_request(request);
@@ -259,7 +265,10 @@
             in_flight.stop_silence_timer();
             let (head, body) = response.into_parts();
             match gateway.protocol.classify_reply(&head, &endpoint_request.request) {
-                ResponseKind::NotRun => AttemptOutcome::NotRun,
+                ResponseKind::NotRun => {
+                    progress.record_not_run();
+                    AttemptOutcome::NotRun
+                }
                 ResponseKind::Untrusted => AttemptOutcome::Unknown,
                 ResponseKind::Own => {
                     if let Some(idle_ms) = keep_alive_ms(&head.headers) {
@@ -273,7 +282,10 @@
         Err(mut fault) => {
             in_flight.abandon();
             match fault.take_message() {
-                Some(_) => AttemptOutcome::NeverSent { stale_connection: connection.reused },
+                Some(_) => {
+                    progress.record_not_run();
+                    AttemptOutcome::NeverSent { stale_connection: connection.reused }
+                }
                 None => AttemptOutcome::Unknown,
             }
         }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -201,11 +201,26 @@
     forwarded: &ForwardedRequest,
 ) -> Result<SendOutcome, Refusal> {
     forwarded.progress.set_wait(Wait::Entry);
+    let outcome = send_once(gateway, address, forwarded).await?;
+    if !matches!(outcome, SendOutcome::Responded(_)) {
+        forwarded.progress.end_forward();
+    }
+    Ok(outcome)
+}
+
+async fn send_once(
+    gateway: &Rc<Gateway>,
+    address: std::net::SocketAddr,
+    forwarded: &ForwardedRequest,
+) -> Result<SendOutcome, Refusal> {
     let mut connection = match gateway.connections.take(gateway.now(), address).await {
         Ok(connection) => connection,
         Err(fault) => return Ok(SendOutcome::ConnectFailed(fault)),
     };
     let gate = Arc::new(BodyGate::default());
+    if !forwarded.progress.begin_forward(&gate) {
+        return Ok(SendOutcome::NotServed);
+    }
     if forwarded.body.is_empty() {
         gate.open();
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -62,6 +62,7 @@
 mod service_state;
 mod settings;
 mod shard_table;
+mod shutdown;
 mod silent_entries;
 mod state;
 mod status;
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -5,6 +5,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::spawn_local;
+use tokio::time::Instant;
 
 use super::endpoint_feed::follow_endpoint_list;
 use super::endpoint_polls::poll_endpoints;
@@ -15,26 +16,12 @@
 use super::operator_feed::follow_operator_record;
 use super::roster_feed::announce_and_follow_roster;
 use super::server::{ListenerKind, accept, listen};
+use super::shutdown::finish_in_flight;
 use super::state::Gateway;
 use super::{GatewayError, GatewaySettings, Protocol, Store};
 use crate::daemon::Shutdown;
 use crate::telemetry::{Metrics, flush_logs};
 
-/// Fraction of the grace period (SIGTERM to SIGKILL) during which new requests are still accepted.
-/// The load balancer needs two seconds to notice that this entry is not ready; the rest is left for
-/// the responses in flight.
-const ACCEPT_FRACTION: f64 = 0.45;
-
-/// Fraction of the grace period after which the process exits, whatever is still in flight.
-const EXIT_FRACTION: f64 = 0.92;
-
-/// A draining process exits once no request has been in flight for this long: several times what
-/// a loaded entry takes from the arrival of a request until it is counted as running.
-const IDLE_BEFORE_EXIT_MS: u64 = 200;
-
-/// How often a draining process checks for requests in flight.
-const DRAIN_POLL_MS: u64 = 20;
-
 /// Pause between two flushes of the log. A killed process may lose the lines of this interval;
 /// flushing each line would cost a system call per line.
 const LOG_FLUSH_INTERVAL_MS: u64 = 200;
@@ -121,29 +108,11 @@
 }
 
 /// Shuts down without losing a request: hands the shards off to other entries, tells callers to go
-/// elsewhere, and finishes the responses in flight.
+/// elsewhere, and finishes or answers what is in flight.
 async fn drain(gateway: &Rc<Gateway>, membership: &Membership, close: &watch::Sender<bool>) {
-    let started = gateway.now();
+    let started = Instant::now();
     log::info!(running = gateway.requests.count(); "shutting down; draining requests in flight");
     gateway.draining.set(true);
     membership.leave().await;
-    let grace_ms = gateway.settings.bounds.grace_ms as f64;
-    let (accept_ms, exit_ms) =
-        ((grace_ms * ACCEPT_FRACTION) as u64, (grace_ms * EXIT_FRACTION) as u64);
-    let elapsed_ms = |gateway: &Gateway| gateway.now().since(started);
-    tokio::time::sleep(Duration::from_millis(accept_ms.saturating_sub(elapsed_ms(gateway)))).await;
-    let in_flight = gateway.requests.count();
-    log::info!(in_flight, draining_ms = elapsed_ms(gateway);
-        "taking no more requests; connections close after their request in flight");
-    close.send_replace(true);
-    // A request read just before its connection began to close may not be counted as running yet,
-    // and the last bytes of a response may still be unsent when its count drops to zero. So the
-    // process exits only after no request has been in flight for a while.
-    let mut idle_ms = 0;
-    while idle_ms < IDLE_BEFORE_EXIT_MS && elapsed_ms(gateway) < exit_ms {
-        tokio::time::sleep(Duration::from_millis(DRAIN_POLL_MS)).await;
-        idle_ms = if gateway.requests.count() > 0 { 0 } else { idle_ms + DRAIN_POLL_MS };
-    }
-    gateway.requests.log_unanswered(gateway.now());
-    log::info!(unanswered = gateway.requests.count(), draining_ms = elapsed_ms(gateway); "drained");
+    finish_in_flight(gateway, close, started).await;
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -17,6 +17,7 @@
 use super::observe::RequestSummary;
 use super::read_body::{NO_WORKSPACE, read_body};
 use super::serve::{check_held_bytes, refusal_response, refuse_and_record};
+use super::shutdown::until_answers_are_due;
 use super::state::Gateway;
 use super::{Refusal, RequestHead, ResponseBody};
 use crate::mechanisms::Mechanism;
@@ -61,8 +62,8 @@
         return refusal_response(gateway, None, Refusal::BadRequest);
     };
     progress.set_request(&request_head.request);
-    let relayed =
-        read_and_relay(gateway, &progress, relay_targets, &request_head, (head, body)).await;
+    let relayed = read_and_relay(gateway, &progress, relay_targets, &request_head, (head, body));
+    let relayed = until_answers_are_due(gateway, &progress, relayed).await;
     progress.set_wait(Wait::Caller);
     match relayed {
         Ok(response) => response.map(|body| body.with_running_guard(running)),
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -18,6 +18,7 @@
 use super::owned_shard::{OwnedShard, Stage};
 use super::read_body::{NO_WORKSPACE, read_body};
 use super::relay::{relay, relay_targets};
+use super::shutdown::until_answers_are_due;
 use super::state::Gateway;
 use super::suspects::CrashKey;
 use super::turn::{TurnRequest, serve_turn, until_deadline};
@@ -77,7 +78,8 @@
     progress.set_request(&request_head.request);
     request_head.wait_ms = left_ms.or(request_head.wait_ms);
     let mut summary = RequestSummary::default();
-    match admit_and_serve(&gateway, &progress, head, &request_head, body, &mut summary).await {
+    let served = admit_and_serve(&gateway, &progress, head, &request_head, body, &mut summary);
+    match until_answers_are_due(&gateway, &progress, served).await {
         Ok(response) => {
             progress.set_wait(Wait::Caller);
             let took_ms = gateway.now().since(arrived);
@@ -163,10 +165,17 @@
     let mut served = match routing {
         Ok(routing) => {
             let deadline = progress.arrived().plus(routing.left_ms);
-            let progress = progress.clone();
-            let admitted =
-                AdmittedRequest { head, request_head, routing, body, deadline, progress };
-            serve_admitted(gateway, admitted).await
+            let admitted = AdmittedRequest {
+                head,
+                request_head,
+                routing,
+                body,
+                deadline,
+                progress: progress.clone(),
+            };
+            // The request is given up here, too, so that its share of the rate is returned.
+            let served = serve_admitted(gateway, admitted);
+            until_answers_are_due(gateway, progress, served).await
         }
         Err(refusal) => Err(refusal),
     };
@@ -366,36 +375,33 @@
     let Some(shard) = gateway.shards.owned(shard).filter(|s| s.stage() == Stage::Serving) else {
         return not_owner_response();
     };
-    let program = program_key(&request_head, &routing);
-    if let Err(refusal) = check_held_bytes(gateway) {
-        return refuse_forwarded(gateway, &request_head, refusal);
-    }
-    if let Err(refusal) = admit_program(gateway, &shard, program, &request_head, &routing).await {
-        return refuse_forwarded(gateway, &request_head, refusal);
-    }
-    progress.set_wait(Wait::Body);
-    let body = match read_body(gateway, &routing.workspace, body, MAX_FORWARDED_BYTES).await {
-        Ok(body) => body,
-        Err(refusal @ Refusal::Unavailable { .. }) => {
-            return refuse_forwarded(gateway, &request_head, refusal);
-        }
-        Err(refusal) => return refusal_response(gateway, Some(&request_head.request), refusal),
-    };
-    let deadline = progress.arrived().plus(routing.left_ms);
-    let admitted = AdmittedRequest {
-        head,
-        request_head: &request_head,
-        routing,
-        body,
-        deadline,
-        progress: progress.clone(),
-    };
-    let served = serve_owned_turn(gateway, shard, admitted).await;
+    let head = (head, &request_head);
+    let served = admit_and_serve_forwarded(gateway, &progress, shard, head, routing, body);
+    let served = until_answers_are_due(gateway, &progress, served).await;
     progress.set_wait(Wait::Caller);
     let served = served.unwrap_or_else(|refusal| refuse_forwarded(gateway, &request_head, refusal));
     served.map(|body| body.with_running_guard(running))
 }
 
+async fn admit_and_serve_forwarded(
+    gateway: &Rc<Gateway>,
+    progress: &Rc<Progress>,
+    shard: Rc<OwnedShard>,
+    (head, request_head): (request::Parts, &RequestHead),
+    routing: RoutingDecision,
+    body: Incoming,
+) -> Result<Response<ResponseBody>, Refusal> {
+    check_held_bytes(gateway)?;
+    let program = program_key(request_head, &routing);
+    admit_program(gateway, &shard, program, request_head, &routing).await?;
+    progress.set_wait(Wait::Body);
+    let body = read_body(gateway, &routing.workspace, body, MAX_FORWARDED_BYTES).await?;
+    let deadline = progress.arrived().plus(routing.left_ms);
+    let progress = progress.clone();
+    let admitted = AdmittedRequest { head, request_head, routing, body, deadline, progress };
+    serve_owned_turn(gateway, shard, admitted).await
+}
+
 /// Builds the response to a refused turn of another entry.
 fn refuse_forwarded(
     gateway: &Gateway,
--- /dev/null
+++ b/src/gateway/shutdown.rs
@@ -0,0 +1,100 @@
+//! The steps of a shutdown: what is in flight is finished, or answered before the process exits.
+
+use std::time::Duration;
+
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep, sleep_until};
+
+use super::Refusal;
+use super::in_flight::Progress;
+use super::state::Gateway;
+
+/// Fraction of the grace period (SIGTERM to SIGKILL) during which new requests are still accepted.
+/// The load balancer needs two seconds to notice that this entry is not ready; the rest is left for
+/// the responses in flight.
+const ACCEPT_FRACTION: f64 = 0.45;
+
+/// Fraction of the grace period after which the process exits, whatever is still in flight.
+const EXIT_FRACTION: f64 = 0.92;
+
+/// Fraction of the grace period, before the exit, that is left for writing the last responses.
+const WRITE_FRACTION: f64 = 0.05;
+
+/// A draining process exits once no request has been in flight for this long: several times what
+/// a loaded entry takes from the arrival of a request until it is counted as running.
+const IDLE_BEFORE_EXIT_MS: u64 = 200;
+
+/// How often a draining process checks for requests in flight.
+const DRAIN_POLL_MS: u64 = 20;
+
+/// When the steps of a shutdown take place, in milliseconds after SIGTERM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct ShutdownSchedule {
+    /// No more requests are accepted; connections close after their request in flight.
+    pub(super) accept_ms: u64,
+    /// Requests that are still in flight are answered. A request may be allowed to last until after
+    /// the exit, and would otherwise end with a closed connection.
+    pub(super) answer_ms: u64,
+    /// The process exits.
+    pub(super) exit_ms: u64,
+}
+
+impl ShutdownSchedule {
+    /// The schedule for a grace period.
+    pub(super) fn of_grace(grace_ms: u64) -> ShutdownSchedule {
+        let after = |fraction: f64| (grace_ms as f64 * fraction) as u64;
+        ShutdownSchedule {
+            accept_ms: after(ACCEPT_FRACTION),
+            answer_ms: after(EXIT_FRACTION - WRITE_FRACTION),
+            exit_ms: after(EXIT_FRACTION),
+        }
+    }
+}
+
+/// Takes requests until `close` is due, then waits until none has been in flight for a while. What is still in
+/// flight is answered before the process has to exit. `started` is the time of SIGTERM.
+pub(super) async fn finish_in_flight(
+    gateway: &Gateway,
+    close: &watch::Sender<bool>,
+    started: Instant,
+) {
+    let schedule = ShutdownSchedule::of_grace(gateway.settings.bounds.grace_ms);
+    let at = |after_ms: u64| started + Duration::from_millis(after_ms);
+    let draining_ms = || started.elapsed().as_millis() as u64;
+    sleep_until(at(schedule.accept_ms)).await;
+    log::info!(in_flight = gateway.requests.count(), draining_ms = draining_ms();
+        "accepting no more requests; connections close after their request in flight");
+    close.send_replace(true);
+    // A request read just before its connection began to close may not be counted as running yet,
+    // and the last bytes of a response may still be unsent when its count drops to zero. So the
+    // process exits only after no request has been in flight for a while.
+    let mut idle_ms = 0;
+    while idle_ms < IDLE_BEFORE_EXIT_MS && draining_ms() < schedule.exit_ms {
+        sleep(Duration::from_millis(DRAIN_POLL_MS)).await;
+        if draining_ms() >= schedule.answer_ms {
+            gateway.answers_due.cancel();
+        }
+        idle_ms = if gateway.requests.count() > 0 { 0 } else { idle_ms + DRAIN_POLL_MS };
+    }
+    gateway.requests.log_unanswered(gateway.now());
+    log::info!(unanswered = gateway.requests.count(), draining_ms = draining_ms(); "drained");
+}
+
+/// Serves a request, until it has to be answered because the process exits.
+pub(super) async fn until_answers_are_due<T>(
+    gateway: &Gateway,
+    progress: &Progress,
+    serving: impl Future<Output = Result<T, Refusal>>,
+) -> Result<T, Refusal> {
+    tokio::select! {
+        biased;
+        served = serving => served,
+        () = gateway.answers_due.cancelled() => {
+            let refusal = progress.give_up();
+            log::warn!(request:% = progress.request(), waits_for = progress.wait().name(),
+                age_ms = gateway.now().since(progress.arrived()), refusal = refusal.name();
+                "process exits; answering a request in flight");
+            Err(refusal)
+        }
+    }
+}
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
 
 use super::ask_hub::Questions;
 use super::attempt::EndpointRequest;
@@ -85,6 +86,8 @@
     pub(super) first_sequence: u64,
     /// The requests from callers and other entries that are being served.
     pub(super) requests: Rc<RequestsInFlight>,
+    /// Cancelled when all requests in flight must be answered, since the process is about to exit.
+    pub(super) answers_due: CancellationToken,
     clock: Clock,
 }
 
@@ -131,6 +134,7 @@
             renewal_due: Notify::new(),
             draining: Cell::new(false),
             requests: Rc::default(),
+            answers_due: CancellationToken::new(),
             clock,
             settings,
         })
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -14,6 +14,7 @@
 mod load_metrics;
 mod load_reports;
 mod rates_model;
+mod shutdown;
 mod slow_readers;
 mod status;
 mod stream_times;
