A stopped gateway exits when its connections have ended, not when nothing is counted

What callers see: a response is cut off at the exit of a stopped gateway though its endpoint had answered in full: a caller that reads slowly gets the beginning.

Cause: the process exited once no request had been counted for 200 ms. A request is counted until the HTTP implementation has taken the last of its response, which for a buffered response is before the first byte is written.

Evidence: a_response_is_written_to_its_end_before_the_exit, without network: on the code before 1,024 bytes of 1 MiB reach a caller who goes on reading 6 s after SIGTERM; now all.

Change: connections are tracked (tokio_util's TaskTracker), and the drain waits for their end, which comes after the last byte was written, or for the exit. The pause of 200 ms, a guess for how long the last bytes take, is gone, as is the poll every 20 ms.

--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -83,7 +83,7 @@
                     metrics.clone(),
                     closing.clone(),
                 );
-                tokio::task::spawn_local(serving);
+                gateway.served_connections.spawn_local(serving);
             }
             Err(fault) => {
                 log::warn!(fault:display; "accepting a connection failed; trying again");
--- a/src/gateway/shutdown.rs
+++ b/src/gateway/shutdown.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 use super::Refusal;
 use super::in_flight::Progress;
@@ -20,13 +20,6 @@
 /// Fraction of the grace period, before the exit, that is left for writing the last responses.
 const WRITE_FRACTION: f64 = 0.05;
 
-/// A draining process exits once no request has been in flight for this long: several times what
-/// a loaded entry takes from the arrival of a request until it is counted as running.
-const IDLE_BEFORE_EXIT_MS: u64 = 200;
-
-/// How often a draining process checks for requests in flight.
-const DRAIN_POLL_MS: u64 = 20;
-
 /// When the steps of a shutdown take place, in milliseconds after SIGTERM.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct ShutdownSchedule {
@@ -51,7 +44,7 @@
     }
 }
 
-/// Takes requests until `close` is due, then waits until none has been in flight for a while. What is still in
+/// Takes requests until `close` is due, then waits until all connections have ended. What is still in
 /// flight is answered before the process has to exit. `started` is the time of SIGTERM.
 pub(super) async fn finish_in_flight(
     gateway: &Gateway,
@@ -65,19 +58,17 @@
     log::info!(in_flight = gateway.requests.count(), draining_ms = draining_ms();
         "accepting no more requests; connections close after their request in flight");
     close.send_replace(true);
-    // A request read just before its connection began to close may not be counted as running yet,
-    // and the last bytes of a response may still be unsent when its count drops to zero. So the
-    // process exits only after no request has been in flight for a while.
-    let mut idle_ms = 0;
-    while idle_ms < IDLE_BEFORE_EXIT_MS && draining_ms() < schedule.exit_ms {
-        sleep(Duration::from_millis(DRAIN_POLL_MS)).await;
-        if draining_ms() >= schedule.answer_ms {
-            gateway.answers_due.cancel();
+    let connections = &gateway.served_connections;
+    connections.close();
+    // A request does not count as in flight any more once the rest of its response is buffered for the
+    // connection. Only the end of the connection shows that the response was written.
+    if timeout_at(at(schedule.answer_ms), connections.wait()).await.is_err() {
+        gateway.answers_due.cancel();
+        if timeout_at(at(schedule.exit_ms), connections.wait()).await.is_err() {
+            gateway.requests.log_unanswered(gateway.now());
         }
-        idle_ms = if gateway.requests.count() > 0 { 0 } else { idle_ms + DRAIN_POLL_MS };
     }
-    gateway.requests.log_unanswered(gateway.now());
-    log::info!(unanswered = gateway.requests.count(), draining_ms = draining_ms(); "drained");
+    log::info!(open_connections = connections.len(), draining_ms = draining_ms(); "drained");
 }
 
 /// Serves a request, until it has to be answered because the process exits.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -5,6 +5,7 @@
 
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 use super::ask_hub::Questions;
 use super::attempt::EndpointRequest;
@@ -86,6 +87,8 @@
     pub(super) first_sequence: u64,
     /// The requests from callers and other entries that are being served.
     pub(super) requests: Rc<RequestsInFlight>,
+    /// The open connections to this entry. One ends after its last response was written.
+    pub(super) served_connections: TaskTracker,
     /// Cancelled when all requests in flight must be answered, since the process is about to exit.
     pub(super) answers_due: CancellationToken,
     clock: Clock,
@@ -134,6 +137,7 @@
             renewal_due: Notify::new(),
             draining: Cell::new(false),
             requests: Rc::default(),
+            served_connections: TaskTracker::new(),
             answers_due: CancellationToken::new(),
             clock,
             settings,
--- a/src/gateway/tests/shutdown.rs
+++ b/src/gateway/tests/shutdown.rs
@@ -26,6 +26,12 @@
 /// The grace period of the gateways in these tests.
 const GRACE_MS: u64 = 8_000;
 
+/// Time after SIGTERM at which a late reader goes on reading: before answers are due.
+const LATE_MS: u64 = 6_000;
+
+/// A response that is far larger than what the connection buffers.
+const LONG_BYTES: usize = 1 << 20;
+
 /// What was done with a request before it is given up.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Step {
@@ -50,7 +56,7 @@
 fn connect(gateway: &Rc<Gateway>, close: &watch::Sender<bool>, answer: Answer) -> DuplexStream {
     let (client, server) = duplex(1_024);
     let (serving, closing) = (gateway.clone(), close.subscribe());
-    tokio::task::spawn_local(async move {
+    gateway.served_connections.spawn_local(async move {
         let service = service_fn(|_| {
             let gateway = serving.clone();
             async move { Ok::<_, Infallible>(serve(&gateway, answer).await) }
@@ -63,6 +69,7 @@
 /// How a request of these tests is served.
 #[derive(Debug, Clone, Copy)]
 enum Answer {
+    AtLength,
     Never,
     /// After this many milliseconds.
     After(u64),
@@ -72,6 +79,7 @@
     let (progress, running) = gateway.begin_request();
     let served = async {
         match answer {
+            Answer::AtLength => Ok(Bytes::from(vec![b'-'; LONG_BYTES])),
             Answer::Never => std::future::pending().await,
             Answer::After(ms) => {
                 tokio::time::sleep(Duration::from_millis(ms)).await;
@@ -152,5 +160,49 @@
     let received = LocalSet::new().run_until(exchange).await;
     assert!(received.starts_with(expected), "{received:?}");
     let took_ms = started.elapsed().as_millis() as u64;
-    assert!((exit_ms..exit_ms + GRACE_MS / 20).contains(&took_ms), "{took_ms}");
+    assert!((exit_ms..exit_ms + GRACE_MS / 50).contains(&took_ms), "{took_ms}");
+}
+
+// Guards against a response that is cut off because its request does not count as in flight any more
+// once the connection has taken its bytes, although they are not written.
+#[tokio::test(start_paused = true)]
+async fn a_response_is_written_to_its_end_before_the_exit() {
+    let gateway = fakes::gateway(FakeStore::default());
+    let (close, _) = watch::channel(false);
+    let started = Instant::now();
+    let tasks = LocalSet::new();
+    let exchange = async {
+        let mut client = connect(&gateway, &close, Answer::AtLength);
+        request(&mut client).await;
+        let mut begin = [0; 512];
+        client.read_exact(&mut begin).await.expect("the response begins");
+        assert_eq!(gateway.requests.count(), 0, "the connection has taken all of its bytes");
+        let reading = tokio::spawn(async move {
+            tokio::time::sleep(Duration::from_millis(LATE_MS)).await;
+            response(client).await
+        });
+        finish_in_flight(&gateway, &close, started).await;
+        reading
+    };
+    let reading = tasks.run_until(exchange).await;
+    // The exit ends all connections.
+    drop(tasks);
+    let received = reading.await.expect("no panic");
+    assert!(received.len() > LONG_BYTES - 512, "cut off after {} bytes", received.len());
+}
+
+// Guards against an exit that waits for callers which neither read nor disconnect.
+#[tokio::test(start_paused = true)]
+async fn the_exit_waits_for_no_reader() {
+    let gateway = fakes::gateway(FakeStore::default());
+    let (close, _) = watch::channel(false);
+    let started = Instant::now();
+    let stopping = async {
+        let mut client = connect(&gateway, &close, Answer::AtLength);
+        request(&mut client).await;
+        finish_in_flight(&gateway, &close, started).await;
+        drop(client);
+    };
+    LocalSet::new().run_until(stopping).await;
+    assert!(started.elapsed() < Duration::from_millis(GRACE_MS), "{:?}", started.elapsed());
 }
