Shown not to happen: an answer lost to the reset of a connection with unread bytes

A caller that is still sending its body when the gateway answers and exits: the connection closes with unread bytes and is reset. The test guards this on real processes.

--- a/soak/tests/shutdown.rs
+++ b/soak/tests/shutdown.rs
@@ -164,3 +164,21 @@
     assert_eq!(world.journal.counts().get("slow"), None, "it has not run");
     wait_for_exit(&mut world).await;
 }
+
+// Guards against an answer that is lost to the reset of a connection that closes with unread bytes: the
+// caller is still sending its body when the gateway answers and exits.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_is_still_sending_gets_its_answer() {
+    let mut world = world(2).await;
+    let mut connection = KeptConnection::open(world.entry(0)).await;
+    connection.send("POST /actions/1", "upload", "transfer-encoding: chunked\r\n\r\n").await;
+    stop(&mut world).await;
+    let (mut reader, mut writer) = connection.0.into_split();
+    while writer.write_all(b"4\r\ntext\r\n").await.is_ok() {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    let mut response = Vec::new();
+    reader.read_to_end(&mut response).await.expect("the response has an end");
+    assert_eq!(status(&response), Some(503));
+    wait_for_exit(&mut world).await;
+}
