A stopped gateway accepts requests for 3 s at most

What callers could see: a stream that began late in a stop is cut off at the exit. Its head has been sent, so it can't be answered any more.

Cause: with a grace period of 8 s requests were accepted until 3.6 s after SIGTERM, by a fraction that knew nothing of how long a stream may last. The operators' rule excuses a stream that an endpoint still runs near the end of the grace period only if it was sent within 3 s.

The load balancer needs 2 s. A caller whose idle connection closes 0.6 s sooner opens one to another entry, which can serve it in full; nothing is refused.

--- a/src/gateway/shutdown.rs
+++ b/src/gateway/shutdown.rs
@@ -9,11 +9,15 @@
 use super::in_flight::Progress;
 use super::state::Gateway;
 
-/// Fraction of the grace period (SIGTERM to SIGKILL) during which new requests are still accepted.
-/// The load balancer needs two seconds to notice that this entry is not ready; the rest is left for
-/// the responses in flight.
+/// Fraction of the grace period (SIGTERM to SIGKILL) during which new requests are still accepted, at
+/// most. The rest is left for the responses in flight.
 const ACCEPT_FRACTION: f64 = 0.45;
 
+/// How long new requests are still accepted at most. The load balancer needs two seconds to notice that
+/// this entry is not ready. A stream that is accepted later may last beyond the exit, which cuts it off,
+/// while another entry could serve all of it.
+const MAX_ACCEPT_MS: u64 = 3_000;
+
 /// Fraction of the grace period after which the process exits, whatever is still in flight.
 const EXIT_FRACTION: f64 = 0.92;
 
@@ -37,7 +41,7 @@
     pub(super) fn of_grace(grace_ms: u64) -> ShutdownSchedule {
         let after = |fraction: f64| (grace_ms as f64 * fraction) as u64;
         ShutdownSchedule {
-            accept_ms: after(ACCEPT_FRACTION),
+            accept_ms: after(ACCEPT_FRACTION).min(MAX_ACCEPT_MS),
             answer_ms: after(EXIT_FRACTION - WRITE_FRACTION),
             exit_ms: after(EXIT_FRACTION),
         }
