--- a/src/gateway/tests/shutdown.rs
+++ b/src/gateway/tests/shutdown.rs
@@ -175,20 +175,20 @@
     let (close, _) = watch::channel(false);
     let started = Instant::now();
     let tasks = LocalSet::new();
-    let exchange = async {
+    let begun = async {
         let mut client = connect(&gateway, &close, Answer::AtLength);
         request(&mut client).await;
         let mut begin = [0; 512];
         client.read_exact(&mut begin).await.expect("the response begins");
-        assert_eq!(gateway.requests.count(), 0, "the connection has taken all of its bytes");
-        let reading = tokio::spawn(async move {
-            tokio::time::sleep(Duration::from_millis(LATE_MS)).await;
-            response(client).await
-        });
-        finish_in_flight(&gateway, &close, started).await;
-        reading
+        client
     };
-    let reading = tasks.run_until(exchange).await;
+    let client = tasks.run_until(begun).await;
+    assert_eq!(gateway.requests.count(), 0, "the connection has taken all of its bytes");
+    let reading = tokio::spawn(async move {
+        tokio::time::sleep(Duration::from_millis(LATE_MS)).await;
+        response(client).await
+    });
+    tasks.run_until(finish_in_flight(&gateway, &close, started)).await;
     // The exit ends all connections.
     drop(tasks);
     let received = reading.await.expect("no panic");
