Answer the calls in flight at a stopped entry before it exits

No log line named it. One caller that didn't read kept all shards from being released.

Cause: the drain timeout was the only bound. At its end the drain was dropped with all that it waited for, and the process exited; nothing was to answer the calls before.

Change: DrainBounds relates the bounds in one place. A call at another entry's owner gets owner_lost, unknown. Calls that other entries forwarded go on at the next owner, as after the owner's death, but without waiting for it to be missed. An intent that was not sent is dropped, so a call that is refused as not run is never dispatched. The rest of a body is read on until the exit, as a close with unread bytes resets the connection and may overtake the answer. Each call and turn in flight is logged with what it waits for when answers are due, and each whose response is still unread at the exit.

Evidence: tests/shutdown.rs, real processes.

Why it works: whoever a call waits for ends the wait when answers are due, so the response is built while its connection is still served, and the exit comes after the time to write it.

--- a/src/entry/callers.rs
+++ b/src/entry/callers.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::{AUTHORIZATION, HeaderName};
 use hyper::{Method, Request, Response, StatusCode};
@@ -9,6 +10,7 @@
 
 use crate::contracts::{Contract, KeyDigest, KeyId};
 use crate::entry::api::{ApiError, ApiErrorCode, ChatRequest};
+use crate::entry::calls_in_flight::{CallInFlight, Wait};
 use crate::entry::forward::{Call, forward};
 use crate::entry::rates::RateRefusal;
 use crate::entry::responses::ResponseBuilder;
@@ -48,25 +50,43 @@
 
 /// Handles a caller's request. Errors are counted by their code.
 pub(super) async fn handle(entry: Arc<Entry>, request: Request<Incoming>) -> Response<Body> {
-    match route(entry, request).await {
+    let call = entry.calls.begin(entry.clock.now());
+    let response = match route(entry, &call, request).await {
         Ok(response) => response,
         Err(error) => {
             metrics::counter!("trefoil_refusals", "code" => error.code.text()).increment(1);
             error.response()
         }
-    }
+    };
+    call.set_wait(Wait::Caller);
+    response.map(|body| hold_until_sent(body, call))
+}
+
+/// Keeps a call in flight as long as the body of its response.
+fn hold_until_sent(body: Body, call: CallInFlight) -> Body {
+    let pass_fault = move |fault| {
+        let _ = &call;
+        fault
+    };
+    body.map_err(pass_fault).boxed()
 }
 
-async fn route(entry: Arc<Entry>, request: Request<Incoming>) -> Result<Response<Body>, ApiError> {
+async fn route(
+    entry: Arc<Entry>,
+    call: &CallInFlight,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, ApiError> {
     let path = request.uri().path().to_string();
     let parts: Vec<&str> = path.split('/').skip(1).collect();
     match (request.method().clone(), parts.as_slice()) {
-        (Method::POST, ["v1", "chat", "completions"]) => handle_completion(entry, request).await,
+        (Method::POST, ["v1", "chat", "completions"]) => {
+            handle_completion(entry, call, request).await
+        }
         (Method::POST, ["v1", "services", service, action]) => {
-            handle_action(entry, request, service, action).await
+            handle_action(entry, call, request, service, action).await
         }
         (Method::DELETE, ["v1", "programs", name @ ..]) if !name.is_empty() => {
-            handle_end(entry, request, &name.join("/")).await
+            handle_end(entry, call, request, &name.join("/")).await
         }
         _ => Err(ApiError::not_run(ApiErrorCode::NoSuchCall)),
     }
@@ -74,15 +94,19 @@
 
 async fn handle_completion(
     entry: Arc<Entry>,
+    call: &CallInFlight,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, ApiError> {
     let (caller, contract) = authenticate(&entry, &request)?;
     let headers = read_headers(&entry, &caller, &request)?;
+    call.set_turn(&headers.program, headers.turn);
     admit(&entry, &caller, headers.deadline).await?;
+    call.set_wait(Wait::Body);
     let body = receive_body(&entry, request).await?;
-    let call: ChatRequest = serde_json::from_slice(&body).map_err(|_| bad_request())?;
-    let stream = call.stream;
-    let mut work = Work::try_from(call).map_err(ApiError::not_run)?;
+    call.set_wait(Wait::Owner);
+    let chat: ChatRequest = serde_json::from_slice(&body).map_err(|_| bad_request())?;
+    let stream = chat.stream;
+    let mut work = Work::try_from(chat).map_err(ApiError::not_run)?;
     if !contract.allows_model(work.target()) {
         return Err(ApiError::not_run(ApiErrorCode::NotAllowed));
     }
@@ -93,19 +117,23 @@
 
 async fn handle_action(
     entry: Arc<Entry>,
+    call: &CallInFlight,
     request: Request<Incoming>,
     service: &str,
     action: &str,
 ) -> Result<Response<Body>, ApiError> {
     let (caller, contract) = authenticate(&entry, &request)?;
     let headers = read_headers(&entry, &caller, &request)?;
+    call.set_turn(&headers.program, headers.turn);
     admit(&entry, &caller, headers.deadline).await?;
     let service = ModelName::parse(service).map_err(|_| bad_request())?;
     let full_name = format!("{service}/{action}");
     if !contract.allows_action(&full_name) {
         return Err(ApiError::not_run(ApiErrorCode::NotAllowed));
     }
+    call.set_wait(Wait::Body);
     let body = receive_body(&entry, request).await?;
+    call.set_wait(Wait::Owner);
     let body = std::str::from_utf8(&body).map_err(|_| bad_request())?;
     let work = Work::Service {
         service,
@@ -119,11 +147,14 @@
 
 async fn handle_end(
     entry: Arc<Entry>,
+    call: &CallInFlight,
     request: Request<Incoming>,
     name: &str,
 ) -> Result<Response<Body>, ApiError> {
     let (caller, _) = authenticate(&entry, &request)?;
     let program = ProgramId::parse(caller.workspace, name).map_err(|_| bad_request())?;
+    call.set_turn(&program, None);
+    call.set_wait(Wait::Owner);
     let deadline = entry.clock.now().plus(entry.settings.default_deadline_ms);
     let mut replies = forward(entry, Call::End { program, deadline });
     match final_reply(&mut replies).await {
@@ -150,6 +181,11 @@
     ApiError::not_run(ApiErrorCode::BadRequest)
 }
 
+fn not_ready() -> ApiError {
+    let error = ApiError::not_run(ApiErrorCode::NotReady);
+    ApiError { retry_after_ms: Some(NOT_READY_RETRY_MS), ..error }
+}
+
 /// Authenticates the caller: the key must belong to a workspace with a contract, by a configuration
 /// that is known to be fresh. The secret key is not passed on from here, only its public name.
 fn authenticate(
@@ -157,8 +193,7 @@
     request: &Request<Incoming>,
 ) -> Result<(Caller, Contract), ApiError> {
     if !entry.is_ready() || !entry.config_is_fresh() {
-        let error = ApiError::not_run(ApiErrorCode::NotReady);
-        return Err(ApiError { retry_after_ms: Some(NOT_READY_RETRY_MS), ..error });
+        return Err(not_ready());
     }
     let header = request.headers().get(AUTHORIZATION).and_then(|value| value.to_str().ok());
     let key = header.and_then(|value| value.strip_prefix("Bearer "));
@@ -173,9 +208,11 @@
 
 /// Admits a call if its workspace's rate allows it, else counts and returns the refusal.
 async fn admit(entry: &Arc<Entry>, caller: &Caller, deadline: TimeMs) -> Result<(), ApiError> {
-    let refusal = match entry.acquire_rate(&caller.workspace, deadline).await {
-        Ok(()) => return Ok(()),
-        Err(refusal) => refusal,
+    let acquired = entry.acquire_rate(&caller.workspace, deadline);
+    let refusal = match entry.answers_due.run_until_cancelled(acquired).await {
+        Some(Ok(())) => return Ok(()),
+        Some(Err(refusal)) => refusal,
+        None => return Err(not_ready()),
     };
     let workspace = caller.workspace.to_string();
     metrics::counter!("trefoil_rate_refusals", "workspace" => workspace).increment(1);
@@ -227,7 +264,14 @@
 async fn receive_body(entry: &Entry, request: Request<Incoming>) -> Result<bytes::Bytes, ApiError> {
     let max_bytes = entry.settings.max_body_bytes as usize;
     let timeout = Duration::from_millis(entry.settings.receive_timeout_ms);
-    Ok(read_body(request.into_body(), max_bytes, timeout).await?)
+    let mut body = Box::pin(read_body(request.into_body(), max_bytes, timeout));
+    if let Some(body) = entry.answers_due.run_until_cancelled(&mut body).await {
+        return Ok(body?);
+    }
+    // The rest of the body is read until the exit. Closing a socket with unread bytes resets the
+    // connection, and the caller could lose the answer.
+    tokio::spawn(body);
+    Err(not_ready())
 }
 
 fn turn_request(headers: CallHeaders, work: Work, contract: &Contract) -> TurnRequest {
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -33,8 +33,10 @@
     /// Confirm with the log that this entry still owns a shard, or claim the shard if this entry
     /// should own it.
     ConfirmOwnership { shard: ShardId },
-    /// Release every shard.
+    /// Release every shard once no turn of its programs is in flight.
     ReleaseAll,
+    /// Release every shard with its turns in flight, and answer their callers.
+    HandOverAll,
 }
 
 struct RunningOwner {
@@ -105,7 +107,8 @@
                     self.handle(shard, Event::ConfirmOwnership);
                 }
             }
-            Command::ReleaseAll => self.release_all(),
+            Command::ReleaseAll => self.handle_all(&Event::Release),
+            Command::HandOverAll => self.hand_over_all(),
         }
     }
 
@@ -255,8 +258,7 @@
 
     fn tick(&mut self) {
         self.remove_disconnected_callers();
-        let shards: Vec<ShardId> = self.owners.keys().copied().collect();
-        shards.into_iter().for_each(|shard| self.handle(shard, Event::Tick));
+        self.handle_all(&Event::Tick);
         self.rebalance();
     }
 
@@ -299,8 +301,21 @@
         }
     }
 
-    fn release_all(&mut self) {
+    fn handle_all(&mut self, event: &Event) {
         let shards: Vec<ShardId> = self.owners.keys().copied().collect();
-        shards.into_iter().for_each(|shard| self.handle(shard, Event::Release));
+        shards.into_iter().for_each(|shard| self.handle(shard, event.clone()));
+    }
+
+    fn hand_over_all(&mut self) {
+        let owners = self.owners.values();
+        for (program, turn) in owners.flat_map(|running| running.owner.active_turns()) {
+            log::warn!(
+                program = program.to_string(), turn = turn.turn.0,
+                attempt = turn.attempt.to_string(), endpoint = turn.endpoint.vm.as_str(),
+                phase:? = turn.phase;
+                "turn in flight at shutdown; leaving it to the shard's next owner"
+            );
+        }
+        self.handle_all(&Event::HandOver);
     }
 }
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -89,7 +89,8 @@
 }
 
 impl Forwarder {
-    /// Forwards the call until the owner has sent its final reply or the deadline is near. Only the
+    /// Forwards the call until the owner has sent its final reply, the deadline is near or this entry
+    /// is about to exit. Only the
     /// forwarding is retried here; attempts at endpoints are retried by the owner alone.
     async fn run(mut self) {
         let mut backoff_ms = INITIAL_BACKOFF_MS;
@@ -108,7 +109,7 @@
                 RelayOutcome::OutcomeUnknown | RelayOutcome::NotRun => {}
             }
             let retry_at = self.entry.clock.now().plus(backoff_ms);
-            if retry_at >= self.call.deadline() {
+            if retry_at >= self.call.deadline() || !self.wait_to_retry(backoff_ms).await {
                 let refusal = match outcome {
                     RelayOutcome::NotRun => Refusal::not_run(RefusalReason::NotOwner),
                     RelayOutcome::OutcomeUnknown | RelayOutcome::Finished => {
@@ -117,11 +118,16 @@
                 };
                 return self.refuse(refusal.retry_after(MAX_BACKOFF_MS));
             }
-            tokio::time::sleep(Duration::from_millis(backoff_ms)).await;
             backoff_ms = (backoff_ms * 2).min(MAX_BACKOFF_MS);
         }
     }
 
+    /// Waits before the call is forwarded again. Returns `false` if it has to be answered now.
+    async fn wait_to_retry(&self, backoff_ms: u64) -> bool {
+        let backoff = tokio::time::sleep(Duration::from_millis(backoff_ms));
+        self.entry.answers_due.run_until_cancelled(backoff).await.is_some()
+    }
+
     /// The refusal for a call whose owner failed before its final reply. It suggests a retry only
     /// if the next owner would detect the repeat.
     fn owner_lost_refusal(&self) -> Refusal {
@@ -185,6 +191,7 @@
         tokio::select! {
             outcome = self.send_to_owner(vm, address) => outcome,
             () = until_not_owner(&entry, shard, vm, deadline) => RelayOutcome::OutcomeUnknown,
+            () = entry.answers_due.cancelled() => RelayOutcome::OutcomeUnknown,
         }
     }
 
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -2,6 +2,7 @@
 
 mod api;
 mod callers;
+mod calls_in_flight;
 mod config;
 mod core;
 mod environment;
--- a/src/entry/process.rs
+++ b/src/entry/process.rs
@@ -3,8 +3,9 @@
 
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
-use crate::daemon::{Admin, DaemonError, HeartbeatSender, Shutdown};
+use crate::daemon::{Admin, DaemonError, DrainBounds, HeartbeatSender, Shutdown};
 use crate::entry::core::{Command, Core};
 use crate::entry::state::Entry;
 use crate::entry::{callers, config, peers};
@@ -66,12 +67,16 @@
     }
     log::info!("draining");
     admin.set_ready(false);
+    let drain_timeout = Duration::from_millis(process.drain_timeout_ms);
+    let bounds = DrainBounds::new(Instant::now(), drain_timeout);
     let drain = drain(&entry, caller_server, peer_server);
-    if tokio::time::timeout(Duration::from_millis(process.drain_timeout_ms), drain).await.is_err() {
+    if !bounds.finish(drain, || answer_calls(&entry)).await {
         log::warn!(
             "drain did not finish within {} ms; stopping with calls in flight",
             process.drain_timeout_ms
         );
+        let message = "call in flight at exit; its connection closes without a whole response";
+        entry.calls.log_each(entry.clock.now(), message);
     }
     tasks.iter().for_each(|task| task.abort());
     log::info!("stopped");
@@ -130,6 +135,14 @@
     peer_server.shut_down().await;
 }
 
+/// Answers every call in flight: a call that waits for its rate or its body by its handler, a call
+/// at an owner by that owner, which knows whether it may have run.
+fn answer_calls(entry: &Entry) {
+    entry.calls.log_each(entry.clock.now(), "call in flight at shutdown; answering it");
+    let _ = entry.commands.send(Command::HandOverAll);
+    entry.answers_due.cancel();
+}
+
 fn report_status(admin: &Admin, entry: &Arc<Entry>) {
     let entry = entry.clone();
     admin.set_status_source(move || entry.status());
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -5,9 +5,11 @@
 use std::time::Duration;
 
 use tokio::sync::{mpsc, watch};
+use tokio_util::sync::CancellationToken;
 
 use crate::admission::{Borrower, MIN_CALLS_TO_PREFETCH};
 use crate::contracts::ConfigState;
+use crate::entry::calls_in_flight::CallsInFlight;
 use crate::entry::config::ConfigStreamStatus;
 use crate::entry::core::Command;
 use crate::entry::pause_detector::PauseDetector;
@@ -53,6 +55,9 @@
     /// Number of crash records that are still to be appended to the log.
     pending_crash_records: AtomicUsize,
     leaving: watch::Sender<bool>,
+    pub calls: Arc<CallsInFlight>,
+    /// Cancelled when this entry is about to exit: every call in flight is answered then.
+    pub answers_due: CancellationToken,
 }
 
 /// A shard that this entry owns.
@@ -117,6 +122,8 @@
             log_failing: AtomicBool::new(false),
             pending_crash_records: AtomicUsize::new(0),
             leaving: watch::Sender::new(false),
+            calls: Arc::default(),
+            answers_due: CancellationToken::new(),
             settings,
         }
     }
--- a/src/entry/tasks.rs
+++ b/src/entry/tasks.rs
@@ -25,7 +25,7 @@
 const MAX_PUBLISH_ATTEMPTS: usize = 600;
 /// How long the refusal of a call that crashes engines waits for crash records to be appended. If
 /// the log is unavailable for longer, the refusal is sent without them.
-const MAX_RECORD_WAIT_MS: u64 = 1_000;
+const MAX_RECORD_WAIT: Duration = Duration::from_secs(1);
 const RECORD_POLL_INTERVAL: Duration = Duration::from_millis(2);
 
 /// The shard owner that a task works for and reports its result to.
@@ -209,10 +209,13 @@
     replies: mpsc::UnboundedSender<Reply>,
     reply: Reply,
 ) {
-    let started = entry.clock.now();
-    while !entry.crashes_are_recorded() && entry.clock.now().since(started) < MAX_RECORD_WAIT_MS {
-        tokio::time::sleep(RECORD_POLL_INTERVAL).await;
-    }
+    let recorded = async {
+        while !entry.crashes_are_recorded() {
+            tokio::time::sleep(RECORD_POLL_INTERVAL).await;
+        }
+    };
+    let waited = tokio::time::timeout(MAX_RECORD_WAIT, recorded);
+    let _ = entry.answers_due.run_until_cancelled(waited).await;
     let _ = replies.send(reply);
 }
 
--- a/src/programs/owner/messages.rs
+++ b/src/programs/owner/messages.rs
@@ -10,6 +10,8 @@
     Claim,
     /// Release the shard once no turn is in flight.
     Release,
+    /// Release the shard with its turns in flight, and refuse every waiting call.
+    HandOver,
     /// Read the log to confirm that no other entry has claimed the shard.
     ConfirmOwnership,
     /// A caller requested a turn.
--- a/src/programs/owner/mod.rs
+++ b/src/programs/owner/mod.rs
@@ -167,6 +167,7 @@
         match event {
             Event::Claim => self.claim(&mut cx),
             Event::Release => self.start_release(),
+            Event::HandOver => self.hand_over(&mut cx),
             Event::ConfirmOwnership => self.start_read(&mut cx),
             Event::Request { call, request } => self.handle_request(&mut cx, call, request),
             Event::End { call, program } => self.handle_end(&mut cx, call, program),
@@ -201,11 +202,24 @@
         self.release_if_idle();
     }
 
+    /// Releases the shard with its turns in flight. The next owner asks the endpoints what became
+    /// of those that were dispatched; the others are not dispatched any more.
+    fn hand_over(&mut self, cx: &mut Context<'_>) {
+        self.refuse_waiting_calls(cx);
+        self.log.outbox.retain(|record| !matches!(record, Record::Intent(_)));
+        self.start_release();
+    }
+
     /// Ends the ownership for good and refuses every waiting call.
     fn lose_ownership(&mut self, cx: &mut Context<'_>) {
         self.ownership.handle(OwnershipEvent::Lost);
         self.log.in_flight.clear();
         self.log.outbox.clear();
+        self.refuse_waiting_calls(cx);
+    }
+
+    /// Refuses every waiting call, and drops the turns in flight.
+    fn refuse_waiting_calls(&mut self, cx: &mut Context<'_>) {
         for (call, _) in std::mem::take(&mut self.pending_requests) {
             cx.refuse(call, Refusal::not_run(RefusalReason::NotOwner).retry_after(0));
         }
--- /dev/null
+++ b/tests/shutdown.rs
@@ -0,0 +1,328 @@
+//! What callers observe when an entry or the process beside an endpoint is stopped by SIGTERM and the
+//! calls in flight do not end within its drain timeout.
+
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use std::net::SocketAddr;
+
+use common::{Deployment, TEST_TIMEOUT, configure_stand_in, eventually, wait_running};
+use serde_json::json;
+use test_case::test_case;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use trefoil_standins::caller::{Answer, Caller, Turn, action, completion};
+use trefoil_standins::engine::Settings;
+use trefoil_standins::fleet::Process;
+
+const SHORT_DRAIN: [&str; 2] = ["--drain-timeout-ms", "2000"];
+/// Longer than a test waits for a process to exit, so that no call ends by its deadline.
+const LONG_DEADLINE_MS: u64 = 120_000;
+const PROGRAMS: usize = 8;
+
+fn payment(program: &str) -> Turn {
+    let call = action(program, 1, "tools/pay", json!({ "program": program }));
+    Turn { deadline_ms: LONG_DEADLINE_MS, ..call }
+}
+
+fn names(prefix: &str) -> Vec<String> {
+    (0..PROGRAMS).map(|number| format!("{prefix}{number}")).collect()
+}
+
+/// Sends a call of each program concurrently.
+fn spawn_calls(
+    caller: &Caller,
+    entry: SocketAddr,
+    calls: impl IntoIterator<Item = Turn>,
+) -> Vec<JoinHandle<Answer>> {
+    let spawn = |call: Turn| {
+        let caller = caller.clone();
+        tokio::spawn(async move { caller.call(entry, &call).await })
+    };
+    calls.into_iter().map(spawn).collect()
+}
+
+async fn wait_payments(deployment: &Deployment, wanted: usize) {
+    eventually("payments at the tool service", || async {
+        deployment.payments().await.len() >= wanted
+    })
+    .await;
+}
+
+fn assert_exits(process: &mut Process) {
+    let status = process.wait_end(TEST_TIMEOUT);
+    assert!(status.is_some_and(|status| status.success()), "{status:?}: {:#?}", process.output());
+}
+
+/// Whether the process logged that this program's call was in flight when it stopped.
+fn is_named(process: &Process, program: &str) -> bool {
+    let names = |line: &String| line.contains("in flight at shutdown") && line.contains(program);
+    process.output().iter().any(names)
+}
+
+/// Whether an answer says that the call may have run.
+fn is_unknown(answer: &Answer) -> bool {
+    matches!(answer, Answer::Error { ran, .. } if ran == "unknown")
+}
+
+/// Whether an answer says that the call did not run, and when to send it again.
+fn is_refused_for_now(answer: &Answer) -> bool {
+    matches!(answer, Answer::Error { status: 503, ran, retry_after_ms: Some(_), .. }
+        if ran == "not_run")
+}
+
+/// Guards against an entry that exits without answering payments that run at a silent service.
+#[tokio::test(flavor = "multi_thread")]
+async fn payments_at_a_silent_service_are_answered_before_the_entry_exits() {
+    let mut deployment = Deployment::start_with(Settings::default(), &SHORT_DRAIN, &[]).await;
+    let entries = deployment.entries();
+    let caller = deployment.caller();
+    configure_stand_in(deployment.tools.address, &json!({ "hang": true })).await;
+    let calls = names("p").into_iter().map(|name| payment(&name));
+    let calls = spawn_calls(&caller, entries[0], calls);
+    wait_payments(&deployment, PROGRAMS).await;
+    deployment.fleet.entries["e0"].signal("TERM");
+    for call in calls {
+        let answer = call.await.unwrap();
+        assert!(is_unknown(&answer), "{answer:?}");
+    }
+    assert_exits(deployment.fleet.entries.get_mut("e0").unwrap());
+    for name in names("p") {
+        assert!(is_named(&deployment.fleet.entries["e0"], &name), "{name} is in no log line");
+    }
+    // The next owner learns from the process beside the service that the payment runs.
+    let mut again = payment("p0");
+    again.deadline_ms = 3_000;
+    let answer = caller.insist(&entries[1..], &again, 5).await;
+    assert!(is_unknown(&answer), "{answer:?}");
+    assert_eq!(deployment.payments().await.len(), PROGRAMS);
+}
+
+/// Guards against streams that an exiting entry cuts without an error event.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_end_with_an_error_event_before_the_entry_exits() {
+    let slow_engine = Settings { token_us: 100_000, ..Settings::default() };
+    let mut deployment = Deployment::start_with(slow_engine, &SHORT_DRAIN, &[]).await;
+    let entries = deployment.entries();
+    let caller = deployment.caller();
+    let turn = |name: &String| completion(name, 1, "words=60");
+    let streams = spawn_calls(&caller, entries[0], names("s").iter().map(turn));
+    wait_running(&deployment, PROGRAMS as u64).await;
+    deployment.fleet.entries["e0"].signal("TERM");
+    for stream in streams {
+        let answer = stream.await.unwrap();
+        assert!(is_unknown(&answer), "{answer:?}");
+    }
+    assert_exits(deployment.fleet.entries.get_mut("e0").unwrap());
+    let answer = caller.insist(&entries[1..], &turn(&"s0".to_string()), 5).await;
+    assert!(answer.text().ends_with("word60 "), "{answer:?}");
+}
+
+/// Guards against an exiting entry that fails the calls which other entries forwarded to it.
+#[tokio::test(flavor = "multi_thread")]
+async fn forwarded_payments_continue_at_the_next_owner() {
+    let mut deployment = Deployment::start_with(Settings::default(), &SHORT_DRAIN, &[]).await;
+    let caller = deployment.caller();
+    configure_stand_in(deployment.tools.address, &json!({ "slow_ms": 4_000 })).await;
+    let calls = names("f").into_iter().map(|name| payment(&name));
+    let calls = spawn_calls(&caller, deployment.entries()[1], calls);
+    wait_payments(&deployment, PROGRAMS).await;
+    deployment.fleet.entries["e0"].signal("TERM");
+    for call in calls {
+        let answer = call.await.unwrap();
+        assert!(matches!(answer, Answer::Whole(_)), "{answer:?}");
+    }
+    assert_exits(deployment.fleet.entries.get_mut("e0").unwrap());
+    assert_eq!(deployment.payments().await.len(), PROGRAMS);
+}
+
+/// Guards against an entry that exits without answering a call whose body is still arriving.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_whose_body_is_arriving_is_refused_before_the_entry_exits() {
+    let flags = [SHORT_DRAIN.as_slice(), &["--receive-timeout-ms", "60000"]].concat();
+    let mut deployment = Deployment::start_with(Settings::default(), &flags, &[]).await;
+    let mut stream = TcpStream::connect(deployment.entries()[0]).await.unwrap();
+    let head = format!(
+        "POST /v1/services/tools/pay HTTP/1.1\r\nauthorization: Bearer {}\r\n\
+         x-trefoil-program: b\r\ncontent-length: 100000\r\n\r\n",
+        common::ICE_KEY
+    );
+    stream.write_all(head.as_bytes()).await.unwrap();
+    let (mut reader, mut writer) = stream.into_split();
+    let sender = tokio::spawn(async move {
+        while writer.write_all(b"x").await.is_ok() {
+            tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+        }
+    });
+    // The head was read once a call that was sent later has been answered.
+    let later = deployment.caller().call(deployment.entries()[0], &completion("l", 1, "x")).await;
+    assert!(matches!(later, Answer::Whole(_)), "{later:?}");
+    deployment.fleet.entries["e0"].signal("TERM");
+    let mut answer = Vec::new();
+    let _ = reader.read_to_end(&mut answer).await;
+    let answer = String::from_utf8_lossy(&answer);
+    let is_refused = answer.starts_with("HTTP/1.1 503") && answer.contains(r#""ran":"not_run""#);
+    assert!(is_refused && answer.contains("retry-after"), "{answer:?}");
+    assert_exits(deployment.fleet.entries.get_mut("e0").unwrap());
+    sender.abort();
+}
+
+/// Guards against an entry that exits without answering calls that wait for the log, and against an
+/// answer that they may have run if the entry itself would have dispatched them.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_waiting_for_the_log_are_answered_before_the_entry_exits() {
+    let waiting = ["--when-log-fails", "wait", "--config-stale-ms", "60000"];
+    let flags = [SHORT_DRAIN.as_slice(), &waiting].concat();
+    let mut deployment = Deployment::start_with(Settings::default(), &flags, &[]).await;
+    let entries = deployment.entries();
+    let caller = deployment.caller();
+    let names = names("w");
+    for name in &names {
+        caller.call(entries[0], &completion(name, 1, "before")).await;
+    }
+    deployment.set_log_faults(json!({ "outage": true })).await;
+    let turn =
+        |name: &String| Turn { deadline_ms: LONG_DEADLINE_MS, ..completion(name, 2, "during") };
+    let calls = spawn_calls(&caller, entries[0], names.iter().map(turn));
+    eventually("`log_failing` in the entry's status", || async {
+        deployment.fleet.status("e0").await.unwrap_or_default()["log_failing"] == true
+    })
+    .await;
+    deployment.fleet.entries["e0"].signal("TERM");
+    let mut not_run = 0;
+    for call in calls {
+        let answer = call.await.unwrap();
+        assert!(is_unknown(&answer) || is_refused_for_now(&answer), "{answer:?}");
+        not_run += usize::from(is_refused_for_now(&answer));
+    }
+    assert!(not_run > 0, "the stopped entry owned no program");
+    assert_exits(deployment.fleet.entries.get_mut("e0").unwrap());
+    deployment.set_log_faults(json!({ "outage": false })).await;
+    for name in &names {
+        let answer = caller.insist(&entries[1..], &turn(name), 20).await;
+        assert!(answer.text().starts_with("seen=3 "), "{answer:?}");
+    }
+}
+
+/// Guards against an entry that exits without answering a call that waits for its workspace's rate.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_waiting_for_its_rate_is_refused_before_the_entry_exits() {
+    let waiting = ["--when-log-fails", "wait", "--config-stale-ms", "60000"];
+    let flags = [SHORT_DRAIN.as_slice(), &waiting].concat();
+    let mut deployment = Deployment::start_with(Settings::default(), &flags, &[]).await;
+    deployment.publish("gas", common::CONTRACT);
+    let key = "key-of-the-biogas-ledger-91";
+    deployment.grant("gas", "main", key);
+    deployment.set_log_faults(json!({ "outage": true })).await;
+    let call = Turn { deadline_ms: LONG_DEADLINE_MS, ..completion("r", 1, "x") };
+    let calls = spawn_calls(&Caller::new(key), deployment.entries()[0], [call]);
+    // Long enough for the loan of the rate, if there were a lender.
+    tokio::time::sleep(std::time::Duration::from_millis(700)).await;
+    deployment.fleet.entries["e0"].signal("TERM");
+    for call in calls {
+        let answer = call.await.unwrap();
+        assert!(is_refused_for_now(&answer), "{answer:?}");
+    }
+    assert_exits(deployment.fleet.entries.get_mut("e0").unwrap());
+}
+
+/// Guards against an interrupted stream whose text is lost or charged twice: it continues at another
+/// engine.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_of_a_stopped_process_continue_at_another_engine() {
+    let slow_engine = Settings { token_us: 100_000, ..Settings::default() };
+    let mut deployment = Deployment::start_with(slow_engine, &[], &SHORT_DRAIN).await;
+    let turn = |name: &String| completion(name, 1, "words=60");
+    let entry = deployment.entries()[0];
+    let streams = spawn_calls(&deployment.caller(), entry, names("c").iter().map(turn));
+    wait_running(&deployment, PROGRAMS as u64).await;
+    deployment.fleet.endpoints["m0"].signal("TERM");
+    assert_exits(deployment.fleet.endpoints.get_mut("m0").unwrap());
+    for stream in streams {
+        let answer = stream.await.unwrap();
+        assert!(answer.text().ends_with("word60 "), "{answer:?}");
+        assert_eq!(answer.text().matches("word9 ").count(), 1, "{answer:?}");
+    }
+}
+
+/// Guards against payments whose outcome is unknown because they were on their way to a process that
+/// had nothing to run and exited.
+#[tokio::test(flavor = "multi_thread")]
+async fn payments_on_their_way_to_a_stopped_process_run_at_another_endpoint() {
+    let mut deployment = Deployment::start_with(Settings::default(), &[], &SHORT_DRAIN).await;
+    let tools = deployment.tools.address;
+    deployment.fleet.start_endpoint("t1", "b", ("service", "tools", tools)).unwrap();
+    deployment.fleet.list().await;
+    assert!(deployment.fleet.wait_ready().await);
+    let (entries, caller) = (deployment.entries(), deployment.caller());
+    let stopped = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(false));
+    let clients: Vec<_> = (0..24)
+        .map(|client| {
+            let (caller, entry) = (caller.clone(), entries[client % 2]);
+            let stopped = stopped.clone();
+            tokio::spawn(async move {
+                let mut answers = Vec::new();
+                while !stopped.load(std::sync::atomic::Ordering::Relaxed) {
+                    let call = payment(&format!("o{client}-{}", answers.len()));
+                    answers.push(caller.insist(&[entry], &call, 10).await);
+                }
+                answers
+            })
+        })
+        .collect();
+    tokio::time::sleep(std::time::Duration::from_millis(500)).await;
+    deployment.fleet.endpoints["t0"].signal("TERM");
+    assert_exits(deployment.fleet.endpoints.get_mut("t0").unwrap());
+    tokio::time::sleep(std::time::Duration::from_millis(500)).await;
+    stopped.store(true, std::sync::atomic::Ordering::Relaxed);
+    for client in clients {
+        for answer in client.await.unwrap() {
+            assert!(matches!(answer, Answer::Whole(_)), "{answer:?}");
+        }
+    }
+}
+
+/// Guards against a further signal that cuts the calls in flight.
+#[test_case(&["TERM", "TERM"]; "SIGTERM twice")]
+#[test_case(&["INT", "TERM"]; "SIGINT then SIGTERM")]
+#[tokio::test(flavor = "multi_thread")]
+async fn further_signals_cut_no_call(signals: &[&str]) {
+    let mut deployment = Deployment::start().await;
+    let entry = deployment.entries()[0];
+    let turn = |name: &String| completion(name, 1, "words=60");
+    let streams = spawn_calls(&deployment.caller(), entry, names("g").iter().map(turn));
+    wait_running(&deployment, PROGRAMS as u64).await;
+    for signal in signals {
+        deployment.fleet.entries["e0"].signal(signal);
+        deployment.fleet.endpoints["m0"].signal(signal);
+    }
+    for stream in streams {
+        let answer = stream.await.unwrap();
+        assert!(answer.text().ends_with("word60 "), "{answer:?}");
+    }
+    assert_exits(deployment.fleet.entries.get_mut("e0").unwrap());
+    assert_exits(deployment.fleet.endpoints.get_mut("m0").unwrap());
+}
+
+/// Guards against an entry that does not exit because it was stopped before it was ready.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_is_not_ready_exits() {
+    let mut deployment = Deployment::start().await;
+    deployment.set_log_faults(json!({ "outage": true })).await;
+    deployment.fleet.start_entry("e2", "a").unwrap();
+    deployment.fleet.entries["e2"].signal("TERM");
+    assert_exits(deployment.fleet.entries.get_mut("e2").unwrap());
+}
+
+/// Guards against a connection with half a head that keeps an entry from exiting.
+#[tokio::test(flavor = "multi_thread")]
+async fn half_a_head_does_not_keep_an_entry_from_exiting() {
+    let flags = [SHORT_DRAIN.as_slice(), &["--receive-timeout-ms", "60000"]].concat();
+    let mut deployment = Deployment::start_with(Settings::default(), &flags, &[]).await;
+    let mut stream = TcpStream::connect(deployment.entries()[0]).await.unwrap();
+    stream.write_all(b"POST /v1/chat/completions HTTP/1.1\r\nx:").await.unwrap();
+    deployment.fleet.entries["e0"].signal("TERM");
+    assert_exits(deployment.fleet.entries.get_mut("e0").unwrap());
+}
