End the attempts in flight at a stopped endpoint process before it exits

What callers saw: the process beside an endpoint got SIGTERM while a service did not answer. Calls in its queue waited with it, although another endpoint could have run them. An attempt whose body was arriving was cut, so that its owner had to take a payment that never ran for one that may have run.

Cause: the drain timeout bounded only the wait for the scheduler to be idle. The shutdown of the server that followed waits for every response, without a bound, and a response lasts as long as its attempt.

Change: DrainBounds, as in the entry. When answers are due, queued attempts are ended as rejected, which is certain not to have run; attempts whose body is arriving get the same answer; those that run are ended as interrupted, with the tokens generated so far, so that a stream goes on at another engine and an action that may not be repeated is answered with outcome_unknown. Each is logged. Waiting for the scheduler and for the responses is one future with one bound, the exit. An entry tells a sender whose message is still arriving that it did not run.

Evidence: tests/shutdown.rs.

Why it works: attempts end before responses are waited for, so the wait is for bytes to be written only, and the exit no longer depends on an endpoint or on a peer that doesn't read.

--- a/src/endpoint/process.rs
+++ b/src/endpoint/process.rs
@@ -1,17 +1,20 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 
-use crate::daemon::{Admin, DaemonError, HeartbeatSender, Shutdown};
+use crate::daemon::{Admin, DaemonError, DrainBounds, HeartbeatSender, Shutdown};
 use crate::endpoint::server;
 use crate::endpoint::{
     AttemptScheduler, Backend, OrderPolicy, SchedulerAction, SchedulerLimits, Submission,
 };
-use crate::http::{Client, ServerLimits, serve};
+use crate::http::{Client, RunningServer, ServerLimits, serve};
 use crate::link::{ControlReply, ControlRequest, LinkServer};
 use crate::membership::{PeerState, RoleStatus};
 use crate::prelude::*;
@@ -40,6 +43,9 @@
     settings: EndpointSettings,
     listeners: Mutex<HashMap<AttemptId, mpsc::UnboundedSender<AttemptFrame>>>,
     stop_senders: Mutex<HashMap<AttemptId, watch::Sender<bool>>>,
+    /// Cancelled when this process is about to exit: every attempt ends then, also one whose body
+    /// is still arriving.
+    answers_due: CancellationToken,
 }
 
 /// Runs the process until a shutdown is requested and the drain has finished or timed out.
@@ -82,15 +88,28 @@
     shutdown.requested().await;
     log::info!("draining");
     admin.set_ready(false);
-    dispatcher.scheduler.lock().expect("no holder panics").drain();
-    dispatcher.wait_idle(Duration::from_millis(settings.process.drain_timeout_ms)).await;
-    peer_server.shut_down().await;
+    let drain_timeout = Duration::from_millis(settings.process.drain_timeout_ms);
+    let bounds = DrainBounds::new(Instant::now(), drain_timeout);
+    let drain = drain(&dispatcher, peer_server);
+    if !bounds.finish(drain, || dispatcher.end_attempts()).await {
+        log::warn!(
+            "drain did not finish within {} ms; stopping with attempts in flight",
+            drain_timeout.as_millis()
+        );
+    }
     heartbeat_task.abort();
     tick_task.abort();
     log::info!("stopped");
     Ok(())
 }
 
+/// Finishes the attempts that were accepted, and sends their last frames.
+async fn drain(dispatcher: &Dispatcher, peer_server: RunningServer) {
+    dispatcher.scheduler().drain();
+    dispatcher.wait_idle().await;
+    peer_server.shut_down().await;
+}
+
 fn is_rejection(final_frame: &AttemptFrame) -> bool {
     matches!(final_frame, AttemptFrame::Failed { cause: FailureCause::Rejected, .. })
 }
@@ -114,6 +133,7 @@
             settings,
             listeners: Mutex::default(),
             stop_senders: Mutex::default(),
+            answers_due: CancellationToken::new(),
         }
     }
 
@@ -134,6 +154,11 @@
         self.scheduler.lock().expect("no holder panics")
     }
 
+    /// Cancelled when this process is about to exit.
+    pub(super) fn answers_due(&self) -> &CancellationToken {
+        &self.answers_due
+    }
+
     /// Submits an attempt; its frames arrive through the returned channel.
     pub(super) fn submit(
         self: &Arc<Dispatcher>,
@@ -222,9 +247,15 @@
         let (stop, stop_requested) = watch::channel(false);
         self.stop_senders.lock().expect("no holder panics").insert(id, stop);
         let started = self.clock.now();
+        let spent_tokens = AtomicU64::new(0);
+        let on_text = |text| {
+            spent_tokens.fetch_add(1, Ordering::Relaxed);
+            self.send_frame(id, AttemptFrame::Delta { text });
+        };
         let final_frame = tokio::select! {
-            frame = self.backend.run(&attempt, |text| self.send_frame(id, AttemptFrame::Delta { text })) => frame,
+            frame = self.backend.run(&attempt, on_text) => frame,
             frame = self.wait_for_stop(id, stop_requested) => frame,
+            () = self.answers_due.cancelled() => self.interrupt(&attempt, &spent_tokens),
         };
         let workspace = attempt.program.workspace.to_string();
         let elapsed_ms = self.clock.now().since(started) as f64;
@@ -268,6 +299,21 @@
         AttemptFrame::Failed { cause: FailureCause::Interrupted, spent_tokens: None }
     }
 
+    /// Interrupts an attempt because this process is about to exit: its owner learns what was
+    /// generated, and that a service's call may have run.
+    fn interrupt(&self, attempt: &Attempt, spent_tokens: &AtomicU64) -> AttemptFrame {
+        log::warn!(
+            program = attempt.program.to_string(), turn = attempt.turn.0,
+            attempt = attempt.id.to_string();
+            "attempt in flight at shutdown; interrupting it"
+        );
+        let spent_tokens = match self.settings.is_service {
+            true => None,
+            false => Some(spent_tokens.load(Ordering::Relaxed)),
+        };
+        AttemptFrame::Failed { cause: FailureCause::Interrupted, spent_tokens }
+    }
+
     async fn free_cache(self: Arc<Dispatcher>, key: Arc<str>) {
         if let Err(fault) = self.backend.free(&key).await {
             log::warn!(
@@ -325,17 +371,23 @@
         }
     }
 
-    async fn wait_idle(&self, timeout: Duration) {
-        let idle = async {
-            while !self.scheduler().is_idle() {
-                tokio::time::sleep(TICK_INTERVAL).await;
+    async fn wait_idle(&self) {
+        while !self.scheduler().is_idle() {
+            tokio::time::sleep(TICK_INTERVAL).await;
+        }
+    }
+
+    /// Ends every attempt: the owners of those still queued may run them elsewhere, and the owners
+    /// of those that run learn that they are interrupted.
+    fn end_attempts(self: &Arc<Dispatcher>) {
+        let actions = self.scheduler().reject_queued();
+        for action in &actions {
+            if let SchedulerAction::End(attempt, _) = action {
+                log::warn!(attempt = attempt.to_string();
+                    "attempt queued at shutdown; rejecting it");
             }
-        };
-        if tokio::time::timeout(timeout, idle).await.is_err() {
-            log::warn!(
-                "drain did not finish within {} ms; stopping with attempts in flight",
-                timeout.as_millis()
-            );
         }
+        self.carry_out(actions);
+        self.answers_due.cancel();
     }
 }
--- a/src/endpoint/scheduler.rs
+++ b/src/endpoint/scheduler.rs
@@ -127,6 +127,14 @@
         self.draining
     }
 
+    /// Ends the queued attempts as rejected.
+    pub fn reject_queued(&mut self) -> Vec<SchedulerAction> {
+        let queued = std::mem::take(&mut self.queue);
+        let reject =
+            |queued: QueuedAttempt| self.end_unstarted(queued.attempt.id, FailureCause::Rejected);
+        queued.into_iter().map(reject).collect()
+    }
+
     /// Whether no attempt is queued or running.
     pub fn is_idle(&self) -> bool {
         self.queue.is_empty() && self.running.is_empty()
--- a/src/endpoint/server.rs
+++ b/src/endpoint/server.rs
@@ -7,7 +7,7 @@
 
 use super::process::Dispatcher;
 use crate::endpoint::Submission;
-use crate::http::{Body, json, json_line, read_body, streamed};
+use crate::http::{Body, full, json, json_line, read_body_until, streamed};
 use crate::prelude::*;
 use crate::programs::{Attempt, AttemptFrame, FailureCause};
 
@@ -28,7 +28,10 @@
 }
 
 async fn submit(dispatcher: Arc<Dispatcher>, request: Request<Incoming>) -> Response<Body> {
-    let body = read_body(request.into_body(), MAX_ATTEMPT_BYTES, RECEIVE_TIMEOUT).await;
+    let (stop, body) = (dispatcher.answers_due(), request.into_body());
+    let Some(body) = read_body_until(stop, body, MAX_ATTEMPT_BYTES, RECEIVE_TIMEOUT).await else {
+        return rejection();
+    };
     let attempt = body.ok().and_then(|bytes| serde_json::from_slice::<Attempt>(&bytes).ok());
     let Some(attempt) = attempt else {
         return json(StatusCode::BAD_REQUEST, &"not an attempt");
@@ -39,12 +42,14 @@
             let frames = UnboundedReceiverStream::new(frames);
             Response::new(streamed(frames.map(|frame| Ok(json_line(&frame)))))
         }
-        Submission::Rejected => {
-            let cause = FailureCause::Rejected;
-            let frame = AttemptFrame::Failed { cause, spent_tokens: Some(0) };
-            Response::new(crate::http::full(json_line(&frame)))
-        }
+        Submission::Rejected => rejection(),
         // The owner queries the attempt's state instead.
         Submission::Duplicate => json(StatusCode::CONFLICT, &"came before"),
     }
 }
+
+/// The response to an attempt that has not started and never will.
+fn rejection() -> Response<Body> {
+    let cause = FailureCause::Rejected;
+    Response::new(full(json_line(&AttemptFrame::Failed { cause, spent_tokens: Some(0) })))
+}
--- a/src/entry/callers.rs
+++ b/src/entry/callers.rs
@@ -15,7 +15,7 @@
 use crate::entry::rates::RateRefusal;
 use crate::entry::responses::ResponseBuilder;
 use crate::entry::state::Entry;
-use crate::http::{Body, json, read_body};
+use crate::http::{Body, json, read_body_until};
 use crate::prelude::*;
 use crate::programs::{ExecutionStatus, RefusalReason, Reply, TurnRequest, Work};
 
@@ -264,14 +264,11 @@
 async fn receive_body(entry: &Entry, request: Request<Incoming>) -> Result<bytes::Bytes, ApiError> {
     let max_bytes = entry.settings.max_body_bytes as usize;
     let timeout = Duration::from_millis(entry.settings.receive_timeout_ms);
-    let mut body = Box::pin(read_body(request.into_body(), max_bytes, timeout));
-    if let Some(body) = entry.answers_due.run_until_cancelled(&mut body).await {
-        return Ok(body?);
+    let body = request.into_body();
+    match read_body_until(&entry.answers_due, body, max_bytes, timeout).await {
+        Some(body) => Ok(body?),
+        None => Err(not_ready()),
     }
-    // The rest of the body is read until the exit. Closing a socket with unread bytes resets the
-    // connection, and the caller could lose the answer.
-    tokio::spawn(body);
-    Err(not_ready())
 }
 
 fn turn_request(headers: CallHeaders, work: Work, contract: &Contract) -> TurnRequest {
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -13,7 +13,7 @@
 use crate::entry::forward::{ENDS_PATH, TURNS_PATH};
 use crate::entry::state::Entry;
 use crate::entry::turn_message::TurnMessage;
-use crate::http::{Body, json, json_line, read_body, streamed};
+use crate::http::{Body, json, json_line, read_body_until, streamed};
 use crate::membership::{Heartbeat, PeerState, RoleStatus};
 use crate::prelude::*;
 use crate::programs::Reply;
@@ -39,14 +39,23 @@
     }
 }
 
-async fn read_json<T: DeserializeOwned>(request: Request<Incoming>) -> Option<T> {
-    let body = read_body(request.into_body(), MAX_MESSAGE_BYTES, RECEIVE_TIMEOUT).await;
-    serde_json::from_slice(&body.ok()?).ok()
+/// Reads a message; returns the response to one that is malformed, or that is still arriving when
+/// this entry is about to exit. Both tell the sender that its call did not run here.
+async fn read_json<T: DeserializeOwned>(
+    entry: &Entry,
+    request: Request<Incoming>,
+) -> Result<T, Response<Body>> {
+    let (stop, body) = (&entry.answers_due, request.into_body());
+    let body = read_body_until(stop, body, MAX_MESSAGE_BYTES, RECEIVE_TIMEOUT).await;
+    let body = body.ok_or_else(|| json(StatusCode::SERVICE_UNAVAILABLE, &"shutting down"))?;
+    let message = body.ok().and_then(|body| serde_json::from_slice(&body).ok());
+    message.ok_or_else(|| json(StatusCode::BAD_REQUEST, &"not a message of this kind"))
 }
 
 async fn handle_turn(entry: Arc<Entry>, request: Request<Incoming>) -> Response<Body> {
-    let Some(message) = read_json::<TurnMessage>(request).await else {
-        return json(StatusCode::BAD_REQUEST, &"not a turn");
+    let message = match read_json::<TurnMessage>(&entry, request).await {
+        Ok(message) => message,
+        Err(response) => return response,
     };
     let request = message.into_request(entry.clock.now());
     let (replies, receiver) = mpsc::unbounded_channel();
@@ -54,8 +63,9 @@
 }
 
 async fn handle_end(entry: Arc<Entry>, request: Request<Incoming>) -> Response<Body> {
-    let Some(program) = read_json::<ProgramId>(request).await else {
-        return json(StatusCode::BAD_REQUEST, &"not a program");
+    let program = match read_json::<ProgramId>(&entry, request).await {
+        Ok(program) => program,
+        Err(response) => return response,
     };
     let (replies, receiver) = mpsc::unbounded_channel();
     stream_replies(&entry, Command::End { program, replies }, receiver)
--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -8,6 +8,7 @@
 use hyper::body::{Frame, Incoming};
 use hyper::{Response, StatusCode};
 use serde::Serialize;
+use tokio_util::sync::CancellationToken;
 
 use crate::prelude::*;
 
@@ -78,3 +79,20 @@
         Ok(Err(_)) => Err(BodyError::Incomplete),
     }
 }
+
+/// Reads a body like [`read_body`], unless `stop` is cancelled before its end. Then it returns
+/// `None`, and the rest is read and discarded: closing a socket with unread bytes resets the
+/// connection, and the sender could lose the response.
+pub async fn read_body_until(
+    stop: &CancellationToken,
+    body: Incoming,
+    max_bytes: usize,
+    timeout: Duration,
+) -> Option<Result<Bytes, BodyError>> {
+    let mut reading = Box::pin(read_body(body, max_bytes, timeout));
+    let read = stop.run_until_cancelled(&mut reading).await;
+    if read.is_none() {
+        tokio::spawn(reading);
+    }
+    read
+}
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -8,7 +8,9 @@
 mod request_body;
 mod server;
 
-pub use body::{Body, BodyError, empty, full, json, json_line, read_body, streamed};
+pub use body::{
+    Body, BodyError, empty, full, json, json_line, read_body, read_body_until, streamed,
+};
 pub use client::{CallError, Client};
 pub use connections::{ConnectError, Connection, ConnectionPool, set_socket_options};
 pub use line_reader::LineReader;
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -7,7 +7,7 @@
 
 use std::net::SocketAddr;
 
-use common::{Deployment, TEST_TIMEOUT, configure_stand_in, eventually, wait_running};
+use common::{Deployment, TEST_TIMEOUT, configure_stand_in, eventually, get, wait_running};
 use serde_json::json;
 use test_case::test_case;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -228,6 +228,83 @@
     assert_exits(deployment.fleet.entries.get_mut("e0").unwrap());
 }
 
+/// Guards against the process beside an endpoint waiting for a silent service until it is killed.
+#[tokio::test(flavor = "multi_thread")]
+async fn payments_at_a_silent_service_are_answered_before_the_process_beside_it_exits() {
+    let mut deployment = Deployment::start_with(Settings::default(), &[], &SHORT_DRAIN).await;
+    let entries = deployment.entries();
+    let caller = deployment.caller();
+    configure_stand_in(deployment.tools.address, &json!({ "hang": true })).await;
+    let calls = names("e").into_iter().map(|name| payment(&name));
+    let calls = spawn_calls(&caller, entries[0], calls);
+    wait_payments(&deployment, PROGRAMS).await;
+    deployment.fleet.endpoints["t0"].signal("TERM");
+    assert_exits(deployment.fleet.endpoints.get_mut("t0").unwrap());
+    for call in calls {
+        let answer = call.await.unwrap();
+        assert_eq!(answer.code(), "outcome_unknown", "{answer:?}");
+    }
+    assert_eq!(deployment.payments().await.len(), PROGRAMS);
+}
+
+/// Guards against calls that are lost in the queue of a stopped process: another endpoint can run
+/// them.
+#[tokio::test(flavor = "multi_thread")]
+async fn payments_queued_at_a_stopped_process_run_at_another_endpoint() {
+    let flags = [SHORT_DRAIN.as_slice(), &["--concurrency", "1"]].concat();
+    let mut deployment = Deployment::start_with(Settings::default(), &[], &flags).await;
+    let other_tools =
+        trefoil_standins::tool_service::spawn(([127, 0, 0, 1], 0).into()).await.unwrap();
+    let entry = deployment.entries()[0];
+    let caller = deployment.caller();
+    // More, or the first calls of programs, would be refused as the endpoint is overloaded.
+    let names: Vec<String> = (0..4).map(|number| format!("q{number}")).collect();
+    for name in &names {
+        let answer = caller.insist(&[entry], &action(name, 1, "tools/look", json!({})), 10).await;
+        assert!(matches!(answer, Answer::Whole(_)), "{answer:?}");
+    }
+    configure_stand_in(deployment.tools.address, &json!({ "hang": true })).await;
+    let second_turn = |name: &String| Turn { turn: Some(2), ..payment(name) };
+    let calls = spawn_calls(&caller, entry, names.iter().map(second_turn));
+    let admin = deployment.fleet.endpoints["t0"].address("admin");
+    eventually("queued payments", || async {
+        get(admin, "/status").await["queued"] == names.len() - 1
+    })
+    .await;
+    let other = ("service", "tools", other_tools.address);
+    deployment.fleet.start_endpoint("t1", "b", other).unwrap();
+    deployment.fleet.list().await;
+    assert!(deployment.fleet.wait_ready().await);
+    deployment.fleet.endpoints["t0"].signal("TERM");
+    assert_exits(deployment.fleet.endpoints.get_mut("t0").unwrap());
+    let mut whole = 0;
+    for call in calls {
+        match call.await.unwrap() {
+            Answer::Whole(_) => whole += 1,
+            answer => assert_eq!(answer.code(), "outcome_unknown", "{answer:?}"),
+        }
+    }
+    assert_eq!((whole, deployment.payments().await.len()), (names.len() - 1, 1));
+}
+
+/// Guards against an attempt whose body is arriving and that is cut instead of rejected: its owner
+/// would have to take it for one that may have run.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_attempt_whose_body_is_arriving_is_rejected_before_the_process_exits() {
+    let mut deployment = Deployment::start_with(Settings::default(), &[], &SHORT_DRAIN).await;
+    let process = deployment.fleet.endpoints.get_mut("t0").unwrap();
+    let mut stream = TcpStream::connect(process.address("peer")).await.unwrap();
+    stream.write_all(b"POST /attempts HTTP/1.1\r\ncontent-length: 100\r\n\r\n{").await.unwrap();
+    // The head was read once a later request has been answered.
+    get(process.address("peer"), "/").await;
+    process.signal("TERM");
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer).await;
+    let answer = String::from_utf8_lossy(&answer);
+    assert!(answer.starts_with("HTTP/1.1 200") && answer.contains("rejected"), "{answer:?}");
+    assert_exits(process);
+}
+
 /// Guards against an interrupted stream whose text is lost or charged twice: it continues at another
 /// engine.
 #[tokio::test(flavor = "multi_thread")]
