Release shards that are claimed while their entry stops

What callers saw: an entry that got SIGTERM while it claimed a shard did not exit within 30 s, although every call was answered (the drain timeout is 60 s by default); with a short drain timeout, calls in flight would have been cut. Its programs' next owner had to wait until it was missed.

Cause: the command to release all shards is carried out once. An owner whose claim is not recorded yet ignores it, owns the shard a moment later and keeps it, and the drain waits until no shard is owned.

Change: a stopping entry releases at every tick, so an owner is released once it can be. The hand-over of turns in flight goes the same way; it is not undone by the end of the callers' connections.

Evidence: tests/shutdown.rs, an_entry_that_is_claiming_shards_when_it_stops_exits; 3 of 3 runs before did not exit within 30 s, 3 of 3 runs after do.

Why it works: what is to hold at the exit is checked against the state until it holds, not signalled once.

--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -53,6 +53,8 @@
     next_call: u64,
     limits: OwnerLimits,
     last_rebalance: TimeMs,
+    /// How shards are released: `Event::Release` or `Event::HandOver`, once this entry stops.
+    release: Option<Event>,
 }
 
 impl Core {
@@ -74,6 +76,7 @@
             next_call: 0,
             limits,
             last_rebalance: TimeMs(0),
+            release: None,
         }
     }
 
@@ -107,7 +110,7 @@
                     self.handle(shard, Event::ConfirmOwnership);
                 }
             }
-            Command::ReleaseAll => self.handle_all(&Event::Release),
+            Command::ReleaseAll => self.release_all(Event::Release),
             Command::HandOverAll => self.hand_over_all(),
         }
     }
@@ -259,6 +262,11 @@
     fn tick(&mut self) {
         self.remove_disconnected_callers();
         self.handle_all(&Event::Tick);
+        // An owner whose claim is not recorded yet can't release its shard. It does so at a later
+        // tick; else this entry would own the shard until its exit and after.
+        if let Some(release) = self.release.clone() {
+            self.handle_all(&release);
+        }
         self.rebalance();
     }
 
@@ -316,6 +324,14 @@
                 "turn in flight at shutdown; leaving it to the shard's next owner"
             );
         }
-        self.handle_all(&Event::HandOver);
+        self.release_all(Event::HandOver);
+    }
+
+    /// Releases every shard. Once turns are handed over, later ones are not waited for either.
+    fn release_all(&mut self, release: Event) {
+        self.handle_all(&release);
+        if self.release != Some(Event::HandOver) {
+            self.release = Some(release);
+        }
     }
 }
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -361,6 +361,27 @@
     }
 }
 
+/// Guards against a shard that is claimed while its entry stops and is never released, which keeps
+/// the entry from exiting.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_is_claiming_shards_when_it_stops_exits() {
+    let mut deployment = Deployment::start().await;
+    let (entries, caller) = (deployment.entries(), deployment.caller());
+    for name in names("a").iter().take(2) {
+        caller.call(entries[0], &completion(name, 1, "x")).await;
+    }
+    deployment.set_log_faults(json!({ "slow_ms": 300 })).await;
+    let calls = names("b").into_iter().map(|name| completion(&name, 1, "x"));
+    let calls = spawn_calls(&caller, entries[1], calls);
+    tokio::time::sleep(std::time::Duration::from_millis(150)).await;
+    deployment.fleet.entries["e0"].signal("TERM");
+    for call in calls {
+        let answer = call.await.unwrap();
+        assert!(matches!(answer, Answer::Whole(_)), "{answer:?}");
+    }
+    assert_exits(deployment.fleet.entries.get_mut("e0").unwrap());
+}
+
 /// Guards against a further signal that cuts the calls in flight.
 #[test_case(&["TERM", "TERM"]; "SIGTERM twice")]
 #[test_case(&["INT", "TERM"]; "SIGINT then SIGTERM")]
