Do not refuse as not run a call that an earlier owner may have run

What callers saw: a payment ran at its service; the entry that owned its program was stopped, and the log could not be read. At its deadline the call was refused with 503 log_unavailable, "not_run", with a retry delay.

Cause: the entry that forwards a call judged by the last owner that it tried. The first one's connection had broken with the payment running (outcome unknown); the next could not read the shard's stream, so it knew nothing of that run and refused the call as not run. The same if no entry owned the shard until the deadline.

Change: the forwarder remembers that an owner may have run the call. Without an owner's answer it then refuses with owner_lost, and an owner's refusal for want of the log is passed on with "unknown". Other refusals are kept: their owner has read the stream, which has the intent of every call that was dispatched.

Why it works: "not run" now needs every owner that had the call to be sure, as doubt is never dropped on the way.

--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -50,7 +50,8 @@
 /// Starts forwarding a call; its replies arrive on the returned channel.
 pub(super) fn forward(entry: Arc<Entry>, call: Call) -> mpsc::UnboundedReceiver<Reply> {
     let (replies, receiver) = mpsc::unbounded_channel();
-    tokio::spawn(async move { Forwarder { entry, call, replies, delivered: false }.run().await });
+    let forwarder = Forwarder { entry, call, replies, delivered: false, may_have_run: false };
+    tokio::spawn(forwarder.run());
     receiver
 }
 
@@ -61,6 +62,8 @@
     /// Whether a reply was passed on to the caller. After that, a call of unknown outcome is not
     /// sent again.
     delivered: bool,
+    /// Whether an owner that failed or was replaced may have run the call.
+    may_have_run: bool,
 }
 
 impl Call {
@@ -100,23 +103,18 @@
                 ShardLocation::Local => self.relay_local().await,
                 ShardLocation::Remote(vm, address) => self.relay_remote(&vm, address).await,
             };
-            let may_repeat = !self.delivered && self.call.is_repeat_detected();
             match outcome {
                 RelayOutcome::Finished => return,
-                RelayOutcome::OutcomeUnknown if !may_repeat => {
-                    return self.refuse(self.owner_lost_refusal());
-                }
-                RelayOutcome::OutcomeUnknown | RelayOutcome::NotRun => {}
+                RelayOutcome::OutcomeUnknown => self.may_have_run = true,
+                RelayOutcome::NotRun => {}
+            }
+            let may_repeat = !self.delivered && self.call.is_repeat_detected();
+            if self.may_have_run && !may_repeat {
+                return self.refuse(self.owner_lost_refusal());
             }
             let retry_at = self.entry.clock.now().plus(backoff_ms);
             if retry_at >= self.call.deadline() || !self.wait_to_retry(backoff_ms).await {
-                let refusal = match outcome {
-                    RelayOutcome::NotRun => Refusal::not_run(RefusalReason::NotOwner),
-                    RelayOutcome::OutcomeUnknown | RelayOutcome::Finished => {
-                        return self.refuse(self.owner_lost_refusal());
-                    }
-                };
-                return self.refuse(refusal.retry_after(MAX_BACKOFF_MS));
+                return self.refuse(self.no_owner_refusal());
             }
             backoff_ms = (backoff_ms * 2).min(MAX_BACKOFF_MS);
         }
@@ -128,6 +126,14 @@
         self.entry.answers_due.run_until_cancelled(backoff).await.is_some()
     }
 
+    /// The refusal for a call that no owner has answered in time.
+    fn no_owner_refusal(&self) -> Refusal {
+        match self.may_have_run {
+            true => self.owner_lost_refusal(),
+            false => Refusal::not_run(RefusalReason::NotOwner).retry_after(MAX_BACKOFF_MS),
+        }
+    }
+
     /// The refusal for a call whose owner failed before its final reply. It suggests a retry only
     /// if the next owner would detect the repeat.
     fn owner_lost_refusal(&self) -> Refusal {
@@ -177,10 +183,24 @@
         }
         let is_final = reply.is_final();
         self.delivered = true;
-        let is_closed = self.replies.send(reply).is_err();
+        let is_closed = self.replies.send(self.add_doubt(reply)).is_err();
         (is_final || is_closed).then_some(RelayOutcome::Finished)
     }
 
+    /// Changes the refusal of an owner without the log to an unknown outcome if an earlier owner may
+    /// have run the call. An owner that can't read its shard's stream doesn't know about that run,
+    /// and refuses the call as not run.
+    fn add_doubt(&self, reply: Reply) -> Reply {
+        match reply {
+            Reply::Refused(refusal)
+                if self.may_have_run && refusal.reason == RefusalReason::LogUnavailable =>
+            {
+                Reply::Refused(Refusal { ran: ExecutionStatus::Unknown, ..refusal })
+            }
+            reply => reply,
+        }
+    }
+
     /// Forwards the call to another entry. A paused owner keeps its connections open but does not
     /// answer, so the call stops waiting once that entry is considered dead or another entry owns
     /// the shard.
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -424,3 +424,23 @@
     deployment.fleet.entries["e0"].signal("TERM");
     assert_exits(deployment.fleet.entries.get_mut("e0").unwrap());
 }
+
+/// Guards against the refusal, as not run, of a payment that ran at its owner before that stopped
+/// while the log was unavailable.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_payment_that_may_have_run_is_not_refused_as_not_run_after_its_owner_stopped() {
+    let drain = ["--drain-timeout-ms", "500", "--config-stale-ms", "60000"];
+    let mut deployment = Deployment::start_with(Settings::default(), &drain, &[]).await;
+    let entries = deployment.entries();
+    configure_stand_in(deployment.tools.address, &json!({ "hang": true })).await;
+    let calls = names("u").into_iter().map(|name| Turn { deadline_ms: 6_000, ..payment(&name) });
+    let calls = spawn_calls(&deployment.caller(), entries[0], calls);
+    wait_payments(&deployment, PROGRAMS).await;
+    deployment.set_log_faults(json!({ "outage": true })).await;
+    deployment.fleet.entries["e1"].signal("TERM");
+    assert_exits(deployment.fleet.entries.get_mut("e1").unwrap());
+    for call in calls {
+        let answer = call.await.unwrap();
+        assert!(is_unknown(&answer), "{answer:?}");
+    }
+}
