Close no connection of a stopping process while a request is on its way

What callers saw: an entry got SIGTERM and closed the connections that callers kept open; calls that were on their way over them ended with a closed connection, and the caller could not tell whether they had run. The process beside an idle endpoint did the same to the owners' connections: a payment that never ran was answered with outcome_unknown, which is final.

Cause: idle connections were closed in the moment of the signal, before anyone could know of it.

Change: a stopping server accepts the connections that are established, takes no new ones, and reads requests on open ones until DrainBounds::close (a quarter of the drain timeout, two seconds at most), or until none is open. A stopping entry's answers say "connection: close", so that callers leave by themselves; the process beside an endpoint rejects attempts, which is certain not to have run. New connections are refused from the signal on, as before. The listener stops at once also while the process is out of file descriptors.

Why it works: a connection is closed behind an answer that announces it, or after a time without a request that is long against the way of one.

--- a/src/daemon/tests.rs
+++ b/src/daemon/tests.rs
@@ -6,12 +6,13 @@
 use super::DrainBounds;
 
 // Calls in flight got a closed connection, because nothing answered them before the exit.
-#[test_case(0, 0; "no time")]
-#[test_case(500, 400; "a short time")]
-#[test_case(60_000, 59_000; "a long time")]
-fn answers_are_due_before_the_exit(drain_timeout_ms: u64, answers_due_ms: u64) {
+#[test_case(0, 0, 0; "no time")]
+#[test_case(500, 125, 400; "a short time")]
+#[test_case(60_000, 2_000, 59_000; "a long time")]
+fn answers_are_due_before_the_exit(drain_timeout_ms: u64, close_ms: u64, answers_due_ms: u64) {
     let started = Instant::now();
     let bounds = DrainBounds::new(started, Duration::from_millis(drain_timeout_ms));
+    assert_eq!(bounds.close - started, Duration::from_millis(close_ms));
     assert_eq!(bounds.answers_due - started, Duration::from_millis(answers_due_ms));
     assert_eq!(bounds.exit - started, Duration::from_millis(drain_timeout_ms));
 }
--- a/src/endpoint/process.rs
+++ b/src/endpoint/process.rs
@@ -90,7 +90,7 @@
     admin.set_ready(false);
     let drain_timeout = Duration::from_millis(settings.process.drain_timeout_ms);
     let bounds = DrainBounds::new(Instant::now(), drain_timeout);
-    let drain = drain(&dispatcher, peer_server);
+    let drain = drain(&dispatcher, bounds, peer_server);
     if !bounds.finish(drain, || dispatcher.end_attempts()).await {
         log::warn!(
             "drain did not finish within {} ms; stopping with attempts in flight",
@@ -103,11 +103,12 @@
     Ok(())
 }
 
-/// Finishes the attempts that were accepted, and sends their last frames.
-async fn drain(dispatcher: &Dispatcher, peer_server: RunningServer) {
+/// Finishes the attempts that were accepted, and sends their last frames. Those that are on their
+/// way are rejected; if their connection closed instead, their owners could not tell whether they
+/// ran.
+async fn drain(dispatcher: &Dispatcher, bounds: DrainBounds, peer_server: RunningServer) {
     dispatcher.scheduler().drain();
-    dispatcher.wait_idle().await;
-    peer_server.shut_down().await;
+    tokio::join!(dispatcher.wait_idle(), peer_server.shut_down(bounds.close));
 }
 
 fn is_rejection(final_frame: &AttemptFrame) -> bool {
--- a/src/entry/callers.rs
+++ b/src/entry/callers.rs
@@ -4,7 +4,7 @@
 
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use hyper::header::{AUTHORIZATION, HeaderName};
+use hyper::header::{AUTHORIZATION, CONNECTION, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 use tokio::sync::mpsc;
 
@@ -51,7 +51,7 @@
 /// Handles a caller's request. Errors are counted by their code.
 pub(super) async fn handle(entry: Arc<Entry>, request: Request<Incoming>) -> Response<Body> {
     let call = entry.calls.begin(entry.clock.now());
-    let response = match route(entry, &call, request).await {
+    let mut response = match route(entry.clone(), &call, request).await {
         Ok(response) => response,
         Err(error) => {
             metrics::counter!("trefoil_refusals", "code" => error.code.text()).increment(1);
@@ -59,6 +59,11 @@
         }
     };
     call.set_wait(Wait::Caller);
+    // The caller opens its next connection to another entry. If an idle connection were closed
+    // instead, a call on its way would be cut.
+    if entry.is_leaving() {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
     response.map(|body| hold_until_sent(body, call))
 }
 
--- a/src/entry/process.rs
+++ b/src/entry/process.rs
@@ -69,7 +69,7 @@
     admin.set_ready(false);
     let drain_timeout = Duration::from_millis(process.drain_timeout_ms);
     let bounds = DrainBounds::new(Instant::now(), drain_timeout);
-    let drain = drain(&entry, caller_server, peer_server);
+    let drain = drain(&entry, bounds, caller_server, peer_server);
     if !bounds.finish(drain, || answer_calls(&entry)).await {
         log::warn!(
             "drain did not finish within {} ms; stopping with calls in flight",
@@ -125,14 +125,19 @@
 
 /// Drains the entry in this order: its callers' requests, its shards, and the requests that other
 /// entries forwarded for those shards.
-async fn drain(entry: &Arc<Entry>, caller_server: RunningServer, peer_server: RunningServer) {
+async fn drain(
+    entry: &Arc<Entry>,
+    bounds: DrainBounds,
+    caller_server: RunningServer,
+    peer_server: RunningServer,
+) {
     entry.leave();
-    caller_server.shut_down().await;
+    caller_server.shut_down(bounds.close).await;
     let _ = entry.commands.send(Command::ReleaseAll);
     while !entry.owned_shards().is_empty() {
         tokio::time::sleep(POLL_INTERVAL).await;
     }
-    peer_server.shut_down().await;
+    peer_server.shut_down(bounds.close).await;
 }
 
 /// Answers every call in flight: a call that waits for its rate or its body by its handler, a call
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -12,16 +12,19 @@
 use tokio::net::TcpListener;
 use tokio::sync::{Semaphore, watch};
 use tokio::task::JoinHandle;
+use tokio::time::{Instant, timeout, timeout_at};
 
 use super::Body;
 
+const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Limits of an HTTP server.
 #[derive(Debug, Clone, Copy)]
 pub struct ServerLimits {
     /// Time limit for a client to send the head of a request.
     pub header_timeout: Duration,
     /// Maximum number of open connections; further ones wait to be accepted.
-    pub connections: usize,
+    pub connections: u32,
     /// Buffer size per connection, which also bounds the head of a request.
     pub buffer_bytes: usize,
 }
@@ -40,14 +43,16 @@
 pub struct RunningServer {
     /// The address on which the server listens.
     pub address: SocketAddr,
-    stop: watch::Sender<bool>,
+    /// Once set, when idle connections are closed.
+    stop: watch::Sender<Option<Instant>>,
     task: JoinHandle<()>,
 }
 
 impl RunningServer {
-    /// Stops accepting connections and waits until all responses in flight have been sent.
-    pub async fn shut_down(self) {
-        let _ = self.stop.send(true);
+    /// Stops accepting connections, and waits until all responses in flight have been sent. Requests
+    /// on open connections are read until `close`, as some may be on their way.
+    pub async fn shut_down(self, close: Instant) {
+        let _ = self.stop.send(Some(close));
         let _ = self.task.await;
     }
 }
@@ -64,7 +69,7 @@
 {
     let listener = TcpListener::bind(address).await?;
     let address = listener.local_addr()?;
-    let (stop, stopped) = watch::channel(false);
+    let (stop, stopped) = watch::channel(None);
     let task = tokio::spawn(accept_connections(listener, limits, handler, stopped));
     Ok(RunningServer { address, stop, task })
 }
@@ -73,25 +78,27 @@
     listener: TcpListener,
     limits: ServerLimits,
     handler: H,
-    mut stopped: watch::Receiver<bool>,
+    mut stopped: watch::Receiver<Option<Instant>>,
 ) where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
-    let slots = Arc::new(Semaphore::new(limits.connections));
+    let slots = Arc::new(Semaphore::new(limits.connections as usize));
     let graceful = GracefulShutdown::new();
-    loop {
-        let Ok(slot) = slots.clone().acquire_owned().await else {
-            break;
-        };
+    let close = loop {
+        let slot = slots.clone().acquire_owned().await;
+        // Connections that are established already are accepted before the server stops.
         let accepted = tokio::select! {
+            biased;
             accepted = listener.accept() => accepted,
-            _ = stopped.wait_for(|stop| *stop) => break,
+            close = stop_requested(&mut stopped) => break close,
         };
         let Ok((stream, _)) = accepted else {
             // Most likely the process is out of file descriptors; the pause avoids a busy loop.
-            tokio::time::sleep(Duration::from_millis(20)).await;
-            continue;
+            match timeout(ACCEPT_RETRY_INTERVAL, stop_requested(&mut stopped)).await {
+                Ok(close) => break close,
+                Err(_) => continue,
+            }
         };
         let _ = stream.set_nodelay(true);
         let handler = handler.clone();
@@ -109,7 +116,15 @@
             let _ = watched.await;
             drop(slot);
         });
-    }
+    };
     drop(listener);
+    let all_closed = slots.acquire_many(limits.connections);
+    let _ = timeout_at(close, all_closed).await;
     graceful.shutdown().await;
 }
+
+/// Waits until the server is to stop; returns when its idle connections are closed.
+async fn stop_requested(stopped: &mut watch::Receiver<Option<Instant>>) -> Instant {
+    let close = stopped.wait_for(Option::is_some).await;
+    close.ok().and_then(|close| *close).unwrap_or_else(Instant::now)
+}
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -6,6 +6,9 @@
 mod common;
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 
 use common::{Deployment, TEST_TIMEOUT, configure_stand_in, eventually, get, wait_running};
 use serde_json::json;
@@ -153,7 +156,7 @@
     let (mut reader, mut writer) = stream.into_split();
     let sender = tokio::spawn(async move {
         while writer.write_all(b"x").await.is_ok() {
-            tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+            tokio::time::sleep(Duration::from_millis(20)).await;
         }
     });
     // The head was read once a call that was sent later has been answered.
@@ -219,7 +222,7 @@
     let call = Turn { deadline_ms: LONG_DEADLINE_MS, ..completion("r", 1, "x") };
     let calls = spawn_calls(&Caller::new(key), deployment.entries()[0], [call]);
     // Long enough for the loan of the rate, if there were a lender.
-    tokio::time::sleep(std::time::Duration::from_millis(700)).await;
+    tokio::time::sleep(Duration::from_millis(700)).await;
     deployment.fleet.entries["e0"].signal("TERM");
     for call in calls {
         let answer = call.await.unwrap();
@@ -324,41 +327,131 @@
     }
 }
 
+/// What became of the calls that one client sent over connections which it kept open.
+#[derive(Debug, Default)]
+struct KeptConnection {
+    answered: usize,
+    cut: usize,
+}
+
+/// Sends calls one after another over kept connections until connections are refused.
+async fn call_until_refused(entry: SocketAddr, client: usize) -> KeptConnection {
+    let mut seen = KeptConnection::default();
+    for number in 0.. {
+        let Ok(mut stream) = TcpStream::connect(entry).await else {
+            return seen;
+        };
+        for turn in 1.. {
+            let call = format!(
+                "POST /v1/services/tools/look HTTP/1.1\r\nauthorization: Bearer {}\r\n\
+                 x-trefoil-program: k{client}-{number}-{turn}\r\ncontent-length: 2\r\n\r\n{{}}",
+                common::ICE_KEY
+            );
+            if stream.try_read(&mut [0; 1]).is_ok_and(|bytes| bytes == 0) {
+                break;
+            }
+            let sent = stream.write_all(call.as_bytes()).await;
+            let mut answer = vec![0; 4_096];
+            let bytes = stream.read(&mut answer).await.unwrap_or(0);
+            if sent.is_err() || bytes == 0 {
+                seen.cut += 1;
+                break;
+            }
+            seen.answered += 1;
+            if String::from_utf8_lossy(&answer[..bytes]).contains("connection: close") {
+                break;
+            }
+        }
+    }
+    seen
+}
+
+/// Guards against an entry that closes a kept connection while a call is on its way over it.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_over_kept_connections_are_not_cut_when_the_entry_stops() {
+    let mut deployment = Deployment::start_with(Settings::default(), &SHORT_DRAIN, &[]).await;
+    let entry = deployment.entries()[0];
+    let clients: Vec<_> =
+        (0..64).map(|client| tokio::spawn(call_until_refused(entry, client))).collect();
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    deployment.fleet.entries["e0"].signal("TERM");
+    let mut seen = KeptConnection::default();
+    for client in clients {
+        let client = client.await.unwrap();
+        seen.answered += client.answered;
+        seen.cut += client.cut;
+    }
+    assert!(seen.answered > 0 && seen.cut == 0, "{seen:?}");
+    assert_exits(deployment.fleet.entries.get_mut("e0").unwrap());
+}
+
+/// Sends payments one after another from several clients until `stopped` is set.
+fn spawn_payers(
+    deployment: &Deployment,
+    entries: &[SocketAddr],
+    stopped: &Arc<AtomicBool>,
+    payment: fn(&str) -> Turn,
+) -> Vec<JoinHandle<Vec<Answer>>> {
+    let spawn = |client: usize| {
+        let (caller, stopped) = (deployment.caller(), stopped.clone());
+        let entry = entries[client % entries.len()];
+        tokio::spawn(async move {
+            let mut answers = Vec::new();
+            while !stopped.load(Ordering::Relaxed) {
+                let call = payment(&format!("o{client}-{}", answers.len()));
+                answers.push(caller.insist(&[entry], &call, 10).await);
+            }
+            answers
+        })
+    };
+    (0..24).map(spawn).collect()
+}
+
+async fn assert_all_whole(payers: Vec<JoinHandle<Vec<Answer>>>) {
+    for payer in payers {
+        for answer in payer.await.unwrap() {
+            assert!(matches!(answer, Answer::Whole(_)), "{answer:?}");
+        }
+    }
+}
+
 /// Guards against payments whose outcome is unknown because they were on their way to a process that
 /// had nothing to run and exited.
 #[tokio::test(flavor = "multi_thread")]
 async fn payments_on_their_way_to_a_stopped_process_run_at_another_endpoint() {
     let mut deployment = Deployment::start_with(Settings::default(), &[], &SHORT_DRAIN).await;
     let tools = deployment.tools.address;
-    deployment.fleet.start_endpoint("t1", "b", ("service", "tools", tools)).unwrap();
+    for vm in ["t1", "t2", "t3", "t4"] {
+        deployment.fleet.start_endpoint(vm, "b", ("service", "tools", tools)).unwrap();
+    }
     deployment.fleet.list().await;
     assert!(deployment.fleet.wait_ready().await);
-    let (entries, caller) = (deployment.entries(), deployment.caller());
-    let stopped = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(false));
-    let clients: Vec<_> = (0..24)
-        .map(|client| {
-            let (caller, entry) = (caller.clone(), entries[client % 2]);
-            let stopped = stopped.clone();
-            tokio::spawn(async move {
-                let mut answers = Vec::new();
-                while !stopped.load(std::sync::atomic::Ordering::Relaxed) {
-                    let call = payment(&format!("o{client}-{}", answers.len()));
-                    answers.push(caller.insist(&[entry], &call, 10).await);
-                }
-                answers
-            })
-        })
-        .collect();
-    tokio::time::sleep(std::time::Duration::from_millis(500)).await;
-    deployment.fleet.endpoints["t0"].signal("TERM");
-    assert_exits(deployment.fleet.endpoints.get_mut("t0").unwrap());
-    tokio::time::sleep(std::time::Duration::from_millis(500)).await;
-    stopped.store(true, std::sync::atomic::Ordering::Relaxed);
-    for client in clients {
-        for answer in client.await.unwrap() {
-            assert!(matches!(answer, Answer::Whole(_)), "{answer:?}");
-        }
+    let stopped = Arc::new(AtomicBool::new(false));
+    let payers = spawn_payers(&deployment, &deployment.entries(), &stopped, payment);
+    for vm in ["t0", "t1", "t2", "t3"] {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        deployment.fleet.endpoints[vm].signal("TERM");
+        assert_exits(deployment.fleet.endpoints.get_mut(vm).unwrap());
     }
+    stopped.store(true, Ordering::Relaxed);
+    assert_all_whole(payers).await;
+}
+
+/// Guards against payments whose outcome is unknown because another entry forwarded them to an entry
+/// that had just released its shards and exited. Without a turn number they can't be sent again.
+#[tokio::test(flavor = "multi_thread")]
+async fn payments_on_their_way_to_a_stopped_owner_run_at_the_next_owner() {
+    let mut deployment = Deployment::start_with(Settings::default(), &SHORT_DRAIN, &[]).await;
+    let entry = deployment.entries()[1];
+    let stopped = Arc::new(AtomicBool::new(false));
+    let unnumbered = |program: &str| Turn { turn: None, ..payment(program) };
+    let payers = spawn_payers(&deployment, &[entry], &stopped, unnumbered);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    deployment.fleet.entries["e0"].signal("TERM");
+    assert_exits(deployment.fleet.entries.get_mut("e0").unwrap());
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    stopped.store(true, Ordering::Relaxed);
+    assert_all_whole(payers).await;
 }
 
 /// Guards against a shard that is claimed while its entry stops and is never released, which keeps
@@ -373,7 +466,7 @@
     deployment.set_log_faults(json!({ "slow_ms": 300 })).await;
     let calls = names("b").into_iter().map(|name| completion(&name, 1, "x"));
     let calls = spawn_calls(&caller, entries[1], calls);
-    tokio::time::sleep(std::time::Duration::from_millis(150)).await;
+    tokio::time::sleep(Duration::from_millis(150)).await;
     deployment.fleet.entries["e0"].signal("TERM");
     for call in calls {
         let answer = call.await.unwrap();
