Count a call as in flight until its answer was written

What callers saw: nothing new; what operators did not see: a caller that did not read its answer was cut at the exit of its entry, and no line named the call. The line for calls in flight at the exit counted a call until its body was dropped, which is when the HTTP implementation takes its last chunk, with up to the whole answer still unwritten.

Change: the call stays with its connection, until the next request on it or its close.

The test also shows that such a caller no longer keeps the entry's shards from being released before the exit.

Why it works: the exit waits for connections, and the log now counts by the same.

--- a/src/entry/callers.rs
+++ b/src/entry/callers.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::{AUTHORIZATION, CONNECTION, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
@@ -15,7 +14,7 @@
 use crate::entry::rates::RateRefusal;
 use crate::entry::responses::ResponseBuilder;
 use crate::entry::state::Entry;
-use crate::http::{Body, json, read_body_until};
+use crate::http::{Body, KeptUntilSent, json, read_body_until};
 use crate::prelude::*;
 use crate::programs::{ExecutionStatus, RefusalReason, Reply, TurnRequest, Work};
 
@@ -64,16 +63,8 @@
     if entry.is_leaving() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    response.map(|body| hold_until_sent(body, call))
-}
-
-/// Keeps a call in flight as long as the body of its response.
-fn hold_until_sent(body: Body, call: CallInFlight) -> Body {
-    let pass_fault = move |fault| {
-        let _ = &call;
-        fault
-    };
-    body.map_err(pass_fault).boxed()
+    response.extensions_mut().insert(KeptUntilSent(Arc::new(call)));
+    response
 }
 
 async fn route(
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -16,7 +16,7 @@
 pub use line_reader::LineReader;
 pub use pending_call::PendingCall;
 pub use request_body::{BodyGate, BodyGateClosed, RequestBody};
-pub use server::{RunningServer, ServerLimits, serve};
+pub use server::{KeptUntilSent, RunningServer, ServerLimits, serve};
 
 #[cfg(test)]
 mod tests;
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -1,7 +1,8 @@
+use std::any::Any;
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use hyper::body::Incoming;
@@ -39,6 +40,12 @@
     }
 }
 
+/// A value that a handler puts into the extensions of a response. The server drops it when the
+/// response was sent: when the next request arrives on the connection, or the connection has closed.
+/// The body of a response is dropped earlier, when its last bytes wait to be written.
+#[derive(Clone)]
+pub struct KeptUntilSent(pub Arc<dyn Any + Send + Sync>);
+
 /// Handle of a running HTTP server.
 pub struct RunningServer {
     /// The address on which the server listens.
@@ -102,9 +109,15 @@
         };
         let _ = stream.set_nodelay(true);
         let handler = handler.clone();
+        let kept = Arc::new(Mutex::new(None));
         let service = service_fn(move |request| {
-            let response = handler(request);
-            async move { Ok::<_, Infallible>(response.await) }
+            keep(&kept, None);
+            let (response, kept) = (handler(request), kept.clone());
+            async move {
+                let mut response = response.await;
+                keep(&kept, response.extensions_mut().remove());
+                Ok::<_, Infallible>(response)
+            }
         });
         let connection = hyper::server::conn::http1::Builder::new()
             .timer(TokioTimer::new())
@@ -123,6 +136,10 @@
     graceful.shutdown().await;
 }
 
+fn keep(kept: &Mutex<Option<KeptUntilSent>>, value: Option<KeptUntilSent>) {
+    *kept.lock().expect("no holder panics") = value;
+}
+
 /// Waits until the server is to stop; returns when its idle connections are closed.
 async fn stop_requested(stopped: &mut watch::Receiver<Option<Instant>>) -> Instant {
     let close = stopped.wait_for(Option::is_some).await;
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -11,14 +11,16 @@
 use std::time::Duration;
 
 use common::{Deployment, TEST_TIMEOUT, configure_stand_in, eventually, get, wait_running};
+use hyper::StatusCode;
 use serde_json::json;
 use test_case::test_case;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
 use trefoil_standins::caller::{Answer, Caller, Turn, action, completion};
 use trefoil_standins::engine::Settings;
 use trefoil_standins::fleet::Process;
+use trefoil_standins::http;
 
 const SHORT_DRAIN: [&str; 2] = ["--drain-timeout-ms", "2000"];
 /// Longer than a test waits for a process to exit, so that no call ends by its deadline.
@@ -518,6 +520,46 @@
     assert_exits(deployment.fleet.entries.get_mut("e0").unwrap());
 }
 
+/// Guards against a caller that does not read its answer and keeps its entry from releasing its
+/// shards, and against an exit whose log does not name that call.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_does_not_read_keeps_no_shard_from_its_next_owner() {
+    let mut deployment = Deployment::start_with(Settings::default(), &SHORT_DRAIN, &[]).await;
+    let entry = deployment.entries()[0];
+    let local_port = ([127, 0, 0, 1], 0).into();
+    let large_answer = || async { http::json(StatusCode::OK, &"x".repeat(1_000_000)) };
+    let large = http::serve(local_port, move |_| large_answer()).await.unwrap();
+    deployment.fleet.endpoints.get_mut("t0").unwrap().kill();
+    deployment.fleet.start_endpoint("t0", "a", ("service", "tools", large.address)).unwrap();
+    deployment.fleet.list().await;
+    assert!(deployment.fleet.wait_ready().await);
+    for name in names("n") {
+        let call = action(&name, 1, "tools/look", json!({}));
+        let answer = deployment.caller().insist(&[entry], &call, 10).await;
+        assert!(matches!(answer, Answer::Whole(_)), "{answer:?}");
+    }
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(4_096).unwrap();
+    let mut stream = socket.connect(entry).await.unwrap();
+    let call = format!(
+        "POST /v1/services/tools/look HTTP/1.1\r\nauthorization: Bearer {}\r\n\
+         x-trefoil-program: unread\r\nidempotency-key: one\r\ncontent-length: 2\r\n\r\n{{}}",
+        common::ICE_KEY
+    );
+    // The answers exceed what the kernel buffers.
+    stream.write_all(call.repeat(12).as_bytes()).await.unwrap();
+    stream.readable().await.unwrap();
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    deployment.fleet.entries["e0"].signal("TERM");
+    assert_exits(deployment.fleet.entries.get_mut("e0").unwrap());
+    let output = deployment.fleet.entries["e0"].output();
+    let lines = |text: &str| output.iter().filter(|line| line.contains(text)).count();
+    assert!(lines("now owns the shard") > 0, "the entry owned no shard");
+    assert_eq!(lines("no longer owns the shard"), lines("now owns the shard"), "{output:#?}");
+    let is_named = |line: &String| line.contains("in flight at exit") && line.contains("unread");
+    assert!(output.iter().any(is_named), "{output:#?}");
+}
+
 /// Guards against the refusal, as not run, of a payment that ran at its owner before that stopped
 /// while the log was unavailable.
 #[tokio::test(flavor = "multi_thread")]
