Stop a server whose connections are all in use

Cause: the wait for a free connection slot did not end with the request to stop; only the wait for a connection did.

Change: both waits do.

Evidence: src/http/tests.rs, a_server_with_all_connections_in_use_stops: not stopped after 10 s before, at once now.

Why it works: the accept loop has no wait left that the request to stop doesn't end.

--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -93,7 +93,11 @@
     let slots = Arc::new(Semaphore::new(limits.connections as usize));
     let graceful = GracefulShutdown::new();
     let close = loop {
-        let slot = slots.clone().acquire_owned().await;
+        let slot = tokio::select! {
+            biased;
+            slot = slots.clone().acquire_owned() => slot,
+            close = stop_requested(&mut stopped) => break close,
+        };
         // Connections that are established already are accepted before the server stops.
         let accepted = tokio::select! {
             biased;
--- a/src/http/tests.rs
+++ b/src/http/tests.rs
@@ -1,12 +1,18 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
-use tokio::net::TcpListener;
+use hyper::Response;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::task::LocalSet;
+use tokio::time::{Instant, timeout};
 
-use super::{ConnectionPool, PendingCall};
+use super::{ConnectionPool, PendingCall, ServerLimits, empty, serve};
 use crate::prelude::*;
 
+const TEST_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// A pool with two idle connections to a server that never answers.
 async fn pool_with_idle_connections(server: SocketAddr) -> Rc<ConnectionPool> {
     let pool = Rc::<ConnectionPool>::default();
@@ -34,3 +40,21 @@
     };
     LocalSet::new().run_until(calls).await;
 }
+
+// A server whose connections were all in use did not notice that it was to stop, and its idle
+// connections kept the process from exiting.
+#[tokio::test]
+async fn a_server_with_all_connections_in_use_stops() {
+    let limits = ServerLimits {
+        connections: 1,
+        header_timeout: Duration::from_secs(3_600),
+        ..ServerLimits::default()
+    };
+    let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+    let server =
+        serve(listen, limits, |_| async { Response::new(empty()) }).await.expect("a port is free");
+    let mut connection = TcpStream::connect(server.address).await.expect("the server listens");
+    connection.write_all(b"GET / HTTP/1.1\r\n\r\n").await.expect("the server reads");
+    connection.read_u8().await.expect("the server answers");
+    timeout(TEST_TIMEOUT, server.shut_down(Instant::now())).await.expect("it stops");
+}
