Cut answers of endpoints: shown not to pass for whole ones

It was reported that a replica stopped in the middle of the head of its answer and closed, and that callers got a 200 with an empty or short body, framed as whole.

Tests: an endpoint sends the first bytes of its answer, at every byte from none to all of them (every third on a reused connection), and closes or resets the connection. The answer has a length, a length after a 103, chunks, chunks with trailers, or neither; the connection is fresh or reused; the request is a call that may run once, a lookup, a stream or a resumable stream (80 cases, some 5,000 cuts). A second file has answers whose framing contradicts itself or what follows it, and bytes after an answer.

A call that may run once gets 502 and runs once; a lookup and a resumable stream go on at another endpoint; a stream breaks off.

--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -1,6 +1,8 @@
 mod attempts;
 mod contact;
+mod contradictory_framing;
 mod counting;
+mod cut_heads;
 mod endless_bytes;
 mod endpoint_list;
 mod endpoint_reports;
