Cut replies of services and engines: shown not to pass for whole ones

The reader of the process beside an endpoint (endpoint/backend.rs): a reply of a service that is cut at any byte, closed or reset, with a length or in chunks, is an unknown outcome; one without a length ends with its connection, and not with a reset; an engine's stream is an answer only with its last event. None of these tests fails on this code.

--- a/src/endpoint/tests.rs
+++ b/src/endpoint/tests.rs
@@ -1,3 +1,5 @@
+mod cut_replies;
+
 use super::{
     AttemptScheduler, FinishedAttempts, FinishedLookup, OrderPolicy, SchedulerAction,
     SchedulerLimits, Submission,
