Answers in a transfer coding other than chunks are not passed on

What callers saw: a 200 with a short body, framed as whole. An endpoint answered a call with "transfer-encoding: identity" and "content-length: 100", sent 5 bytes and closed; its caller got a 200 with "content-length: 5" (through a real gateway, and in the tests). With "gzip, chunked", callers got the coded bytes with nothing that says so.

Cause: hyper follows RFC 9112 and reads a body whose transfer coding does not end in chunks until the connection closes, whatever its length says; it decodes no other coding; the header itself is removed with the hop-by-hop headers. Requests are sent without TE, so an endpoint may use no coding but chunks.

Fix: a head whose transfer coding is anything but chunks is no answer: a call that may run once gets 502, others go on at another endpoint, and the log says why. The process beside an endpoint read replies of services in the same way, and does the same (outcome unknown). Peers and the store are read through formats that a part does not satisfy, and are ours or send lengths.

--- a/src/endpoint/backend.rs
+++ b/src/endpoint/backend.rs
@@ -9,7 +9,7 @@
 use serde_json::json;
 
 use crate::endpoint::scheduler::cache_key;
-use crate::http::{CallError, Client, LineReader};
+use crate::http::{CallError, Client, LineReader, is_body_decoded};
 use crate::prelude::*;
 use crate::programs::{
     Attempt, AttemptFrame, AttemptWork, FailureCause, FinishReason, TurnResult, Usage,
@@ -178,9 +178,9 @@
         let body = Bytes::from(body.to_string());
         let path = format!("/{action}");
         let response = match self.http.start(Method::POST, self.address, &path, body).await {
-            Ok(response) => response,
+            Ok(response) if is_body_decoded(response.headers()) => response,
             Err(CallError::NotSent) => return failed(FailureCause::Rejected, Some(0)),
-            Err(_) => return failed(FailureCause::Interrupted, None),
+            Ok(_) | Err(_) => return failed(FailureCause::Interrupted, None),
         };
         let status = response.status().as_u16();
         let limited = http_body_util::Limited::new(response.into_body(), MAX_REPLY_BYTES);
--- a/src/endpoint/tests/cut_replies.rs
+++ b/src/endpoint/tests/cut_replies.rs
@@ -131,3 +131,13 @@
     };
     assert_eq!(&*text, "word");
 }
+
+// A reply with a length and a transfer coding other than chunks was read until the connection closed: a
+// part of its body, or its coded bytes, became the reply.
+#[test_case("content-length: 9\r\ntransfer-encoding: identity\r\n\r\nbody"; "less than its length")]
+#[test_case("transfer-encoding: gzip, chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"; "coded")]
+#[tokio::test]
+async fn a_reply_in_another_transfer_coding_is_an_unknown_outcome(rest: &str) {
+    let reply = format!("HTTP/1.1 200 OK\r\n{rest}");
+    assert_eq!(served(&run(&call(), reply.as_bytes(), false).await), None);
+}
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -12,7 +12,7 @@
 use super::state::Gateway;
 use super::suspects::CrashKey;
 use super::{ResponseKind, RoutingDecision};
-use crate::http::{ConnectError, Connection, RequestBody};
+use crate::http::{ConnectError, Connection, RequestBody, is_body_decoded};
 use crate::load::Work;
 use crate::prelude::*;
 use crate::replicas::ReplicaKey;
@@ -261,6 +261,12 @@
             match gateway.protocol.classify_reply(&head, &endpoint_request.request) {
                 ResponseKind::NotRun => AttemptOutcome::NotRun,
                 ResponseKind::Untrusted => AttemptOutcome::Unknown,
+                ResponseKind::Own if !is_body_decoded(&head.headers) => {
+                    log::info!(request:% = endpoint_request.request,
+                        endpoint:% = in_flight.endpoint_id;
+                        "endpoint's response is in a transfer coding that is not decoded; not used");
+                    AttemptOutcome::Unknown
+                }
                 ResponseKind::Own => {
                     if let Some(idle_ms) = keep_alive_ms(&head.headers) {
                         connection.max_idle_ms = idle_ms;
