A change of the protocol is no answer of an endpoint

What callers saw: an endpoint answered a call or a turn with status 101; its caller got the 101, without an upgrade, and then a closed connection (through a real gateway). Clients take a 101 for an interim response, so that they saw no answer to a request that may have run, or an empty one.

Cause: hyper skips interim responses except 101, which it returns as a response with an empty body. The gateway passed it on like any status; so did the process beside an endpoint.

Fix: a 101 counts as no answer: a call that may run once gets 502, others go on at another endpoint. No request asks for another protocol, as the header that would is removed.

Evidence: the two added cases failed before and pass now.

--- a/src/endpoint/backend.rs
+++ b/src/endpoint/backend.rs
@@ -3,8 +3,8 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::Method;
 use hyper::body::Incoming;
+use hyper::{Method, Response};
 use serde::Deserialize;
 use serde_json::json;
 
@@ -178,7 +178,7 @@
         let body = Bytes::from(body.to_string());
         let path = format!("/{action}");
         let response = match self.http.start(Method::POST, self.address, &path, body).await {
-            Ok(response) if is_body_decoded(response.headers()) => response,
+            Ok(response) if is_reply(&response) => response,
             Err(CallError::NotSent) => return failed(FailureCause::Rejected, Some(0)),
             Ok(_) | Err(_) => return failed(FailureCause::Interrupted, None),
         };
@@ -196,6 +196,12 @@
 
 const COMPLETIONS_PATH: &str = "/v1/chat/completions";
 
+/// Whether a service's response is a reply with a body that can be passed on. A change of the protocol
+/// (status 101), which no request asks for, is none.
+fn is_reply(response: &Response<Incoming>) -> bool {
+    !response.status().is_informational() && is_body_decoded(response.headers())
+}
+
 fn failed(cause: FailureCause, spent_tokens: Option<u64>) -> AttemptFrame {
     AttemptFrame::Failed { cause, spent_tokens }
 }
--- a/src/endpoint/tests/cut_replies.rs
+++ b/src/endpoint/tests/cut_replies.rs
@@ -141,3 +141,10 @@
     let reply = format!("HTTP/1.1 200 OK\r\n{rest}");
     assert_eq!(served(&run(&call(), reply.as_bytes(), false).await), None);
 }
+
+// A change of the protocol, which no request asks for, became the reply: an empty body with status 101.
+#[tokio::test]
+async fn a_change_of_the_protocol_is_an_unknown_outcome() {
+    let reply = b"HTTP/1.1 101 Switching Protocols\r\nupgrade: x\r\nconnection: upgrade\r\n\r\n";
+    assert_eq!(served(&run(&call(), reply, false).await), None);
+}
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -261,6 +261,9 @@
             match gateway.protocol.classify_reply(&head, &endpoint_request.request) {
                 ResponseKind::NotRun => AttemptOutcome::NotRun,
                 ResponseKind::Untrusted => AttemptOutcome::Unknown,
+                // The only such response that hyper returns is a change of the protocol (status 101),
+                // which no request asks for.
+                ResponseKind::Own if head.status.is_informational() => AttemptOutcome::Unknown,
                 ResponseKind::Own if !is_body_decoded(&head.headers) => {
                     log::info!(request:% = endpoint_request.request,
                         endpoint:% = in_flight.endpoint_id;
--- a/src/gateway/tests/contradictory_framing.rs
+++ b/src/gateway/tests/contradictory_framing.rs
@@ -66,6 +66,7 @@
 #[test_case(Method::POST, "200 OK\r\ntransfer-encoding: gzip\r\n\r\nzipped", UNKNOWN; "coding without chunks")]
 #[test_case(Method::POST, "200 OK\r\ntransfer-encoding: gzip, chunked\r\n\r\n6\r\nzipped\r\n0\r\n\r\n", UNKNOWN; "coding in chunks")]
 #[test_case(Method::POST, "200 OK\r\ntransfer-encoding: Chunked \r\n\r\n4\r\nbody\r\n0\r\n\r\n", Ok((200, "body")); "chunks in other letters")]
+#[test_case(Method::POST, "101 Switching Protocols\r\nupgrade: x\r\nconnection: upgrade\r\n\r\nbody", UNKNOWN; "change of the protocol")]
 #[test_case(Method::POST, "103 Early Hints\r\n\r\n", UNKNOWN; "informational answer only")]
 #[test_case(Method::POST, "204 No Content\r\ncontent-length: 4\r\n\r\nbody", Ok((204, "")); "body of a 204")]
 #[test_case(Method::POST, "304 Not Modified\r\ncontent-length: 4\r\n\r\n", Ok((304, "")); "length of a 304")]
