Cut answers of other entries: shown not to pass for whole ones

An entry that breaks off its answer at any byte, closed or reset: to a turn that was forwarded to it (the turn counts as not run only if its body was not sent, and a stream that was cut does not end as complete), to a handoff (not confirmed), and to a lookup of a turn (its shards count as not searched, and the turn is not denied).

What a leaf reads of its hub goes through the same reader and decoder as lookups; read, not tested.

--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -3,6 +3,7 @@
 mod contradictory_framing;
 mod counting;
 mod cut_heads;
+mod cut_peers;
 mod endless_bytes;
 mod endpoint_list;
 mod endpoint_reports;
