--- a/src/endpoint/backend.rs
+++ b/src/endpoint/backend.rs
@@ -3,13 +3,13 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::Method;
 use hyper::body::Incoming;
+use hyper::{Method, Response};
 use serde::Deserialize;
 use serde_json::json;
 
 use crate::endpoint::scheduler::cache_key;
-use crate::http::{CallError, Client, LineReader};
+use crate::http::{CallError, Client, LineReader, is_body_decoded};
 use crate::prelude::*;
 use crate::programs::{
     Attempt, AttemptFrame, AttemptWork, FailureCause, FinishReason, TurnResult, Usage,
@@ -178,9 +178,9 @@
         let body = Bytes::from(body.to_string());
         let path = format!("/{action}");
         let response = match self.http.start(Method::POST, self.address, &path, body).await {
-            Ok(response) => response,
+            Ok(response) if is_reply(&response) => response,
             Err(CallError::NotSent) => return failed(FailureCause::Rejected, Some(0)),
-            Err(_) => return failed(FailureCause::Interrupted, None),
+            Ok(_) | Err(_) => return failed(FailureCause::Interrupted, None),
         };
         let status = response.status().as_u16();
         let limited = http_body_util::Limited::new(response.into_body(), MAX_REPLY_BYTES);
@@ -196,6 +196,12 @@
 
 const COMPLETIONS_PATH: &str = "/v1/chat/completions";
 
+/// Whether a service's response is a reply with a body that can be passed on. A change of the protocol
+/// (status 101), which no request asks for, is none.
+fn is_reply(response: &Response<Incoming>) -> bool {
+    !response.status().is_informational() && is_body_decoded(response.headers())
+}
+
 fn failed(cause: FailureCause, spent_tokens: Option<u64>) -> AttemptFrame {
     AttemptFrame::Failed { cause, spent_tokens }
 }
