--- a/soak/src/platform_store.rs
+++ b/soak/src/platform_store.rs
@@ -9,6 +9,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
+use percent_encoding::percent_decode_str;
 use serde_json::{Value, json};
 use trefoil_standins::http::{Body, Running, serve};
 
@@ -291,7 +292,8 @@
 
 fn parse_query(query: &str) -> HashMap<String, String> {
     let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    pairs.map(|(name, value)| (name.to_string(), value.to_string())).collect()
+    let decode = |value| percent_decode_str(value).decode_utf8_lossy().into_owned();
+    pairs.map(|(name, value)| (name.to_string(), decode(value))).collect()
 }
 
 fn bytes_answer(bytes: Vec<u8>) -> Response<Body> {
