--- a/src/gateway/endpoint_feed.rs
+++ b/src/gateway/endpoint_feed.rs
@@ -165,9 +165,12 @@
                 log::info!(endpoint:% = id; "endpoint is draining; it gets no new requests");
             }
         }
-        EndpointChange::Unreadable(id) => log::warn!(endpoint:% = id;
-            "unreadable record in the endpoint list; treating the endpoint as removed"),
-        EndpointChange::Removed(_) => {}
+        // The store logs the reason. Records of endpoints that are not known change nothing.
+        EndpointChange::Unreadable(id) if outcome != ChangeOutcome::Unknown => {
+            log::warn!(endpoint:% = id;
+                "unreadable record in the endpoint list; treating the endpoint as removed")
+        }
+        EndpointChange::Unreadable(_) | EndpointChange::Removed(_) => {}
     }
     if let EndpointChange::Removed(id) | EndpointChange::Unreadable(id) = change {
         match outcome {
