Use an endpoint that runs again after a record with later numbers

What callers saw: a record of another writer under an endpoint's ID, with a later start time or a higher number, blocks the endpoint for good: all that it announces itself counts as older. The same holds after a restart under the same ID without a start time, or with a clock that was set back.

Cause: an announcement older than the known one was ignored without limit. The rule is there for writes that the store executes seconds late.

Ruled out: bounds on the numbers alone, as a record may have plausible later ones; comparing the start time with this machine's clock, which may be wrong itself; taking any older announcement after a while, as one late write would bring back an endpoint that is draining.

Evidence: replicas/tests/directory.rs.

Why it works: a run of five or more older announcements, each later than the one before, over ten seconds in which the known one is not renewed and without a pause of ten seconds, is a heartbeat. Late writes are few and have no later ones after them. A hub passes on a removal first, since its leaves have the record that outranks the announcement.

--- a/src/gateway/endpoint_feed.rs
+++ b/src/gateway/endpoint_feed.rs
@@ -130,9 +130,17 @@
         let is_news = is_news(&directory, &change);
         let outcome = directory.apply(now, change.clone());
         log_change(&change, outcome);
-        let has_effect = matches!(outcome, ChangeOutcome::Announced | ChangeOutcome::Removed);
-        if is_news && has_effect {
-            gateway.endpoint_changes.borrow_mut().append(change);
+        let mut passed_on = gateway.endpoint_changes.borrow_mut();
+        match (outcome, &change) {
+            (ChangeOutcome::Reinstated, EndpointChange::Announcement(id, _)) => {
+                // The leaves have the known announcement, which outranks this one.
+                passed_on.append(EndpointChange::Removed(id.clone()));
+                passed_on.append(change);
+            }
+            (ChangeOutcome::Announced | ChangeOutcome::Removed, _) if is_news => {
+                passed_on.append(change)
+            }
+            _ => {}
         }
     }
 }
@@ -161,6 +169,10 @@
             if outcome == ChangeOutcome::Outdated {
                 log::info!(endpoint:% = id, started_at_ms, sequence;
                     "announcement of an endpoint is older than the known one; ignored");
+            } else if outcome == ChangeOutcome::Reinstated {
+                log::warn!(endpoint:% = id, started_at_ms, sequence;
+                    "endpoint runs, but another writer or instance has announced it with later \
+                     numbers; using the endpoint's own announcements again");
             } else if announcement.draining {
                 log::info!(endpoint:% = id; "endpoint is draining; it gets no new requests");
             }
--- a/src/gateway/tests/hub_feeds.rs
+++ b/src/gateway/tests/hub_feeds.rs
@@ -16,8 +16,8 @@
 };
 use crate::gateway::operator_feed::{apply_configuration, boot_time_ms};
 use crate::gateway::state::Gateway;
-use crate::replicas::EndpointChange;
 use crate::replicas::tests::announcement;
+use crate::replicas::{Announcement, EndpointChange};
 
 fn announce(gateway: &Gateway, id: &str, sequence: u64) {
     let change = EndpointChange::Announcement(id.into(), announcement("s", 1, 1, sequence));
@@ -84,6 +84,26 @@
     assert!(feed_update(&second, request(&leaf)).is_snapshot, "more than the hub keeps");
 }
 
+// A hub used an endpoint again after a record of another writer with later numbers; its leaves kept that
+// record, which outranks what the hub passes on.
+#[tokio::test(start_paused = true)]
+async fn a_leaf_uses_an_endpoint_again_with_its_hub() {
+    let (hub, leaf) = (fakes::gateway(FakeStore::default()), leaf());
+    let odd = Announcement { draining: true, ..announcement("s", 2, 1, u64::MAX) };
+    apply(&hub, vec![EndpointChange::Announcement("a".into(), odd)]);
+    apply_update(&leaf, feed_update(&hub, request(&leaf)));
+    for sequence in 0..=11 {
+        announce(&hub, "a", sequence);
+        tokio::time::sleep(Duration::from_secs(1)).await;
+    }
+    apply_update(&leaf, feed_update(&hub, request(&leaf)));
+    for gateway in [&hub, &leaf] {
+        let directory = gateway.directory.borrow();
+        let replica = directory.find("a").and_then(|key| directory.get(key)).expect("known");
+        assert!(!replica.announcement.draining);
+    }
+}
+
 /// What a hub answers that has just confirmed version `config_version`.
 fn status(leaf: &Gateway, config_version: u64) -> FeedStatus {
     FeedStatus {
--- a/src/replicas/announcement.rs
+++ b/src/replicas/announcement.rs
@@ -1,5 +1,6 @@
 use std::net::SocketAddr;
 
+use super::outdated_run::Version;
 use crate::prelude::*;
 
 /// The state that an endpoint publishes in the platform's endpoint list.
@@ -24,6 +25,13 @@
     pub sequence: u64,
 }
 
+impl Announcement {
+    /// Orders the announcements of one endpoint.
+    pub(super) fn version(&self) -> Version {
+        (self.started_at_ms, self.sequence)
+    }
+}
+
 /// A change in the platform's endpoint list.
 #[wire]
 pub enum EndpointChange {
@@ -43,6 +51,9 @@
     Announced,
     /// The announcement is older than the known one, which is kept.
     Outdated,
+    /// The announcement is older than the known one, but shows that this was not the endpoint's own. It
+    /// replaces the known one.
+    Reinstated,
     /// The endpoint was removed.
     Removed,
     /// The endpoint's record is gone, but may have lapsed during an outage of the list. The
--- a/src/replicas/directory.rs
+++ b/src/replicas/directory.rs
@@ -3,6 +3,7 @@
 use slotmap::{SlotMap, new_key_type};
 
 use super::cold_limits::RecentSends;
+use super::outdated_run::OutdatedRun;
 use super::{
     Announcement, AnswerCounts, ChangeOutcome, ColdLimits, EndpointChange, Evacuations, Health,
     ListOutage, Replica, SenderQuota,
@@ -143,22 +144,29 @@
     ) -> ChangeOutcome {
         let cold_ms = announcement.cold_left_ms;
         let mut recent_sends = RecentSends::default();
+        let mut outcome = ChangeOutcome::Announced;
         if let Some(key) = self.by_id.get(&id).copied() {
-            let known = &self.replicas[key].announcement;
-            let version = (announcement.started_at_ms, announcement.sequence);
-            if version < (known.started_at_ms, known.sequence) {
-                return ChangeOutcome::Outdated;
+            let replica = &mut self.replicas[key];
+            let (version, known) = (announcement.version(), replica.announcement.version());
+            if version < known {
+                if !replica.outdated.record(now, version) {
+                    return ChangeOutcome::Outdated;
+                }
+                outcome = ChangeOutcome::Reinstated;
             }
+            if version != known {
+                replica.outdated = OutdatedRun::default();
+            }
+            let known = &replica.announcement;
             let same_instance = announcement.started_at_ms == known.started_at_ms;
             if same_instance
                 && announcement.service == known.service
                 && announcement.address == known.address
             {
-                let replica = &mut self.replicas[key];
                 replica.announcement = announcement;
                 replica.remove_at = None;
                 replica.mark_cold(now, cold_ms);
-                return ChangeOutcome::Announced;
+                return outcome;
             }
             // Requests recently sent to this address may have reached the new process instance.
             recent_sends =
@@ -176,6 +184,7 @@
             remove_at: None,
             cold_until: TimeMs::default(),
             recent_sends,
+            outdated: OutdatedRun::default(),
             health: Health::open(self.seed ^ hash),
         };
         replica.mark_cold(now, cold_ms);
@@ -183,7 +192,7 @@
         self.by_id.insert(id, key);
         self.by_hash.insert(hash, key);
         self.by_service.entry(service).or_default().push(key);
-        ChangeOutcome::Announced
+        outcome
     }
 
     fn apply_removal(&mut self, now: TimeMs, id: &str) -> ChangeOutcome {
--- a/src/replicas/mod.rs
+++ b/src/replicas/mod.rs
@@ -9,6 +9,7 @@
 mod evacuations;
 mod health;
 mod list_outage;
+mod outdated_run;
 mod placement;
 mod rendezvous;
 mod replica;
--- a/src/replicas/replica.rs
+++ b/src/replicas/replica.rs
@@ -1,4 +1,5 @@
 use super::cold_limits::RecentSends;
+use super::outdated_run::OutdatedRun;
 use super::{Announcement, AnswerCounts, Health};
 use crate::load::{EndpointReport, ReportedLoad};
 use crate::prelude::*;
@@ -23,6 +24,8 @@
     /// Time until which it is assumed to be cold.
     pub(super) cold_until: TimeMs,
     pub(super) recent_sends: RecentSends,
+    /// Its announcements that are older than the latest one.
+    pub(super) outdated: OutdatedRun,
     pub(super) health: Health,
 }
 
--- a/src/replicas/tests/directory.rs
+++ b/src/replicas/tests/directory.rs
@@ -13,6 +13,56 @@
     }
 }
 
+/// Applies announcements of process instance 5 at port 1, one a second from this second on, and returns
+/// the last outcome.
+fn beat(directory: &mut Directory, seconds: std::ops::RangeInclusive<u64>) -> ChangeOutcome {
+    let outcomes = seconds.map(|second| {
+        let change = EndpointChange::Announcement("r".into(), announcement("s", 1, 5, second));
+        directory.apply(TimeMs(second * 1_000), change)
+    });
+    outcomes.last().expect("it announces itself")
+}
+
+fn port(directory: &Directory) -> u16 {
+    let key = directory.find("r").expect("known");
+    directory.get(key).expect("known").announcement.address.port()
+}
+
+// Another writer left a record with a later start time or a higher number, or the clock of the endpoint
+// was set back before a restart. All that the endpoint announced was ignored as long as it ran.
+#[test_case(announcement("s", 2, u64::MAX, 3); "a later start time")]
+#[test_case(announcement("s", 2, 5, u64::MAX); "a higher number")]
+#[test_case(announcement("other", 1, 5, u64::MAX); "another service")]
+fn an_endpoint_that_runs_is_used_again_after_a_record_with_later_numbers(odd: Announcement) {
+    let mut directory = directory_with(&[("r", announcement("s", 1, 5, 0))]);
+    directory.apply(TimeMs(500), EndpointChange::Announcement("r".into(), odd));
+    assert_eq!(beat(&mut directory, 1..=10), ChangeOutcome::Outdated);
+    assert_eq!(beat(&mut directory, 11..=11), ChangeOutcome::Reinstated);
+    assert_eq!(beat(&mut directory, 12..=12), ChangeOutcome::Announced);
+    assert_eq!((port(&directory), directory.of_service("s").count()), (1, 1));
+}
+
+// Writes that the store executes late must not bring back an endpoint that is draining.
+#[test]
+fn late_writes_are_no_heartbeat() {
+    let draining = Announcement { draining: true, ..announcement("s", 1, 5, 1_000) };
+    let mut directory = directory_with(&[("r", draining.clone())]);
+    assert_eq!(beat(&mut directory, 1..=4), ChangeOutcome::Outdated);
+    // The store executes the last one again.
+    let last = EndpointChange::Announcement("r".into(), announcement("s", 1, 5, 4));
+    for at in [12_000, 14_000] {
+        assert_eq!(directory.apply(TimeMs(at), last.clone()), ChangeOutcome::Outdated);
+    }
+    // Some more, much later.
+    assert_eq!(beat(&mut directory, 31..=34), ChangeOutcome::Outdated);
+    // The endpoint says again that it is draining.
+    let renewed = Announcement { sequence: 1_001, ..draining };
+    directory.apply(TimeMs(35_000), EndpointChange::Announcement("r".into(), renewed));
+    assert_eq!(beat(&mut directory, 36..=44), ChangeOutcome::Outdated);
+    let key = directory.find("r").expect("known");
+    assert!(!directory.may_send(TimeMs(44_000), key));
+}
+
 #[test]
 fn a_restart_under_the_same_id_resets_the_record() {
     let mut directory = directory_with(&[("r", announcement("s", 1, 5, 9))]);
