Bound the counts that other entries send

What callers saw: nothing in a release build beyond wrong choices; a debug build stops receiving the messages of other entries. A count of running requests, failures or crashes near 2^32 in a message overflows when it is added to others, and wraps around to a small one in a release build: a full endpoint counts as idle, a request that crashes endpoints as harmless. The age of a hub's read of the list overflows at a leaf in the same way.

Cause: sums of numbers that come from outside the process, without a bound.

Bytes at random, and datagrams cut off or changed, were rejected or read before as well; the tests keep it so.

Why it works: the sums stop at their maximum. The number of requests that all entries run at an endpoint is kept in 64 bits, so that what one entry no longer reports can be taken off exactly.

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -239,7 +239,7 @@
     }
 }
 
-fn receive_gossip_message(gateway: &Rc<Gateway>, from: SocketAddr, datagram: &[u8]) {
+pub(super) fn receive_gossip_message(gateway: &Rc<Gateway>, from: SocketAddr, datagram: &[u8]) {
     if !gateway.is_hub() {
         return;
     }
--- a/src/gateway/leaf_feed.rs
+++ b/src/gateway/leaf_feed.rs
@@ -70,7 +70,7 @@
     }
     let has_endpoints = gateway.leaf.endpoints.get() == status.endpoints;
     if let Some(age_ms) = status.list_age_ms.filter(|_| has_endpoints) {
-        let age_ms = age_ms + answered_in_ms;
+        let age_ms = age_ms.saturating_add(answered_in_ms);
         let read_at = TimeMs(gateway.now().0.saturating_sub(age_ms));
         let position = Position(status.endpoints.next);
         record_list_read(gateway, ListVersion { position, read_at });
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -101,7 +101,7 @@
 pub(super) struct Peers {
     peers: HashMap<SocketAddr, Peer>,
     /// The number of requests that all of them together have running, by endpoint.
-    running: HashMap<u64, u32>,
+    running: HashMap<u64, u64>,
     /// The entries that were removed, and have not been heard since.
     removed: HashSet<SocketAddr>,
 }
@@ -292,7 +292,8 @@
 
     /// The number of requests that the other entries have running at an endpoint.
     pub(super) fn running(&self, endpoint: u64) -> u32 {
-        self.running.get(&endpoint).copied().unwrap_or(0)
+        let running = self.running.get(&endpoint).copied().unwrap_or(0);
+        u32::try_from(running).unwrap_or(u32::MAX)
     }
 
     /// Marks the entry's current process instance as deregistered. Returns its name, or `None` if
@@ -346,7 +347,7 @@
 /// Updates the sum over all entries from the requests that one entry runs. Returns the endpoints
 /// whose count changed.
 fn update_running_sum(
-    totals: &mut HashMap<u64, u32>,
+    totals: &mut HashMap<u64, u64>,
     before: &HashMap<u64, u32>,
     after: &HashMap<u64, u32>,
 ) -> Vec<u64> {
@@ -360,7 +361,7 @@
         }
         changed.push(*endpoint);
         let sum = totals.entry(*endpoint).or_default();
-        *sum = (*sum + current).saturating_sub(previous);
+        *sum = (*sum + u64::from(current)).saturating_sub(u64::from(previous));
         if *sum == 0 {
             totals.remove(endpoint);
         }
--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -66,7 +66,7 @@
             self.by_request.retain(|_, suspect| suspect.is_within(now, CRASH_RETENTION_MS / 4));
         }
         let known = self.current(now, request);
-        let crashes = known.crashes + 1;
+        let crashes = known.crashes.saturating_add(1);
         self.by_request.insert(request, Suspect { crashes, grown_at: now, ..known });
         crashes - known.cleared
     }
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -13,6 +13,7 @@
 mod load_admission;
 mod load_metrics;
 mod load_reports;
+mod odd_datagrams;
 mod rates_model;
 mod slow_readers;
 mod status;
--- a/src/replicas/health.rs
+++ b/src/replicas/health.rs
@@ -192,7 +192,7 @@
         }
         self.failed_at = Some(now);
         self.all_recent.add(now, added);
-        self.consecutive_failures += added.failures;
+        self.consecutive_failures = self.consecutive_failures.saturating_add(added.failures);
         let is_late_report = now.since(self.ejected_at) < LATE_REPORT_MS;
         let must_eject = match self.is_on_probation() {
             true => !is_late_report,
--- a/src/replicas/replica.rs
+++ b/src/replicas/replica.rs
@@ -40,7 +40,7 @@
 
     /// Requests in flight from all entries, as these count them.
     pub(super) fn counted_load(&self) -> u32 {
-        self.in_flight + self.others_in_flight
+        self.in_flight.saturating_add(self.others_in_flight)
     }
 
     /// Its newest report of its load, unless it is too old.
