Test odd records with real gateways

Guards against what operators saw: an odd record among those of the endpoints, and gateways that end again and again or no longer follow the list.

--- a/soak/src/platform_store.rs
+++ b/soak/src/platform_store.rs
@@ -93,7 +93,15 @@
 
     /// Writes a record, as the operator or an endpoint does; without a value, deletes the key.
     pub fn put(&self, topic: &str, key: &str, value: Option<Value>) {
-        let value = value.map(|value| value.to_string().into_bytes());
+        self.append_record(topic, key, value.map(|value| value.to_string().into_bytes()));
+    }
+
+    /// Writes a record whose value is any bytes, as another writer may.
+    pub fn put_bytes(&self, topic: &str, key: &str, value: &[u8]) {
+        self.append_record(topic, key, Some(value.to_vec()));
+    }
+
+    fn append_record(&self, topic: &str, key: &str, value: Option<Vec<u8>>) {
         let mut state = self.lock();
         let partition = state.partitions.entry((topic.to_string(), 0)).or_default();
         partition.append(vec![(key.to_string(), value)], None);
