Treat an endpoint as cold as its latest announcement says

What callers saw: after a record of another writer with a long coldLeftMs, an endpoint gets a few requests a second for that time, although it announces itself that it is warm.

Cause: the time until which an endpoint is cold was the latest of all that any announcement had said.

Evidence: replicas/tests/cold_limits.rs fails on the code before (still cold after the next announcement) and passes now.

Why it works: what is announced and what the entry assumes are kept apart. The latest announcement replaces the earlier one; it was written before it is read, so the time counted from the read is never too short. An assumption, after a crash or an evacuation, is not shortened by an announcement, as before.

--- a/src/replicas/directory.rs
+++ b/src/replicas/directory.rs
@@ -132,7 +132,7 @@
     pub fn assume_cold(&mut self, now: TimeMs, key: ReplicaKey) {
         if let Some(replica) = self.replicas.get_mut(key) {
             let limits = self.cold_limits.get(&replica.announcement.service);
-            replica.mark_cold(now, limits.map_or(0, |limits| limits.duration_ms));
+            replica.assume_cold(now, limits.map_or(0, |limits| limits.duration_ms));
         }
     }
 
@@ -165,7 +165,7 @@
             {
                 replica.announcement = announcement;
                 replica.remove_at = None;
-                replica.mark_cold(now, cold_ms);
+                replica.announce_cold(now, cold_ms);
                 return outcome;
             }
             // Requests recently sent to this address may have reached the new process instance.
@@ -182,12 +182,13 @@
             others_in_flight: 0,
             reported: None,
             remove_at: None,
-            cold_until: TimeMs::default(),
+            announced_cold_until: TimeMs::default(),
+            assumed_cold_until: TimeMs::default(),
             recent_sends,
             outdated: OutdatedRun::default(),
             health: Health::open(self.seed ^ hash),
         };
-        replica.mark_cold(now, cold_ms);
+        replica.announce_cold(now, cold_ms);
         let key = self.replicas.insert(replica);
         self.by_id.insert(id, key);
         self.by_hash.insert(hash, key);
--- a/src/replicas/replica.rs
+++ b/src/replicas/replica.rs
@@ -21,8 +21,10 @@
     pub(super) reported: Option<Box<ReportedLoad>>,
     /// If its record has lapsed: the time until which it stays in use.
     pub(super) remove_at: Option<TimeMs>,
-    /// Time until which it is assumed to be cold.
-    pub(super) cold_until: TimeMs,
+    /// Time until which it remains cold by its latest announcement.
+    pub(super) announced_cold_until: TimeMs,
+    /// Time until which it is assumed to be cold, whatever it announces.
+    pub(super) assumed_cold_until: TimeMs,
     pub(super) recent_sends: RecentSends,
     /// Its announcements that are older than the latest one.
     pub(super) outdated: OutdatedRun,
@@ -79,14 +81,25 @@
 
     /// Whether it has recently started or lost its caches.
     pub fn is_cold(&self, now: TimeMs) -> bool {
-        now < self.cold_until
+        now < self.announced_cold_until.max(self.assumed_cold_until)
+    }
+
+    /// Treats it as cold for this long, as it now announces. An earlier announcement no longer counts:
+    /// its time may have come from another writer.
+    pub(super) fn announce_cold(&mut self, now: TimeMs, cold_ms: u64) {
+        self.log_cold(now, cold_ms);
+        self.announced_cold_until = now.plus(cold_ms);
     }
 
     /// Treats it as cold for this long, if it isn't longer already.
-    pub(super) fn mark_cold(&mut self, now: TimeMs, cold_ms: u64) {
+    pub(super) fn assume_cold(&mut self, now: TimeMs, cold_ms: u64) {
+        self.log_cold(now, cold_ms);
+        self.assumed_cold_until = self.assumed_cold_until.max(now.plus(cold_ms));
+    }
+
+    fn log_cold(&self, now: TimeMs, cold_ms: u64) {
         if cold_ms > 0 && !self.is_cold(now) {
             log::info!(endpoint:% = self.id, cold_ms; "endpoint treated as cold");
         }
-        self.cold_until = self.cold_until.max(now.plus(cold_ms));
     }
 }
--- a/src/replicas/tests/cold_limits.rs
+++ b/src/replicas/tests/cold_limits.rs
@@ -97,6 +97,25 @@
     assert!(directory.get(warm).expect("known").is_cold(TimeMs(22_900)));
 }
 
+// A record of another writer said that an endpoint is cold for a day. The endpoint got a few requests a
+// second only, although it announced that it is warm.
+#[test]
+fn an_endpoint_is_cold_as_its_latest_announcement_says() {
+    let (mut directory, _, warm) = cold_and_warm();
+    let known = directory.get(warm).expect("known");
+    let (id, announced) = (known.id.clone(), known.announcement.clone());
+    let is_cold_after = |directory: &mut Directory, sequence: u64, cold_left_ms: u64| {
+        let announcement = Announcement { sequence, cold_left_ms, ..announced.clone() };
+        let now = TimeMs(10_000 + sequence);
+        directory.apply(now, EndpointChange::Announcement(id.clone(), announcement));
+        directory.get(warm).expect("the same process instance").is_cold(now)
+    };
+    assert!(is_cold_after(&mut directory, 100, 86_400_000));
+    assert!(!is_cold_after(&mut directory, 101, 0));
+    directory.assume_cold(TimeMs(10_101), warm);
+    assert!(is_cold_after(&mut directory, 102, 0), "it may have restarted without saying so yet");
+}
+
 // An endpoint restarts under the same identifier. The requests that reached it before its new
 // announcement were not counted against the quota.
 #[test]
