Forget services without endpoints

The names of all services that any record of the endpoint list ever named stayed in memory. Shown by replicas/tests/directory.rs, which fails on the code before. The list of a service's endpoints is now dropped with its last endpoint.

--- a/src/replicas/directory.rs
+++ b/src/replicas/directory.rs
@@ -229,8 +229,13 @@
         let replica = self.replicas.remove(key)?;
         self.by_id.remove(&replica.id);
         self.by_hash.remove(&replica.hash);
-        if let Some(service_keys) = self.by_service.get_mut(&replica.announcement.service) {
+        let service = &replica.announcement.service;
+        if let Some(service_keys) = self.by_service.get_mut(service) {
             service_keys.retain(|other| *other != key);
+            // Other writers may name ever new services.
+            if service_keys.is_empty() {
+                self.by_service.remove(service);
+            }
         }
         Some(replica)
     }
--- a/src/replicas/tests/directory.rs
+++ b/src/replicas/tests/directory.rs
@@ -122,6 +122,14 @@
     assert!(directory.find("r").is_none());
 }
 
+// Each service that a record ever named stayed in memory.
+#[test]
+fn a_service_without_endpoints_is_forgotten() {
+    let mut directory = directory_with(&[("r", announcement("named-once", 1, 5, 9))]);
+    directory.apply(TimeMs(10), EndpointChange::Removed("r".into()));
+    assert!(!format!("{directory:?}").contains("named-once"));
+}
+
 // Removals were taken for lapses after any failed read, and endpoints that had left got requests
 // for up to 3.7 s.
 #[test_case(4_000, false; "this entry alone failed to read it")]
