--- a/soak/tests/odd_entries.rs
+++ b/soak/tests/odd_entries.rs
@@ -41,7 +41,7 @@
         text.replace("\"v1\"", &nested).replace("\"ready\"", "1").into_bytes(),
         text.replace("\"seqNo\":1", "\"seqNo\":1e999").into_bytes(),
         text.replace("\"coldLeftMs\":0", "\"coldLeftMs\":1e999").into_bytes(),
-        text[..text.len() / 2].as_bytes().to_vec(),
+        text.as_bytes()[..text.len() / 2].to_vec(),
         vec![0, 255, 254, 128],
         b"null".to_vec(),
     ];
