--- a/soak/src/platform_store.rs
+++ b/soak/src/platform_store.rs
@@ -9,6 +9,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
+use percent_encoding::percent_decode_str;
 use serde_json::{Value, json};
 use trefoil_standins::http::{Body, Running, serve};
 
@@ -92,7 +93,15 @@
 
     /// Writes a record, as the operator or an endpoint does; without a value, deletes the key.
     pub fn put(&self, topic: &str, key: &str, value: Option<Value>) {
-        let value = value.map(|value| value.to_string().into_bytes());
+        self.append_record(topic, key, value.map(|value| value.to_string().into_bytes()));
+    }
+
+    /// Writes a record whose value is any bytes, as another writer may.
+    pub fn put_bytes(&self, topic: &str, key: &str, value: &[u8]) {
+        self.append_record(topic, key, Some(value.to_vec()));
+    }
+
+    fn append_record(&self, topic: &str, key: &str, value: Option<Vec<u8>>) {
         let mut state = self.lock();
         let partition = state.partitions.entry((topic.to_string(), 0)).or_default();
         partition.append(vec![(key.to_string(), value)], None);
@@ -291,7 +300,8 @@
 
 fn parse_query(query: &str) -> HashMap<String, String> {
     let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    pairs.map(|(name, value)| (name.to_string(), value.to_string())).collect()
+    let decode = |value| percent_decode_str(value).decode_utf8_lossy().into_owned();
+    pairs.map(|(name, value)| (name.to_string(), decode(value))).collect()
 }
 
 fn bytes_answer(bytes: Vec<u8>) -> Response<Body> {
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -16,6 +16,7 @@
 mod load_admission;
 mod load_metrics;
 mod load_reports;
+mod odd_datagrams;
 mod rates_model;
 mod shutdown;
 mod slow_readers;
