Soak that stops gateways and checks what callers get

Failure sought: a gateway that gets SIGTERM closes a connection without an answer though it had read the request. The other modes send SIGTERM too, but their callers take a closed connection for one of many possible failures, open a connection for each request, and have a time limit of 3 s.

--stops sends SIGTERM to one, two or all of two to five gateways, again during the drain, and starts them again at once or later, while endpoints are silent, slow, read bodies late or break off, and the store or a gateway's link to it has a fault. Callers write requests by hand on connections that they use until these are closed: bodies with a length and in chunks, with pauses, and some that never end; slow readers; a workspace at its rate; time limits of 0.5 to 6 s. Each run knows its endpoint's fault and when it ended.

--- a/soak/src/bin/trefoil-soak.rs
+++ b/soak/src/bin/trefoil-soak.rs
@@ -6,8 +6,8 @@
 
 use getopts::Options;
 use trefoil_soak::{
-    Checks, Faults, LoadChecks, LoadPhases, Report, Turn, World, WorldSettings, run_flood,
-    run_load, run_programs,
+    Checks, Faults, Gateway, LoadChecks, LoadPhases, StopChecks, Turn, Violation, World,
+    WorldSettings, run_flood, run_load, run_programs, run_stops,
 };
 
 /// Maximum number of attempts to continue a program after the faults.
@@ -20,6 +20,13 @@
 /// would run within its timeout.
 const LATE_RUN_TIME: Duration = Duration::from_secs(3);
 
+/// The fewest and the most gateways in a run that stops them.
+const MIN_STOPPED: usize = 2;
+const MAX_STOPPED: usize = 5;
+
+/// The ID of a program, and the request ID and history of its last complete turn.
+type LastTurn = (String, String, String);
+
 /// What all runs have in common.
 #[derive(Debug)]
 struct SoakSettings {
@@ -33,6 +40,8 @@
     load: bool,
     /// Whether a workspace sends many times its rate.
     flood: bool,
+    /// Whether gateways are stopped, instead of all other faults.
+    stops: bool,
 }
 
 fn main() -> ExitCode {
@@ -45,6 +54,7 @@
     options.optopt("", "lines", "number of programs running at once [default: 12]", "N");
     options.optflag("", "load", "adds programs under load control and surges of callers");
     options.optflag("", "flood", "adds a workspace that sends many times its rate, with refunds");
+    options.optflag("", "stops", "stops gateways, two to five by the seed, and adds no kills");
     let args: Vec<String> = std::env::args().skip(1).collect();
     let flags = match options.parse(&args) {
         Ok(flags) => flags,
@@ -65,7 +75,8 @@
     let (gateways, max_hubs) = (gateways as usize, max_hubs as usize);
     let load = flags.opt_present("load");
     let flood = flags.opt_present("flood");
-    let settings = SoakSettings { seconds, gateways, max_hubs, workers, load, flood };
+    let stops = flags.opt_present("stops");
+    let settings = SoakSettings { seconds, gateways, max_hubs, workers, load, flood, stops };
     let runtime = match tokio::runtime::Runtime::new() {
         Ok(runtime) => runtime,
         Err(fault) => {
@@ -75,7 +86,14 @@
     };
     let mut failed = 0_u32;
     for seed in seed..seed + seeds {
-        match runtime.block_on(soak(seed, &settings)) {
+        let run = async {
+            if settings.stops {
+                soak_stops(seed, &settings).await
+            } else {
+                soak(seed, &settings).await
+            }
+        };
+        match runtime.block_on(run) {
             Ok(true) => {}
             Ok(false) => failed += 1,
             Err(fault) => {
@@ -93,7 +111,7 @@
 }
 
 async fn soak(seed: u64, settings: &SoakSettings) -> std::io::Result<bool> {
-    let &SoakSettings { seconds, gateways, max_hubs, workers, load, flood } = settings;
+    let &SoakSettings { seconds, gateways, max_hubs, workers, load, flood, stops: _ } = settings;
     let program = program()?;
     let world_settings = WorldSettings { program, gateways, max_hubs, revoke_ms: 5_000, load };
     let mut world = World::start(&world_settings).await?;
@@ -118,7 +136,7 @@
         report.programs = under_load.await.map_err(std::io::Error::other)?;
         tokio::time::sleep(LATE_RUN_TIME).await;
     }
-    let lost = continue_programs(&world, &report).await;
+    let lost = continue_programs(&world, &report.last_turns).await;
     let flood = match flood {
         Some(flood) => Some(flood.await.map_err(std::io::Error::other)?),
         None => None,
@@ -140,22 +158,61 @@
         println!("  {load_checks}");
     }
     flood.iter().for_each(|flood| println!("  {flood}"));
+    conclude(seed, &world, &violations, &lost, &faults.injected)
+}
+
+/// Stops gateways while callers use them, and checks what the callers got.
+async fn soak_stops(seed: u64, settings: &SoakSettings) -> std::io::Result<bool> {
+    let gateways = MIN_STOPPED + seed as usize % (MAX_STOPPED - MIN_STOPPED + 1);
+    let &SoakSettings { seconds, max_hubs, .. } = settings;
+    let world_settings =
+        WorldSettings { program: program()?, gateways, max_hubs, revoke_ms: 5_000, load: false };
+    let mut world = World::start(&world_settings).await?;
+    let until = Instant::now() + Duration::from_secs(seconds);
+    let report = run_stops(&mut world, seed, until).await?;
+    tokio::time::sleep(LATE_RUN_TIME).await;
+    let lost = continue_programs(&world, &report.last_turns).await;
+    let logs: Vec<_> = world.gateways.iter().map(Gateway::lines).collect();
+    let runs = world.journal.runs();
+    let checks = StopChecks::open(&report, &runs, &logs);
+    let violations = checks.violations();
+    let served = report.requests.iter().filter(|request| request.sent.answer.is_served()).count();
+    println!(
+        "seed {seed}: {gateways} gateways, {} requests, {served} served, {} programs continued, \
+         {} violations",
+        report.requests.len(),
+        report.last_turns.len() - lost.len(),
+        violations.len() + lost.len(),
+    );
+    println!("  {checks}");
+    conclude(seed, &world, &violations, &lost, &report.injected)
+}
+
+/// Prints what was violated and keeps the logs. Returns whether nothing was.
+fn conclude(
+    seed: u64,
+    world: &World,
+    violations: &[Violation],
+    lost: &[String],
+    injected: &[String],
+) -> std::io::Result<bool> {
     violations.iter().for_each(|violation| println!("  {violation}"));
     lost.iter().for_each(|program| {
         println!("  a program continues after its last complete turn: {program}")
     });
-    if !violations.is_empty() || !lost.is_empty() {
-        println!("  faults: {:?}", faults.injected);
-        keep_logs(seed, &world)?;
+    let passed = violations.is_empty() && lost.is_empty();
+    if !passed {
+        println!("  faults: {injected:?}");
+        keep_logs(seed, world)?;
     }
-    Ok(violations.is_empty() && lost.is_empty())
+    Ok(passed)
 }
 
 /// Continues each program after the faults. Returns those that can't be continued, or with a wrong
 /// history.
-async fn continue_programs(world: &World, report: &Report) -> Vec<String> {
+async fn continue_programs(world: &World, last_turns: &[LastTurn]) -> Vec<String> {
     let mut lost = Vec::new();
-    for (number, (program, previous, history)) in report.last_turns.iter().enumerate() {
+    for (number, (program, previous, history)) in last_turns.iter().enumerate() {
         if !can_continue(world, number, program, previous, history).await {
             lost.push(format!("{program} after {previous}"));
         }
--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -16,7 +16,7 @@
 const SLOW_READER_BUFFER_BYTES: u32 = 64 << 10;
 
 /// Pause of a slow reader after each piece of a response.
-const SLOW_READ_PAUSE: Duration = Duration::from_millis(10);
+pub(crate) const SLOW_READ_PAUSE: Duration = Duration::from_millis(10);
 
 /// Time after which a caller that has stopped reading disconnects.
 const STOPPED_TIME: Duration = Duration::from_secs(1);
@@ -170,7 +170,8 @@
     tokio::time::timeout(limit, exchange(entry, request, reading)).await.unwrap_or_default()
 }
 
-async fn connect(entry: SocketAddr, reading: Reading) -> std::io::Result<TcpStream> {
+/// Opens a connection; that of a slow reader has a small receive buffer.
+pub(crate) async fn connect(entry: SocketAddr, reading: Reading) -> std::io::Result<TcpStream> {
     let socket = TcpSocket::new_v4()?;
     if reading != Reading::AtOnce {
         socket.set_recv_buffer_size(SLOW_READER_BUFFER_BYTES)?;
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -12,7 +12,7 @@
 use tokio::sync::OwnedSemaphorePermit;
 use trefoil_standins::http::{Body, Running, serve};
 
-use crate::journal::{Journal, Run};
+use crate::journal::{Journal, Run, RunGuard};
 use crate::platform_store::PlatformStore;
 use crate::slots::Slots;
 
@@ -92,6 +92,8 @@
     StallsFirstRun,
     /// Reads the body of each request only after this many milliseconds.
     ReadsSlowly(u64),
+    /// Runs each request and responds only after this many milliseconds.
+    Slow(u64),
 }
 
 /// An endpoint that is registered in the endpoint list. It stops when the handle is dropped.
@@ -217,21 +219,23 @@
             return refusal();
         };
         let request = text("trefoilproxy-request-id");
-        self.journal.record(Run {
+        let fault = self.fault();
+        let work = self.journal.record(Run {
             request: request.clone(),
             endpoint: id,
             workspace: text("trefoilproxy-tenant"),
             body: body.to_vec(),
             had_key: head.headers.contains_key("authorization"),
             left_ms: text("trefoilproxy-deadline-ms").parse().ok(),
+            fault,
             at: std::time::Instant::now(),
+            ended_at: None,
         });
         let mut headers = HeaderMap::new();
         let id = request.parse().expect("came as a header");
         headers.insert("trefoilproxy-request-id", id);
         headers.insert("trefoilproxy-server-stamp", "stamp".parse().expect("ASCII"));
         let count = self.answers.fetch_add(1, Ordering::SeqCst) + 1;
-        let fault = self.fault();
         let breaks = match fault {
             EndpointFault::BreaksOneIn(one_in) => count.is_multiple_of(one_in),
             EndpointFault::FailsOneIn(one_in) if count.is_multiple_of(one_in) => {
@@ -241,6 +245,10 @@
                 tokio::time::sleep(SILENCE).await;
                 true
             }
+            EndpointFault::Slow(ms) => {
+                tokio::time::sleep(Duration::from_millis(ms)).await;
+                false
+            }
             EndpointFault::None
             | EndpointFault::FailsOneIn(_)
             | EndpointFault::CutsFirstRunAfter(_)
@@ -262,7 +270,7 @@
                     EndpointKind::LimitedEngine => LIMITED_EVENT_PAUSE,
                     _ => EVENT_PAUSE,
                 };
-                let stream = events(event_texts(&request, from, long), ending, pause, slot);
+                let stream = events(event_texts(&request, from, long), ending, pause, (slot, work));
                 answer(StatusCode::OK, &headers, stream)
             }
             EndpointKind::Tool if breaks => answer(StatusCode::OK, &headers, broken()),
@@ -338,12 +346,12 @@
     (from..EVENTS).map(|event| format!("{comment}{}", event_text(request, event))).collect()
 }
 
-/// A stream of these events, which takes `slot` until its end.
+/// A stream of these events, which is `work` until its end.
 fn events(
     mut pieces: Vec<String>,
     ending: Ending,
     pause: Duration,
-    slot: OwnedSemaphorePermit,
+    work: (OwnedSemaphorePermit, RunGuard),
 ) -> Body {
     if let Ending::CutAfter(bytes) = ending {
         let mut left = bytes;
@@ -360,7 +368,7 @@
     };
     let stream = futures_util::stream::iter(pieces.chain([last]).enumerate());
     let stream = stream.then(move |(at, piece)| {
-        let _taken = &slot;
+        let _taken = &work;
         async move {
             let stalls = matches!(ending, Ending::StalledAfterOne) && at > 0;
             tokio::time::sleep(if stalls { SILENCE } else { pause }).await;
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -89,25 +89,12 @@
                 return Ok(());
             }
             4 | 5 => {
-                let faults = [
-                    LinkFault::Delayed(20),
-                    LinkFault::Reset,
-                    LinkFault::BlockedToServer,
-                    LinkFault::BlockedToClient,
-                    LinkFault::Silent,
-                ];
-                world.links[at].set_fault(faults[self.random.random_range(0..faults.len())]);
-                Recovery::Link(at)
+                self.harm_link(world, at, ends_at);
+                return Ok(());
             }
             6 => {
-                let faults = [
-                    StoreFault::Down,
-                    StoreFault::Silent,
-                    StoreFault::LosesAnswers(3),
-                    StoreFault::Slow(60),
-                ];
-                world.store.set_fault(faults[self.random.random_range(0..faults.len())]);
-                Recovery::Store
+                self.harm_store(world, ends_at);
+                return Ok(());
             }
             7 => {
                 world.store.reassign_shards();
@@ -138,7 +125,51 @@
         Ok(())
     }
 
-    async fn end_expired(&mut self, world: &mut World, now: Instant) -> std::io::Result<()> {
+    /// Harms a gateway's link to the store until `ends_at`.
+    pub(crate) fn harm_link(&mut self, world: &World, at: usize, ends_at: Instant) {
+        let faults = [
+            LinkFault::Delayed(20),
+            LinkFault::Reset,
+            LinkFault::BlockedToServer,
+            LinkFault::BlockedToClient,
+            LinkFault::Silent,
+        ];
+        world.links[at].set_fault(faults[self.random.random_range(0..faults.len())]);
+        self.recoveries.push((ends_at, Recovery::Link(at)));
+    }
+
+    /// Harms the store until `ends_at`.
+    pub(crate) fn harm_store(&mut self, world: &World, ends_at: Instant) {
+        let faults = [
+            StoreFault::Down,
+            StoreFault::Silent,
+            StoreFault::LosesAnswers(3),
+            StoreFault::Slow(60),
+        ];
+        world.store.set_fault(faults[self.random.random_range(0..faults.len())]);
+        self.recoveries.push((ends_at, Recovery::Store));
+    }
+
+    /// Sets the fault of some endpoints until `ends_at`.
+    pub(crate) fn harm_endpoints(
+        &mut self,
+        world: &World,
+        endpoints: impl Iterator<Item = usize>,
+        fault: EndpointFault,
+        ends_at: Instant,
+    ) {
+        for endpoint in endpoints {
+            world.endpoints[endpoint].set_fault(fault);
+            self.recoveries.push((ends_at, Recovery::Endpoint(endpoint)));
+        }
+    }
+
+    /// Ends the faults that are over at `now`.
+    pub(crate) async fn end_expired(
+        &mut self,
+        world: &mut World,
+        now: Instant,
+    ) -> std::io::Result<()> {
         let (due, later) = self.recoveries.drain(..).partition(|(at, _)| *at <= now);
         self.recoveries = later;
         let due: Vec<(Instant, Recovery)> = due;
--- a/soak/src/journal.rs
+++ b/soak/src/journal.rs
@@ -1,7 +1,9 @@
 use std::collections::HashMap;
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::time::Instant;
 
+use crate::endpoint::EndpointFault;
+
 /// A run of a request at an endpoint.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Run {
@@ -17,8 +19,26 @@
     pub had_key: bool,
     /// The time left until the deadline, as stated to the endpoint.
     pub left_ms: Option<u64>,
+    /// The endpoint's fault when the run began.
+    pub fault: EndpointFault,
     /// When the run began.
     pub at: Instant,
+    /// When the endpoint had sent its response or was cut off; none while it is at work.
+    pub ended_at: Option<Instant>,
+}
+
+/// A run that has not ended yet.
+#[derive(Debug)]
+pub struct RunGuard {
+    journal: Arc<Journal>,
+    number: usize,
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        let mut runs = self.journal.runs.lock().expect("not poisoned");
+        runs[self.number].ended_at = Some(Instant::now());
+    }
 }
 
 /// Records all runs at all endpoints.
@@ -28,9 +48,11 @@
 }
 
 impl Journal {
-    /// Records the start of a run.
-    pub fn record(&self, run: Run) {
-        self.runs.lock().expect("not poisoned").push(run);
+    /// Records the start of a run. It ends when the guard is dropped.
+    pub fn record(self: &Arc<Self>, run: Run) -> RunGuard {
+        let mut runs = self.runs.lock().expect("not poisoned");
+        runs.push(run);
+        RunGuard { journal: self.clone(), number: runs.len() - 1 }
     }
 
     /// All runs so far.
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod caller;
 mod checks;
+mod connection;
 mod endpoint;
 mod faults;
 mod flood;
@@ -14,11 +15,15 @@
 mod program;
 mod proxy;
 mod slots;
+mod stop_callers;
+mod stop_checks;
+mod stops;
 mod store_state;
 mod world;
 
 pub use caller::{Answer, Caller, Reading, Turn, TurnKind};
 pub use checks::{Checks, Violation};
+pub use connection::Ending;
 pub use endpoint::{EndpointFault, EndpointKind, PlatformEndpoint};
 pub use faults::Faults;
 pub use flood::{Flood, run_flood};
@@ -29,4 +34,7 @@
 pub use platform_store::{PlatformStore, StoreFault};
 pub use program::{Report, RequestKind, SentRequest, run_programs};
 pub use proxy::{LinkFault, Proxy};
+pub use stop_callers::StopRequest;
+pub use stop_checks::StopChecks;
+pub use stops::{Stop, StopReport, run_stops};
 pub use world::{World, WorldSettings};
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -23,6 +23,9 @@
 /// The routes under load control and their priorities.
 const LOAD_ROUTES: [(&str, u8); 2] = [("urgent", 0), ("patient", 2)];
 
+/// Timeout of the routes whose requests may last longer than a stopped gateway runs.
+pub(crate) const LONG_TIMEOUT_MS: u64 = 6_000;
+
 /// The API key of one of [`LOAD_WORKSPACES`].
 pub(crate) fn key_of(workspace: &str) -> String {
     format!("key-of-{workspace}")
@@ -120,12 +123,16 @@
                 "priority": priority})
         };
         let kept = json!({"stateful": true, "retentionS": 60.0});
+        let long_kept = json!({"stateful": true, "retentionS": 60.0, "timeoutMs": LONG_TIMEOUT_MS});
+        let long_once = json!({"attempts": 1, "timeoutMs": LONG_TIMEOUT_MS});
         let resumable = json!({"resumable": true, "retentionS": 60.0});
         let mut routes = vec![
             route("turns", "streaming", "llm", &kept),
             route("asks", "streaming", "llm", &resumable),
             route("lookups", "idempotent", "desk", &json!({})),
             route("actions", "non_idempotent", "desk", &json!({"attempts": 1})),
+            route("long-turns", "streaming", "llm", &long_kept),
+            route("long-actions", "non_idempotent", "desk", &long_once),
         ];
         let mut services = vec![engine("llm"), json!({"name": "desk"})];
         let (flooded_rate, flooded_burst) = FLOODED_RATE;
