Soak that stops gateways: exits are measured as seen, and only stops that matter to a request count

A stop now notes when the process was last seen to run, and that time has to be within the grace period; a process that still runs at its end is killed and blamed as before.

An endpoint counted as given up early only if no gateway at all was about to exit. Now only the request's own gateway and those whose log names it may excuse that, so the check is stricter.

Endpoints may also stop sending after the first event of a stream.

--- a/soak/src/bin/trefoil-soak.rs
+++ b/soak/src/bin/trefoil-soak.rs
@@ -86,14 +86,7 @@
     };
     let mut failed = 0_u32;
     for seed in seed..seed + seeds {
-        let run = async {
-            if settings.stops {
-                soak_stops(seed, &settings).await
-            } else {
-                soak(seed, &settings).await
-            }
-        };
-        match runtime.block_on(run) {
+        match runtime.block_on(soak(seed, &settings)) {
             Ok(true) => {}
             Ok(false) => failed += 1,
             Err(fault) => {
@@ -111,7 +104,10 @@
 }
 
 async fn soak(seed: u64, settings: &SoakSettings) -> std::io::Result<bool> {
-    let &SoakSettings { seconds, gateways, max_hubs, workers, load, flood, stops: _ } = settings;
+    let &SoakSettings { seconds, gateways, max_hubs, workers, load, flood, stops } = settings;
+    if stops {
+        return soak_stops(seed, settings).await;
+    }
     let program = program()?;
     let world_settings = WorldSettings { program, gateways, max_hubs, revoke_ms: 5_000, load };
     let mut world = World::start(&world_settings).await?;
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -33,11 +33,7 @@
 impl<'a> Checks<'a> {
     /// Checks one run of programs.
     pub fn open(report: &'a Report, runs: &'a [Run]) -> Checks<'a> {
-        let mut by_request: HashMap<&str, Vec<&Run>> = HashMap::new();
-        for run in runs {
-            by_request.entry(&run.request).or_default().push(run);
-        }
-        Checks { report, runs: by_request }
+        Checks { report, runs: by_request(runs) }
     }
 
     /// All violations.
@@ -105,6 +101,15 @@
     }
 }
 
+/// The runs of each request.
+pub(crate) fn by_request(runs: &[Run]) -> HashMap<&str, Vec<&Run>> {
+    let mut by_request: HashMap<&str, Vec<&Run>> = HashMap::new();
+    for run in runs {
+        by_request.entry(&run.request).or_default().push(run);
+    }
+    by_request
+}
+
 /// The start of a text, for failure reports.
 fn start_of(text: &[u8]) -> String {
     const MAX_SHOWN_BYTES: usize = 2_000;
--- a/soak/src/connection.rs
+++ b/soak/src/connection.rs
@@ -23,8 +23,6 @@
     Closed,
     /// The connection was reset: something that was sent was not read.
     Reset,
-    /// The gateway took no connection.
-    NoConnection,
     /// There was no whole response in time, and the caller closed the connection.
     GaveUp,
     /// What arrived is no response.
@@ -93,13 +91,7 @@
 
     /// Reads a response into `received`, until its end or that of the connection.
     pub(crate) async fn receive(&mut self, received: &mut Received) -> Ending {
-        match self.receive_parts(received).await {
-            Ok(()) => {
-                received.answer.whole = true;
-                Ending::Answered
-            }
-            Err(ending) => ending,
-        }
+        self.receive_parts(received).await.err().unwrap_or(Ending::Answered)
     }
 
     async fn receive_parts(&mut self, received: &mut Received) -> Result<(), Ending> {
@@ -128,6 +120,7 @@
                 }
             }
         }
+        received.answer.whole = true;
         received.reusable = !head.closes && self.unread.is_empty();
         Ok(())
     }
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -100,21 +100,19 @@
                 world.store.reassign_shards();
                 return Ok(());
             }
-            8 => {
+            8 | 10 => {
                 let endpoint = self.random.random_range(0..world.endpoints.len());
-                let faults = [
-                    EndpointFault::BreaksOneIn(4),
-                    EndpointFault::FailsOneIn(2),
-                    EndpointFault::Silent,
-                ];
+                let faults: &[EndpointFault] = match chosen {
+                    10 => &[EndpointFault::ReadsSlowly(SLOW_READ_MS)],
+                    _ => &[
+                        EndpointFault::BreaksOneIn(4),
+                        EndpointFault::FailsOneIn(2),
+                        EndpointFault::Silent,
+                    ],
+                };
                 let fault = faults[self.random.random_range(0..faults.len())];
-                world.endpoints[endpoint].set_fault(fault);
-                Recovery::Endpoint(endpoint)
-            }
-            10 => {
-                let endpoint = self.random.random_range(0..world.endpoints.len());
-                world.endpoints[endpoint].set_fault(EndpointFault::ReadsSlowly(SLOW_READ_MS));
-                Recovery::Endpoint(endpoint)
+                self.harm_endpoints(world, endpoint..=endpoint, fault, ends_at);
+                return Ok(());
             }
             _ => {
                 world.configure(&["secret-key-in-force"], &["other-key"]);
--- a/soak/src/stop_callers.rs
+++ b/soak/src/stop_callers.rs
@@ -12,6 +12,7 @@
 use crate::endpoint::{LONG_INPUT, output_of};
 use crate::flood::FLOODED;
 use crate::program::{BUDGET, RequestKind, SentRequest};
+use crate::stops::StopReport;
 use crate::world::{LONG_TIMEOUT_MS, key_of};
 
 /// Number of callers for each gateway: so many that there are always some whose last request has ended.
@@ -112,20 +113,12 @@
     requests: Vec<StopRequest>,
 }
 
-/// The requests of all callers, and for each caller's last program its ID, and the request ID and
-/// history of the last complete turn.
-#[derive(Debug, Default)]
-pub(crate) struct CallersReport {
-    pub(crate) requests: Vec<StopRequest>,
-    pub(crate) last_turns: Vec<(String, String, String)>,
-}
-
 /// Starts callers that send requests until `until`.
 pub(crate) fn spawn_callers(
     entries: &[SocketAddr],
     seed: u64,
     until: Instant,
-) -> JoinSet<CallersReport> {
+) -> JoinSet<StopReport> {
     let callers = entries.len() * CALLERS_PER_GATEWAY;
     (0..callers).map(|number| StopCaller::open(entries, seed, number).run(until)).collect()
 }
@@ -140,7 +133,7 @@
         StopCaller { number, role, entries, gateway, random, line, requests: Vec::new() }
     }
 
-    async fn run(mut self, until: Instant) -> CallersReport {
+    async fn run(mut self, until: Instant) -> StopReport {
         let mut connection = None;
         while Instant::now() < until {
             connection = self.send_next(connection.take()).await;
@@ -148,8 +141,8 @@
             tokio::time::sleep(pause).await;
         }
         let Line { program, previous, history, .. } = self.line;
-        let last_turns = previous.map(|previous| (program, previous, history));
-        CallersReport { requests: self.requests, last_turns: last_turns.into_iter().collect() }
+        let last_turns = Vec::from_iter(previous.map(|previous| (program, previous, history)));
+        StopReport { requests: self.requests, last_turns, ..StopReport::default() }
     }
 
     /// Sends a request on a connection, or on a new one. Returns the connection if it can be reused.
@@ -160,14 +153,9 @@
         let limit_ms = timeouts[self.random.random_range(0..timeouts.len())];
         let limit = Duration::from_millis(limit_ms);
         let (pieces, pause, stalls) = self.pieces(&sent, limit_ms);
-        let opened = match connection {
-            Some(connection) => Ok(connection),
-            None => Connection::open(self.entries[self.gateway], self.reading()).await,
-        };
-        let Ok(mut connection) = opened else {
-            self.gateway = self.random.random_range(0..self.entries.len());
-            tokio::time::sleep(RECONNECT_PAUSE).await;
-            return None;
+        let mut connection = match connection {
+            Some(connection) => connection,
+            None => self.connect().await?,
         };
         let written = connection.send(&pieces, pause).await;
         let whole_at = written.ok().filter(|_| !stalls);
@@ -186,8 +174,16 @@
         keeps.then_some(connection)
     }
 
-    fn reading(&self) -> Reading {
-        if self.role == Role::ReadsSlowly { Reading::Slow } else { Reading::AtOnce }
+    /// Connects to its gateway. If that takes no connection, it goes to another one.
+    async fn connect(&mut self) -> Option<Connection> {
+        let slow = self.role == Role::ReadsSlowly;
+        let reading = if slow { Reading::Slow } else { Reading::AtOnce };
+        let opened = Connection::open(self.entries[self.gateway], reading).await;
+        if opened.is_err() {
+            self.gateway = self.random.random_range(0..self.entries.len());
+            tokio::time::sleep(RECONNECT_PAUSE).await;
+        }
+        opened.ok()
     }
 
     fn choose_kind(&mut self) -> RequestKind {
--- a/soak/src/stop_checks.rs
+++ b/soak/src/stop_checks.rs
@@ -3,11 +3,11 @@
 use std::time::{Duration, Instant};
 
 use crate::caller::TurnKind;
-use crate::checks::{Checks, Violation};
+use crate::checks::{Checks, Violation, by_request};
 use crate::connection::Ending;
 use crate::endpoint::EndpointFault;
 use crate::journal::Run;
-use crate::program::{BUDGET, Report, RequestKind, SentRequest};
+use crate::program::{BUDGET, Report, RequestKind};
 use crate::stop_callers::StopRequest;
 use crate::stops::{GRACE, Stop, StopReport};
 
@@ -27,7 +27,9 @@
 /// Checks what callers of stopped gateways got against what endpoints ran and gateways logged.
 pub struct StopChecks<'a> {
     report: &'a StopReport,
-    runs: HashMap<&'a str, Vec<&'a Run>>,
+    programs: Report,
+    runs: &'a [Run],
+    runs_of: HashMap<&'a str, Vec<&'a Run>>,
     /// The log lines that name a request, with the number of the gateway.
     lines: HashMap<&'a str, Vec<(usize, &'a str)>>,
 }
@@ -39,10 +41,8 @@
         runs: &'a [Run],
         logs: &'a [Vec<String>],
     ) -> StopChecks<'a> {
-        let mut by_request: HashMap<&str, Vec<&Run>> = HashMap::new();
-        for run in runs {
-            by_request.entry(&run.request).or_default().push(run);
-        }
+        let requests = report.requests.iter().map(|request| request.sent.clone()).collect();
+        let programs = Report { requests, budget: BUDGET, ..Report::default() };
         let mut lines: HashMap<&str, Vec<(usize, &str)>> = HashMap::new();
         for (gateway, log) in logs.iter().enumerate() {
             for line in log {
@@ -50,22 +50,15 @@
                 lines.entry(request).or_default().push((gateway, line));
             }
         }
-        StopChecks { report, runs: by_request, lines }
+        StopChecks { report, programs, runs, runs_of: by_request(runs), lines }
     }
 
-    /// All violations.
+    /// All violations; also of what holds in each run, whether gateways are stopped or not.
     pub fn violations(&self) -> Vec<Violation> {
         let requests = self.report.requests.iter().flat_map(|request| self.of_request(request));
         let stops = self.report.stops.iter().flat_map(of_stop);
-        requests.chain(stops).chain(self.of_programs()).collect()
-    }
-
-    /// The guarantees that hold in each run, stopped gateways or not.
-    fn of_programs(&self) -> Vec<Violation> {
-        let requests = self.report.requests.iter().map(|request| request.sent.clone()).collect();
-        let report = Report { requests, budget: BUDGET, ..Report::default() };
-        let runs: Vec<Run> = self.runs.values().flatten().map(|run| (*run).clone()).collect();
-        Checks::open(&report, &runs).violations()
+        let programs = Checks::open(&self.programs, self.runs).violations();
+        requests.chain(stops).chain(programs).collect()
     }
 
     fn of_request(&self, request: &StopRequest) -> Vec<Violation> {
@@ -82,7 +75,7 @@
             ),
             (
                 "a request that was read is answered",
-                runs.is_empty() && self.is_closed_unanswered(request),
+                runs.is_empty() && is_unanswered(request, Ending::Closed),
             ),
             (
                 "a response that has begun is completed",
@@ -103,28 +96,29 @@
     }
 
     fn runs_of(&self, request: &StopRequest) -> &[&Run] {
-        self.runs.get(request.sent.request.as_str()).map_or(&[], Vec::as_slice)
+        self.runs_of.get(request.sent.request.as_str()).map_or(&[], Vec::as_slice)
+    }
+
+    /// The log lines that name a request, with the number of the gateway.
+    fn lines_of(&self, request: &StopRequest) -> &[(usize, &str)] {
+        self.lines.get(request.sent.request.as_str()).map_or(&[], Vec::as_slice)
     }
 
-    /// The stop of the request's gateway during which the request ended.
+    /// The stop of the request's gateway that lasts while the request does.
     fn stop_of(&self, request: &StopRequest) -> Option<&Stop> {
         self.stops_during(request).find(|stop| stop.gateway == request.gateway)
     }
 
-    /// The stops of any gateway that last while the request does.
+    /// The stops that last while the request does, of its gateway and of those whose log names it: they
+    /// may be the owner that it is forwarded to.
     fn stops_during(&self, request: &StopRequest) -> impl Iterator<Item = &Stop> {
-        let (sent, ended) = (request.sent.sent, request.ended_at);
-        let stops = self.report.stops.iter();
-        stops.filter(move |stop| stop.term_at <= ended && sent <= stop.exited_at)
-    }
-
-    /// Whether the gateway closed its connection without a response, though it had read a whole request
-    /// that did not cross the close.
-    fn is_closed_unanswered(&self, request: &StopRequest) -> bool {
-        let crossed = |sent: Instant| request.ended_at.duration_since(sent) <= LOSS_SLACK;
-        request.ending == Ending::Closed
-            && request.sent.answer.status.is_none()
-            && request.whole_at.is_some_and(|sent| !crossed(sent))
+        let during =
+            |stop: &&Stop| stop.term_at <= request.ended_at && request.sent.sent <= stop.exited_at;
+        let serves = |stop: &&Stop| {
+            let mut lines = self.lines_of(request).iter();
+            stop.gateway == request.gateway || lines.any(|(gateway, _)| *gateway == stop.gateway)
+        };
+        self.report.stops.iter().filter(move |stop| during(stop) && serves(stop))
     }
 
     /// Whether a response that has begun may end early: its time was over, its endpoint broke off, was
@@ -132,16 +126,14 @@
     /// a turn's record before the turn ends, had a fault.
     fn may_end_early(&self, request: &StopRequest) -> bool {
         let time_is_over = request.ended_at >= request.sent.sent + request.limit;
-        let silent = self.runs_of(request).iter().any(|run| run.fault == EndpointFault::Silent);
+        let faults = [EndpointFault::Silent, EndpointFault::StallsFirstRun];
+        let is_silent = self.runs_of(request).iter().any(|run| faults.contains(&run.fault));
         let (sent, ended) = (request.sent.sent, request.ended_at);
+        let mut store_faults = self.report.store_faults.iter();
         let unrecorded = request.sent.kind == RequestKind::Turn(TurnKind::Kept)
-            && self
-                .report
-                .store_faults
-                .iter()
-                .any(|(from, until)| *from <= ended && sent <= *until);
+            && store_faults.any(|(from, until)| *from <= ended && sent <= *until);
         time_is_over
-            || silent
+            || is_silent
             || unrecorded
             || self.may_break_off(request)
             || self.stops_during(request).any(|stop| self.is_at_work(request, stop))
@@ -163,60 +155,47 @@
     /// Whether a request that runs once was given up while its endpoint might still have answered: its
     /// time was not over, and no gateway was about to exit.
     fn is_too_early(&self, request: &StopRequest) -> bool {
-        let gave_up = matches!(request.sent.answer.status, Some(502..=504));
-        let runs = self.runs_of(request);
-        if !gave_up
-            || !request.sent.kind.runs_once()
-            || runs.is_empty()
-            || self.may_break_off(request)
-        {
-            return false;
-        }
+        let ran_once = request.sent.kind.runs_once() && !self.runs_of(request).is_empty();
         let exits = self.stops_during(request).map(|stop| stop.term_at + WAIT_AFTER_TERM);
         let over = request.sent.sent + request.limit;
-        exits.chain([over]).all(|due| request.ended_at + TIMING_TOLERANCE < due)
+        matches!(request.sent.answer.status, Some(502..=504))
+            && ran_once
+            && !self.may_break_off(request)
+            && exits.chain([over]).all(|due| request.ended_at + TIMING_TOLERANCE < due)
     }
 
     /// Whether a stopped gateway read a request, did not serve it, and no line of its log names it.
     fn is_unlogged(&self, request: &StopRequest) -> bool {
         let failed = match request.sent.answer.status {
             Some(status) => !(200..300).contains(&status),
-            None => self.is_closed_unanswered(request),
+            None => is_unanswered(request, Ending::Closed),
         };
-        let SentRequest { request: id, .. } = &request.sent;
-        let lines = self.lines.get(id.as_str()).map_or(&[][..], Vec::as_slice);
-        let named = lines.iter().any(|(gateway, _)| *gateway == request.gateway);
+        let named = self.lines_of(request).iter().any(|(gateway, _)| *gateway == request.gateway);
         failed && !named && self.stop_of(request).is_some()
     }
 
     fn describe(&self, request: &StopRequest) -> String {
         let StopRequest { sent, gateway, limit, whole_at, ended_at, ending, named } = request;
         let after = |at: Instant| at.duration_since(sent.sent).as_millis();
-        let runs: Vec<_> = self
-            .runs_of(request)
-            .iter()
-            .map(|run| (after(run.at), &run.endpoint, run.fault))
-            .collect();
-        let stops: Vec<_> = self
-            .stops_during(request)
-            .map(|stop| {
-                let signed = |at: Instant| {
-                    after(at) as i128 - sent.sent.duration_since(at).as_millis() as i128
-                };
-                (stop.gateway, signed(stop.term_at), signed(stop.exited_at))
-            })
-            .collect();
+        let before = |at: Instant| sent.sent.duration_since(at).as_millis();
+        let runs = self.runs_of(request).iter();
+        let runs: Vec<_> = runs.map(|run| (after(run.at), &run.endpoint, run.fault)).collect();
+        let stops = self.stops_during(request).map(|stop| {
+            let Stop { gateway, term_at, exited_at, .. } = *stop;
+            (gateway, after(term_at) as i128 - before(term_at) as i128, after(exited_at))
+        });
+        let stops: Vec<_> = stops.collect();
         let mut seen = format!(
-            "{} ({:?}, limit {} ms) at entry-{gateway}: {:?} {ending:?} after {} ms, names {named:?}; sent \
-             whole after {:?} ms; runs (ms, endpoint, fault): {runs:?}; stops (gateway, SIGTERM, exit): {stops:?}",
+            "{} ({:?}, limit {limit:?}) at entry-{gateway}: {:?} {ending:?} after {} ms, names {named:?}; \
+             whole after {:?} ms; runs (ms, endpoint, fault): {runs:?}; stops (gateway, SIGTERM, exit): \
+             {stops:?}",
             sent.request,
             sent.kind,
-            limit.as_millis(),
             sent.answer.status,
             after(*ended_at),
             whole_at.map(after),
         );
-        for (gateway, line) in self.lines.get(sent.request.as_str()).into_iter().flatten() {
+        for (gateway, line) in self.lines_of(request) {
             seen += &format!("\n    entry-{gateway}: {line}");
         }
         seen
@@ -229,38 +208,43 @@
 
 impl fmt::Display for StopChecks<'_> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let status = |status: u16| self.count(|request| request.sent.answer.status == Some(status));
-        let no_answer = |request: &StopRequest| request.sent.answer.status.is_none();
-        let cut = |request: &StopRequest| no_answer(request) && request.ending != Ending::GaveUp;
-        let unread = self.count(|request| cut(request) && request.whole_at.is_some());
-        let arriving = self.count(|request| cut(request) && request.whole_at.is_none());
-        let late = |request: &StopRequest| {
-            let sent_before = |sent: Instant| request.ended_at.duration_since(sent) > LOSS_SLACK;
-            request.ending == Ending::Reset
-                && no_answer(request)
-                && request.whole_at.is_some_and(sent_before)
+        let cut = |request: &StopRequest| {
+            request.sent.answer.status.is_none() && request.ending != Ending::GaveUp
         };
         let during = self.count(|request| self.stop_of(request).is_some());
+        write!(f, "{} stops, {during} requests at stopped gateways; ", self.report.stops.len())?;
+        for status in [429, 502, 503, 504] {
+            let count = self.count(|request| request.sent.answer.status == Some(status));
+            write!(f, "{status}: {count}, ")?;
+        }
         write!(
             f,
-            "{} stops, {during} requests at stopped gateways; 429: {}, 502: {}, 503: {}, 504: {}; closed \
-             without an answer: {unread} sent whole ({} of them unread for over {} ms), {arriving} not",
-            self.report.stops.len(),
-            status(429),
-            status(502),
-            status(503),
-            status(504),
-            self.count(late),
-            LOSS_SLACK.as_millis(),
+            "closed without an answer: {} sent whole ({} of them unread for long), {} not",
+            self.count(|request| cut(request) && request.whole_at.is_some()),
+            self.count(|request| is_unanswered(request, Ending::Reset)),
+            self.count(|request| cut(request) && request.whole_at.is_none()),
         )
     }
 }
 
+/// Whether a connection ended without a response though a whole request was sent on it, and did not
+/// cross the end.
+fn is_unanswered(request: &StopRequest, ending: Ending) -> bool {
+    let crossed = |sent: Instant| request.ended_at.duration_since(sent) <= LOSS_SLACK;
+    request.ending == ending
+        && request.sent.answer.status.is_none()
+        && request.whole_at.is_some_and(|sent| !crossed(sent))
+}
+
 /// A process must exit by itself, with success, within its grace period.
 fn of_stop(stop: &Stop) -> Option<Violation> {
-    let took = stop.exited_at.duration_since(stop.term_at);
-    let seen = || format!("{took:?} after SIGTERM: {stop:?}");
-    let is_broken = !stop.succeeded || took >= GRACE;
+    let after = |at: Instant| at.duration_since(stop.term_at);
+    let (running, exited) = (after(stop.running_at), after(stop.exited_at));
+    let seen = || {
+        let Stop { gateway, succeeded, .. } = stop;
+        format!("entry-{gateway}: running after {running:?}, exited after {exited:?}: {succeeded}")
+    };
+    let is_broken = !stop.succeeded || running >= GRACE;
     is_broken.then(|| Violation { guarantee: "a stopped gateway exits in time", seen: seen() })
 }
 
--- a/soak/src/stops.rs
+++ b/soak/src/stops.rs
@@ -8,7 +8,7 @@
 
 use crate::endpoint::EndpointFault;
 use crate::faults::Faults;
-use crate::stop_callers::{CallersReport, StopRequest, spawn_callers};
+use crate::stop_callers::{StopRequest, spawn_callers};
 use crate::world::World;
 
 /// Time from SIGTERM within which a gateway must have exited by itself, as in its settings.
@@ -43,21 +43,23 @@
     pub gateway: usize,
     /// When it was sent.
     pub term_at: Instant,
-    /// When the process had exited.
+    /// When the process was last seen to run.
+    pub running_at: Instant,
+    /// When it was seen to have exited.
     pub exited_at: Instant,
     /// Whether the process exited by itself and with success.
     pub succeeded: bool,
-    /// The longest time between two checks of the processes meanwhile. It is long on a machine that is
-    /// overloaded.
-    pub longest_poll: Duration,
 }
 
 /// What a gateway process does.
 #[derive(Debug, Clone, Copy)]
 enum Phase {
     Running,
-    Draining { term_at: Instant, longest_poll: Duration },
-    Exited { restart_at: Instant },
+    /// The stop is as far as it is known.
+    Draining(Stop),
+    Exited {
+        restart_at: Instant,
+    },
 }
 
 /// All that was seen in a run with stops.
@@ -82,11 +84,8 @@
     phases: Vec<Phase>,
     /// How often each gateway was started.
     starts: Vec<usize>,
-    stops: Vec<Stop>,
-    store_faults: Vec<(Instant, Instant)>,
-    injected: Vec<String>,
+    report: StopReport,
     begun: Instant,
-    polled_at: Instant,
 }
 
 /// Runs callers and stops until `until`, then waits for all requests and starts all gateways again.
@@ -98,24 +97,22 @@
     let entries: Vec<_> = world.gateways.iter().map(|gateway| gateway.callers).collect();
     let mut callers = spawn_callers(&entries, seed, until);
     let mut stops = Stops::open(seed, entries.len());
-    let mut report = StopReport::default();
     let mut next_event = Instant::now();
     while !callers.is_empty() {
-        if next_event <= Instant::now() && next_event < until {
+        if next_event <= Instant::now().min(until) {
             stops.inject_next(world)?;
             next_event += stops.choose_ms(PAUSES_MS);
         }
         stops.poll(world).await?;
         while let Some(caller) = callers.try_join_next() {
-            let CallersReport { requests, last_turns } = caller.map_err(std::io::Error::other)?;
-            report.requests.extend(requests);
-            report.last_turns.extend(last_turns);
+            let seen = caller.map_err(std::io::Error::other)?;
+            stops.report.requests.extend(seen.requests);
+            stops.report.last_turns.extend(seen.last_turns);
         }
         tokio::time::sleep(POLL_INTERVAL).await;
     }
     stops.finish(world).await?;
-    let Stops { stops, store_faults, injected, .. } = stops;
-    Ok(StopReport { stops, store_faults, injected, ..report })
+    Ok(stops.report)
 }
 
 impl Stops {
@@ -125,11 +122,8 @@
             faults: Faults::open(seed, false),
             phases: vec![Phase::Running; gateways],
             starts: vec![1; gateways],
-            stops: Vec::new(),
-            store_faults: Vec::new(),
-            injected: Vec::new(),
+            report: StopReport::default(),
             begun: Instant::now(),
-            polled_at: Instant::now(),
         }
     }
 
@@ -138,7 +132,7 @@
     }
 
     fn note(&mut self, event: &str) {
-        self.injected.push(format!("{} ms: {event}", self.begun.elapsed().as_millis()));
+        self.report.injected.push(format!("{} ms: {event}", self.begun.elapsed().as_millis()));
     }
 
     fn inject_next(&mut self, world: &mut World) -> std::io::Result<()> {
@@ -146,28 +140,24 @@
         let lasts = self.choose_ms(FAULTS_MS);
         let ends_at = Instant::now() + lasts;
         match self.random.random_range(0..20_u32) {
-            0..4 => self.stop_some(world, 1),
-            4..6 => self.stop_some(world, 2),
-            6 => self.stop_some(world, all),
-            7 | 8 => self.stop_again(world),
-            9..16 => {
-                self.harm_endpoints(world, ends_at);
-                Ok(())
-            }
+            0..4 => self.stop_some(world, 1)?,
+            4..6 => self.stop_some(world, 2)?,
+            6 => self.stop_some(world, all)?,
+            7 | 8 => self.stop_again(world)?,
+            9..16 => self.harm_endpoints(world, ends_at),
             16..18 => {
                 self.note(&format!("the store for {} ms", lasts.as_millis()));
                 self.faults.harm_store(world, ends_at);
-                self.store_faults.push((Instant::now(), ends_at));
-                Ok(())
+                self.report.store_faults.push((Instant::now(), ends_at));
             }
             _ => {
                 let at = self.random.random_range(0..all);
                 self.note(&format!("the link of entry-{at} for {} ms", lasts.as_millis()));
                 self.faults.harm_link(world, at, ends_at);
-                self.store_faults.push((Instant::now(), ends_at));
-                Ok(())
+                self.report.store_faults.push((Instant::now(), ends_at));
             }
         }
+        Ok(())
     }
 
     /// Sends SIGTERM to some of the gateways that run.
@@ -180,8 +170,10 @@
         }
         for at in order {
             world.gateways[at].signal("TERM")?;
-            self.phases[at] =
-                Phase::Draining { term_at: Instant::now(), longest_poll: Duration::ZERO };
+            let now = Instant::now();
+            let (term_at, running_at, exited_at) = (now, now, now);
+            let stop = Stop { gateway: at, term_at, running_at, exited_at, succeeded: false };
+            self.phases[at] = Phase::Draining(stop);
         }
         Ok(())
     }
@@ -195,7 +187,7 @@
 
     /// Sends a second SIGTERM to one of the gateways that drain.
     fn stop_again(&mut self, world: &World) -> std::io::Result<()> {
-        let drains = |phase: &Phase| matches!(phase, Phase::Draining { .. });
+        let drains = |phase: &Phase| matches!(phase, Phase::Draining(_));
         let Some(at) = self.phases.iter().position(drains) else {
             return Ok(());
         };
@@ -213,6 +205,7 @@
             EndpointFault::Slow(answers_ms),
             EndpointFault::ReadsSlowly(reads_ms),
             EndpointFault::BreaksOneIn(3),
+            EndpointFault::StallsFirstRun,
         ];
         let fault = faults[self.random.random_range(0..faults.len())];
         let one = self.random.random_range(0..world.endpoints.len());
@@ -226,15 +219,10 @@
 
     /// Notes processes that have exited, starts those that are due, and ends faults.
     async fn poll(&mut self, world: &mut World) -> std::io::Result<()> {
-        let elapsed = std::mem::replace(&mut self.polled_at, Instant::now()).elapsed();
         for at in 0..self.phases.len() {
             match self.phases[at] {
                 Phase::Running => {}
-                Phase::Draining { term_at, longest_poll } => {
-                    let longest_poll = longest_poll.max(elapsed);
-                    self.phases[at] = Phase::Draining { term_at, longest_poll };
-                    self.poll_exit(world, at, term_at, longest_poll)?;
-                }
+                Phase::Draining(stop) => self.poll_exit(world, stop)?,
                 Phase::Exited { restart_at } if Instant::now() < restart_at => {}
                 Phase::Exited { .. } => {
                     world.gateways[at].start()?;
@@ -246,23 +234,20 @@
         self.faults.end_expired(world, Instant::now()).await
     }
 
-    fn poll_exit(
-        &mut self,
-        world: &mut World,
-        at: usize,
-        term_at: Instant,
-        longest_poll: Duration,
-    ) -> std::io::Result<()> {
-        let gateway = &mut world.gateways[at];
-        let status = gateway.wait_for_exit(Duration::ZERO)?;
-        let is_late = term_at.elapsed() > GRACE;
-        if status.is_none() && !is_late {
-            return Ok(());
+    fn poll_exit(&mut self, world: &mut World, mut stop: Stop) -> std::io::Result<()> {
+        let (at, now) = (stop.gateway, Instant::now());
+        let status = world.gateways[at].wait_for_exit(Duration::ZERO)?;
+        if status.is_none() {
+            stop.running_at = now;
+            self.phases[at] = Phase::Draining(stop);
+            if now < stop.term_at + GRACE {
+                return Ok(());
+            }
+            world.gateways[at].kill()?;
         }
-        gateway.kill()?;
-        let succeeded = status.is_some_and(|status| status.success());
         let exited_at = Instant::now();
-        self.stops.push(Stop { gateway: at, term_at, exited_at, succeeded, longest_poll });
+        let succeeded = status.is_some_and(|status| status.success());
+        self.report.stops.push(Stop { exited_at, succeeded, ..stop });
         let down_ms =
             self.random.random_range(1..MAX_DOWN_MS) * u64::from(self.random.random::<bool>());
         let restart_at = exited_at + Duration::from_millis(down_ms);
