--- a/soak/src/bin/trefoil-soak.rs
+++ b/soak/src/bin/trefoil-soak.rs
@@ -73,9 +73,7 @@
         return ExitCode::from(2);
     };
     let (gateways, max_hubs) = (gateways as usize, max_hubs as usize);
-    let load = flags.opt_present("load");
-    let flood = flags.opt_present("flood");
-    let stops = flags.opt_present("stops");
+    let [load, flood, stops] = ["load", "flood", "stops"].map(|name| flags.opt_present(name));
     let settings = SoakSettings { seconds, gateways, max_hubs, workers, load, flood, stops };
     let runtime = match tokio::runtime::Runtime::new() {
         Ok(runtime) => runtime,
--- a/soak/src/connection.rs
+++ b/soak/src/connection.rs
@@ -1,3 +1,4 @@
+use std::io;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -67,7 +68,7 @@
 
 impl Connection {
     /// Connects to a gateway.
-    pub(crate) async fn open(entry: SocketAddr, reading: Reading) -> std::io::Result<Connection> {
+    pub(crate) async fn open(entry: SocketAddr, reading: Reading) -> io::Result<Connection> {
         let stream = connect(entry, reading).await?;
         stream.set_nodelay(true)?;
         Ok(Connection { stream, unread: BytesMut::new(), reading })
@@ -79,7 +80,7 @@
         &mut self,
         pieces: &[Vec<u8>],
         pause: Duration,
-    ) -> std::io::Result<Instant> {
+    ) -> io::Result<Instant> {
         for (at, piece) in pieces.iter().enumerate() {
             if at > 0 {
                 tokio::time::sleep(pause).await;
--- a/soak/src/stop_checks.rs
+++ b/soak/src/stop_checks.rs
@@ -36,11 +36,7 @@
 
 impl<'a> StopChecks<'a> {
     /// Checks a run; `logs` are the log lines of each gateway.
-    pub fn open(
-        report: &'a StopReport,
-        runs: &'a [Run],
-        logs: &'a [Vec<String>],
-    ) -> StopChecks<'a> {
+    pub fn open(report: &'a StopReport, runs: &'a [Run], logs: &'a [Vec<String>]) -> Self {
         let requests = report.requests.iter().map(|request| request.sent.clone()).collect();
         let programs = Report { requests, budget: BUDGET, ..Report::default() };
         let mut lines: HashMap<&str, Vec<(usize, &str)>> = HashMap::new();
@@ -65,6 +61,7 @@
         let answer = &request.sent.answer;
         let runs = self.runs_of(request);
         let whole = request.whole_at.is_some();
+        let named = request.named.as_ref() == Some(&request.sent.request);
         let cut = matches!(request.ending, Ending::Closed | Ending::Reset);
         // The head of a stream may still be unsent when its endpoint breaks off.
         let broken_stream = request.sent.kind.is_turn() && self.may_break_off(request);
@@ -86,7 +83,7 @@
                 whole && request.ending == Ending::GaveUp && answer.status.is_none(),
             ),
             ("only responses arrive", request.ending == Ending::Garbled),
-            ("a response names its request", !names(request)),
+            ("a response names its request", answer.status.is_some() && !named),
             ("a request that was not sent whole never runs", !whole && !runs.is_empty()),
             ("an endpoint that is silent or slow is waited for", self.is_too_early(request)),
             ("the log of a stopped gateway names each failure", self.is_unlogged(request)),
@@ -248,12 +245,6 @@
     is_broken.then(|| Violation { guarantee: "a stopped gateway exits in time", seen: seen() })
 }
 
-/// Whether the response, if there is one, names its request.
-fn names(request: &StopRequest) -> bool {
-    let id = request.sent.request.as_str();
-    request.sent.answer.status.is_none() || request.named.as_deref() == Some(id)
-}
-
 /// The ID of the request that a log line names.
 fn request_in(line: &str) -> Option<&str> {
     let (_, rest) = line.split_once("\"request\":\"")?;
--- a/soak/src/stops.rs
+++ b/soak/src/stops.rs
@@ -1,6 +1,7 @@
 //! Gateways that are stopped with SIGTERM, several at a time, while endpoints and the store have
 //! faults.
 
+use std::io;
 use std::time::{Duration, Instant};
 
 use rand::rngs::StdRng;
@@ -89,11 +90,7 @@
 }
 
 /// Runs callers and stops until `until`, then waits for all requests and starts all gateways again.
-pub async fn run_stops(
-    world: &mut World,
-    seed: u64,
-    until: Instant,
-) -> std::io::Result<StopReport> {
+pub async fn run_stops(world: &mut World, seed: u64, until: Instant) -> io::Result<StopReport> {
     let entries: Vec<_> = world.gateways.iter().map(|gateway| gateway.callers).collect();
     let mut callers = spawn_callers(&entries, seed, until);
     let mut stops = Stops::open(seed, entries.len());
@@ -105,7 +102,7 @@
         }
         stops.poll(world).await?;
         while let Some(caller) = callers.try_join_next() {
-            let seen = caller.map_err(std::io::Error::other)?;
+            let seen = caller.map_err(io::Error::other)?;
             stops.report.requests.extend(seen.requests);
             stops.report.last_turns.extend(seen.last_turns);
         }
@@ -135,7 +132,7 @@
         self.report.injected.push(format!("{} ms: {event}", self.begun.elapsed().as_millis()));
     }
 
-    fn inject_next(&mut self, world: &mut World) -> std::io::Result<()> {
+    fn inject_next(&mut self, world: &mut World) -> io::Result<()> {
         let all = self.phases.len();
         let lasts = self.choose_ms(FAULTS_MS);
         let ends_at = Instant::now() + lasts;
@@ -161,7 +158,7 @@
     }
 
     /// Sends SIGTERM to some of the gateways that run.
-    fn stop_some(&mut self, world: &World, count: usize) -> std::io::Result<()> {
+    fn stop_some(&mut self, world: &World, count: usize) -> io::Result<()> {
         let first = self.random.random_range(0..self.phases.len());
         let order = (0..self.phases.len()).map(|number| (first + number) % self.phases.len());
         let order: Vec<usize> = order.filter(|at| self.can_stop(world, *at)).take(count).collect();
@@ -186,7 +183,7 @@
     }
 
     /// Sends a second SIGTERM to one of the gateways that drain.
-    fn stop_again(&mut self, world: &World) -> std::io::Result<()> {
+    fn stop_again(&mut self, world: &World) -> io::Result<()> {
         let drains = |phase: &Phase| matches!(phase, Phase::Draining(_));
         let Some(at) = self.phases.iter().position(drains) else {
             return Ok(());
@@ -218,7 +215,7 @@
     }
 
     /// Notes processes that have exited, starts those that are due, and ends faults.
-    async fn poll(&mut self, world: &mut World) -> std::io::Result<()> {
+    async fn poll(&mut self, world: &mut World) -> io::Result<()> {
         for at in 0..self.phases.len() {
             match self.phases[at] {
                 Phase::Running => {}
@@ -234,7 +231,7 @@
         self.faults.end_expired(world, Instant::now()).await
     }
 
-    fn poll_exit(&mut self, world: &mut World, mut stop: Stop) -> std::io::Result<()> {
+    fn poll_exit(&mut self, world: &mut World, mut stop: Stop) -> io::Result<()> {
         let (at, now) = (stop.gateway, Instant::now());
         let status = world.gateways[at].wait_for_exit(Duration::ZERO)?;
         if status.is_none() {
@@ -256,7 +253,7 @@
     }
 
     /// Ends all faults, and waits until all gateways run again.
-    async fn finish(&mut self, world: &mut World) -> std::io::Result<()> {
+    async fn finish(&mut self, world: &mut World) -> io::Result<()> {
         let all = Instant::now() + Duration::from_millis(FAULTS_MS.end);
         self.faults.end_expired(world, all).await?;
         while self.phases.iter().any(|phase| !matches!(phase, Phase::Running)) {
