--- a/src/gateway/tests/shutdown.rs
+++ b/src/gateway/tests/shutdown.rs
@@ -26,6 +26,9 @@
 /// The grace period of the gateways in these tests.
 const GRACE_MS: u64 = 8_000;
 
+/// Time after SIGTERM until which a request may be sent that an endpoint still runs at the exit.
+const LAST_ACCEPT_MS: u64 = 3_000;
+
 /// Time after SIGTERM at which a late reader goes on reading: before answers are due.
 const LATE_MS: u64 = 6_000;
 
@@ -114,6 +117,7 @@
 fn what_is_left_is_answered_in_the_last_sixth_of_the_grace_period(grace_ms: u64) {
     let ShutdownSchedule { accept_ms, answer_ms, exit_ms } = ShutdownSchedule::of_grace(grace_ms);
     assert!(accept_ms < answer_ms && answer_ms < exit_ms && exit_ms < grace_ms);
+    assert!(accept_ms <= LAST_ACCEPT_MS, "a stream that is cut off later than this counts as lost");
     assert!(answer_ms * 6 >= grace_ms * 5, "{answer_ms}");
 }
 
@@ -171,20 +175,20 @@
     let (close, _) = watch::channel(false);
     let started = Instant::now();
     let tasks = LocalSet::new();
-    let exchange = async {
+    let begun = async {
         let mut client = connect(&gateway, &close, Answer::AtLength);
         request(&mut client).await;
         let mut begin = [0; 512];
         client.read_exact(&mut begin).await.expect("the response begins");
-        assert_eq!(gateway.requests.count(), 0, "the connection has taken all of its bytes");
-        let reading = tokio::spawn(async move {
-            tokio::time::sleep(Duration::from_millis(LATE_MS)).await;
-            response(client).await
-        });
-        finish_in_flight(&gateway, &close, started).await;
-        reading
+        client
     };
-    let reading = tasks.run_until(exchange).await;
+    let client = tasks.run_until(begun).await;
+    assert_eq!(gateway.requests.count(), 0, "the connection has taken all of its bytes");
+    let reading = tokio::spawn(async move {
+        tokio::time::sleep(Duration::from_millis(LATE_MS)).await;
+        response(client).await
+    });
+    tasks.run_until(finish_in_flight(&gateway, &close, started)).await;
     // The exit ends all connections.
     drop(tasks);
     let received = reading.await.expect("no panic");
