--- a/soak/src/stop_checks.rs
+++ b/soak/src/stop_checks.rs
@@ -216,10 +216,13 @@
         }
         write!(
             f,
-            "closed without an answer: {} sent whole ({} of them unread for long), {} not",
+            "closed without an answer: {} sent whole ({} of them unread for long), {} not; {} streams cut",
             self.count(|request| cut(request) && request.whole_at.is_some()),
             self.count(|request| is_unanswered(request, Ending::Reset)),
             self.count(|request| cut(request) && request.whole_at.is_none()),
+            self.count(
+                |request| request.sent.answer.status == Some(200) && !request.sent.answer.whole
+            ),
         )
     }
 }
