Bound the announced CPU of an entry and the time of a hub's answer

What callers saw: beside an announcement of a hub with a huge cpuMillicores, a debug build panics at each request that asks for admission; a release build leaves out all genuine hubs as too small, or the huge one, as the product wraps around. A huge time to return in a hub's answer overflows in the same way.

Cause: products and sums of numbers from outside the process.

Evidence: gateway/tests/counting.rs fails on the code before with "attempt to multiply with overflow" and passes now. The sum of the times in admit.rs is by reading only.

--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -116,7 +116,7 @@
         let waited_ms = gateway.now().since(arrived);
         match acquired {
             Err(NotAdmitted::NoRoom { retry_after_ms })
-                if waited_ms + retry_after_ms <= max_wait_ms =>
+                if waited_ms.saturating_add(retry_after_ms) <= max_wait_ms =>
             {
                 tokio::time::sleep(Duration::from_millis(retry_after_ms)).await;
             }
--- a/src/gateway/hubs/counting.rs
+++ b/src/gateway/hubs/counting.rs
@@ -18,7 +18,8 @@
 
 impl CountingCandidate {
     fn has_half_of(&self, most_cpu_millicores: u32) -> bool {
-        self.cpu_millicores.is_none_or(|cpu_millicores| cpu_millicores * 2 >= most_cpu_millicores)
+        self.cpu_millicores
+            .is_none_or(|cpu_millicores| cpu_millicores >= most_cpu_millicores.div_ceil(2))
     }
 }
 
--- a/src/gateway/tests/counting.rs
+++ b/src/gateway/tests/counting.rs
@@ -29,6 +29,12 @@
     CountingCandidate { address: address(port), cpu_millicores, knows_windows }
 }
 
+// An announced CPU is any number; twice the largest one overflowed.
+#[test]
+fn a_huge_cpu_counts_as_large() {
+    assert_eq!(counting_order(1, vec![hub(1, u32::MAX, true), hub(2, 500, true)]), [address(1)]);
+}
+
 // A hub took over with a window that it had not observed; a small VM answered the flood of a workspace.
 #[test]
 fn hubs_that_know_the_windows_on_large_vms_count_first() {
