--- a/src/replicas/announcement.rs
+++ b/src/replicas/announcement.rs
@@ -39,7 +39,8 @@
     Announcement(Arc<str>, Announcement),
     /// The endpoint's record was removed from the list.
     Removed(Arc<str>),
-    /// The endpoint's record could not be decoded; it is treated like a removed one.
+    /// The endpoint's record could not be decoded, or its values can't be those of an endpoint; it is
+    /// treated like a removed one.
     Unreadable(Arc<str>),
 }
 
