--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -204,7 +204,8 @@
         })
     }
 
-    /// Marks this entry as leaving: it claims no more shards, and its heartbeats say so.
+    /// Marks this entry as leaving: its heartbeats say so, and it claims a shard only if no other
+    /// entry can own it.
     pub fn leave(&self) {
         self.leaving.send_replace(true);
     }
