Tests of cut answers share their listeners, and cut calls of few kinds at every byte

Nine runs of the tests at once, three beside each other, ran out of ports ("a port is free", 66 and more cases in each of three runs): each cut had listeners of its own, and connections keep their ports for a minute.

--- a/src/gateway/tests/cut_peers.rs
+++ b/src/gateway/tests/cut_peers.rs
@@ -199,8 +199,8 @@
 #[test_matrix([Ending::Closed, Ending::Reset])]
 #[tokio::test]
 async fn a_cut_answer_to_a_forwarded_turn_does_not_pass_for_a_whole_one(ending: Ending) {
+    let peer = Peer::open().await;
     for sent in 0..ACCEPTED.len() + STREAM.len() {
-        let peer = Peer::open().await;
         let gateway = gateway(FakeStore::default());
         let asking = forward(&gateway, peer.address());
         let forwarded = beside(peer.cut_stream(sent, ending), asking).await;
--- a/src/http/tests.rs
+++ b/src/http/tests.rs
@@ -1,12 +1,19 @@
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
+use test_case::test_case;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::task::LocalSet;
 
-use super::{ConnectionPool, PendingCall};
+use super::{Client, ConnectionPool, PendingCall};
 use crate::prelude::*;
 
+/// Time limit of a call, far longer than a busy machine takes.
+const CALL_TIMEOUT: Duration = Duration::from_secs(20);
+
 /// A pool with two idle connections to a server that never answers.
 async fn pool_with_idle_connections(server: SocketAddr) -> Rc<ConnectionPool> {
     let pool = Rc::<ConnectionPool>::default();
@@ -34,3 +41,28 @@
     };
     LocalSet::new().run_until(calls).await;
 }
+
+// A call whose answer is cut at any byte fails, whether the answer has a length or ends with its
+// connection.
+#[test_case("content-length: 7\r\n"; "with a length")]
+#[test_case(""; "without a length")]
+#[tokio::test]
+async fn a_cut_answer_to_a_call_is_an_error(framing: &str) {
+    let answer = format!("HTTP/1.1 200 OK\r\n{framing}\r\n{{\"a\":1}}");
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("the listener is bound");
+    for sent in 0..=answer.len() {
+        let serving = async {
+            let (mut connection, _) = listener.accept().await.expect("connected");
+            let mut request = bytes::BytesMut::new();
+            while !request.ends_with(b"null") {
+                connection.read_buf(&mut request).await.expect("received");
+            }
+            connection.write_all(&answer.as_bytes()[..sent]).await.expect("sent");
+        };
+        let client = Client::open();
+        let call = client.get::<HashMap<String, u32>>(address, "/", CALL_TIMEOUT);
+        let (called, ()) = futures_util::future::join(call, serving).await;
+        assert_eq!(called.is_ok(), sent == answer.len(), "{sent}: {called:?}");
+    }
+}
