Soak of stops: print the longest time for which the machine held up the soak

On a machine at load average 30 to 46 single threads stand still for up to 0.7 s (16 processes that only sleep for 5 ms at a time, 45 s).

--- a/soak/src/stops.rs
+++ b/soak/src/stops.rs
@@ -72,6 +72,9 @@
     pub stops: Vec<Stop>,
     /// From when until when the store, or a link to it, had a fault.
     pub store_faults: Vec<(Instant, Instant)>,
+    /// The longest time between two checks of the processes. An overloaded machine that holds up the
+    /// soak holds up gateways too.
+    pub longest_stall: Duration,
     /// Descriptions of the stops and faults, for failure reports.
     pub injected: Vec<String>,
     /// For each caller's last program, its ID, and the request ID and history of its last complete turn.
@@ -96,6 +99,7 @@
     let mut stops = Stops::open(seed, entries.len());
     let mut next_event = Instant::now();
     while !callers.is_empty() {
+        let round_from = Instant::now();
         if next_event <= Instant::now().min(until) {
             stops.inject_next(world)?;
             next_event += stops.choose_ms(PAUSES_MS);
@@ -107,6 +111,8 @@
             stops.report.last_turns.extend(seen.last_turns);
         }
         tokio::time::sleep(POLL_INTERVAL).await;
+        let longest = &mut stops.report.longest_stall;
+        *longest = round_from.elapsed().max(*longest);
     }
     stops.finish(world).await?;
     Ok(stops.report)
