--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -33,8 +33,10 @@
     /// Confirm with the log that this entry still owns a shard, or claim the shard if this entry
     /// should own it.
     ConfirmOwnership { shard: ShardId },
-    /// Release every shard.
+    /// Release every shard once no turn of its programs is in flight.
     ReleaseAll,
+    /// Release every shard with its turns in flight, and answer their callers.
+    HandOverAll,
 }
 
 struct RunningOwner {
@@ -51,6 +53,8 @@
     next_call: u64,
     limits: OwnerLimits,
     last_rebalance: TimeMs,
+    /// How shards are released: `Event::Release` or `Event::HandOver`, once this entry stops.
+    release: Option<Event>,
 }
 
 impl Core {
@@ -72,6 +76,7 @@
             next_call: 0,
             limits,
             last_rebalance: TimeMs(0),
+            release: None,
         }
     }
 
@@ -105,7 +110,8 @@
                     self.handle(shard, Event::ConfirmOwnership);
                 }
             }
-            Command::ReleaseAll => self.release_all(),
+            Command::ReleaseAll => self.release_all(Event::Release),
+            Command::HandOverAll => self.hand_over_all(),
         }
     }
 
@@ -255,8 +261,12 @@
 
     fn tick(&mut self) {
         self.remove_disconnected_callers();
-        let shards: Vec<ShardId> = self.owners.keys().copied().collect();
-        shards.into_iter().for_each(|shard| self.handle(shard, Event::Tick));
+        self.handle_all(&Event::Tick);
+        // An owner whose claim is not recorded yet can't release its shard. It does so at a later
+        // tick; else this entry would own the shard until its exit and after.
+        if let Some(release) = self.release.clone() {
+            self.handle_all(&release);
+        }
         self.rebalance();
     }
 
@@ -299,8 +309,29 @@
         }
     }
 
-    fn release_all(&mut self) {
+    fn handle_all(&mut self, event: &Event) {
         let shards: Vec<ShardId> = self.owners.keys().copied().collect();
-        shards.into_iter().for_each(|shard| self.handle(shard, Event::Release));
+        shards.into_iter().for_each(|shard| self.handle(shard, event.clone()));
+    }
+
+    fn hand_over_all(&mut self) {
+        let owners = self.owners.values();
+        for (program, turn) in owners.flat_map(|running| running.owner.active_turns()) {
+            log::warn!(
+                program = program.to_string(), turn = turn.turn.0,
+                attempt = turn.attempt.to_string(), endpoint = turn.endpoint.vm.as_str(),
+                phase:? = turn.phase;
+                "turn in flight at shutdown; leaving it to the shard's next owner"
+            );
+        }
+        self.release_all(Event::HandOver);
+    }
+
+    /// Releases every shard. Once turns are handed over, later ones are not waited for either.
+    fn release_all(&mut self, release: Event) {
+        self.handle_all(&release);
+        if self.release != Some(Event::HandOver) {
+            self.release = Some(release);
+        }
     }
 }
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -50,7 +50,8 @@
 /// Starts forwarding a call; its replies arrive on the returned channel.
 pub(super) fn forward(entry: Arc<Entry>, call: Call) -> mpsc::UnboundedReceiver<Reply> {
     let (replies, receiver) = mpsc::unbounded_channel();
-    tokio::spawn(async move { Forwarder { entry, call, replies, delivered: false }.run().await });
+    let forwarder = Forwarder { entry, call, replies, delivered: false, may_have_run: false };
+    tokio::spawn(forwarder.run());
     receiver
 }
 
@@ -61,6 +62,8 @@
     /// Whether a reply was passed on to the caller. After that, a call of unknown outcome is not
     /// sent again.
     delivered: bool,
+    /// Whether an owner that failed or was replaced may have run the call.
+    may_have_run: bool,
 }
 
 impl Call {
@@ -89,7 +92,8 @@
 }
 
 impl Forwarder {
-    /// Forwards the call until the owner has sent its final reply or the deadline is near. Only the
+    /// Forwards the call until the owner has sent its final reply, the deadline is near or this entry
+    /// is about to exit. Only the
     /// forwarding is retried here; attempts at endpoints are retried by the owner alone.
     async fn run(mut self) {
         let mut backoff_ms = INITIAL_BACKOFF_MS;
@@ -99,29 +103,37 @@
                 ShardLocation::Local => self.relay_local().await,
                 ShardLocation::Remote(vm, address) => self.relay_remote(&vm, address).await,
             };
-            let may_repeat = !self.delivered && self.call.is_repeat_detected();
             match outcome {
                 RelayOutcome::Finished => return,
-                RelayOutcome::OutcomeUnknown if !may_repeat => {
-                    return self.refuse(self.owner_lost_refusal());
-                }
-                RelayOutcome::OutcomeUnknown | RelayOutcome::NotRun => {}
+                RelayOutcome::OutcomeUnknown => self.may_have_run = true,
+                RelayOutcome::NotRun => {}
+            }
+            let may_repeat = !self.delivered && self.call.is_repeat_detected();
+            if self.may_have_run && !may_repeat {
+                return self.refuse(self.owner_lost_refusal());
             }
             let retry_at = self.entry.clock.now().plus(backoff_ms);
-            if retry_at >= self.call.deadline() {
-                let refusal = match outcome {
-                    RelayOutcome::NotRun => Refusal::not_run(RefusalReason::NotOwner),
-                    RelayOutcome::OutcomeUnknown | RelayOutcome::Finished => {
-                        return self.refuse(self.owner_lost_refusal());
-                    }
-                };
-                return self.refuse(refusal.retry_after(MAX_BACKOFF_MS));
+            if retry_at >= self.call.deadline() || !self.wait_to_retry(backoff_ms).await {
+                return self.refuse(self.no_owner_refusal());
             }
-            tokio::time::sleep(Duration::from_millis(backoff_ms)).await;
             backoff_ms = (backoff_ms * 2).min(MAX_BACKOFF_MS);
         }
     }
 
+    /// Waits before the call is forwarded again. Returns `false` if it has to be answered now.
+    async fn wait_to_retry(&self, backoff_ms: u64) -> bool {
+        let backoff = tokio::time::sleep(Duration::from_millis(backoff_ms));
+        self.entry.answers_due.run_until_cancelled(backoff).await.is_some()
+    }
+
+    /// The refusal for a call that no owner has answered in time.
+    fn no_owner_refusal(&self) -> Refusal {
+        match self.may_have_run {
+            true => self.owner_lost_refusal(),
+            false => Refusal::not_run(RefusalReason::NotOwner).retry_after(MAX_BACKOFF_MS),
+        }
+    }
+
     /// The refusal for a call whose owner failed before its final reply. It suggests a retry only
     /// if the next owner would detect the repeat.
     fn owner_lost_refusal(&self) -> Refusal {
@@ -171,10 +183,24 @@
         }
         let is_final = reply.is_final();
         self.delivered = true;
-        let is_closed = self.replies.send(reply).is_err();
+        let is_closed = self.replies.send(self.add_doubt(reply)).is_err();
         (is_final || is_closed).then_some(RelayOutcome::Finished)
     }
 
+    /// Changes the refusal of an owner without the log to an unknown outcome if an earlier owner may
+    /// have run the call. An owner that can't read its shard's stream doesn't know about that run,
+    /// and refuses the call as not run.
+    fn add_doubt(&self, reply: Reply) -> Reply {
+        match reply {
+            Reply::Refused(refusal)
+                if self.may_have_run && refusal.reason == RefusalReason::LogUnavailable =>
+            {
+                Reply::Refused(Refusal { ran: ExecutionStatus::Unknown, ..refusal })
+            }
+            reply => reply,
+        }
+    }
+
     /// Forwards the call to another entry. A paused owner keeps its connections open but does not
     /// answer, so the call stops waiting once that entry is considered dead or another entry owns
     /// the shard.
@@ -185,6 +211,7 @@
         tokio::select! {
             outcome = self.send_to_owner(vm, address) => outcome,
             () = until_not_owner(&entry, shard, vm, deadline) => RelayOutcome::OutcomeUnknown,
+            () = entry.answers_due.cancelled() => RelayOutcome::OutcomeUnknown,
         }
     }
 
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -75,6 +75,13 @@
     fn is_dead(&self) -> bool {
         self.dead_instance == Some(self.instance)
     }
+
+    /// Whether it may run: one that is silent may be cut off, unless its process has ended. One that
+    /// was announced and never heard may run too, until it has been silent for long.
+    fn may_run(&self) -> bool {
+        let is_gone = self.instance == 0 && self.was_removed;
+        !self.is_dead() && !is_gone
+    }
 }
 
 /// What a message from an entry has changed.
@@ -101,9 +108,11 @@
 pub(super) struct Peers {
     peers: HashMap<SocketAddr, Peer>,
     /// The number of requests that all of them together have running, by endpoint.
-    running: HashMap<u64, u32>,
+    running: HashMap<u64, u64>,
     /// The entries that were removed, and have not been heard since.
     removed: HashSet<SocketAddr>,
+    /// Whether this entry is shutting down.
+    is_leaving: bool,
 }
 
 impl Peers {
@@ -197,7 +206,12 @@
 
     /// Forgets all entries: what a leaf knew of the hubs is not what a hub needs.
     pub(super) fn clear(&mut self) {
-        *self = Peers::default();
+        *self = Peers { is_leaving: self.is_leaving, ..Peers::default() };
+    }
+
+    /// Records that this entry is shutting down.
+    pub(super) fn set_leaving(&mut self) {
+        self.is_leaving = true;
     }
 
     /// The hashes of the entries from which a message ever came, also of those out of touch by now.
@@ -292,7 +306,8 @@
 
     /// The number of requests that the other entries have running at an endpoint.
     pub(super) fn running(&self, endpoint: u64) -> u32 {
-        self.running.get(&endpoint).copied().unwrap_or(0)
+        let running = self.running.get(&endpoint).copied().unwrap_or(0);
+        u32::try_from(running).unwrap_or(u32::MAX)
     }
 
     /// Marks the entry's current process instance as deregistered. Returns its name, or `None` if
@@ -346,7 +361,7 @@
 /// Updates the sum over all entries from the requests that one entry runs. Returns the endpoints
 /// whose count changed.
 fn update_running_sum(
-    totals: &mut HashMap<u64, u32>,
+    totals: &mut HashMap<u64, u64>,
     before: &HashMap<u64, u32>,
     after: &HashMap<u64, u32>,
 ) -> Vec<u64> {
@@ -360,7 +375,7 @@
         }
         changed.push(*endpoint);
         let sum = totals.entry(*endpoint).or_default();
-        *sum = (*sum + current).saturating_sub(previous);
+        *sum = (*sum + u64::from(current)).saturating_sub(u64::from(previous));
         if *sum == 0 {
             totals.remove(endpoint);
         }
--- a/src/replicas/directory.rs
+++ b/src/replicas/directory.rs
@@ -3,6 +3,7 @@
 use slotmap::{SlotMap, new_key_type};
 
 use super::cold_limits::RecentSends;
+use super::outdated_run::OutdatedRun;
 use super::{
     Announcement, AnswerCounts, ChangeOutcome, ColdLimits, EndpointChange, Evacuations, Health,
     ListOutage, Replica, SenderQuota,
@@ -131,7 +132,7 @@
     pub fn assume_cold(&mut self, now: TimeMs, key: ReplicaKey) {
         if let Some(replica) = self.replicas.get_mut(key) {
             let limits = self.cold_limits.get(&replica.announcement.service);
-            replica.mark_cold(now, limits.map_or(0, |limits| limits.duration_ms));
+            replica.assume_cold(now, limits.map_or(0, |limits| limits.duration_ms));
         }
     }
 
@@ -143,22 +144,29 @@
     ) -> ChangeOutcome {
         let cold_ms = announcement.cold_left_ms;
         let mut recent_sends = RecentSends::default();
+        let mut outcome = ChangeOutcome::Announced;
         if let Some(key) = self.by_id.get(&id).copied() {
-            let known = &self.replicas[key].announcement;
-            let version = (announcement.started_at_ms, announcement.sequence);
-            if version < (known.started_at_ms, known.sequence) {
-                return ChangeOutcome::Outdated;
+            let replica = &mut self.replicas[key];
+            let (version, known) = (announcement.version(), replica.announcement.version());
+            if version < known {
+                if !replica.outdated.record(now, version) {
+                    return ChangeOutcome::Outdated;
+                }
+                outcome = ChangeOutcome::Reinstated;
             }
+            if version != known {
+                replica.outdated = OutdatedRun::default();
+            }
+            let known = &replica.announcement;
             let same_instance = announcement.started_at_ms == known.started_at_ms;
             if same_instance
                 && announcement.service == known.service
                 && announcement.address == known.address
             {
-                let replica = &mut self.replicas[key];
                 replica.announcement = announcement;
                 replica.remove_at = None;
-                replica.mark_cold(now, cold_ms);
-                return ChangeOutcome::Announced;
+                replica.announce_cold(now, cold_ms);
+                return outcome;
             }
             // Requests recently sent to this address may have reached the new process instance.
             recent_sends =
@@ -174,16 +182,18 @@
             others_in_flight: 0,
             reported: None,
             remove_at: None,
-            cold_until: TimeMs::default(),
+            announced_cold_until: TimeMs::default(),
+            assumed_cold_until: TimeMs::default(),
             recent_sends,
+            outdated: OutdatedRun::default(),
             health: Health::open(self.seed ^ hash),
         };
-        replica.mark_cold(now, cold_ms);
+        replica.announce_cold(now, cold_ms);
         let key = self.replicas.insert(replica);
         self.by_id.insert(id, key);
         self.by_hash.insert(hash, key);
         self.by_service.entry(service).or_default().push(key);
-        ChangeOutcome::Announced
+        outcome
     }
 
     fn apply_removal(&mut self, now: TimeMs, id: &str) -> ChangeOutcome {
@@ -219,8 +229,13 @@
         let replica = self.replicas.remove(key)?;
         self.by_id.remove(&replica.id);
         self.by_hash.remove(&replica.hash);
-        if let Some(service_keys) = self.by_service.get_mut(&replica.announcement.service) {
+        let service = &replica.announcement.service;
+        if let Some(service_keys) = self.by_service.get_mut(service) {
             service_keys.retain(|other| *other != key);
+            // Other writers may name ever new services.
+            if service_keys.is_empty() {
+                self.by_service.remove(service);
+            }
         }
         Some(replica)
     }
