--- a/soak/src/stop_checks.rs
+++ b/soak/src/stop_checks.rs
@@ -214,15 +214,16 @@
             let count = self.count(|request| request.sent.answer.status == Some(status));
             write!(f, "{status}: {count}, ")?;
         }
+        let begun = |request: &StopRequest| request.sent.answer.status == Some(200);
         write!(
             f,
-            "closed without an answer: {} sent whole ({} of them unread for long), {} not; {} streams cut",
+            "closed without an answer: {} sent whole ({} of them unread for long), {} not; {} streams cut; \
+             longest stall {:?}",
             self.count(|request| cut(request) && request.whole_at.is_some()),
             self.count(|request| is_unanswered(request, Ending::Reset)),
             self.count(|request| cut(request) && request.whole_at.is_none()),
-            self.count(
-                |request| request.sent.answer.status == Some(200) && !request.sent.answer.whole
-            ),
+            self.count(|request| begun(request) && !request.sent.answer.whole),
+            self.report.longest_stall,
         )
     }
 }
