A turn's retention can't overflow

By reading, not seen: a configuration with a huge retentionS or timeoutMs overflows the time until which a turn is kept, a panic in debug builds and a time long past in release builds, so that the turn is dropped. The sum stops at its maximum.

--- a/src/gateway/turn.rs
+++ b/src/gateway/turn.rs
@@ -243,7 +243,8 @@
     fn kept_until(&self) -> UnixMs {
         let request = &self.turn_request.endpoint_request;
         let left_ms = request.deadline.since(self.gateway.now());
-        UnixMs(self.gateway.unix().0 + left_ms + request.routing.retention_ms)
+        let kept_ms = left_ms.saturating_add(request.routing.retention_ms);
+        UnixMs(self.gateway.unix().0.saturating_add(kept_ms))
     }
 
     /// Makes the tokens used by a completed turn durable and, if its history is kept, the turn
