Let leaving entries claim shards while no other entry can

What callers saw: all entries got SIGTERM at once; calls that came over kept connections, which were still served, waited six seconds and were refused with 503 not_ready. Nobody lent their workspace's rate, and nobody owned their program's shard.

Cause: an entry that leaves claimed no shard, whether or not another entry could. It was known at once that the calls could not be served, and they waited for what could not come.

Change: a leaving entry prefers any other live entry, as before; if there is none, the leaving ones agree by the same ranking on one of themselves, and it claims. It claims nothing any more once it releases its shards, after its callers' last answers.

The test allows a 429 with a retry delay, and requires that at least half of the calls are served.

Why it works: which entry a shard should have is decided by one rule, which knows the leaving entries; the second rule, which contradicted it, is gone.

--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -148,13 +148,14 @@
     }
 
     /// Creates an owner that claims the shard, unless there is one already. Returns `false` if
-    /// another entry should own the shard, or this one is not ready or is leaving.
+    /// another entry should own the shard, or this one is not ready or releases its shards. While
+    /// an entry that leaves serves its callers, it claims shards if all other entries leave too.
     fn ensure_owner(&mut self, shard: ShardId) -> bool {
         if self.owners.contains_key(&shard) {
             return true;
         }
         if !self.entry.is_ready()
-            || self.entry.is_leaving()
+            || self.release.is_some()
             || self.entry.locate(shard) != ShardLocation::Local
         {
             return false;
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -93,8 +93,8 @@
 
 impl Forwarder {
     /// Forwards the call until the owner has sent its final reply, the deadline is near or this entry
-    /// is about to exit. Only the
-    /// forwarding is retried here; attempts at endpoints are retried by the owner alone.
+    /// is about to exit. Only the forwarding is retried here; attempts at endpoints are retried by
+    /// the owner alone.
     async fn run(mut self) {
         let mut backoff_ms = INITIAL_BACKOFF_MS;
         loop {
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -204,7 +204,8 @@
         })
     }
 
-    /// Marks this entry as leaving: it claims no more shards, and its heartbeats say so.
+    /// Marks this entry as leaving: its heartbeats say so, and it claims a shard only if no other
+    /// entry can own it.
     pub fn leave(&self) {
         self.leaving.send_replace(true);
     }
@@ -296,15 +297,21 @@
     }
 
     /// The entry that should own a shard if nobody does, by rendezvous hashing: entries that see
-    /// the same live peers agree on it. A leaving entry prefers any other.
+    /// the same live peers agree on it. A leaving entry prefers any other; if all leave, they agree
+    /// on one of themselves.
     pub fn preferred_owner(&self, shard: ShardId) -> ShardLocation {
         let peers = self.peers();
         let rank =
             |vm: &VmName| Digest::of(&[&shard.0.to_le_bytes(), vm.as_str().as_bytes()]).prefix();
-        let others = peers.live_entries();
-        let best = others.max_by_key(|peer| rank(&peer.heartbeat.vm));
+        let peer_rank = |peer: &&Peer| rank(&peer.heartbeat.vm);
+        let live = peers.live_entries().max_by_key(peer_rank);
+        let prefers_others = self.is_leaving() && live.is_some();
+        let best = match live {
+            None if self.is_leaving() => peers.entries_not_dead().max_by_key(peer_rank),
+            live => live,
+        };
         match best {
-            Some(peer) if self.is_leaving() || rank(&peer.heartbeat.vm) > rank(self.vm()) => {
+            Some(peer) if prefers_others || peer_rank(&peer) > rank(self.vm()) => {
                 ShardLocation::Remote(peer.heartbeat.vm.clone(), peer.heartbeat.address)
             }
             _ => ShardLocation::Local,
--- a/src/membership/table.rs
+++ b/src/membership/table.rs
@@ -175,6 +175,11 @@
         self.all().filter(|peer| peer.heartbeat.role() == Role::Entry && peer.is_live())
     }
 
+    /// The other entries that are not considered dead, also those that leave.
+    pub fn entries_not_dead(&self) -> impl Iterator<Item = &Peer> {
+        self.all().filter(|peer| peer.heartbeat.role() == Role::Entry && !peer.is_dead())
+    }
+
     /// Processes beside endpoints of this model or service that accept new work.
     pub fn live_endpoints<'a>(&'a self, target: &'a ModelName) -> impl Iterator<Item = &'a Peer> {
         let serves = move |peer: &&Peer| match &peer.heartbeat.role_status {
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -387,6 +387,46 @@
     assert_exits(deployment.fleet.entries.get_mut("e0").unwrap());
 }
 
+/// Guards against calls over kept connections that wait for an owner in vain: all entries stop, so
+/// that none is left to claim the shards which have no owner yet.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_over_kept_connections_are_served_when_all_entries_stop() {
+    let mut deployment = Deployment::start().await;
+    let mut connections = Vec::new();
+    for number in 0..2 * PROGRAMS {
+        let entry = deployment.entries()[number % 2];
+        let mut stream = TcpStream::connect(entry).await.unwrap();
+        stream.write_all(b"GET / HTTP/1.1\r\n\r\n").await.unwrap();
+        let head = stream.read(&mut [0; 4_096]).await.unwrap();
+        assert!(head > 0);
+        connections.push(stream);
+    }
+    deployment.fleet.entries["e0"].signal("TERM");
+    deployment.fleet.entries["e1"].signal("TERM");
+    for (number, stream) in connections.iter_mut().enumerate() {
+        let call = format!(
+            "POST /v1/services/tools/look HTTP/1.1\r\nauthorization: Bearer {}\r\n\
+             x-trefoil-program: all{number}\r\nx-trefoil-turn: 1\r\n\
+             content-length: 2\r\n\r\n{{}}",
+            common::ICE_KEY
+        );
+        stream.write_all(call.as_bytes()).await.unwrap();
+    }
+    let mut served = 0;
+    for stream in &mut connections {
+        let mut answer = Vec::new();
+        let _ = stream.read_to_end(&mut answer).await;
+        let answer = String::from_utf8_lossy(&answer);
+        // When one entry exits, the rate's next lender starts with an empty bucket.
+        let has_empty_bucket = answer.starts_with("HTTP/1.1 429") && answer.contains("retry-after");
+        assert!(answer.starts_with("HTTP/1.1 200") || has_empty_bucket, "{answer:?}");
+        served += usize::from(!has_empty_bucket);
+    }
+    assert!(served >= PROGRAMS, "only {served} calls were served");
+    assert_exits(deployment.fleet.entries.get_mut("e0").unwrap());
+    assert_exits(deployment.fleet.entries.get_mut("e1").unwrap());
+}
+
 /// Sends payments one after another from several clients until `stopped` is set.
 fn spawn_payers(
     deployment: &Deployment,
