Keep shards writable until the next owner fences them, also while all entries stop

What callers saw: while all gateways were stopped at once, a turn whose history is kept began, its engine finished it, and its stream was cut at the exit or at the turn's deadline (LOST).

Cause: a gateway that leaves the group of owners waited 1 s for the turns in flight and then closed the writers of its shards. A turn that ended later had to be handed off to the next owner; while all stop there is none. The same class as the exit: a bound of the process, 1 s, that is none of the turns.

Change: leaving only stops new turns and leaves the group. The shards stay writable until their next owner fences them, by epoch, as after any reassignment; from then on turns are handed off as before.

--- a/soak/tests/shutdown.rs
+++ b/soak/tests/shutdown.rs
@@ -15,6 +15,9 @@
 /// requests, and too late for their time limit of 3 s to end before its exit.
 const SENT_AFTER_MS: [u64; 3] = [900, 1_100, 1_300];
 
+/// Time from a request to SIGTERM.
+const BEFORE_STOP: Duration = Duration::from_millis(200);
+
 /// Time after which every gateway that was stopped has exited.
 const EXIT_LIMIT: Duration = Duration::from_secs(5);
 
@@ -182,3 +185,24 @@
     assert_eq!(status(&response), Some(503));
     wait_for_exit(&mut world).await;
 }
+
+// Guards against a turn that its engine has finished, and whose end its caller does not get because its
+// owner has given the shard up while all gateways are stopped and none can take it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_turn_that_ends_while_all_gateways_stop_is_whole() {
+    let mut world = world(2).await;
+    world.endpoints.iter().for_each(|endpoint| endpoint.set_fault(EndpointFault::Slow(2_000)));
+    let asked = (0..4).map(|number| {
+        let (caller, entry) = (world.caller.clone(), world.entry(number));
+        let id = format!("late-{number}");
+        tokio::spawn(async move { (caller.turn(entry, &turn(&id, &id, None)).await, id) })
+    });
+    let asked: Vec<_> = asked.collect();
+    tokio::time::sleep(BEFORE_STOP).await;
+    world.gateways.iter().for_each(|gateway| gateway.signal("TERM").expect("sent"));
+    for asked in asked {
+        let (answer, id) = asked.await.expect("no panic");
+        assert!(answer.is_served(), "{id}: {answer:?}; {:#?}", world.gateways[0].lines());
+    }
+    wait_for_exit(&mut world).await;
+}
--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -183,14 +183,18 @@
         }
     }
 
-    /// Tells the other entries that this one is shutting down, releases all shards and leaves the
-    /// group, so that the other members get them.
+    /// Tells the other entries that this one is shutting down, and leaves the group once the turns in
+    /// flight have finished, so that the other members get its shards.
+    ///
+    /// Turns that take longer go on here. They are recorded until the next owner of their shard fences
+    /// this one, and are handed off to it from then on. If all entries shut down there is none, and a
+    /// turn that could not be recorded would never end at its caller.
     pub(super) async fn leave(&self) {
         self.gateway.peers.borrow_mut().set_leaving();
         self.gateway.gossip_due.notify_one();
         let owned = self.gateway.shards.all_owned();
-        let released = release_shards(&self.gateway, &owned);
-        let (_renewing, ()) = tokio::join!(self.renewing.lock(), released);
+        let finished = finish_turns(&self.gateway, &owned);
+        let (_renewing, ()) = tokio::join!(self.renewing.lock(), finished);
         if !self.gateway.is_hub() {
             return;
         }
@@ -206,14 +210,20 @@
 
 /// Releases shards once their turns in flight have finished, or after [`MAX_RELEASE_MS`].
 async fn release_shards(gateway: &Gateway, to_release: &[Rc<OwnedShard>]) {
-    to_release.iter().for_each(|shard| shard.set_stage(Stage::Draining));
+    finish_turns(gateway, to_release).await;
+    to_release.iter().for_each(|shard| end_ownership(gateway, shard));
+}
+
+/// Lets shards take no new turns, and waits until those in flight have finished, for at most
+/// [`MAX_RELEASE_MS`].
+async fn finish_turns(gateway: &Gateway, shards: &[Rc<OwnedShard>]) {
+    shards.iter().for_each(|shard| shard.set_stage(Stage::Draining));
     let started = gateway.now();
-    while to_release.iter().any(|shard| shard.turns_in_flight() > 0)
+    while shards.iter().any(|shard| shard.turns_in_flight() > 0)
         && gateway.now().since(started) < MAX_RELEASE_MS
     {
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
-    to_release.iter().for_each(|shard| end_ownership(gateway, shard));
 }
 
 /// Takes over a shard, then serves it until it is lost.
