Have hubs that are shutting down count the rates once no entry stays

Callers saw: while all entries were stopped at once, each call waited 505 ms and got 503, although the entries still took requests for 0.45 of their grace period.

Cause: a hub that is shutting down left itself and all others that are out of the hubs that count a workspace's requests. With none left, a request asked nobody, waited for the four timeouts of a question (500 ms) and was refused. Leaves did the same by the state of their hub.

Change: the hubs that count are those that stay; once none may, those that leave, which still know what the windows hold. By the same rule they share the rates: a hub that leaves compares what it hears with the others that leave, so that of hubs that are also cut off from each other none takes itself for the only one. While an entry that stays may run, heard or only silent, a hub that leaves does not count its own callers' requests. The others are told of the shutdown at once, not with the next regular message.

Ruled out: refusing at once. The hub that has counted until now knows the windows while it lives, and gets the reports of the others, so calls can be served within the rule.

Evidence: soak/tests/all_stopping.rs failed before (calls at hubs and at leaves 503 after 505 ms), and passes. The model of the rates has planned stops, of some entries or of all in any order. In the model hubs also connect to silent ones, as the process does.

--- /dev/null
+++ b/soak/tests/all_stopping.rs
@@ -0,0 +1,146 @@
+//! What callers get while all gateways are stopped with SIGTERM, as long as these take requests.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use trefoil_soak::{Answer, World};
+
+use common::world;
+
+/// Times after SIGTERM at which requests are sent: within the time in which stopped gateways take
+/// requests.
+const SENT_AFTER_MS: [u64; 4] = [50, 400, 800, 1_200];
+
+/// Rate per second and burst of the workspace that floods the entries.
+const RATE_PER_S: u64 = 40;
+
+/// The window of the rates.
+const RATE_WINDOW: Duration = Duration::from_secs(5);
+
+/// How long the flood lasts: from before the first stop until after the last start.
+const FLOOD_TIME: Duration = Duration::from_secs(7);
+
+/// Callers of the flood at each entry.
+const FLOODING_CALLERS: usize = 6;
+
+/// Time after which all entries have a new configuration.
+const CONFIG_TIME: Duration = Duration::from_millis(1_500);
+
+/// Time after which a gateway that was stopped has exited: its grace period, and a second for a loaded
+/// machine.
+const EXIT_LIMIT: Duration = Duration::from_secs(5);
+
+/// An answer and how long it took.
+struct Timed {
+    id: String,
+    answer: Answer,
+    took: Duration,
+}
+
+fn stop_all(world: &World) -> Instant {
+    world.gateways.iter().for_each(|gateway| gateway.signal("TERM").expect("sent"));
+    Instant::now()
+}
+
+/// Sends a request to each entry at each of [`SENT_AFTER_MS`].
+async fn send_to_all<F>(
+    world: &World,
+    stopped: Instant,
+    send: impl Fn(SocketAddr, String) -> F,
+) -> Vec<Timed>
+where
+    F: Future<Output = Answer> + Send + 'static,
+{
+    let mut sent = Vec::new();
+    for after_ms in SENT_AFTER_MS {
+        for entry in 0..world.gateways.len() {
+            let id = format!("sent-{after_ms}-{entry}");
+            let asked = send(world.entry(entry), id.clone());
+            sent.push(tokio::spawn(async move {
+                let wait = Duration::from_millis(after_ms).saturating_sub(stopped.elapsed());
+                tokio::time::sleep(wait).await;
+                let started = Instant::now();
+                let answer = asked.await;
+                Timed { id, answer, took: started.elapsed() }
+            }));
+        }
+    }
+    let mut answers = Vec::new();
+    for asked in sent {
+        answers.push(asked.await.expect("no panic"));
+    }
+    answers
+}
+
+async fn assert_calls_are_served(world: &World) {
+    let stopped = stop_all(world);
+    let caller = world.caller.clone();
+    let answers = send_to_all(world, stopped, |entry, id| {
+        let caller = caller.clone();
+        async move { caller.act(entry, &id).await }
+    });
+    for Timed { id, answer, took } in answers.await {
+        assert!(answer.is_served(), "{id}: {:?} after {took:?}", answer.status);
+    }
+}
+
+// Guards against calls refused with 503 after half a second: hubs that were stopped no longer counted
+// their workspace's requests, and no other hub was left.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_are_served_while_all_entries_stop() {
+    assert_calls_are_served(&world(3).await).await;
+}
+
+// Guards against a workspace that exceeds its rate while all entries are stopped one after the other and
+// started again: each of them would count alone.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_rate_holds_while_all_entries_stop_and_start_again() {
+    let mut world = world(3).await;
+    world.rate_per_s = RATE_PER_S;
+    world.configure(&["secret-key-in-force"], &["other-key"]);
+    tokio::time::sleep(CONFIG_TIME).await;
+    let started = Instant::now();
+    let flood = (0..3 * FLOODING_CALLERS).map(|line| {
+        let (caller, address) = (world.caller.clone(), world.entry(line));
+        tokio::spawn(async move {
+            for number in 0.. {
+                caller.look_up(address, &format!("flood-{line}-{number}")).await;
+                tokio::time::sleep(Duration::from_millis(10)).await;
+                if started.elapsed() >= FLOOD_TIME {
+                    break;
+                }
+            }
+        })
+    });
+    let flood: Vec<_> = flood.collect();
+    for gateway in &world.gateways {
+        gateway.signal("TERM").expect("sent");
+        tokio::time::sleep(Duration::from_millis(250)).await;
+    }
+    for gateway in &mut world.gateways {
+        let status = gateway.wait_for_exit(EXIT_LIMIT).expect("waited");
+        assert!(status.is_some_and(|status| status.success()));
+        gateway.start().expect("started");
+    }
+    for line in flood {
+        line.await.expect("no panic");
+    }
+    let most = most_in_window(&world);
+    let allowed = (RATE_PER_S * 5 + RATE_PER_S) as usize * 11 / 10 + 20;
+    assert!(most <= allowed, "{most} of {allowed}");
+    assert!(most >= RATE_PER_S as usize, "{most}");
+}
+
+/// The most requests of the flood that ran within the window of the rates.
+fn most_in_window(world: &World) -> usize {
+    let runs = world.journal.runs();
+    let flood = runs.iter().filter(|run| run.request.starts_with("flood"));
+    let mut at: Vec<_> = flood.map(|run| run.at).collect();
+    at.sort_unstable();
+    let in_window = |first: &Instant| {
+        at.iter().filter(|at| *at >= first && **at < *first + RATE_WINDOW).count()
+    };
+    at.iter().map(in_window).max().unwrap_or(0)
+}
--- a/src/gateway/ask_hub.rs
+++ b/src/gateway/ask_hub.rs
@@ -204,16 +204,18 @@
 fn candidates(gateway: &Gateway) -> Vec<CountingCandidate> {
     if !gateway.is_hub() {
         let state = gateway.leaf.hub_state.borrow();
-        let live = state.hubs.iter().filter(|hub| !hub.leaving);
-        let candidates = live.map(|hub| CountingCandidate {
+        let all_leave = state.hubs.iter().all(|hub| hub.leaving);
+        let may_count = state.hubs.iter().filter(|hub| all_leave || !hub.leaving);
+        let candidates = may_count.map(|hub| CountingCandidate {
             address: hub.address,
             cpu_millicores: None,
             knows_windows: true,
         });
         return candidates.collect();
     }
-    let mut candidates = gateway.peers.borrow().counting_candidates(gateway.now());
-    if !gateway.draining.get() {
+    let peers = gateway.peers.borrow();
+    let mut candidates = peers.counting_candidates(gateway.now());
+    if peers.may_count_here() {
         candidates.push(CountingCandidate {
             address: gateway.settings.peers,
             cpu_millicores: Some(gateway.settings.cpu_millicores),
--- a/src/gateway/hubs/mod.rs
+++ b/src/gateway/hubs/mod.rs
@@ -6,7 +6,8 @@
 //! failure domain, from which it learns the owners of the shards. While the entries are few, all of them
 //! are hubs.
 //!
-//! One hub counts the requests of a workspace, and all entries ask it to admit them.
+//! One hub counts the requests of a workspace, and all entries ask it to admit them. A hub that is
+//! shutting down does so only once no entry stays: it still knows what the windows hold.
 
 mod attachment;
 mod counting;
--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -163,8 +163,11 @@
         }
     }
 
-    /// Releases all shards and leaves the group, so that the other members get them.
+    /// Tells the other entries that this one is shutting down, releases all shards and leaves the
+    /// group, so that the other members get them.
     pub(super) async fn leave(&self) {
+        self.gateway.peers.borrow_mut().set_leaving();
+        self.gateway.gossip_due.notify_one();
         release_shards(&self.gateway, &self.gateway.shards.all_owned()).await;
         if !self.gateway.is_hub() {
             return;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -75,6 +75,13 @@
     fn is_dead(&self) -> bool {
         self.dead_instance == Some(self.instance)
     }
+
+    /// Whether it may run: one that is silent may be cut off, unless its process has ended. One that
+    /// was announced and never heard may run too, until it has been silent for long.
+    fn may_run(&self) -> bool {
+        let is_gone = self.instance == 0 && self.was_removed;
+        !self.is_dead() && !is_gone
+    }
 }
 
 /// What a message from an entry has changed.
@@ -104,6 +111,8 @@
     running: HashMap<u64, u32>,
     /// The entries that were removed, and have not been heard since.
     removed: HashSet<SocketAddr>,
+    /// Whether this entry is shutting down.
+    is_leaving: bool,
 }
 
 impl Peers {
@@ -197,7 +206,12 @@
 
     /// Forgets all entries: what a leaf knew of the hubs is not what a hub needs.
     pub(super) fn clear(&mut self) {
-        *self = Peers::default();
+        *self = Peers { is_leaving: self.is_leaving, ..Peers::default() };
+    }
+
+    /// Records that this entry is shutting down.
+    pub(super) fn set_leaving(&mut self) {
+        self.is_leaving = true;
     }
 
     /// The hashes of the entries from which a message ever came, also of those out of touch by now.
--- a/src/gateway/peers/sharing.rs
+++ b/src/gateway/peers/sharing.rs
@@ -15,9 +15,23 @@
 const PROBE_INTERVAL_MS: u64 = 2_000;
 
 impl Peers {
+    /// Whether this entry and all others that may run are shutting down.
+    ///
+    /// Entries that stay share the rates among themselves, own the shards, and serve until after those
+    /// that leave have exited. If none stays, those that leave share the rates as long as they run.
+    pub(in crate::gateway) fn all_leave(&self) -> bool {
+        self.is_leaving && self.peers.values().all(|peer| peer.leaving || !peer.may_run())
+    }
+
+    /// Whether this entry may count the requests of workspaces: it stays, or no other one does.
+    pub(in crate::gateway) fn may_count_here(&self) -> bool {
+        !self.is_leaving || self.all_leave()
+    }
+
     /// The hubs heard recently that may count the requests of workspaces.
     pub(in crate::gateway) fn counting_candidates(&self, now: TimeMs) -> Vec<CountingCandidate> {
-        let may_count = |peer: &Peer| peer.is_heard_recently(now) && !peer.leaving;
+        let all_leave = self.all_leave();
+        let may_count = |peer: &Peer| peer.is_heard_recently(now) && (all_leave || !peer.leaving);
         let hubs = self.peers.iter().filter(|(_, peer)| may_count(peer));
         let candidates = hubs.map(|(address, peer)| CountingCandidate {
             address: *address,
@@ -44,7 +58,7 @@
         }
     }
 
-    /// Whether a hub is heard that knows the windows, and is not shutting down.
+    /// Whether a hub is heard that may count and knows the windows.
     pub(in crate::gateway) fn hears_knowing(&self, now: TimeMs) -> bool {
         self.counting_candidates(now).iter().any(|hub| hub.knows_windows)
     }
@@ -78,14 +92,10 @@
         self.count_sharing(|peer| peer.is_heard_recently(now))
     }
 
-    /// How many entries share the workspaces' rates, and how many of them are heard. One that is
-    /// silent may be cut off and still admit requests, unless its process has ended. One that was
-    /// announced and never heard may be so too, until it has been silent for long.
+    /// How many entries share the workspaces' rates, and how many of them are heard.
     fn count_sharing(&self, is_heard: impl Fn(&Peer) -> bool) -> PeerCounts {
-        let may_admit = |peer: &&Peer| {
-            let is_gone = peer.instance == 0 && peer.was_removed;
-            !peer.leaving && !peer.is_dead() && !is_gone
-        };
+        let all_leave = self.all_leave();
+        let may_admit = |peer: &&Peer| peer.may_run() && (all_leave || !peer.leaving);
         let (mut others, mut heard) = (0, 0);
         for peer in self.peers.values().filter(may_admit) {
             others += 1;
--- a/src/gateway/tests/contact.rs
+++ b/src/gateway/tests/contact.rs
@@ -3,10 +3,24 @@
 use std::net::SocketAddr;
 
 use super::{gossip_message, peer};
+use crate::gateway::message::GossipMessage;
 use crate::gateway::peers::Peers;
 use crate::prelude::*;
 use crate::quota::PeerCounts;
 
+/// A message of an entry that is shutting down.
+fn leaving(port: u16) -> GossipMessage {
+    GossipMessage { leaving: true, ..gossip_message(u64::from(port), false) }
+}
+
+/// The addresses of the hubs that may count, sorted.
+fn counting(peers: &Peers, now: TimeMs) -> Vec<SocketAddr> {
+    let mut counting: Vec<_> =
+        peers.counting_candidates(now).iter().map(|hub| hub.address).collect();
+    counting.sort_unstable();
+    counting
+}
+
 fn address(port: u16) -> SocketAddr {
     ([127, 0, 0, 1], port).into()
 }
@@ -69,3 +83,35 @@
     }
     assert_eq!(others.peer_counts(TimeMs(60_000)), PeerCounts { entries: 4, heard: 4 });
 }
+
+// While all entries were shutting down, none of them counted, and all requests were refused. One that
+// counted alone, as if the others had ended, would admit the whole limit beside them.
+#[test]
+fn entries_that_leave_share_the_rates_once_none_stays() {
+    let mut peers = four_heard();
+    peers.set_leaving();
+    (1..=3).for_each(|port| drop(peers.record_message(TimeMs(0), address(port), &leaving(port))));
+    assert!(!peers.all_leave() && !peers.may_count_here());
+    assert_eq!(counting(&peers, TimeMs(0)), [address(4)]);
+    peers.record_message(TimeMs(0), address(4), &leaving(4));
+    assert!(peers.all_leave() && peers.may_count_here());
+    assert_eq!(counting(&peers, TimeMs(0)), (1..=4).map(address).collect::<Vec<_>>());
+    assert_eq!(peers.peer_counts(TimeMs(1_000)), PeerCounts { entries: 5, heard: 1 });
+    (1..=4).for_each(|port| peers.mark_dead(address(port)));
+    assert_eq!(peers.peer_counts(TimeMs(1_000)), PeerCounts { entries: 1, heard: 1 });
+}
+
+// An entry that leaves would count beside one that stays and is only cut off from it, and one that stays
+// would keep room for those that have left.
+#[test]
+fn an_entry_that_leaves_does_not_count_while_another_one_may_stay() {
+    let mut peers = Peers::default();
+    peers.record_message(TimeMs(0), address(1), &gossip_message(1, false));
+    peers.record_message(TimeMs(1_000), address(2), &leaving(2));
+    assert_eq!(peers.peer_counts(TimeMs(1_000)), PeerCounts { entries: 2, heard: 1 });
+    peers.set_leaving();
+    assert!(!peers.all_leave() && !peers.may_count_here());
+    assert_eq!(counting(&peers, TimeMs(1_000)), []);
+    peers.mark_dead(address(1));
+    assert!(peers.all_leave(), "the process of the other one has ended");
+}
--- a/src/gateway/tests/rates_model/world.rs
+++ b/src/gateway/tests/rates_model/world.rs
@@ -47,12 +47,21 @@
 
 type Message = (SocketAddr, GossipMessage, CountReport);
 
+/// A planned stop of a hub, which serves until it exits and is started again later.
+#[derive(Debug, Clone, Copy)]
+struct Stop {
+    begins_at: TimeMs,
+    exits_at: TimeMs,
+    down_for_ms: u64,
+}
+
 struct Hub {
     instance: u64,
     since: TimeMs,
     down_until: TimeMs,
     frozen_until: TimeMs,
     cut_until: TimeMs,
+    stop: Option<Stop>,
     peers: Peers,
     rates: RateLimiter,
     granted: GrantedQuestions,
@@ -138,6 +147,7 @@
             down_until: TimeMs(0),
             frozen_until: TimeMs(0),
             cut_until: TimeMs(0),
+            stop: None,
             peers,
             rates,
             granted: GrantedQuestions::default(),
@@ -160,6 +170,15 @@
         self.each_of(hubs, |hub, now| hub.down_until = now.plus(for_ms));
     }
 
+    /// Stops hubs one after the other, in this order, `gap_ms` apart.
+    pub(super) fn stop(&mut self, hubs: &[usize], gap_ms: u64, for_ms: u64, down_for_ms: u64) {
+        for (place, hub) in hubs.iter().enumerate() {
+            let begins_at = self.now.plus(gap_ms * place as u64);
+            let stop = Stop { begins_at, exits_at: begins_at.plus(for_ms), down_for_ms };
+            self.each_of(&[*hub], |hub, _| _ = hub.stop.get_or_insert(stop));
+        }
+    }
+
     fn each_of(&mut self, hubs: &[usize], change: impl Fn(&mut Hub, TimeMs)) {
         for hub in hubs {
             if let Some(hub) = self.hubs.get_mut(*hub) {
@@ -193,10 +212,12 @@
         for _ in 0..ms / STEP_MS {
             self.now = self.now.plus(STEP_MS);
             self.restart_hubs();
+            self.stop_hubs();
             self.apply_limits();
             // A hub that wakes up may serve requests before it reads what it has missed.
             self.serve_callers();
             self.read_messages();
+            self.probe_silent_hubs();
             self.refund_requests();
             self.record_surges();
             self.send_messages();
@@ -225,6 +246,36 @@
         }
     }
 
+    fn stop_hubs(&mut self) {
+        let now = self.now;
+        for hub in self.hubs.iter_mut().filter(|hub| hub.down_until <= now) {
+            match hub.stop {
+                Some(stop) if stop.exits_at <= now => {
+                    hub.down_until = now.plus(stop.down_for_ms);
+                    hub.stop = None;
+                }
+                Some(stop) if stop.begins_at <= now => hub.peers.set_leaving(),
+                _ => {}
+            }
+        }
+    }
+
+    /// Hubs connect to those that are silent, and learn which of them have ended.
+    fn probe_silent_hubs(&mut self) {
+        let now = self.now;
+        let is_reached = |hub: &Hub| hub.cut_until <= now;
+        let ended = |hub: &Hub| is_reached(hub) && hub.down_until > now;
+        let ended: Vec<_> =
+            (0..self.hubs.len()).filter(|hub| ended(&self.hubs[*hub])).map(address).collect();
+        for hub in 0..self.hubs.len() {
+            if self.is_up(hub) && is_reached(&self.hubs[hub]) {
+                let peers = &mut self.hubs[hub].peers;
+                let unprobed = peers.take_unprobed(now).into_iter();
+                unprobed.filter(|at| ended.contains(at)).for_each(|at| peers.mark_dead(at));
+            }
+        }
+    }
+
     /// A probe finds that the earlier process of a hub has ended.
     fn learn_of_the_dead(&mut self, started: usize) {
         if self.hubs[started].cut_until > self.now {
@@ -332,6 +383,7 @@
         let counts = CountReport { knows_windows, refunds };
         hub.rates.mark_reported(&admitted);
         let gossip = GossipMessage {
+            leaving: hub.stop.is_some_and(|stop| stop.begins_at <= now),
             name: format!("entry-{}", sender + 1).into(),
             recently_started,
             admitted,
--- a/src/gateway/tests/rates_model/world/asking.rs
+++ b/src/gateway/tests/rates_model/world/asking.rs
@@ -14,6 +14,9 @@
 use crate::gateway::rates::workspace_hash;
 use crate::quota::Claim;
 
+/// How long it may take until a leaf finds a hub that has started.
+const LEAF_SEARCH_MS: u64 = 1_000;
+
 impl World {
     pub(super) fn serve(&mut self, entry: usize) {
         let is_hub = entry < self.hubs.len();
@@ -98,14 +101,28 @@
         };
         match is_hub {
             true => {
-                let mut candidates = self.hubs[entry].peers.counting_candidates(self.now);
-                candidates.push(candidate(entry, self.knows_windows(entry)));
+                let peers = &self.hubs[entry].peers;
+                let mut candidates = peers.counting_candidates(self.now);
+                if peers.may_count_here() {
+                    candidates.push(candidate(entry, self.knows_windows(entry)));
+                }
                 candidates
             }
-            false => (0..self.hubs.len())
-                .filter(|hub| self.is_up(*hub) && self.hubs[*hub].cut_until <= self.now)
-                .map(|hub| candidate(hub, true))
-                .collect(),
+            false => self.known_to_leaves().into_iter().map(|hub| candidate(hub, true)).collect(),
+        }
+    }
+
+    /// The hubs that leaves ask. If those that they have known for long all leave, a leaf may take some
+    /// time to find one that has started since.
+    fn known_to_leaves(&self) -> Vec<usize> {
+        let is_known = |hub: &usize| self.is_up(*hub) && self.hubs[*hub].cut_until <= self.now;
+        let known: Vec<_> = (0..self.hubs.len()).filter(is_known).collect();
+        let (leaving, staying): (Vec<_>, Vec<_>) =
+            known.into_iter().partition(|hub| self.is_leaving(*hub));
+        let is_old = |hub: &usize| self.now.since(self.hubs[*hub].since) >= LEAF_SEARCH_MS;
+        match staying.iter().any(is_old) || leaving.is_empty() {
+            true => staying,
+            false => leaving,
         }
     }
 
@@ -113,6 +130,10 @@
         !self.is_recent(hub) && self.hubs[hub].rates.knows_windows(self.now)
     }
 
+    fn is_leaving(&self, hub: usize) -> bool {
+        self.hubs[hub].stop.is_some_and(|stop| stop.begins_at <= self.now)
+    }
+
     pub(super) fn is_recent(&self, hub: usize) -> bool {
         self.now.since(self.hubs[hub].since) < WINDOW_MS
     }
