Do not make a leaf that is shutting down a hub

Callers saw: while all entries were stopped at once, some calls got 429 although their workspace was far below its rate.

Cause: a leaf whose hubs are leaving becomes a hub, also if it is shutting down itself. As one, it begins to count anew and forgets the hubs that know the windows; the others send it messages and ask it, and it exits seconds later.

--- a/soak/tests/all_stopping.rs
+++ b/soak/tests/all_stopping.rs
@@ -7,7 +7,7 @@
 
 use trefoil_soak::{Answer, World};
 
-use common::world;
+use common::{world, world_with_hubs};
 
 /// Times after SIGTERM at which requests are sent: within the time in which stopped gateways take
 /// requests.
@@ -93,6 +93,16 @@
     assert_calls_are_served(&world(3).await).await;
 }
 
+// As above, at entries that are not hubs.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_at_leaves_are_served_while_all_entries_stop() {
+    let world = world_with_hubs(4, 2).await;
+    assert_calls_are_served(&world).await;
+    let lines = world.gateways.iter().flat_map(|gateway| gateway.lines());
+    let recruited = lines.filter(|line| line.contains("becoming one")).count();
+    assert_eq!(recruited, 0, "an entry that is shutting down begins as a hub");
+}
+
 // Guards against a workspace that exceeds its rate while all entries are stopped one after the other and
 // started again: each of them would count alone.
 #[tokio::test(flavor = "multi_thread")]
--- a/soak/tests/common/mod.rs
+++ b/soak/tests/common/mod.rs
@@ -18,13 +18,12 @@
 }
 
 pub async fn world(gateways: usize) -> World {
-    let settings = WorldSettings {
-        program: program(),
-        gateways,
-        max_hubs: gateways,
-        revoke_ms: REVOKE_MS,
-        load: false,
-    };
+    world_with_hubs(gateways, gateways).await
+}
+
+pub async fn world_with_hubs(gateways: usize, max_hubs: usize) -> World {
+    let settings =
+        WorldSettings { program: program(), gateways, max_hubs, revoke_ms: REVOKE_MS, load: false };
     World::start(&settings).await.expect("the world starts")
 }
 
--- a/src/gateway/leaf.rs
+++ b/src/gateway/leaf.rs
@@ -196,8 +196,11 @@
     Recruitment::is_short(live_here, gateway.hub_limit().per_domain, roster.entries_in(domain))
 }
 
-/// Makes this leaf a hub if too few are left.
+/// Makes this leaf a hub if too few are left, unless it is shutting down.
 fn check_recruitment(gateway: &Gateway) {
+    if gateway.draining.get() {
+        return;
+    }
     let now = gateway.now();
     let leaf = &gateway.leaf;
     let are_all_gone = leaf.attachment.borrow().unanswered_ms(now) >= ALL_HUBS_SILENT_MS;
