Refuse a turn at once if all entries are shutting down

Callers saw: while all entries were stopped at once, each turn waited 1.8 s (0.6 of its time) and then got 503, with a retry delay of 0.4 s.

Cause: entries that shut down leave the group of owners, so no entry will own the turn's shard before one has been started again. The turn waited for an owner as after the death of one.

Change: once this entry and all others that may run are shutting down, the turn is refused with 503, and a retry delay of 1 s: the entries are started again only after they have drained. While another one stays, or may, the turn waits as before.

--- a/soak/tests/all_stopping.rs
+++ b/soak/tests/all_stopping.rs
@@ -7,12 +7,16 @@
 
 use trefoil_soak::{Answer, World};
 
-use common::{world, world_with_hubs};
+use common::{turn, world, world_with_hubs};
 
 /// Times after SIGTERM at which requests are sent: within the time in which stopped gateways take
 /// requests.
 const SENT_AFTER_MS: [u64; 4] = [50, 400, 800, 1_200];
 
+/// Longest time until a request that can't be served is refused: far less than a wait for a hub or an
+/// owner that never comes.
+const REFUSED_WITHIN: Duration = Duration::from_millis(400);
+
 /// Rate per second and burst of the workspace that floods the entries.
 const RATE_PER_S: u64 = 40;
 
@@ -154,3 +158,22 @@
     };
     at.iter().map(in_window).max().unwrap_or(0)
 }
+
+// Guards against turns refused only after a wait for an owner of their shard: entries that stop own none.
+#[tokio::test(flavor = "multi_thread")]
+async fn turns_are_refused_at_once_while_all_entries_stop() {
+    let world = world(3).await;
+    let stopped = stop_all(&world);
+    let caller = world.caller.clone();
+    let answers = send_to_all(&world, stopped, |entry, id| {
+        let caller = caller.clone();
+        async move { caller.turn(entry, &turn(&id, &id, None)).await }
+    });
+    let runs = world.journal.counts();
+    for Timed { id, answer, took } in answers.await {
+        let has_run = runs.contains_key(&id);
+        assert!(answer.status == Some(503) && !has_run, "{id} (ran: {has_run}): {answer:?}");
+        assert!(answer.retry_after_ms.is_some(), "{id}: {answer:?}");
+        assert!(took < REFUSED_WITHIN, "{id} was refused after {took:?}");
+    }
+}
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -56,6 +56,10 @@
 /// Retry delay if the shard has no owner.
 const NO_OWNER_RETRY_MS: u64 = 400;
 
+/// Retry delay if all entries are shutting down. They are started again only after they have drained,
+/// which takes seconds; callers accept a delay of at most a third of their timeout.
+const ALL_LEAVING_RETRY_MS: u64 = 1_000;
+
 /// Which other entry a request is sent to, and who decides on it.
 pub(super) enum ForwardTarget {
     /// The entry owns the program's shard, and serves the request as decided here.
@@ -138,6 +142,11 @@
                 }
             }
         }
+        if gateway.peers.borrow().all_leave() {
+            log::info!(request:% = forwarded.request, shard;
+                "all entries are shutting down and none takes the shard; turn refused");
+            return Err(Refusal::Unavailable { retry_after_ms: ALL_LEAVING_RETRY_MS });
+        }
         if gateway.now().since(arrived) >= wait_ms {
             log::info!(request:% = forwarded.request, shard;
                 "shard has no reachable owner; turn refused");
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -9,6 +9,7 @@
 mod gossip;
 mod hub_feeds;
 mod hubs;
+mod leaving;
 mod ledger_model;
 mod load_admission;
 mod load_metrics;
--- a/src/gateway/tests/slow_readers.rs
+++ b/src/gateway/tests/slow_readers.rs
@@ -187,7 +187,7 @@
     while stream.read(&mut [0; 16]).await.is_ok_and(|read| read > 0) {}
 }
 
-fn forwarded_request() -> ForwardedRequest {
+pub(super) fn forwarded_request() -> ForwardedRequest {
     ForwardedRequest {
         request: "r".into(),
         workspace: "w".into(),
