End an inquiry once all hubs have said that they do not know the window

Cause: an inquiry leaves out the hubs that have said that they do not know the window. With none left, it went on to ask nobody, and waited for the remaining timeouts.

Change: it ends with the retry delay that the hubs gave. An entry that knows no hub yet still waits for a first one.

Evidence: an_inquiry_ends_once_all_hubs_have_said_that_they_do_not_know_the_window failed before (Ask of no hubs, 140 ms).

--- a/src/gateway/hubs/inquiry.rs
+++ b/src/gateway/hubs/inquiry.rs
@@ -70,6 +70,9 @@
         };
         self.attempt += 1;
         order.retain(|hub| !self.ignorant.contains(hub));
+        if order.is_empty() && !self.ignorant.is_empty() {
+            return InquiryStep::End(self.not_admitted);
+        }
         order.truncate(self.attempt.min(MAX_HUBS_ASKED));
         match order.contains(&own) {
             true => InquiryStep::CountHere,
--- a/src/gateway/tests/counting.rs
+++ b/src/gateway/tests/counting.rs
@@ -83,6 +83,27 @@
     full_windows.retry_after_ms(TimeMs(1_000 + in_ms), 1, Claim::Call)
 }
 
+// A request waited for 340 ms more although all hubs had said that they did not know the window.
+#[test]
+fn an_inquiry_ends_once_all_hubs_have_said_that_they_do_not_know_the_window() {
+    let mut inquiry = Inquiry::open();
+    let order = vec![address(1), address(2)];
+    for hub in [1, 2] {
+        inquiry.next_step(order.clone(), address(9));
+        let unknown = Decision::Unknown { retry_after_ms: 400 };
+        assert_eq!(inquiry.record_refusal(address(hub), unknown), None);
+    }
+    let no_room = NotAdmitted::NoRoom { retry_after_ms: 400 };
+    assert_eq!(inquiry.next_step(order, address(9)), InquiryStep::End(no_room));
+}
+
+// An entry that has just started knows no hub yet, but soon will.
+#[test]
+fn an_inquiry_waits_for_a_first_hub() {
+    let step = Inquiry::open().next_step(vec![], address(9));
+    assert!(matches!(step, InquiryStep::Ask { hubs, .. } if hubs.is_empty()));
+}
+
 fn workspace(rate_per_s: f64) -> Workspace {
     let (name, regions) = ("w".into(), Regions::default());
     Workspace { name, priority: None, rate_per_s, burst: 50.0, regions }
