Leave the group of owners only after a renewal under way

Callers saw: nothing yet; found by reading. Turns of some shards would find no owner from the exit of a stopped entry until its membership expires (1.5 s).

Cause: an entry renews its membership and leaves the group in two tasks. If it is stopped during a renewal, the store may execute the renewal after the leave. The process is a member again, applies the assignment although it drains, takes shards that others would serve, and exits with them.

Change: renewals and the leave exclude each other, and a process that drains takes no shards. The leave waits for a renewal while the turns in flight finish, so it takes no longer than before unless the store is silent (0.7 s).

--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -6,6 +6,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::sync::Mutex;
+
 use super::call_store::{STORE_CALL_TIMEOUT_MS, call_store};
 use super::owned_shard::{OwnedShard, Stage};
 use super::state::Gateway;
@@ -50,12 +52,16 @@
     gateway: Rc<Gateway>,
     member: Arc<str>,
     epochs_used: Cell<u64>,
+    /// Held while the membership is renewed and while the group is left. A renewal that the store
+    /// executed after the process has left would make it a member again, and assign it shards that
+    /// nobody serves after its exit.
+    renewing: Mutex<()>,
 }
 
 impl Membership {
     pub(super) fn open(gateway: Rc<Gateway>) -> Rc<Membership> {
         let member = gateway.settings.name.clone();
-        Rc::new(Membership { gateway, member, epochs_used: Cell::new(0) })
+        Rc::new(Membership { gateway, member, epochs_used: Cell::new(0), renewing: Mutex::new(()) })
     }
 
     /// Renews the membership while this entry is a hub, until the process drains.
@@ -91,23 +97,15 @@
                 tokio::time::sleep(Duration::from_millis(RETRY_MS)).await;
                 continue;
             }
-            let pause_ms = match self.join().await {
-                Ok(assignment) => {
-                    self.gateway.reachability.record_success(self.gateway.now());
-                    match self.apply_assignment(assignment).await {
-                        AssignmentChange::Released => continue,
-                        AssignmentChange::Changed
-                            if self.gateway.is_enabled(Mechanism::FastReassignment) =>
-                        {
-                            REASSIGNMENT_RENEW_MS
-                        }
-                        AssignmentChange::Changed | AssignmentChange::Unchanged => RENEW_MS,
-                    }
-                }
-                Err(fault) => {
-                    self.gateway.reachability.record_failure(self.gateway.now(), &fault);
-                    RETRY_MS
+            let pause_ms = match self.renew().await {
+                Some(AssignmentChange::Released) => continue,
+                Some(AssignmentChange::Changed)
+                    if self.gateway.is_enabled(Mechanism::FastReassignment) =>
+                {
+                    REASSIGNMENT_RENEW_MS
                 }
+                Some(AssignmentChange::Changed | AssignmentChange::Unchanged) => RENEW_MS,
+                None => RETRY_MS,
             };
             tokio::select! {
                 () = tokio::time::sleep(Duration::from_millis(pause_ms)) => {}
@@ -116,6 +114,25 @@
         }
     }
 
+    /// Renews the membership and applies the assignment, unless the process drains. Returns what has
+    /// changed, or none if the store has not answered.
+    async fn renew(&self) -> Option<AssignmentChange> {
+        let _renewing = self.renewing.lock().await;
+        if self.gateway.draining.get() {
+            return None;
+        }
+        match self.join().await {
+            Ok(assignment) => {
+                self.gateway.reachability.record_success(self.gateway.now());
+                Some(self.apply_assignment(assignment).await)
+            }
+            Err(fault) => {
+                self.gateway.reachability.record_failure(self.gateway.now(), &fault);
+                None
+            }
+        }
+    }
+
     async fn join(&self) -> Result<Assignment, StoreError> {
         call_store(
             STORE_CALL_TIMEOUT_MS,
@@ -149,9 +166,12 @@
         }
     }
 
-    /// Takes over the assigned shards that are not owned yet. Each takeover gets a new epoch, also
-    /// if a shard is lost and taken again within one generation.
+    /// Takes over the assigned shards that are not owned yet, unless the process drains. Each takeover
+    /// gets a new epoch, also if a shard is lost and taken again within one generation.
     fn take_assigned(&self, assignment: &Assignment) {
+        if self.gateway.draining.get() {
+            return;
+        }
         for number in &assignment.shards {
             if self.gateway.shards.owned(*number).is_none() {
                 self.epochs_used.set((self.epochs_used.get() + 1) % EPOCHS_PER_GENERATION);
@@ -168,7 +188,9 @@
     pub(super) async fn leave(&self) {
         self.gateway.peers.borrow_mut().set_leaving();
         self.gateway.gossip_due.notify_one();
-        release_shards(&self.gateway, &self.gateway.shards.all_owned()).await;
+        let owned = self.gateway.shards.all_owned();
+        let released = release_shards(&self.gateway, &owned);
+        let (_renewing, ()) = tokio::join!(self.renewing.lock(), released);
         if !self.gateway.is_hub() {
             return;
         }
--- a/src/gateway/tests/fakes.rs
+++ b/src/gateway/tests/fakes.rs
@@ -2,6 +2,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use futures_util::future::{FutureExt, pending, ready};
 use http::{HeaderMap, Request, Response, request, response};
@@ -120,6 +121,10 @@
     pub(super) instructions: RefCell<VecDeque<Feed<Instruction>>>,
     ignores_first_calls: bool,
     joins: Cell<u32>,
+    /// How long a call to join takes, at whose end it is executed.
+    join_takes_ms: u64,
+    /// Whether the entry has joined and not left since.
+    pub(super) is_member: Cell<bool>,
     announced: Cell<bool>,
     /// Announcements of earlier epochs are rejected.
     first_valid_epoch: u64,
@@ -140,6 +145,11 @@
         FakeStore { ignores_first_calls: true, ..FakeStore::default() }
     }
 
+    /// A store that executes each call to join this late.
+    pub(super) fn with_slow_joins(join_takes_ms: u64) -> FakeStore {
+        FakeStore { join_takes_ms, ..FakeStore::default() }
+    }
+
     /// A store that rejects announcements of epochs before this one.
     pub(super) fn rejecting_epochs_before(first_valid_epoch: u64) -> FakeStore {
         FakeStore { first_valid_epoch, ..FakeStore::default() }
@@ -169,12 +179,20 @@
     /// Assigns the shard on the second call, as if its previous owner had just confirmed that it
     /// has released the shard.
     fn join<'a>(&'a self, _: &'a str, _: u64) -> StoreFuture<'a, Assignment> {
-        self.joins.set(self.joins.get() + 1);
-        let shards = if self.joins.get() > 1 { vec![0] } else { vec![] };
-        ready(Ok(Assignment { generation: 1, shards })).boxed_local()
+        let join = async {
+            if self.join_takes_ms > 0 {
+                tokio::time::sleep(Duration::from_millis(self.join_takes_ms)).await;
+            }
+            self.is_member.set(true);
+            self.joins.set(self.joins.get() + 1);
+            let shards = if self.joins.get() > 1 { vec![0] } else { vec![] };
+            Ok(Assignment { generation: 1, shards })
+        };
+        join.boxed_local()
     }
 
     fn leave<'a>(&'a self, _: &'a str) -> StoreFuture<'a, ()> {
+        self.is_member.set(false);
         ready(Ok(())).boxed_local()
     }
 
