Wait shortly for the reader of the log at the exit

Operators saw: the last lines of a stopped process, among them those that name the requests it left unanswered, are missing if the reader of standard output was behind.

Cause: the last flush writes only what the pipe takes without blocking. The rest of the buffer was lost at the exit, and so was the number of lines dropped before.

Change: the flush at the exit waits for the reader, for 200 ms at most: a process that exits at 0.92 of a grace period of 4 s is killed 320 ms later. It ends with the notice of dropped lines, if there are any.

An exit with a reader that takes nothing ends after the limit.

--- a/src/telemetry/logs.rs
+++ b/src/telemetry/logs.rs
@@ -1,8 +1,9 @@
 use std::collections::VecDeque;
 use std::fmt::{self, Write as _};
-use std::io::Write as _;
-use std::sync::Mutex;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::io;
+use std::os::fd::AsFd;
+use std::sync::{Mutex, OnceLock};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use log::kv::{Key, Value, VisitSource};
 use log::{Level, LevelFilter, Log, Metadata, Record};
@@ -18,6 +19,10 @@
 /// Bytes per write: a pipe that is ready for writing accepts this many without blocking.
 const MAX_WRITE_BYTES: usize = 4_096;
 
+/// Longest wait for the reader of standard output at the exit. A process that is stopped exits when 0.92
+/// of its grace period is over: with one of 4 s, it would be killed 320 ms later.
+const MAX_EXIT_FLUSH_MS: u64 = 200;
+
 /// Why logging could not be started.
 #[value]
 #[derive(Copy)]
@@ -57,15 +62,28 @@
     let logger: &'static LineLogger =
         Box::leak(Box::new(LineLogger { writing, lines: Mutex::default() }));
     log::set_logger(logger).map_err(|_| LogsError::AlreadyStarted)?;
+    // Only the first logger that is started gets here.
+    LOGGER.get_or_init(|| logger);
     log::set_max_level(level.parse().unwrap_or(LevelFilter::Info));
     Ok(())
 }
 
+/// The logger of the process, once it is installed.
+static LOGGER: OnceLock<&'static LineLogger> = OnceLock::new();
+
 /// Writes as many of the buffered lines as standard output accepts without blocking.
 pub fn flush_logs() {
     log::logger().flush();
 }
 
+/// Writes all buffered lines before the process exits. A reader of standard output that is behind is
+/// waited for, at most for [`MAX_EXIT_FLUSH_MS`].
+pub fn flush_logs_before_exit() {
+    if let Some(mut lines) = LOGGER.get().and_then(|logger| logger.lines.lock().ok()) {
+        lines.write_all(&mut io::stdout(), Duration::from_millis(MAX_EXIT_FLUSH_MS));
+    }
+}
+
 #[derive(Default)]
 struct LineBuffer {
     buffer: VecDeque<u8>,
@@ -92,13 +110,13 @@
         };
         lines.push(&line);
         if self.writing == WriteMode::EachLine || record.level() <= Level::Warn {
-            lines.write();
+            lines.write(&mut io::stdout());
         }
     }
 
     fn flush(&self) {
         if let Ok(mut lines) = self.lines.lock() {
-            lines.write();
+            lines.write(&mut io::stdout());
         }
     }
 }
@@ -109,21 +127,37 @@
             self.dropped += 1;
             return;
         }
+        self.push_notice();
+        self.buffer.extend(line.as_bytes());
+    }
+
+    /// Adds a line with the number of lines dropped since the last one, if any were.
+    fn push_notice(&mut self) {
         if self.dropped > 0 {
             let dropped = std::mem::take(&mut self.dropped);
             let notice =
                 format!("{{\"level\":\"WARN\",\"msg\":\"lines dropped\",\"lines\":{dropped}}}\n");
             self.buffer.extend(notice.as_bytes());
         }
-        self.buffer.extend(line.as_bytes());
     }
 
-    fn write(&mut self) {
-        while !self.buffer.is_empty() && can_write() {
+    /// Writes all lines before the process exits, waiting up to `limit` for the reader.
+    fn write_all(&mut self, output: &mut (impl io::Write + AsFd), limit: Duration) {
+        let started = Instant::now();
+        self.push_notice();
+        self.write(output);
+        while !self.buffer.is_empty() && can_write(output, limit.saturating_sub(started.elapsed()))
+        {
+            self.write(output);
+        }
+    }
+
+    /// Writes as many of the lines as the output accepts without blocking.
+    fn write(&mut self, output: &mut (impl io::Write + AsFd)) {
+        while !self.buffer.is_empty() && can_write(output, Duration::ZERO) {
             let (first, _) = self.buffer.as_slices();
             let chunk = &first[..first.len().min(MAX_WRITE_BYTES)];
-            match std::io::stdout().lock().write_all(chunk).and_then(|()| std::io::stdout().flush())
-            {
+            match output.write_all(chunk).and_then(|()| output.flush()) {
                 Ok(()) => {
                     let written = chunk.len();
                     self.buffer.drain(..written);
@@ -135,11 +169,11 @@
     }
 }
 
-/// Whether standard output accepts a write without blocking.
-fn can_write() -> bool {
-    let stdout = std::io::stdout();
-    let mut fds = [PollFd::new(&stdout, PollFlags::OUT)];
-    poll(&mut fds, Some(&Timespec { tv_sec: 0, tv_nsec: 0 })).is_ok_and(|ready_fds| ready_fds > 0)
+/// Whether an output accepts a write without blocking, at the latest after `limit`.
+fn can_write(output: &impl AsFd, limit: Duration) -> bool {
+    let mut fds = [PollFd::new(output, PollFlags::OUT)];
+    let limit = Timespec { tv_sec: limit.as_secs() as i64, tv_nsec: limit.subsec_nanos().into() };
+    poll(&mut fds, Some(&limit)).is_ok_and(|ready_fds| ready_fds > 0)
 }
 
 fn format_line(record: &Record<'_>) -> String {
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -3,5 +3,5 @@
 mod logs;
 mod metrics;
 
-pub use logs::{LogsError, WriteMode, flush_logs, start_logs};
+pub use logs::{LogsError, WriteMode, flush_logs, flush_logs_before_exit, start_logs};
 pub use metrics::{Metrics, start_metrics};
