A shutdown keeps its times when the process or the store is slow

What callers could see, found by review: with a short grace period and a silent store, connections close late, answers come late or not at all (leaving the group of owners takes up to 2.4 s, and came before the rest); a stream that a busy process accepts a little after 3 s is cut at the exit; with a long grace period answers are given up seconds sooner than writing them takes.

Change: the group is left beside the other steps, until the exit at most. Requests are accepted for 2.8 s, so that a process that notices SIGTERM or the end of this time 0.2 s late keeps to 3 s. At most 0.5 s is left for writing.

Evidence: what_is_left_is_answered_in_the_last_sixth_of_the_grace_period asks for the margin now and failed before for 8 s and 30 s; the order of the steps is by reading, no test.

--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -5,7 +5,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::spawn_local;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
 
 use super::endpoint_feed::follow_endpoint_list;
 use super::endpoint_polls::poll_endpoints;
@@ -16,7 +16,7 @@
 use super::operator_feed::follow_operator_record;
 use super::roster_feed::announce_and_follow_roster;
 use super::server::{ListenerKind, accept, listen};
-use super::shutdown::finish_in_flight;
+use super::shutdown::{ShutdownSchedule, finish_in_flight};
 use super::state::Gateway;
 use super::{GatewayError, GatewaySettings, Protocol, Store};
 use crate::daemon::Shutdown;
@@ -113,6 +113,10 @@
     let started = Instant::now();
     log::info!(running = gateway.requests.count(); "shutting down; draining requests in flight");
     gateway.draining.set(true);
-    membership.leave().await;
-    finish_in_flight(gateway, close, started).await;
+    let exit_at = started + ShutdownSchedule::of_grace(gateway.settings.bounds.grace_ms).exit();
+    let leaving = timeout_at(exit_at, membership.leave());
+    let (left, ()) = tokio::join!(leaving, finish_in_flight(gateway, close, started));
+    if left.is_err() {
+        log::warn!("leaving the group of owners did not end in time; the membership will expire");
+    }
 }
--- a/src/gateway/shutdown.rs
+++ b/src/gateway/shutdown.rs
@@ -14,16 +14,21 @@
 const ACCEPT_FRACTION: f64 = 0.45;
 
 /// How long new requests are still accepted at most. The load balancer needs two seconds to notice that
-/// this entry is not ready. A stream that is accepted later may last beyond the exit, which cuts it off,
-/// while another entry could serve all of it.
-const MAX_ACCEPT_MS: u64 = 3_000;
+/// this entry is not ready. A stream that is accepted later than three seconds after SIGTERM may last
+/// beyond the exit, which cuts it off, while another entry could serve all of it; a busy process notices
+/// SIGTERM and the end of this time late.
+const MAX_ACCEPT_MS: u64 = 2_800;
 
 /// Fraction of the grace period after which the process exits, whatever is still in flight.
 const EXIT_FRACTION: f64 = 0.92;
 
-/// Fraction of the grace period, before the exit, that is left for writing the last responses.
+/// Fraction of the grace period, before the exit, that is left for writing the last responses. Answers
+/// are due in the last sixth of the grace period: a silent endpoint is no reason to answer sooner.
 const WRITE_FRACTION: f64 = 0.05;
 
+/// The most time that is left for writing the last responses.
+const MAX_WRITE_MS: u64 = 500;
+
 /// When the steps of a shutdown take place, in milliseconds after SIGTERM.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct ShutdownSchedule {
@@ -39,13 +44,19 @@
 impl ShutdownSchedule {
     /// The schedule for a grace period.
     pub(super) fn of_grace(grace_ms: u64) -> ShutdownSchedule {
-        let after = |fraction: f64| (grace_ms as f64 * fraction) as u64;
+        let part = |fraction: f64| (grace_ms as f64 * fraction) as u64;
+        let exit_ms = part(EXIT_FRACTION);
         ShutdownSchedule {
-            accept_ms: after(ACCEPT_FRACTION).min(MAX_ACCEPT_MS),
-            answer_ms: after(EXIT_FRACTION - WRITE_FRACTION),
-            exit_ms: after(EXIT_FRACTION),
+            accept_ms: part(ACCEPT_FRACTION).min(MAX_ACCEPT_MS),
+            answer_ms: exit_ms - part(WRITE_FRACTION).min(MAX_WRITE_MS),
+            exit_ms,
         }
     }
+
+    /// The time from SIGTERM to the exit.
+    pub(super) fn exit(&self) -> Duration {
+        Duration::from_millis(self.exit_ms)
+    }
 }
 
 /// Takes requests until `close` is due, then waits until all connections have ended. What is still in
--- a/src/gateway/tests/shutdown.rs
+++ b/src/gateway/tests/shutdown.rs
@@ -29,6 +29,9 @@
 /// Time after SIGTERM until which a request may be sent that an endpoint still runs at the exit.
 const LAST_ACCEPT_MS: u64 = 3_000;
 
+/// By how much a busy process is late.
+const DELAY_MS: u64 = 200;
+
 /// Time after SIGTERM at which a late reader goes on reading: before answers are due.
 const LATE_MS: u64 = 6_000;
 
@@ -117,7 +120,7 @@
 fn what_is_left_is_answered_in_the_last_sixth_of_the_grace_period(grace_ms: u64) {
     let ShutdownSchedule { accept_ms, answer_ms, exit_ms } = ShutdownSchedule::of_grace(grace_ms);
     assert!(accept_ms < answer_ms && answer_ms < exit_ms && exit_ms < grace_ms);
-    assert!(accept_ms <= LAST_ACCEPT_MS, "a stream that is cut off later than this counts as lost");
+    assert!(accept_ms + DELAY_MS <= LAST_ACCEPT_MS, "a later stream that is cut off is lost");
     assert!(answer_ms * 6 >= grace_ms * 5, "{answer_ms}");
 }
 
