Refuse no turn at once while a leaf may become a hub

What callers could see, found by review: all hubs are stopped while leaves stay. A turn at a stopping hub was refused at once with 'all entries are shutting down', though a leaf becomes a hub and takes the shards within the time that the turn waited before.

Cause: hubs know of each other whether they leave; whether a leaf does is not known to them.

Evidence: the new case of a_turn_waits_for_an_owner_only_while_an_entry_stays waits 1.9 s as before the change that refuses at once; without the check it is refused after 0 s.

Change: turns are refused at once only if no leaf is announced.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -142,7 +142,7 @@
                 }
             }
         }
-        if gateway.peers.borrow().all_leave() {
+        if gateway.all_entries_leave() {
             log::info!(request:% = forwarded.request, shard;
                 "all entries are shutting down and none takes the shard; turn refused");
             return Err(Refusal::Unavailable { retry_after_ms: ALL_LEAVING_RETRY_MS });
--- a/src/gateway/hubs/roster.rs
+++ b/src/gateway/hubs/roster.rs
@@ -44,6 +44,11 @@
         self.by_name.values().filter(|record| record.is_hub)
     }
 
+    /// Whether an entry is announced that is no hub.
+    pub fn has_leaves(&self) -> bool {
+        self.by_name.values().any(|record| !record.is_hub)
+    }
+
     /// The number of entries announced in a failure domain.
     pub fn entries_in(&self, domain: &str) -> usize {
         self.in_domain(domain).count()
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -310,6 +310,12 @@
         !topology.has_other_regions() || region == Some(&*topology.region)
     }
 
+    /// Whether all entries are shutting down, this one included. A leaf may become a hub and take shards;
+    /// whether one stays is not known here.
+    pub(super) fn all_entries_leave(&self) -> bool {
+        self.peers.borrow().all_leave() && !self.roster.borrow().has_leaves()
+    }
+
     /// Whether requests wait here until the store is reachable. They do if it is unreachable for
     /// most entries rather than for this one only, so that no other entry could serve the caller
     /// sooner.
