A shard that is loaded during a shutdown is not served

By review, no test: SIGTERM meets a shard that is being loaded; once it was loaded, the draining entry served it, announced it and took turns that another entry should get. It is given up instead.

--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -233,6 +233,10 @@
             "taking over a shard failed; giving it up");
         return end_ownership(&gateway, &shard);
     }
+    if shard.stage() == Stage::Draining {
+        // The process is shutting down: another entry is to serve the shard.
+        return end_ownership(&gateway, &shard);
+    }
     shard.set_stage(Stage::Serving);
     log::info!(shard = shard.number, epoch = shard.epoch; "serving a shard");
     gateway.shards.changed.notify_waiters();
