A handoff to this process ends at its turn's deadline

By review, no test: the next owner of a turn's shard may be this process again; recording the turn then waited for the store without limit, though the function promises to end at the deadline, and the caller got no answer in time.

--- a/src/gateway/handoff.rs
+++ b/src/gateway/handoff.rs
@@ -68,7 +68,8 @@
         if let Some(owned) =
             gateway.shards.owned(shard).filter(|shard| shard.stage() == Stage::Serving)
         {
-            return record(&owned, handoff).await;
+            let left = Duration::from_millis(ends_at.since(gateway.now()));
+            return timeout(left, record(&owned, handoff)).await.unwrap_or(false);
         }
         let owner = gateway.shards.remote_owner(shard);
         if let Some(owner) = owner.filter(|owner| gateway.may_forward_to(owner.address, regions)) {
