Log a turn that was given up at the exit once, and what a response in flight waits for

A turn that was answered because the process exits was logged as disconnected by its caller, too. A stream under way was logged as waiting for its caller; 'response' says that the rest of it or its caller is waited for.

--- a/src/gateway/in_flight.rs
+++ b/src/gateway/in_flight.rs
@@ -31,8 +31,8 @@
     Store,
     /// An endpoint.
     Endpoint,
-    /// Its caller, who has yet to read the response.
-    Caller,
+    /// The rest of its response, or its caller, who has yet to read it.
+    Response,
 }
 
 impl Wait {
@@ -45,7 +45,7 @@
             Wait::Entry => "entry",
             Wait::Store => "store",
             Wait::Endpoint => "endpoint",
-            Wait::Caller => "caller",
+            Wait::Response => "response",
         }
     }
 }
@@ -104,6 +104,11 @@
         self.wait.set(wait);
     }
 
+    /// Whether the request was answered because the process exits.
+    pub(super) fn is_given_up(&self) -> bool {
+        matches!(self.sends.get(), Sends::GivenUp)
+    }
+
     /// Records that the request is about to be sent to an endpoint. Returns `false` if it must not be,
     /// as it was given up.
     pub(super) fn begin_send(&self) -> bool {
@@ -127,7 +132,7 @@
     /// `gate` is open. Returns `false` if it must not be, as it was given up.
     pub(super) fn begin_forward(&self, gate: &Arc<BodyGate>) -> bool {
         self.forward_gate.replace(Some(gate.clone()));
-        matches!(self.sends.get(), Sends::Open { .. })
+        !self.is_given_up()
     }
 
     /// Records that the entry to which the request was last forwarded will certainly not run it.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -64,7 +64,7 @@
     progress.set_request(&request_head.request);
     let relayed = read_and_relay(gateway, &progress, relay_targets, &request_head, (head, body));
     let relayed = until_answers_are_due(gateway, &progress, relayed).await;
-    progress.set_wait(Wait::Caller);
+    progress.set_wait(Wait::Response);
     match relayed {
         Ok(response) => response.map(|body| body.with_running_guard(running)),
         Err(refusal) => {
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -81,7 +81,7 @@
     let served = admit_and_serve(&gateway, &progress, head, &request_head, body, &mut summary);
     match until_answers_are_due(&gateway, &progress, served).await {
         Ok(response) => {
-            progress.set_wait(Wait::Caller);
+            progress.set_wait(Wait::Response);
             let took_ms = gateway.now().since(arrived);
             observe::record_answered(&request_head, &summary, response.status().as_u16(), took_ms);
             response.map(|body| body.with_running_guard(running))
@@ -378,7 +378,7 @@
     let head = (head, &request_head);
     let served = admit_and_serve_forwarded(gateway, &progress, shard, head, routing, body);
     let served = until_answers_are_due(gateway, &progress, served).await;
-    progress.set_wait(Wait::Caller);
+    progress.set_wait(Wait::Response);
     let served = served.unwrap_or_else(|refusal| refuse_forwarded(gateway, &request_head, refusal));
     served.map(|body| body.with_running_guard(running))
 }
--- a/src/gateway/turn.rs
+++ b/src/gateway/turn.rs
@@ -144,7 +144,10 @@
         let outcome = tokio::select! {
             outcome = self.run(&mut caller) => outcome,
             () = chunk_sender.closed() => {
-                log::info!(request:%; "caller disconnected during a turn; turn cancelled");
+                let progress = &self.turn_request.endpoint_request.progress;
+                if !progress.is_given_up() {
+                    log::info!(request:%; "caller disconnected during a turn; turn cancelled");
+                }
                 return;
             }
         };
