Test of keys in logs: wait for the line that it needs

keys_appear_in_no_log_line_status_record_or_forwarded_header failed once in a whole run beside load: 'no attempt was logged'.

Cause, in the test: another thread collects the output of the processes, and the test read it at once. Evidence: with a pause of 1.5 s in that thread before the line, the test fails in the same way; with the same pause it passes now. All that it asserts stays.

--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -105,6 +105,12 @@
     let wrong = "wrong-key-that-nobody-granted";
     let refused = Caller::new(wrong).call(entries[0], &completion("q", 3, "x")).await;
     assert_eq!(refused.code(), "bad_key");
+    // Another thread collects the output.
+    let attempt_is_logged = || async {
+        let mut lines = deployment.fleet.entries.values().flat_map(|process| process.output());
+        lines.any(|line| line.contains("dispatching an attempt"))
+    };
+    common::eventually("a logged attempt", attempt_is_logged).await;
     let mut emitted: Vec<String> = Vec::new();
     let processes = deployment.fleet.entries.values().chain(deployment.fleet.endpoints.values());
     for process in processes {
