--- a/src/gateway/tests/shutdown.rs
+++ b/src/gateway/tests/shutdown.rs
@@ -212,7 +212,8 @@
             let mut client = connect(&gateway, &close, Answer::After(0));
             request(&mut client).await;
             let mut first = [0; 512];
-            client.read(&mut first).await.expect("the first request is answered");
+            let read = client.read(&mut first).await.expect("the first request is answered");
+            assert!(first[..read].starts_with(b"HTTP/1.1 200"), "the first request is served");
             request(&mut client).await;
             close.send_replace(true);
             response(client).await
