Tell from the number of entries whether there may be leaves

Announcements are read at long intervals. While there are no more entries than may be hubs, all are.

--- a/src/gateway/hubs/roster.rs
+++ b/src/gateway/hubs/roster.rs
@@ -44,9 +44,9 @@
         self.by_name.values().filter(|record| record.is_hub)
     }
 
-    /// Whether an entry is announced that is no hub.
-    pub fn has_leaves(&self) -> bool {
-        self.by_name.values().any(|record| !record.is_hub)
+    /// Whether some entries may be leaves: there are more than may be hubs.
+    pub fn may_have_leaves(&self, limit: HubLimit) -> bool {
+        self.by_name.len() > limit.max_hubs
     }
 
     /// The number of entries announced in a failure domain.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -313,7 +313,7 @@
     /// Whether all entries are shutting down, this one included. A leaf may become a hub and take shards;
     /// whether one stays is not known here.
     pub(super) fn all_entries_leave(&self) -> bool {
-        self.peers.borrow().all_leave() && !self.roster.borrow().has_leaves()
+        self.peers.borrow().all_leave() && !self.roster.borrow().may_have_leaves(self.hub_limit())
     }
 
     /// Whether requests wait here until the store is reachable. They do if it is unreachable for
