--- a/src/gateway/in_flight.rs
+++ b/src/gateway/in_flight.rs
@@ -51,6 +51,9 @@
 }
 
 /// A request that is being served, from its arrival until its response was sent.
+///
+/// Its `Dispatch` counts attempts to decide whether another one is made. What is counted here decides
+/// how the request is answered if it is given up, whatever it then waits for.
 #[derive(Debug)]
 pub(super) struct Progress {
     /// The request's ID; none until its head was understood.
@@ -141,6 +144,7 @@
     }
 
     /// Ends the request although it is not served: it will not be sent again. Returns what to answer.
+    /// Closing the gate decides whether another entry gets the body, and with it whether it may run.
     pub(super) fn give_up(&self) -> Refusal {
         let sends = self.sends.replace(Sends::GivenUp);
         let forwarded = self.forward_gate.borrow().as_ref().is_some_and(|gate| !gate.close());
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -58,6 +58,7 @@
 mod role;
 mod roster_feed;
 mod serve;
+mod serve_forwarded;
 mod server;
 mod service_state;
 mod settings;
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -2,20 +2,19 @@
 
 use std::rc::Rc;
 
-use http::{HeaderValue, Request, Response, request};
+use http::{Request, Response, request};
 use hyper::body::{Bytes, Incoming};
 
 use super::admit::admit;
 use super::attempt::EndpointRequest;
 use super::buffered::{serve_buffered, strip_hop_by_hop_headers};
 use super::forward::{
-    ForwardTarget, ForwardedRequest, MAX_FORWARDED_BYTES, NOT_RUN_HEADER, OwnerResult,
-    RELAYED_HEADER, ROUTING_HEADER, forward_to_owner, not_owner_response,
+    ForwardTarget, ForwardedRequest, NOT_RUN_HEADER, OwnerResult, RELAYED_HEADER, forward_to_owner,
 };
 use super::in_flight::{Progress, Wait};
 use super::load_admission::admit_program;
 use super::observe::{self, RequestSummary};
-use super::owned_shard::{OwnedShard, Stage};
+use super::owned_shard::OwnedShard;
 use super::read_body::{NO_WORKSPACE, read_body};
 use super::relay::{relay, relay_targets};
 use super::shutdown::until_answers_are_due;
@@ -248,13 +247,13 @@
 }
 
 /// An admitted request and the decision how to serve it.
-struct AdmittedRequest<'a> {
-    head: request::Parts,
-    request_head: &'a RequestHead,
-    routing: RoutingDecision,
-    body: Bytes,
-    deadline: TimeMs,
-    progress: Rc<Progress>,
+pub(super) struct AdmittedRequest<'a> {
+    pub(super) head: request::Parts,
+    pub(super) request_head: &'a RequestHead,
+    pub(super) routing: RoutingDecision,
+    pub(super) body: Bytes,
+    pub(super) deadline: TimeMs,
+    pub(super) progress: Rc<Progress>,
 }
 
 impl AdmittedRequest<'_> {
@@ -315,7 +314,7 @@
 }
 
 /// The key of the request's program. A request without a program is a program of its own.
-fn program_key(request_head: &RequestHead, routing: &RoutingDecision) -> ProgramKey {
+pub(super) fn program_key(request_head: &RequestHead, routing: &RoutingDecision) -> ProgramKey {
     ProgramKey::of(
         &routing.workspace,
         request_head.program.as_ref().unwrap_or(&request_head.request),
@@ -339,7 +338,7 @@
 }
 
 /// Serves a turn whose shard this entry owns.
-async fn serve_owned_turn(
+pub(super) async fn serve_owned_turn(
     gateway: &Rc<Gateway>,
     shard: Rc<OwnedShard>,
     admitted: AdmittedRequest<'_>,
@@ -356,66 +355,3 @@
     };
     serve_turn(gateway, shard, turn).await
 }
-
-/// Serves a turn that another entry has forwarded here, to the owner of the program's shard.
-pub(super) async fn serve_forwarded(
-    gateway: &Rc<Gateway>,
-    request: Request<Incoming>,
-) -> Response<ResponseBody> {
-    let (progress, running) = gateway.begin_request();
-    let (mut head, body) = request.into_parts();
-    let routing =
-        head.headers.remove(ROUTING_HEADER).and_then(|value| decode_routing(value.as_bytes()));
-    let request_head = gateway.protocol.parse_request(&head);
-    let (Some(routing), Some(request_head)) = (routing, request_head) else {
-        return refusal_response(gateway, None, Refusal::BadRequest);
-    };
-    progress.set_request(&request_head.request);
-    let shard = program_key(&request_head, &routing).shard(gateway.shards.count());
-    let Some(shard) = gateway.shards.owned(shard).filter(|s| s.stage() == Stage::Serving) else {
-        return not_owner_response();
-    };
-    let head = (head, &request_head);
-    let served = admit_and_serve_forwarded(gateway, &progress, shard, head, routing, body);
-    let served = until_answers_are_due(gateway, &progress, served).await;
-    progress.set_wait(Wait::Response);
-    let served = served.unwrap_or_else(|refusal| refuse_forwarded(gateway, &request_head, refusal));
-    served.map(|body| body.with_running_guard(running))
-}
-
-async fn admit_and_serve_forwarded(
-    gateway: &Rc<Gateway>,
-    progress: &Rc<Progress>,
-    shard: Rc<OwnedShard>,
-    (head, request_head): (request::Parts, &RequestHead),
-    routing: RoutingDecision,
-    body: Incoming,
-) -> Result<Response<ResponseBody>, Refusal> {
-    check_held_bytes(gateway)?;
-    let program = program_key(request_head, &routing);
-    admit_program(gateway, &shard, program, request_head, &routing).await?;
-    progress.set_wait(Wait::Body);
-    let body = read_body(gateway, &routing.workspace, body, MAX_FORWARDED_BYTES).await?;
-    let deadline = progress.arrived().plus(routing.left_ms);
-    let progress = progress.clone();
-    let admitted = AdmittedRequest { head, request_head, routing, body, deadline, progress };
-    serve_owned_turn(gateway, shard, admitted).await
-}
-
-/// Builds the response to a refused turn of another entry.
-fn refuse_forwarded(
-    gateway: &Gateway,
-    request_head: &RequestHead,
-    refusal: Refusal,
-) -> Response<ResponseBody> {
-    let mut refused = refusal_response(gateway, Some(&request_head.request), refusal);
-    if refusal.guarantees_not_run() {
-        refused.headers_mut().insert(NOT_RUN_HEADER, HeaderValue::from_static("1"));
-    }
-    refused
-}
-
-/// Decodes the value of [`ROUTING_HEADER`].
-fn decode_routing(hex_text: &[u8]) -> Option<RoutingDecision> {
-    postcard::from_bytes(&hex::decode(hex_text).ok()?).ok()
-}
