--- a/soak/src/bin/trefoil-soak.rs
+++ b/soak/src/bin/trefoil-soak.rs
@@ -7,7 +7,7 @@
 use getopts::Options;
 use trefoil_soak::{
     Checks, Faults, Gateway, LoadChecks, LoadPhases, StopChecks, Turn, Violation, World,
-    WorldSettings, run_flood, run_load, run_programs, run_stops,
+    WorldLimits, WorldSettings, run_flood, run_load, run_programs, run_stops,
 };
 
 /// Maximum number of attempts to continue a program after the faults.
@@ -107,7 +107,14 @@
         return soak_stops(seed, settings).await;
     }
     let program = program()?;
-    let world_settings = WorldSettings { program, gateways, max_hubs, revoke_ms: 5_000, load };
+    let world_settings = WorldSettings {
+        program,
+        gateways,
+        max_hubs,
+        revoke_ms: 5_000,
+        load,
+        limits: WorldLimits::default(),
+    };
     let mut world = World::start(&world_settings).await?;
     let until = Instant::now() + Duration::from_secs(seconds);
     let entries: Vec<_> = world.gateways.iter().map(|gateway| gateway.callers).collect();
@@ -159,8 +166,14 @@
 async fn soak_stops(seed: u64, settings: &SoakSettings) -> std::io::Result<bool> {
     let gateways = MIN_STOPPED + seed as usize % (MAX_STOPPED - MIN_STOPPED + 1);
     let &SoakSettings { seconds, max_hubs, .. } = settings;
-    let world_settings =
-        WorldSettings { program: program()?, gateways, max_hubs, revoke_ms: 5_000, load: false };
+    let world_settings = WorldSettings {
+        program: program()?,
+        gateways,
+        max_hubs,
+        revoke_ms: 5_000,
+        load: false,
+        limits: WorldLimits::default(),
+    };
     let mut world = World::start(&world_settings).await?;
     let until = Instant::now() + Duration::from_secs(seconds);
     let report = run_stops(&mut world, seed, until).await?;
--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -140,6 +140,13 @@
         send(entry, request.body(Full::default()), Reading::AtOnce).await
     }
 
+    /// Reads a notice, for which no key is needed.
+    pub async fn read_notice(&self, entry: SocketAddr, request: &str) -> Answer {
+        let request = self.request(Method::POST, "/notices/1", request);
+        let request = request.body(Full::new(Bytes::from_static(b"which"))).map(without_key);
+        send(entry, request, Reading::AtOnce).await
+    }
+
     /// Calls a tool that must run at most once.
     pub async fn act(&self, entry: SocketAddr, request: &str) -> Answer {
         let id = request.to_string();
@@ -158,6 +165,11 @@
     }
 }
 
+fn without_key(mut request: Request<Full<Bytes>>) -> Request<Full<Bytes>> {
+    request.headers_mut().remove("authorization");
+    request
+}
+
 async fn send(
     entry: SocketAddr,
     request: Result<Request<Full<Bytes>>, hyper::http::Error>,
--- a/soak/src/gateways.rs
+++ b/soak/src/gateways.rs
@@ -6,8 +6,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use crate::world::WorldSettings;
+use crate::world::{WorldLimits, WorldSettings};
 use serde_json::json;
+use trefoil_standins::process_usage;
 
 /// Maximum number of log lines kept per gateway for failure reports.
 const MAX_KEPT_LINES: usize = 20_000;
@@ -56,6 +57,12 @@
     pub name: String,
     /// Address for callers' requests.
     pub callers: SocketAddr,
+    /// Address of the readiness check.
+    pub ready: SocketAddr,
+    /// Address for the other entries.
+    pub peers: SocketAddr,
+    /// File descriptors that its VM has; the most of a number if the settings do not tell.
+    pub max_fds: u64,
     program: PathBuf,
     max_hubs: usize,
     settings: PathBuf,
@@ -71,9 +78,12 @@
         let local = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
         let callers = local(free_port()?);
         let peers = free_port()?;
+        let ready = local(free_port()?);
+        let WorldLimits { memory_mb, max_fds, .. } = world.limits;
         let settings = json!({
             "nodeName": name, "zone": "a", "ip": "127.0.0.1", "portRange": [peers, peers],
-            "listen": {"front": callers, "ready": local(free_port()?)},
+            "listen": {"front": callers, "ready": ready},
+            "limits": {"memoryMb": memory_mb, "maxFds": max_fds},
             "bounds": {"revokeMs": revoke_ms, "graceS": 4, "drainMs": 2000, "quotaWindowS": 5,
                 "quotaOverrun": 0.1, "quotaSlack": 20},
             "platform": {"address": store, "parts": parts, "ttlMinMs": 1000},
@@ -83,6 +93,9 @@
         let mut gateway = Gateway {
             name: name.to_string(),
             callers,
+            ready,
+            peers: local(peers),
+            max_fds: max_fds.unwrap_or(u64::MAX),
             program: world.program.clone(),
             max_hubs: world.max_hubs,
             settings: file,
@@ -143,6 +156,27 @@
         Ok(None)
     }
 
+    /// The most memory that the process has had so far.
+    ///
+    /// # Errors
+    /// If the process does not run, or the system does not tell.
+    pub fn peak_memory_bytes(&self) -> std::io::Result<u64> {
+        process_usage::peak_memory_bytes(self.process()?)
+    }
+
+    /// The number of file descriptors that the process has open.
+    ///
+    /// # Errors
+    /// If the process does not run, or the system does not tell.
+    pub fn open_descriptors(&self) -> std::io::Result<u64> {
+        process_usage::open_descriptors(self.process()?)
+    }
+
+    fn process(&self) -> std::io::Result<u32> {
+        let child = self.child.as_ref().ok_or_else(|| std::io::Error::other("it does not run"))?;
+        Ok(child.id())
+    }
+
     /// The log lines of all process instances so far.
     pub fn lines(&self) -> Vec<String> {
         self.lines.lock().expect("not poisoned").clone()
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -44,6 +44,19 @@
     pub revoke_ms: u64,
     /// Whether there are routes under load control, with engines of their own that have few slots.
     pub load: bool,
+    /// What the VMs of the gateways have, and what callers may send.
+    pub limits: WorldLimits,
+}
+
+/// What the settings and the configuration limit; by default, nothing.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct WorldLimits {
+    /// Memory of each gateway, in megabytes.
+    pub memory_mb: Option<u64>,
+    /// File descriptors of each gateway.
+    pub max_fds: Option<u64>,
+    /// Maximum size of a request's body.
+    pub max_body_bytes: Option<u64>,
 }
 
 /// Real gateway processes and the stand-ins for the platform that they run on.
@@ -64,6 +77,7 @@
     pub rate_per_s: u64,
     version: u64,
     load: bool,
+    max_body_bytes: Option<u64>,
     _running: Running,
 }
 
@@ -107,6 +121,7 @@
             rate_per_s: 10_000,
             version: 0,
             load: settings.load,
+            max_body_bytes: settings.limits.max_body_bytes,
             _running: running,
         };
         world.configure(&["secret-key-in-force"], &["other-key"]);
@@ -131,6 +146,7 @@
             route("asks", "streaming", "llm", &resumable),
             route("lookups", "idempotent", "desk", &json!({})),
             route("actions", "non_idempotent", "desk", &json!({"attempts": 1})),
+            route("notices", "idempotent", "desk", &json!({"public": true})),
             route("long-turns", "streaming", "llm", &long_kept),
             route("long-actions", "non_idempotent", "desk", &long_once),
         ];
@@ -150,8 +166,11 @@
                 workspaces.push(workspace(name, &[&key_of(name)], Some(priority)));
             }
         }
-        let config = json!({"version": self.version, "routes": routes, "services": services,
+        let mut config = json!({"version": self.version, "routes": routes, "services": services,
             "tenants": workspaces});
+        if let Some(max_body_bytes) = self.max_body_bytes {
+            config["limits"] = json!({"maxBodyBytes": max_body_bytes});
+        }
         self.store.put("keyed.op", "config", Some(config));
     }
 
--- a/soak/tests/common/mod.rs
+++ b/soak/tests/common/mod.rs
@@ -6,7 +6,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use trefoil_soak::{Answer, Turn, TurnKind, World, WorldSettings};
+use trefoil_soak::{Answer, Turn, TurnKind, World, WorldLimits, WorldSettings};
 
 /// Time after which a withdrawn key must no longer be served.
 pub const REVOKE_MS: u64 = 2_000;
@@ -22,8 +22,17 @@
 }
 
 pub async fn world_with_hubs(gateways: usize, max_hubs: usize) -> World {
-    let settings =
-        WorldSettings { program: program(), gateways, max_hubs, revoke_ms: REVOKE_MS, load: false };
+    start_world(gateways, max_hubs, WorldLimits::default()).await
+}
+
+/// A world whose gateways have little memory and few descriptors.
+pub async fn world_with_limits(gateways: usize, limits: WorldLimits) -> World {
+    start_world(gateways, gateways, limits).await
+}
+
+async fn start_world(gateways: usize, max_hubs: usize, limits: WorldLimits) -> World {
+    let (program, revoke_ms, load) = (program(), REVOKE_MS, false);
+    let settings = WorldSettings { program, gateways, max_hubs, revoke_ms, load, limits };
     World::start(&settings).await.expect("the world starts")
 }
 
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -29,8 +29,19 @@
 impl Process {
     /// Starts a program and waits until it logs its listen addresses.
     pub fn spawn(name: &str, program: &Path, args: &[String]) -> std::io::Result<Process> {
+        Process::spawn_with_env(name, program, args, &[])
+    }
+
+    /// As [`Process::spawn`], with additional environment variables.
+    pub fn spawn_with_env(
+        name: &str,
+        program: &Path,
+        args: &[String],
+        env: &[(String, String)],
+    ) -> std::io::Result<Process> {
         let mut child = Command::new(program)
             .args(args)
+            .envs(env.iter().cloned())
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .stderr(Stdio::piped())
@@ -150,6 +161,8 @@
     pub entry_flags: Vec<String>,
     /// Additional flags for each endpoint process that is started.
     pub endpoint_flags: Vec<String>,
+    /// Additional environment variables of each process that is started.
+    pub env: Vec<(String, String)>,
 }
 
 impl Fleet {
@@ -164,6 +177,7 @@
             domains: HashMap::new(),
             entry_flags: Vec::new(),
             endpoint_flags: Vec::new(),
+            env: Vec::new(),
         }
     }
 
@@ -172,7 +186,7 @@
         let mut args = self.common_args("entry", vm, domain);
         args.extend(["--log".to_string(), self.log.to_string()]);
         args.extend(self.entry_flags.clone());
-        let process = Process::spawn(vm, &self.program_dir.join("trefoilproxyd"), &args)?;
+        let process = self.spawn(vm, &args)?;
         self.entries.insert(vm.to_string(), process);
         self.domains.insert(vm.to_string(), domain.to_string());
         Ok(())
@@ -191,12 +205,16 @@
         args.extend(["--serves".to_string(), serves.to_string()]);
         args.extend(["--backend".to_string(), backend.to_string()]);
         args.extend(self.endpoint_flags.clone());
-        let process = Process::spawn(vm, &self.program_dir.join("trefoilproxyd"), &args)?;
+        let process = self.spawn(vm, &args)?;
         self.endpoints.insert(vm.to_string(), process);
         self.domains.insert(vm.to_string(), domain.to_string());
         Ok(())
     }
 
+    fn spawn(&self, vm: &str, args: &[String]) -> std::io::Result<Process> {
+        Process::spawn_with_env(vm, &self.program_dir.join("trefoilproxyd"), args, &self.env)
+    }
+
     fn common_args(&self, role: &str, vm: &str, domain: &str) -> Vec<String> {
         let vm_list = self.vm_list.to_string();
         let args = [role, "--vm", vm, "--failure-domain", domain, "--vm-list", &vm_list];
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod fleet;
 pub mod http;
 pub mod log_service;
+pub mod process_usage;
 pub mod tool_service;
 pub mod vm_list;
