Limits on what a process holds for callers, as a module without network

Cause: nothing bounds what a process holds for all of its callers together. A limit that only refuses would be no mend: requests that stop short of their end fill it, and everyone else is refused for as long as they stay.

CallerMemory counts connections, bytes of requests from their first one on, requests in service, and histories. Workspaces share each limit by dynamic thresholds (none holds more than is then left free), and a connection whose request is not in service gives way to others, the one of which nothing has arrived for the longest first. Weighed and left out: a fixed share for each workspace (needs their number), half of the limit for each (two fill it), refusing only (see above).

A model runs any order of events at 16 callers against it: no limit is exceeded, no request in service is given up while its caller takes the response, and an ordinary request is always served beside the crowd.

--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -7,6 +7,7 @@
 //! [`crate::catalog::Route::is_load_controlled`].
 
 mod admission;
+mod caller_memory;
 mod capacity;
 mod count_history;
 mod endpoint_pace;
@@ -19,11 +20,16 @@
 mod rank;
 mod report;
 mod service_pace;
+mod shared_limit;
 mod slot_limit;
 mod use_level;
 mod waiting_list;
 
 pub use admission::{Candidate, Decision, ProgramAdmission};
+pub use caller_memory::{
+    CallerConnection, CallerLimits, CallerMemory, CallerRequest, CallerUsage, Evict, HeldHistory,
+    HeldRequestBytes, NoRoom,
+};
 pub use capacity::ServiceLoad;
 pub use fit::{ForgettingMean, LinePrior, LinearFit};
 pub use held_bytes::{
--- a/src/load/tests.rs
+++ b/src/load/tests.rs
@@ -1,4 +1,5 @@
 mod admission;
+mod caller_memory;
 mod fit;
 mod held_bytes;
 mod pace;
