Histories of turns are bounded as a whole, and shared by workspaces

What callers saw: an owner of shards ran out of memory while one workspace's turns were kept, each within all limits. Cause: the ledger was bounded by rates and retention only; what a turn takes while it is kept was counted nowhere. Change: a turn that is to be kept needs room for its input and for the output that it may generate before it runs, else it is refused with 503 and a second as the time to return; it counts until it has expired or the shard is lost. Turns that an earlier owner kept, and those copied with a chain, are kept in any case, and count.

--- a/src/gateway/caller_context.rs
+++ b/src/gateway/caller_context.rs
@@ -5,7 +5,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::Refusal;
-use crate::load::{CallerConnection, CallerMemory, CallerRequest, Evict, NoRoom};
+use crate::load::{CallerConnection, CallerMemory, CallerRequest, Evict, HeldHistory, NoRoom};
 use crate::load::{CallerLimits, HeldRequestBytes};
 use crate::prelude::*;
 
@@ -39,6 +39,9 @@
 /// Counted bytes of a request.
 pub(super) type RequestBytes = HeldRequestBytes<Eviction>;
 
+/// A counted history.
+pub(super) type History = HeldHistory<Eviction>;
+
 /// Creates the counts of a process.
 pub(super) fn open_memory(limits: CallerLimits) -> Memory {
     Memory::open(limits)
--- a/src/gateway/handoff.rs
+++ b/src/gateway/handoff.rs
@@ -16,6 +16,7 @@
 use super::ResponseBody;
 use super::caller_context::CallerContext;
 use super::owned_shard::{OwnedShard, Stage};
+use super::read_body::NO_WORKSPACE;
 use super::server::{read_message, status_response};
 use super::state::Gateway;
 use crate::catalog::Regions;
@@ -156,6 +157,9 @@
         return status_response(StatusCode::MISDIRECTED_REQUEST);
     };
     let recorded = record(&shard, &handoff).await;
+    if let Some((key, turn)) = handoff.turn.as_ref().filter(|_| recorded) {
+        shard.count_history(&gateway.caller_memory, &NO_WORKSPACE.into(), *key, turn.bytes());
+    }
     log::info!(shard = shard.number, epoch = shard.epoch, recorded;
         "turn handed off by the previous owner of its shard");
     match recorded {
--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -10,6 +10,7 @@
 
 use super::call_store::{STORE_CALL_TIMEOUT_MS, call_store};
 use super::owned_shard::{OwnedShard, Stage};
+use super::read_body::NO_WORKSPACE;
 use super::state::Gateway;
 use super::writer::{end_ownership, run_writer};
 use super::{Append, Assignment, StoreError};
@@ -258,9 +259,15 @@
         let page =
             retry(shard, || gateway.store.newest_records(shard.number, after.clone())).await?;
         for (key, value) in &page.items {
-            if let Err(fault) = shard.load(key, value) {
-                log::error!(shard = shard.number, fault:display;
-                    "skipping a record that can't be loaded");
+            match shard.load(key, value) {
+                Ok(None) => {}
+                Ok(Some(turn)) => {
+                    // A record does not tell the workspace of its turn.
+                    let workspace = NO_WORKSPACE.into();
+                    shard.count_history(&gateway.caller_memory, &workspace, turn, value.len());
+                }
+                Err(fault) => log::error!(shard = shard.number, fault:display;
+                    "skipping a record that can't be loaded"),
             }
         }
         match page.next {
@@ -291,6 +298,6 @@
 async fn remove_expired_records(gateway: &Gateway, shard: &OwnedShard) {
     loop {
         tokio::time::sleep(Duration::from_millis(EXPIRY_INTERVAL_MS)).await;
-        shard.change(|ledger, records| records.extend(ledger.expire(gateway.unix())));
+        shard.remove_expired(gateway.unix());
     }
 }
--- a/src/gateway/owned_shard.rs
+++ b/src/gateway/owned_shard.rs
@@ -1,8 +1,14 @@
 use std::cell::{Cell, Ref, RefCell};
+use std::collections::HashMap;
 use std::rc::Rc;
 
+use super::caller_context::{History, Memory};
 use super::writer::{AppendAck, Writer};
-use crate::turns::{AccountVersion, Ledger, ProgramKey, Record, RecordFault};
+use crate::prelude::*;
+use crate::turns::{AccountVersion, Ledger, ProgramKey, Record, RecordFault, TurnKey};
+
+/// What a turn takes besides its bytes.
+pub(super) const TURN_OVERHEAD_BYTES: usize = 400;
 
 /// The stages of owning a shard, from taking it over to losing it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -23,6 +29,8 @@
     /// Fencing number of the appends: the store rejects them once it has seen a later epoch.
     pub(super) epoch: u64,
     ledger: RefCell<Ledger>,
+    /// The counts of the turns in the ledger.
+    histories: RefCell<HashMap<TurnKey, History>>,
     pub(super) writer: Writer,
     stage: Cell<Stage>,
     turns_in_flight: Cell<u32>,
@@ -34,6 +42,7 @@
             number,
             epoch,
             ledger: RefCell::default(),
+            histories: RefCell::default(),
             writer: Writer::default(),
             stage: Cell::new(Stage::Loading),
             turns_in_flight: Cell::new(0),
@@ -56,11 +65,30 @@
         self.ledger.borrow()
     }
 
-    /// Loads a record that the store holds.
-    pub(super) fn load(&self, key: &str, value: &[u8]) -> Result<(), RecordFault> {
+    /// Loads a record that the store holds, and returns the turn if it is one.
+    pub(super) fn load(&self, key: &str, value: &[u8]) -> Result<Option<TurnKey>, RecordFault> {
         self.ledger.borrow_mut().load(key, value)
     }
 
+    /// Counts a turn of `bytes` bytes that is in the ledger, until it is removed. It is kept in any case.
+    pub(super) fn count_history(
+        &self,
+        memory: &Memory,
+        workspace: &Arc<str>,
+        turn: TurnKey,
+        bytes: usize,
+    ) {
+        let count = || memory.hold_kept_history(workspace, bytes + TURN_OVERHEAD_BYTES);
+        self.histories.borrow_mut().entry(turn).or_insert_with(count);
+    }
+
+    /// Removes expired turns and accounts from the ledger, and queues the records that delete them.
+    pub(super) fn remove_expired(&self, now: UnixMs) {
+        drop(self.change(|ledger, records| records.extend(ledger.expire(now))));
+        let ledger = self.ledger.borrow();
+        self.histories.borrow_mut().retain(|turn, _| ledger.turn(*turn).is_some());
+    }
+
     /// Notes that a record of a program's account is durable.
     pub(super) fn mark_durable(&self, program: ProgramKey, version: AccountVersion) {
         self.ledger.borrow_mut().mark_durable(program, version);
--- a/src/gateway/tests/caller_limits.rs
+++ b/src/gateway/tests/caller_limits.rs
@@ -8,9 +8,12 @@
 use super::fakes;
 use crate::gateway::Refusal;
 use crate::gateway::caller_context::{CallerContext, Connection, Eviction, Memory};
+use crate::gateway::owned_shard::{OwnedShard, TURN_OVERHEAD_BYTES};
 use crate::gateway::read_body::{BodyLimits, read_body};
 use crate::gateway::state::Gateway;
 use crate::load::CallerLimits;
+use crate::time::UnixMs;
+use crate::turns::{Turn, TurnKey};
 
 const LIMITS: BodyLimits = BodyLimits { max_bytes: 4 << 20, time_ms: 20_000, silence_ms: 5_000 };
 
@@ -134,3 +137,33 @@
     let usage = gateway.caller_memory.usage();
     assert_eq!((usage.evicted, usage.connections), (1, 1));
 }
+
+// Histories would stay counted after they have expired, or after the shard has gone to another owner, and
+// in time no turn would be served.
+#[tokio::test]
+async fn histories_count_until_they_expire_or_the_shard_is_lost() {
+    let gateway = small_gateway();
+    let shard = OwnedShard::open(0, 1);
+    let key = TurnKey::of("w", "t");
+    let turn = Turn {
+        parent: None,
+        input: Bytes::from_static(b"input"),
+        output: Bytes::from_static(b"output"),
+        kept_until: UnixMs(1_000),
+        ran_at: "e".to_string(),
+    };
+    let bytes = turn.bytes();
+    drop(shard.change(|ledger, records| records.push(ledger.complete(key, turn))));
+    for _ in 0..2 {
+        shard.count_history(&gateway.caller_memory, &"w".into(), key, bytes);
+    }
+    let counted = (bytes + TURN_OVERHEAD_BYTES) as u64;
+    assert_eq!(gateway.caller_memory.usage().history_bytes, counted, "a turn counts once");
+    shard.remove_expired(UnixMs(2_000));
+    assert_eq!(gateway.caller_memory.usage().history_bytes, counted);
+    shard.remove_expired(UnixMs(1_000_000));
+    assert_eq!(gateway.caller_memory.usage().history_bytes, 0);
+    shard.count_history(&gateway.caller_memory, &"w".into(), key, bytes);
+    drop(shard);
+    assert_eq!(gateway.caller_memory.usage().history_bytes, 0);
+}
--- a/src/gateway/turn.rs
+++ b/src/gateway/turn.rs
@@ -7,13 +7,14 @@
 
 use super::attempt::{EndpointRequest, EndpointResponse};
 use super::buffered::strip_hop_by_hop_headers;
+use super::caller_context::History;
 use super::chunk_channel::{ChunkSender, chunk_channel};
-use super::collect_response::collect_response;
+use super::collect_response::{MAX_RESPONSE_BYTES, collect_response};
 use super::event_stream::{CompletedResponse, EventStream, ResponseStart};
 use super::find_turn::find_chain;
 use super::handoff::{TurnHandoff, hand_off};
 use super::in_flight::Wait;
-use super::owned_shard::OwnedShard;
+use super::owned_shard::{OwnedShard, TURN_OVERHEAD_BYTES};
 use super::read_body::hold_prompt;
 use super::reader_limits::{Counted, ReaderGone};
 use super::reservation::{Charge, Reservation};
@@ -29,6 +30,12 @@
 /// a third of their timeout.
 const STORE_UNREACHABLE_RETRY_MS: u64 = 1_000;
 
+/// Retry delay while there is no room for more history: room comes only as kept turns expire.
+const HISTORY_RETRY_MS: u64 = 1_000;
+
+/// Bytes of output for which room is needed per token that a turn may generate.
+const BYTES_PER_TOKEN: usize = 8;
+
 /// A turn to be served by this entry, the owner of its program's shard.
 pub(super) struct TurnRequest {
     pub(super) endpoint_request: Rc<EndpointRequest>,
@@ -172,6 +179,7 @@
         let deadline = self.turn_request.endpoint_request.deadline;
         let progress = self.turn_request.endpoint_request.progress.clone();
         progress.set_wait(Wait::Store);
+        let kept = self.hold_history()?;
         let mut charge = self.reserve().await?;
         let reader = match self.turn_request.endpoint_request.routing.keeps_history {
             true => EventReader::collecting_output(),
@@ -214,6 +222,7 @@
             completed_response.first_event_ms,
         );
         progress.set_wait(Wait::Store);
+        drop(kept);
         self.settle(charge, completed_response, durable).await?;
         caller.send_head(Ok(head));
         for chunk in withheld {
@@ -223,6 +232,21 @@
         Ok(())
     }
 
+    /// Counts what will be kept of the turn, if anything is. Once it has run, it has to be kept.
+    fn hold_history(&self) -> Result<Option<History>, Refusal> {
+        let TurnRequest { endpoint_request, input, max_output_tokens, .. } = &self.turn_request;
+        if !endpoint_request.routing.keeps_history {
+            return Ok(None);
+        }
+        let max_output_bytes = usize::try_from(*max_output_tokens)
+            .map_or(MAX_RESPONSE_BYTES, |tokens| tokens.saturating_mul(BYTES_PER_TOKEN))
+            .min(MAX_RESPONSE_BYTES);
+        let bytes = input.len() + max_output_bytes + TURN_OVERHEAD_BYTES;
+        let workspace = &endpoint_request.routing.workspace;
+        let held = self.gateway.caller_memory.hold_history(workspace, bytes);
+        held.map(Some).map_err(|NoRoom| Refusal::NoRoom { retry_after_ms: HISTORY_RETRY_MS })
+    }
+
     /// Prepends the history to the request, and reserves the turn's tokens from its program's
     /// budget.
     async fn reserve(&mut self) -> Result<Charge, Refusal> {
@@ -231,6 +255,10 @@
         if let Some(previous) = self.turn_request.previous {
             chain = find_chain(gateway, shard, previous).await?;
             self.turn_request.prepend_history(gateway, &chain)?;
+            let workspace = &self.turn_request.endpoint_request.routing.workspace;
+            for (key, turn) in &chain {
+                shard.count_history(&gateway.caller_memory, workspace, *key, turn.bytes());
+            }
         }
         let turn_request = &self.turn_request;
         if gateway.is_poison_request(turn_request.endpoint_request.crash_key) {
@@ -293,6 +321,10 @@
         };
         // A shard that was lost before the reservation was durable accepts no records.
         let completed = durable.then_some((self.turn_request.key, turn));
+        if let Some((key, turn)) = completed.as_ref().filter(|_| keeps_history) {
+            let workspace = &self.turn_request.endpoint_request.routing.workspace;
+            shard.count_history(&gateway.caller_memory, workspace, *key, turn.bytes());
+        }
         let (version, recorded) = reservation.settle(completed);
         if let Some(recorded) = recorded.filter(|_| durable)
             && until_deadline(gateway, deadline, recorded).await?.is_ok()
--- a/src/turns/ledger.rs
+++ b/src/turns/ledger.rs
@@ -81,12 +81,13 @@
 }
 
 impl Ledger {
-    /// Loads a record from the log. Tokens that an earlier owner reserved count as spent, since it
-    /// may have delivered them.
-    pub fn load(&mut self, key: &str, value: &[u8]) -> Result<(), RecordFault> {
+    /// Loads a record from the log, and returns the turn if it is one. Tokens that an earlier owner
+    /// reserved count as spent, since it may have delivered them.
+    pub fn load(&mut self, key: &str, value: &[u8]) -> Result<Option<TurnKey>, RecordFault> {
         match decode(key, value)? {
             DecodedRecord::Turn(key, turn) => {
                 self.insert_turn(key, turn);
+                Ok(Some(key))
             }
             DecodedRecord::Account(key, Account { spent, reserved, kept_until }) => {
                 let spent = spent + reserved;
@@ -95,9 +96,9 @@
                     key,
                     AccountState { spent, durable_total, kept_until, ..AccountState::default() },
                 );
+                Ok(None)
             }
         }
-        Ok(())
     }
 
     /// Whether a program has begun: its account exists from its first turn on, and is kept in the
