--- a/src/gateway/chunk_channel.rs
+++ b/src/gateway/chunk_channel.rs
@@ -55,6 +55,14 @@
         }
     }
 
+    /// The reader, if slow readers are limited.
+    pub(super) fn reader(&self) -> Option<&Reader> {
+        match self {
+            ChunkSender::Bounded(_) => None,
+            ChunkSender::Held(_, reader) => Some(reader),
+        }
+    }
+
     /// Sends a chunk that was counted.
     pub(super) async fn send(&self, chunk: Option<Bytes>) -> Result<(), ReaderGone> {
         match self {
--- a/src/gateway/event_stream.rs
+++ b/src/gateway/event_stream.rs
@@ -8,15 +8,20 @@
 
 use super::Refusal;
 use super::attempt::{EndpointRequest, EndpointResponse, InFlightGuard, wait_unless_silent};
+use super::caller_context::RequestBytes;
 use super::collect_response::MAX_RESPONSE_BYTES;
 use super::dispatch::Dispatch;
 use super::state::Gateway;
 use super::stream_times::StreamTimes;
 use super::turn::until_deadline;
+use crate::load::NoRoom;
 use crate::prelude::*;
 use crate::replicas::ReplicaKey;
 use crate::turns::EventReader;
 
+/// What an incomplete event takes at least to be counted.
+const MIN_COUNTED_BYTES: usize = 16 * 1024;
+
 /// How an endpoint's response begins.
 pub(super) enum ResponseStart {
     /// With status 2xx, followed by events.
@@ -39,6 +44,8 @@
     reader: EventReader,
     /// The bytes of an event that is still incomplete.
     partial: Vec<u8>,
+    /// Counts what incomplete events and the output take, once it is worth counting.
+    assembly: Option<RequestBytes>,
     /// None if the service is not under load control, or the response was resumed.
     times: Option<StreamTimes>,
 }
@@ -125,6 +132,7 @@
             source: Some(Source { body: response.body, in_flight: response.in_flight }),
             reader,
             partial: Vec::new(),
+            assembly: None,
             times,
         };
         Ok((head, ResponseStart::Events(Box::new(stream))))
@@ -143,8 +151,10 @@
             }
             match self.read_chunk().await {
                 Ok(Some(chunk)) => {
-                    if let Some(bytes) = self.complete_events(chunk) {
-                        return Ok(Some(bytes));
+                    let complete = self.complete_events(chunk);
+                    self.count_assembly()?;
+                    if complete.is_some() {
+                        return Ok(complete);
                     }
                 }
                 Ok(None) if self.is_complete() => return Ok(None),
@@ -196,6 +206,29 @@
         }
     }
 
+    /// Counts what incomplete events and the output take. The response ends if there is no room for it.
+    fn count_assembly(&mut self) -> Result<(), Refusal> {
+        let bytes = self.reader.buffered_bytes() + self.partial.capacity();
+        if bytes < MIN_COUNTED_BYTES {
+            self.assembly = None;
+            return Ok(());
+        }
+        let now = self.gateway.now();
+        let workspace = &self.endpoint_request.routing.workspace;
+        let counted = match &mut self.assembly {
+            Some(assembly) => assembly.grow_to(now, bytes),
+            None => {
+                let held = self.gateway.caller_memory.hold_request_bytes(now, workspace, bytes);
+                held.map(|held| self.assembly = Some(held))
+            }
+        };
+        counted.map_err(|NoRoom| {
+            log::info!(request:% = self.endpoint_request.request, bytes;
+                "no room to assemble the events of a response; response broken off");
+            Refusal::OutcomeUnknown
+        })
+    }
+
     /// The next bytes from the current endpoint. If the response may be resumed at another
     /// endpoint, silence counts as a fault.
     async fn read_chunk(&mut self) -> Result<Option<Bytes>, Fault> {
--- a/src/gateway/turn.rs
+++ b/src/gateway/turn.rs
@@ -353,7 +353,8 @@
         caller: &mut Caller,
     ) -> Result<(), Refusal> {
         let deadline = self.turn_request.endpoint_request.deadline;
-        let body = collect_response(response.body, || self.gateway.now(), None);
+        let reader = caller.chunk_sender.reader();
+        let body = collect_response(response.body, || self.gateway.now(), reader);
         let body = until_deadline(&self.gateway, deadline, body).await?;
         let body = body.map_err(|_| Refusal::OutcomeUnknown)?;
         response.in_flight.finish(response.head.status);
--- a/src/turns/events.rs
+++ b/src/turns/events.rs
@@ -102,6 +102,12 @@
         self.partial_bytes.max(output) > max_bytes
     }
 
+    /// The memory that an incomplete event and the output take.
+    pub fn buffered_bytes(&self) -> usize {
+        let output = self.output.as_ref().map_or(0, Vec::capacity);
+        self.line.capacity() + self.data.capacity() + output
+    }
+
     /// Whether none of the bytes received belongs to an incomplete event.
     pub fn at_event_boundary(&self) -> bool {
         self.line.is_empty() && !self.has_field
