Readers that never read on no longer refuse everyone for good

What callers saw: 503 for each request, for as long as readers of two workspaces or more stayed connected without reading. Cause: at nine tenths of the limit new requests are refused; a reader was disconnected only for a chunk beyond the limit, and while requests are refused there are no more chunks. Change: a request that would be refused has readers disconnected that have taken nothing for 10 s, the longest held first, and no more than necessary. A caller gives a stream up after a gap of two seconds or some multiples of the route's times.

--- a/src/gateway/reader_limits.rs
+++ b/src/gateway/reader_limits.rs
@@ -64,8 +64,14 @@
         Reader { limits: self.clone(), response, disconnected }
     }
 
-    /// Refuses a new request while the entry's limit is reached.
+    /// Refuses a new request while the entry's limit is reached. Readers that have taken nothing for too
+    /// long are disconnected instead.
     pub(super) fn check(&self, now: TimeMs) -> Result<(), Refusal> {
+        while self.held.is_refusing()
+            && let Some(stuck) = self.held.disconnect_stuck(now)
+        {
+            self.disconnect(stuck);
+        }
         let refusing = self.held.is_refusing();
         if self.was_refusing.replace(refusing) != refusing {
             let held_bytes = self.held.bytes();
--- a/src/gateway/tests/slow_readers.rs
+++ b/src/gateway/tests/slow_readers.rs
@@ -238,3 +238,20 @@
     let limits = gateway.reader_limits.as_ref().expect("the limits are on");
     assert_eq!((limits.disconnected(), limits.held_bytes()), (1, 0));
 }
+
+// Readers of two workspaces that never read on filled the limit, and everyone else was refused for as long as
+// they stayed connected.
+#[tokio::test]
+async fn readers_that_never_read_on_do_not_refuse_everyone_for_good() {
+    let limits = limits();
+    let responses: Vec<_> = ["a", "b"].map(|workspace| open(&limits, workspace)).into();
+    for (number, (sender, _)) in responses.iter().enumerate() {
+        assert!(send_chunk(sender, TimeMs(number as u64), 120_000).await);
+    }
+    assert!(limits.check(TimeMs(9_999)).is_err());
+    assert_eq!(limits.disconnected(), 0);
+    assert_eq!(limits.check(TimeMs(10_000)), Ok(()));
+    assert_eq!(limits.disconnected(), 1, "no more than necessary");
+    assert!(responses[0].0.closed().now_or_never().is_some(), "the one held for the longest");
+    assert!(responses[1].0.closed().now_or_never().is_none());
+}
--- a/src/load/held_bytes.rs
+++ b/src/load/held_bytes.rs
@@ -26,6 +26,9 @@
 /// switching with every chunk.
 const RESUME_FRACTION: f64 = 0.7;
 
+/// A reader that has not taken a chunk for this long may be disconnected for requests that are refused.
+const MAX_HELD_MS: u64 = 10_000;
+
 /// What a chunk occupies besides its bytes: its allocation, its place in a channel and its row here.
 /// Events of a stream are often shorter than that.
 const CHUNK_OVERHEAD_BYTES: u64 = 200;
@@ -102,6 +105,16 @@
         lock(&self.state).refusing
     }
 
+    /// Disconnects the response that has been held for the longest, if its reader has taken nothing for so
+    /// long that others may be served instead.
+    pub fn disconnect_stuck(&self, now: TimeMs) -> Option<Disconnect<H>> {
+        let mut state = lock(&self.state);
+        let held = state.responses.iter();
+        let held = held.filter_map(|(key, response)| Some((response.held_since()?, key)));
+        let (since, oldest) = held.min()?;
+        (now.since(since) >= MAX_HELD_MS).then(|| state.disconnect(now, oldest))?
+    }
+
     /// When a refused caller should try again. The longer the oldest bytes have been waiting, the
     /// longer it takes until there is room.
     pub fn retry_after_ms(&self, now: TimeMs) -> u64 {
