Requests and connections are bounded as a whole in the daemon's processes too

What callers saw: an entry of trefoilproxyd ran out of memory beside a crowd whose bodies stopped short of their end, in large or in very small chunks, or whose heads never ended; an entry or endpoint process beside bodies without an end at the listeners of the system's own processes. Cause: the same class as in a gateway. Each body had a size and a time limit, their sum had none; chunks were kept with the buffers that they came in; 8,192 connections of up to 64 KB each were allowed whatever the memory. Change: the counting of connections and bodies moves from the gateway to http, and the server of all listeners uses it. What is decoded from a body counts as much again while the call is served.

--- a/src/daemon/admin.rs
+++ b/src/daemon/admin.rs
@@ -1,13 +1,17 @@
 use std::net::SocketAddr;
 use std::sync::RwLock;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 
-use crate::http::{Body, RunningServer, ServerLimits, full, json, serve};
+use crate::http::{Body, RunningServer, ServerLimits, ServerMemory, full, json, serve};
 use crate::prelude::*;
-use crate::telemetry::Metrics;
+use crate::telemetry::{Metrics, PressureLog, set_caller_metrics};
+
+/// Pause between two reports of what is held for callers.
+const USAGE_INTERVAL: Duration = Duration::from_secs(5);
 
 type StatusReport = Box<dyn Fn() -> serde_json::Value + Send + Sync>;
 
@@ -25,11 +29,16 @@
 
 impl Admin {
     /// Starts the server. It reports the process as live immediately, but not as ready.
-    pub async fn bind(address: SocketAddr, metrics: Metrics) -> std::io::Result<Admin> {
+    pub async fn bind(
+        address: SocketAddr,
+        memory: &ServerMemory,
+        metrics: Metrics,
+    ) -> std::io::Result<Admin> {
+        tokio::spawn(report_caller_usage(memory.clone()));
         let shared =
             Arc::new(Shared { ready: AtomicBool::new(false), metrics, status: RwLock::new(None) });
         let handler_shared = shared.clone();
-        let server = serve(address, ServerLimits::default(), move |request| {
+        let server = serve(address, ServerLimits::default(), memory, move |request| {
             let shared = handler_shared.clone();
             async move { shared.handle(&request) }
         })
@@ -63,6 +72,17 @@
     }
 }
 
+/// Keeps the metrics of what is held for callers, and logs what was refused for want of room.
+async fn report_caller_usage(memory: ServerMemory) {
+    let mut pressure_log = PressureLog::default();
+    loop {
+        let usage = memory.usage();
+        set_caller_metrics(&usage);
+        pressure_log.check(usage);
+        tokio::time::sleep(USAGE_INTERVAL).await;
+    }
+}
+
 impl Shared {
     fn handle(&self, request: &Request<Incoming>) -> Response<Body> {
         match (request.method(), request.uri().path()) {
--- a/src/endpoint/process.rs
+++ b/src/endpoint/process.rs
@@ -14,7 +14,7 @@
 use crate::endpoint::{
     AttemptScheduler, Backend, OrderPolicy, SchedulerAction, SchedulerLimits, Submission,
 };
-use crate::http::{Client, RunningServer, ServerLimits, serve};
+use crate::http::{Client, RunningServer, ServerLimits, ServerMemory, serve};
 use crate::link::{ControlReply, ControlRequest, LinkServer};
 use crate::membership::{PeerState, RoleStatus};
 use crate::prelude::*;
@@ -56,7 +56,8 @@
     let dispatcher = Arc::new(Dispatcher::new(this_endpoint, settings.clone()));
     let request_handler = dispatcher.clone();
     let peer_listen = settings.process.peer_listen;
-    let peer_server = serve(peer_listen, ServerLimits::default(), move |request| {
+    let memory = ServerMemory::open(settings.process.caller_limits);
+    let peer_server = serve(peer_listen, ServerLimits::default(), &memory, move |request| {
         server::handle(request_handler.clone(), request)
     })
     .await?;
@@ -67,7 +68,7 @@
         async move { reply }
     })
     .await?;
-    let admin = Admin::bind(settings.process.admin_listen, metrics).await?;
+    let admin = Admin::bind(settings.process.admin_listen, &memory, metrics).await?;
     let socket = UdpSocket::bind(peer_server.address).await?;
     let heartbeats = HeartbeatSender::new(
         &settings.process,
--- a/src/endpoint/server.rs
+++ b/src/endpoint/server.rs
@@ -7,7 +7,9 @@
 
 use super::process::Dispatcher;
 use crate::endpoint::Submission;
-use crate::http::{Body, full, json, json_line, read_body_until, streamed};
+use crate::http::{
+    Body, BodyError, OWN_PROCESSES, full, json, json_line, read_body_until, streamed,
+};
 use crate::prelude::*;
 use crate::programs::{Attempt, AttemptFrame, FailureCause};
 
@@ -28,8 +30,10 @@
 }
 
 async fn submit(dispatcher: Arc<Dispatcher>, request: Request<Incoming>) -> Response<Body> {
-    let (stop, body) = (dispatcher.answers_due(), request.into_body());
-    let Some(body) = read_body_until(stop, body, MAX_ATTEMPT_BYTES, RECEIVE_TIMEOUT).await else {
+    let stop = dispatcher.answers_due();
+    let body =
+        read_body_until(stop, request, OWN_PROCESSES, MAX_ATTEMPT_BYTES, RECEIVE_TIMEOUT).await;
+    let Some(body) = body.filter(|body| *body != Err(BodyError::NoRoom)) else {
         return rejection();
     };
     let attempt = body.ok().and_then(|bytes| serde_json::from_slice::<Attempt>(&bytes).ok());
--- a/src/entry/api.rs
+++ b/src/entry/api.rs
@@ -11,6 +11,10 @@
     ExecutionStatus, FinishReason, Message, Refusal, RefusalReason, Usage, Work,
 };
 
+/// Retry delay of a call for which there is no room. Calls that stop short of their end give way to others
+/// at once.
+const NO_ROOM_RETRY_MS: u64 = 300;
+
 /// Token limit of a completion request that sets none.
 const DEFAULT_MAX_TOKENS: u32 = 1_024;
 
@@ -64,6 +68,8 @@
     TooLarge,
     /// The body was not received within the time-out.
     TooSlow,
+    /// What the process holds for callers has reached a limit.
+    NoRoom,
     /// The workspace's contract does not allow the model or action.
     NotAllowed,
     /// The workspace's rate or burst is used up.
@@ -88,6 +94,7 @@
             ApiErrorCode::BadRequest => "bad_request",
             ApiErrorCode::TooLarge => "too_large",
             ApiErrorCode::TooSlow => "too_slow",
+            ApiErrorCode::NoRoom => "no_room",
             ApiErrorCode::NotAllowed => "not_allowed",
             ApiErrorCode::RateLimited => "rate_limited",
             ApiErrorCode::NotReady => "not_ready",
@@ -106,7 +113,7 @@
             ApiErrorCode::TooSlow => StatusCode::REQUEST_TIMEOUT,
             ApiErrorCode::NotAllowed => StatusCode::FORBIDDEN,
             ApiErrorCode::RateLimited => StatusCode::TOO_MANY_REQUESTS,
-            ApiErrorCode::NotReady => StatusCode::SERVICE_UNAVAILABLE,
+            ApiErrorCode::NotReady | ApiErrorCode::NoRoom => StatusCode::SERVICE_UNAVAILABLE,
             ApiErrorCode::OutcomeUnknown => StatusCode::BAD_GATEWAY,
             ApiErrorCode::Refused(reason) => refusal_status(reason),
         }
@@ -210,6 +217,10 @@
             BodyError::TooLarge => ApiErrorCode::TooLarge,
             BodyError::TimedOut => ApiErrorCode::TooSlow,
             BodyError::Incomplete => ApiErrorCode::BadRequest,
+            BodyError::NoRoom => {
+                let error = ApiError::not_run(ApiErrorCode::NoRoom);
+                return ApiError { retry_after_ms: Some(NO_ROOM_RETRY_MS), ..error };
+            }
         })
     }
 }
--- a/src/entry/callers.rs
+++ b/src/entry/callers.rs
@@ -98,7 +98,7 @@
     call.set_turn(&headers.program, headers.turn);
     admit(&entry, &caller, headers.deadline).await?;
     call.set_wait(Wait::Body);
-    let body = receive_body(&entry, request).await?;
+    let body = receive_body(&entry, &caller, request).await?;
     call.set_wait(Wait::Owner);
     let chat: ChatRequest = serde_json::from_slice(&body).map_err(|_| bad_request())?;
     let stream = chat.stream;
@@ -128,7 +128,7 @@
         return Err(ApiError::not_run(ApiErrorCode::NotAllowed));
     }
     call.set_wait(Wait::Body);
-    let body = receive_body(&entry, request).await?;
+    let body = receive_body(&entry, &caller, request).await?;
     call.set_wait(Wait::Owner);
     let body = std::str::from_utf8(&body).map_err(|_| bad_request())?;
     let work = Work::Service {
@@ -257,11 +257,15 @@
     })
 }
 
-async fn receive_body(entry: &Entry, request: Request<Incoming>) -> Result<bytes::Bytes, ApiError> {
+async fn receive_body(
+    entry: &Entry,
+    caller: &Caller,
+    request: Request<Incoming>,
+) -> Result<bytes::Bytes, ApiError> {
     let max_bytes = entry.settings.max_body_bytes as usize;
     let timeout = Duration::from_millis(entry.settings.receive_timeout_ms);
-    let body = request.into_body();
-    match read_body_until(&entry.answers_due, body, max_bytes, timeout).await {
+    let workspace = caller.workspace.as_str();
+    match read_body_until(&entry.answers_due, request, workspace, max_bytes, timeout).await {
         Some(body) => Ok(body?),
         None => Err(not_ready()),
     }
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -13,7 +13,7 @@
 use crate::entry::forward::{ENDS_PATH, TURNS_PATH};
 use crate::entry::state::Entry;
 use crate::entry::turn_message::TurnMessage;
-use crate::http::{Body, json, json_line, read_body_until, streamed};
+use crate::http::{Body, BodyError, OWN_PROCESSES, json, json_line, read_body_until, streamed};
 use crate::membership::{Heartbeat, PeerState, RoleStatus};
 use crate::prelude::*;
 use crate::programs::Reply;
@@ -45,9 +45,13 @@
     entry: &Entry,
     request: Request<Incoming>,
 ) -> Result<T, Response<Body>> {
-    let (stop, body) = (&entry.answers_due, request.into_body());
-    let body = read_body_until(stop, body, MAX_MESSAGE_BYTES, RECEIVE_TIMEOUT).await;
+    let stop = &entry.answers_due;
+    let body =
+        read_body_until(stop, request, OWN_PROCESSES, MAX_MESSAGE_BYTES, RECEIVE_TIMEOUT).await;
     let body = body.ok_or_else(|| json(StatusCode::SERVICE_UNAVAILABLE, &"shutting down"))?;
+    if body == Err(BodyError::NoRoom) {
+        return Err(json(StatusCode::SERVICE_UNAVAILABLE, &"no room"));
+    }
     let message = body.ok().and_then(|body| serde_json::from_slice(&body).ok());
     message.ok_or_else(|| json(StatusCode::BAD_REQUEST, &"not a message of this kind"))
 }
--- a/src/entry/process.rs
+++ b/src/entry/process.rs
@@ -9,7 +9,7 @@
 use crate::entry::core::{Command, Core};
 use crate::entry::state::Entry;
 use crate::entry::{callers, config, peers};
-use crate::http::{RunningServer, ServerLimits, serve};
+use crate::http::{RunningServer, ServerLimits, ServerMemory, serve};
 use crate::link::{ControlReply, ControlRequest, LinkServer};
 use crate::membership::LivenessTimeouts;
 use crate::prelude::*;
@@ -25,7 +25,8 @@
     let entry = Arc::new(Entry::new(settings.clone(), commands));
     let peer_entry = entry.clone();
     let peer_listen = settings.process.peer_listen;
-    let peer_server = serve(peer_listen, ServerLimits::default(), move |request| {
+    let memory = ServerMemory::open(settings.process.caller_limits);
+    let peer_server = serve(peer_listen, ServerLimits::default(), &memory, move |request| {
         peers::handle(peer_entry.clone(), request)
     })
     .await?;
@@ -35,7 +36,7 @@
         handle_control(control_entry.clone(), request)
     })
     .await?;
-    let admin = Admin::bind(settings.process.admin_listen, metrics).await?;
+    let admin = Admin::bind(settings.process.admin_listen, &memory, metrics).await?;
     let socket = UdpSocket::bind(peer_server.address).await?;
     let process = &settings.process;
     let heartbeats = HeartbeatSender::new(
@@ -53,7 +54,7 @@
         tokio::spawn(peers::receive_heartbeats(entry.clone(), heartbeats.socket())),
         tokio::spawn(peers::send_heartbeats(entry.clone(), heartbeats)),
     ];
-    let caller_server = listen_for_callers(&entry).await?;
+    let caller_server = listen_for_callers(&entry, &memory).await?;
     let addresses = [("callers", caller_server.address), ("peer", peer_server.address)];
     admin.announce("entry", entry.vm(), &addresses);
     report_status(&admin, &entry);
@@ -92,13 +93,16 @@
     }
 }
 
-async fn listen_for_callers(entry: &Arc<Entry>) -> std::io::Result<RunningServer> {
+async fn listen_for_callers(
+    entry: &Arc<Entry>,
+    memory: &ServerMemory,
+) -> std::io::Result<RunningServer> {
     let limits = ServerLimits {
         header_timeout: Duration::from_millis(entry.settings.receive_timeout_ms),
         ..ServerLimits::default()
     };
     let caller_entry = entry.clone();
-    serve(entry.settings.listen, limits, move |request| {
+    serve(entry.settings.listen, limits, memory, move |request| {
         callers::handle(caller_entry.clone(), request)
     })
     .await
--- a/src/gateway/event_stream.rs
+++ b/src/gateway/event_stream.rs
@@ -8,9 +8,9 @@
 
 use super::Refusal;
 use super::attempt::{EndpointRequest, EndpointResponse, InFlightGuard, wait_unless_silent};
-use super::caller_context::RequestBytes;
 use super::collect_response::MAX_RESPONSE_BYTES;
 use super::dispatch::Dispatch;
+use super::held_for_callers::RequestBytes;
 use super::state::Gateway;
 use super::stream_times::StreamTimes;
 use super::turn::until_deadline;
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -15,11 +15,10 @@
 use super::event_stream::next_data;
 use super::in_flight::{Progress, Wait};
 use super::owned_shard::{OwnedShard, Stage};
-use super::read_body::BodyLimits;
 use super::state::Gateway;
 use super::turn::until_deadline;
 use super::{Refusal, ResponseBody, RoutingDecision};
-use crate::http::{BodyGate, ConnectError, RequestBody};
+use crate::http::{BodyGate, BodyLimits, ConnectError, RequestBody};
 use crate::mechanisms::Mechanism;
 use crate::prelude::*;
 
--- a/src/gateway/handoff.rs
+++ b/src/gateway/handoff.rs
@@ -14,12 +14,12 @@
 use tokio::time::timeout;
 
 use super::ResponseBody;
-use super::caller_context::CallerContext;
 use super::owned_shard::{OwnedShard, Stage};
 use super::read_body::NO_WORKSPACE;
 use super::server::{read_message, status_response};
 use super::state::Gateway;
 use crate::catalog::Regions;
+use crate::http::CallerContext;
 use crate::http::RequestBody;
 use crate::prelude::*;
 use crate::turns::{BudgetExhausted, Ledger, ProgramKey, Record, Turn, TurnKey};
--- a/src/gateway/hub_feed.rs
+++ b/src/gateway/hub_feed.rs
@@ -7,10 +7,10 @@
 use hyper::body::Incoming;
 
 use super::ResponseBody;
-use super::caller_context::CallerContext;
 use super::feed_message::{FeedRequest, FeedStatus, FeedUpdate, ListPosition};
 use super::server::{read_message, status_response};
 use super::state::Gateway;
+use crate::http::CallerContext;
 use crate::replicas::EndpointChange;
 
 /// The largest request in bytes.
--- a/src/gateway/observe.rs
+++ b/src/gateway/observe.rs
@@ -2,13 +2,13 @@
 
 use metrics::{counter, gauge, histogram};
 
-use super::caller_pressure::set_caller_metrics;
 use super::state::Gateway;
 use super::{Refusal, RequestHead};
 use crate::catalog::{RepeatPolicy, Route};
 use crate::load::{Correction, PaceChange, PollOutcome};
 use crate::prelude::*;
 use crate::replicas::Replica;
+use crate::telemetry::set_caller_metrics;
 
 /// Metrics label of requests without a workspace: those refused before their key was known, and
 /// those that need no key.
--- a/src/gateway/owned_shard.rs
+++ b/src/gateway/owned_shard.rs
@@ -2,8 +2,9 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
-use super::caller_context::{History, Memory};
+use super::held_for_callers::History;
 use super::writer::{AppendAck, Writer};
+use crate::http::ServerMemory;
 use crate::prelude::*;
 use crate::turns::{AccountVersion, Ledger, ProgramKey, Record, RecordFault, TurnKey};
 
@@ -73,7 +74,7 @@
     /// Counts a turn of `bytes` bytes that is in the ledger, until it is removed. It is kept in any case.
     pub(super) fn count_history(
         &self,
-        memory: &Memory,
+        memory: &ServerMemory,
         workspace: &Arc<str>,
         turn: TurnKey,
         bytes: usize,
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -7,7 +7,6 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, timeout_at};
 
-use super::caller_pressure::PressureLog;
 use super::endpoint_feed::follow_endpoint_list;
 use super::endpoint_polls::poll_endpoints;
 use super::gossip::{receive_gossip, send_gossip};
@@ -21,7 +20,7 @@
 use super::state::Gateway;
 use super::{GatewayError, GatewaySettings, Protocol, Store};
 use crate::daemon::Shutdown;
-use crate::telemetry::{Metrics, flush_logs};
+use crate::telemetry::{Metrics, PressureLog, flush_logs};
 
 /// Pause between two flushes of the log. A killed process may lose the lines of this interval;
 /// flushing each line would cost a system call per line.
@@ -105,7 +104,7 @@
         flushes += 1;
         if flushes % FLUSHES_PER_METRICS_UPKEEP == 0 {
             metrics.upkeep();
-            pressure_log.check(&gateway);
+            pressure_log.check(gateway.caller_memory.usage());
         }
     }
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -12,7 +12,6 @@
 use http::{Request, Response, request};
 use hyper::body::{Bytes, Incoming};
 
-use super::caller_context::CallerContext;
 use super::forward::{ForwardTarget, ForwardedRequest, SendOutcome, forwarded_limits, send};
 use super::in_flight::{Progress, Wait};
 use super::observe::RequestSummary;
@@ -21,6 +20,7 @@
 use super::shutdown::until_answers_are_due;
 use super::state::Gateway;
 use super::{Refusal, RequestHead, ResponseBody};
+use crate::http::CallerContext;
 use crate::mechanisms::Mechanism;
 use crate::prelude::*;
 
--- a/src/gateway/response_body.rs
+++ b/src/gateway/response_body.rs
@@ -5,9 +5,9 @@
 use hyper::body::{Body, Bytes, Frame, SizeHint};
 use tokio::sync::mpsc;
 
-use super::caller_context::CallerContext;
 use super::in_flight::Running;
 use super::reader_limits::Reader;
+use crate::http::CallerContext;
 use crate::prelude::*;
 
 /// Error of a response body that ended before it was complete.
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -8,7 +8,6 @@
 use super::admit::admit;
 use super::attempt::EndpointRequest;
 use super::buffered::{serve_buffered, strip_hop_by_hop_headers};
-use super::caller_context::CallerContext;
 use super::forward::{
     ForwardTarget, ForwardedRequest, NOT_RUN_HEADER, OwnerResult, RELAYED_HEADER, forward_to_owner,
 };
@@ -16,7 +15,7 @@
 use super::load_admission::admit_program;
 use super::observe::{self, RequestSummary};
 use super::owned_shard::OwnedShard;
-use super::read_body::{BodyLimits, MIN_SILENCE_MS, NO_WORKSPACE, read_body};
+use super::read_body::{MIN_SILENCE_MS, NO_WORKSPACE, read_body};
 use super::relay::{DEFAULT_TIMEOUT_MS, relay, relay_targets};
 use super::shutdown::until_answers_are_due;
 use super::state::Gateway;
@@ -25,6 +24,7 @@
 use super::wait_until::wait_until;
 use super::{Refusal, RequestHead, ResponseBody, RoutingDecision};
 use crate::catalog::{Catalog, RepeatPolicy, Route, Workspace};
+use crate::http::{BodyLimits, CallerContext};
 use crate::load::Rank;
 use crate::mechanisms::{Mechanism, Mechanisms};
 use crate::prelude::*;
--- a/src/gateway/serve_forwarded.rs
+++ b/src/gateway/serve_forwarded.rs
@@ -5,7 +5,6 @@
 use http::{HeaderValue, Request, Response, request};
 use hyper::body::Incoming;
 
-use super::caller_context::CallerContext;
 use super::forward::{NOT_RUN_HEADER, ROUTING_HEADER, forwarded_limits, not_owner_response};
 use super::in_flight::{Progress, Wait};
 use super::load_admission::admit_program;
@@ -17,6 +16,7 @@
 use super::shutdown::until_answers_are_due;
 use super::state::Gateway;
 use super::{Refusal, RequestHead, ResponseBody, RoutingDecision};
+use crate::http::CallerContext;
 
 /// Serves a turn that another entry has forwarded here, to the owner of the program's shard.
 pub(super) async fn serve_forwarded(
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -1,8 +1,9 @@
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Weak;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use futures_util::FutureExt;
@@ -17,8 +18,6 @@
 use tokio::sync::watch;
 use tokio::time::timeout;
 
-use super::caller_context::{CallerContext, Connection, Eviction};
-use super::caller_stream::CallerStream;
 use super::current_response::CurrentResponse;
 use super::feed_message::FEEDS_PATH;
 use super::find_turn::{FIND_TURN_PATH, search_owned_shards};
@@ -26,12 +25,14 @@
 use super::handoff::{HANDOFF_PATH, accept_handoff};
 use super::hub_feed::answer_feed_request;
 use super::message::FindTurn;
-use super::read_body::{BodyLimits, NO_WORKSPACE, read_body};
+use super::read_body::{NO_WORKSPACE, read_body};
 use super::serve::{refusal_response, serve_caller, serve_relayed};
 use super::serve_forwarded::serve_forwarded;
 use super::state::Gateway;
 use super::{GatewayError, GatewayStatus, ResponseBody, STATUS_PATH};
-use crate::http::set_socket_options;
+use crate::http::{
+    BodyLimits, CallerContext, CallerStream, Eviction, ServedConnection, set_socket_options,
+};
 use crate::load::NoRoom;
 use crate::prelude::*;
 use crate::telemetry::Metrics;
@@ -99,9 +100,9 @@
             return;
         };
         set_socket_options(&stream);
-        let served = ServedConnection {
+        let served = ConnectionServer {
             gateway: gateway.clone(),
-            connection: Rc::new(connection),
+            connection: Arc::new(connection),
             eviction,
             listener_kind,
             metrics: metrics.clone(),
@@ -132,34 +133,34 @@
 }
 
 /// A connection that was accepted, and what serves it.
-struct ServedConnection {
+struct ConnectionServer {
     gateway: Rc<Gateway>,
-    connection: Rc<Connection>,
+    connection: Arc<ServedConnection>,
     eviction: Eviction,
     listener_kind: ListenerKind,
     metrics: Metrics,
 }
 
-impl ServedConnection {
+impl ConnectionServer {
     /// Serves requests until the connection ends or is closed for another one.
     async fn serve(self, stream: TcpStream, closing: watch::Receiver<bool>) {
         let current_response = Rc::new(CurrentResponse::default());
         let (lingers, last_request) =
-            (Rc::new(Cell::new(false)), Rc::new(RefCell::new(Weak::new())));
+            (Arc::<AtomicBool>::default(), Rc::new(RefCell::new(Weak::new())));
         let clock = self.gateway.clock();
         let stream = CallerStream::new(stream, self.connection.clone(), clock, lingers.clone());
         let (current, last) = (current_response.clone(), last_request.clone());
         let eviction = self.eviction.clone();
         let served = Rc::new(self);
         let service = service_fn(move |request| {
-            let caller = CallerContext::open(&served.connection);
+            let caller = CallerContext::open(&served.connection, &served.eviction, clock);
             last.replace(Arc::downgrade(&caller));
             let (served, current, lingers) = (served.clone(), current.clone(), lingers.clone());
             // On the heap: an idle connection takes no room for it.
             Box::pin(async move {
                 let response = served.respond(&caller, request).await;
                 current.set(response.body().reader().cloned());
-                lingers.set(caller.is_body_unread());
+                lingers.store(caller.is_body_unread(), Ordering::Relaxed);
                 Ok::<_, Infallible>(response.map(|body| body.with_caller(caller)))
             })
         });
@@ -186,7 +187,7 @@
         tokio::select! {
             biased;
             response = handle_request(gateway, self.listener_kind, &self.metrics, caller, request) => response,
-            () = self.eviction.requested() => refusal_response(gateway, None, NoRoom.into()),
+            () = caller.evicted() => refusal_response(gateway, None, NoRoom.into()),
         }
     }
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -9,7 +9,6 @@
 
 use super::ask_hub::Questions;
 use super::attempt::EndpointRequest;
-use super::caller_context::{Memory, open_memory};
 use super::endpoint_list::EndpointListStatus;
 use super::endpoint_polls::EndpointPolls;
 use super::hub::AttachedLeaves;
@@ -27,7 +26,7 @@
 use super::suspects::{CrashKey, Suspects};
 use super::{GatewaySettings, Protocol, Store};
 use crate::catalog::Regions;
-use crate::http::ConnectionPool;
+use crate::http::{ConnectionPool, ServerMemory};
 use crate::load::{ProgramAdmission, ServiceLoad, TurnSample, Work};
 use crate::mechanisms::Mechanism;
 use crate::prelude::*;
@@ -54,7 +53,7 @@
     /// None if slow readers are not limited.
     pub(super) reader_limits: Option<Rc<ReaderLimits>>,
     /// What is held for callers.
-    pub(super) caller_memory: Memory,
+    pub(super) caller_memory: ServerMemory,
     pub(super) endpoint_polls: RefCell<EndpointPolls>,
     pub(super) shards: ShardTable,
     pub(super) peers: RefCell<Peers>,
@@ -125,7 +124,7 @@
             program_admissions: RefCell::default(),
             suspects: RefCell::default(),
             reader_limits,
-            caller_memory: open_memory(settings.caller_limits),
+            caller_memory: ServerMemory::open(settings.caller_limits),
             endpoint_polls: RefCell::default(),
             shards,
             peers: RefCell::default(),
--- a/src/gateway/tests/caller_limits.rs
+++ b/src/gateway/tests/caller_limits.rs
@@ -7,24 +7,29 @@
 
 use super::fakes;
 use crate::gateway::Refusal;
-use crate::gateway::caller_context::{CallerContext, Connection, Eviction, Memory};
 use crate::gateway::owned_shard::{OwnedShard, TURN_OVERHEAD_BYTES};
-use crate::gateway::read_body::{BodyLimits, read_body};
+use crate::gateway::read_body::read_body;
 use crate::gateway::state::Gateway;
+use crate::http::{BodyLimits, CallerContext, Eviction, ServedConnection, ServerMemory};
 use crate::load::CallerLimits;
-use crate::time::UnixMs;
+use crate::prelude::*;
 use crate::turns::{Turn, TurnKey};
 
 const LIMITS: BodyLimits = BodyLimits { max_bytes: 4 << 20, time_ms: 20_000, silence_ms: 5_000 };
 
 const REFUSED: Refusal = Refusal::NoRoom { retry_after_ms: 300 };
 
-fn connect(gateway: &Gateway) -> (Connection, Eviction) {
+/// A connection, and what closes it for another one.
+fn connect(gateway: &Gateway) -> (ServedConnection, Eviction) {
     let eviction = Eviction::default();
     let connection = gateway.caller_memory.open_connection(gateway.now(), eviction.clone());
     (connection.expect("there is room"), eviction)
 }
 
+fn open(gateway: &Gateway, connection: &ServedConnection) -> Arc<CallerContext> {
+    CallerContext::open(connection, &Eviction::default(), gateway.clock())
+}
+
 async fn read(
     gateway: &Gateway,
     caller: &CallerContext,
@@ -45,7 +50,7 @@
     let mut gateway = fakes::gateway(fakes::FakeStore::default());
     let limits = CallerLimits::of_process(16 << 20, 1_000);
     let shared = std::rc::Rc::get_mut(&mut gateway).expect("not shared yet");
-    shared.caller_memory = Memory::open(limits);
+    shared.caller_memory = ServerMemory::open(limits);
     gateway
 }
 
@@ -55,10 +60,10 @@
 async fn no_body_is_read_beyond_its_room() {
     let gateway = small_gateway();
     let (first, _) = connect(&gateway);
-    let held = read(&gateway, &CallerContext::open(&first), Full::from(vec![0; 4 << 20])).await;
+    let held = read(&gateway, &open(&gateway, &first), Full::from(vec![0; 4 << 20])).await;
     assert_eq!(held.as_ref().map(Bytes::len), Ok(4 << 20));
     let (second, _) = connect(&gateway);
-    let caller = CallerContext::open(&second);
+    let caller = open(&gateway, &second);
     let refused = read(&gateway, &caller, StreamBody::new(frames(100, 40_000))).await;
     assert_eq!(refused, Err(REFUSED));
     assert!(caller.is_body_unread(), "the caller is still sending");
@@ -66,7 +71,7 @@
     assert_eq!(gateway.caller_memory.usage().request_bytes, 4 << 20);
     drop(held);
     assert_eq!(gateway.caller_memory.usage().request_bytes, 0);
-    let caller = CallerContext::open(&second);
+    let caller = open(&gateway, &second);
     let read = read(&gateway, &caller, StreamBody::new(frames(100, 40_000))).await;
     assert_eq!(read.map(|body| body.len()), Ok(4_000_000));
 }
@@ -76,7 +81,7 @@
 async fn a_body_in_small_frames_counts_as_what_it_takes() {
     let gateway = small_gateway();
     let (connection, _) = connect(&gateway);
-    let caller = CallerContext::open(&connection);
+    let caller = open(&gateway, &connection);
     let body = read(&gateway, &caller, StreamBody::new(frames(100_000, 1))).await;
     let counted = gateway.caller_memory.usage().request_bytes;
     assert!((100_000..=125_000).contains(&counted), "{counted}");
@@ -88,7 +93,7 @@
 async fn a_body_announced_as_too_large_is_refused_unread() {
     let gateway = small_gateway();
     let (connection, _) = connect(&gateway);
-    let caller = CallerContext::open(&connection);
+    let caller = open(&gateway, &connection);
     let body = Full::from(vec![0; (4 << 20) + 1]);
     assert_eq!(read(&gateway, &caller, body).now_or_never(), Some(Err(Refusal::TooLarge)));
     let sent = StreamBody::new(frames(200, 40_000));
@@ -103,7 +108,7 @@
     let gateway = small_gateway();
     let (connection, _) = connect(&gateway);
     let silent = frames(1, 100).chain(stream::pending());
-    let caller = CallerContext::open(&connection);
+    let caller = open(&gateway, &connection);
     let started = tokio::time::Instant::now();
     assert_eq!(read(&gateway, &caller, StreamBody::new(silent)).await, Err(Refusal::BodyTimedOut));
     assert_eq!(started.elapsed(), Duration::from_millis(LIMITS.silence_ms));
@@ -125,13 +130,13 @@
 async fn a_body_that_gives_way_is_refused() {
     let gateway = small_gateway();
     let (stalled, eviction) = connect(&gateway);
-    let caller = CallerContext::open(&stalled);
+    let caller = open(&gateway, &stalled);
     let body = StreamBody::new(frames(100, 40_000).chain(stream::pending()));
     let mut stalled_read = Box::pin(read(&gateway, &caller, body));
     assert!(stalled_read.as_mut().now_or_never().is_none());
     let (other, _) = connect(&gateway);
     let whole = Full::from(vec![0; 2 << 20]);
-    let read = read(&gateway, &CallerContext::open(&other), whole.boxed()).await;
+    let read = read(&gateway, &open(&gateway, &other), whole.boxed()).await;
     assert!(read.is_ok());
     assert!(eviction.requested().now_or_never().is_some());
     let usage = gateway.caller_memory.usage();
--- a/src/gateway/turn.rs
+++ b/src/gateway/turn.rs
@@ -7,12 +7,12 @@
 
 use super::attempt::{EndpointRequest, EndpointResponse};
 use super::buffered::strip_hop_by_hop_headers;
-use super::caller_context::History;
 use super::chunk_channel::{ChunkSender, chunk_channel};
 use super::collect_response::{MAX_RESPONSE_BYTES, collect_response};
 use super::event_stream::{CompletedResponse, EventStream, ResponseStart};
 use super::find_turn::find_chain;
 use super::handoff::{TurnHandoff, hand_off};
+use super::held_for_callers::History;
 use super::in_flight::Wait;
 use super::owned_shard::{OwnedShard, TURN_OVERHEAD_BYTES};
 use super::read_body::hold_prompt;
--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -4,17 +4,25 @@
 use bytes::Bytes;
 use futures_util::{Stream, StreamExt};
 use http_body_util::combinators::BoxBody;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited, StreamBody};
+use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
-use hyper::{Response, StatusCode};
+use hyper::{Request, Response, StatusCode};
 use serde::Serialize;
 use tokio_util::sync::CancellationToken;
 
+use super::{BodyLimits, CallerContext, collect_body};
+use crate::load::NoRoom;
 use crate::prelude::*;
 
+/// What is decoded from a body takes about as much again while the request is served.
+const DECODED_COPIES: usize = 1;
+
 /// The body of a response, or of a request sent by [`Client`](super::Client).
 pub type Body = BoxBody<Bytes, std::io::Error>;
 
+/// The workspace of requests of the system's own processes.
+pub const OWN_PROCESSES: &str = "";
+
 /// Why [`read_body`] failed.
 #[value]
 #[derive(Copy)]
@@ -25,6 +33,8 @@
     TimedOut,
     /// The connection failed before the end of the body.
     Incomplete,
+    /// What the process holds for callers has reached a limit.
+    NoRoom,
 }
 
 /// A body whose bytes are all available.
@@ -65,18 +75,33 @@
     bytes.into()
 }
 
-/// Reads a body to its end, up to `max_bytes` and within `timeout`.
+/// Reads the body of a workspace's request to its end, up to `max_bytes` and within `timeout`. From then
+/// on, the request counts as in service until it is answered.
 pub async fn read_body(
-    body: Incoming,
+    request: Request<Incoming>,
+    workspace: &str,
     max_bytes: usize,
     timeout: Duration,
 ) -> Result<Bytes, BodyError> {
-    let collected = Limited::new(body, max_bytes).collect();
-    match tokio::time::timeout(timeout, collected).await {
-        Err(_) => Err(BodyError::TimedOut),
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(fault)) if fault.is::<LengthLimitError>() => Err(BodyError::TooLarge),
-        Ok(Err(_)) => Err(BodyError::Incomplete),
+    let caller = request.extensions().get::<Arc<CallerContext>>().cloned();
+    let caller = caller.ok_or(BodyError::NoRoom)?;
+    let time_ms = timeout.as_millis() as u64;
+    let limits = BodyLimits { max_bytes, time_ms, silence_ms: time_ms };
+    let workspace = workspace.into();
+    caller.request.set_workspace(caller.now(), &workspace)?;
+    let body = tokio::select! {
+        biased;
+        () = caller.evicted() => return Err(BodyError::NoRoom),
+        body = collect_body(&caller, request.into_body(), limits) => body?,
+    };
+    caller.request.receive_body(caller.now(), DECODED_COPIES * body.len())?;
+    caller.request.begin_service(caller.now(), &workspace)?;
+    Ok(body.into())
+}
+
+impl From<NoRoom> for BodyError {
+    fn from(NoRoom: NoRoom) -> BodyError {
+        BodyError::NoRoom
     }
 }
 
@@ -85,11 +110,14 @@
 /// connection, and the sender could lose the response.
 pub async fn read_body_until(
     stop: &CancellationToken,
-    body: Incoming,
+    request: Request<Incoming>,
+    workspace: &str,
     max_bytes: usize,
     timeout: Duration,
 ) -> Option<Result<Bytes, BodyError>> {
-    let mut reading = Box::pin(read_body(body, max_bytes, timeout));
+    let workspace = workspace.to_string();
+    let mut reading =
+        Box::pin(async move { read_body(request, &workspace, max_bytes, timeout).await });
     let read = stop.run_until_cancelled(&mut reading).await;
     if read.is_none() {
         tokio::spawn(reading);
--- a/src/gateway/caller_stream.rs
+++ b/src/http/caller_stream.rs
@@ -1,14 +1,14 @@
-use std::cell::Cell;
 use std::io;
 use std::pin::Pin;
-use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::{Sleep, sleep};
 
-use super::caller_context::Connection;
+use super::ServedConnection;
+use crate::prelude::*;
 use crate::time::Clock;
 
 /// How long the rest of a refused request is read. A connection that closes with unread bytes is reset,
@@ -23,13 +23,13 @@
 
 /// The stream of a connection that counts what it reads of heads, and tells when its caller does not
 /// take what is written.
-pub(super) struct CallerStream<S> {
+pub struct CallerStream<S> {
     stream: S,
-    connection: Rc<Connection>,
+    connection: Arc<ServedConnection>,
     clock: Clock,
     is_blocked: bool,
     /// Whether a request was refused before all of it was read.
-    lingers: Rc<Cell<bool>>,
+    lingers: Arc<AtomicBool>,
     linger: Option<Linger>,
 }
 
@@ -40,11 +40,13 @@
 }
 
 impl<S: AsyncRead + AsyncWrite + Unpin> CallerStream<S> {
-    pub(super) fn new(
+    /// Counts what is read of a connection's stream. `lingers` tells whether its last request was refused
+    /// before all of it was read.
+    pub fn new(
         stream: S,
-        connection: Rc<Connection>,
+        connection: Arc<ServedConnection>,
         clock: Clock,
-        lingers: Rc<Cell<bool>>,
+        lingers: Arc<AtomicBool>,
     ) -> CallerStream<S> {
         CallerStream { stream, connection, clock, is_blocked: false, lingers, linger: None }
     }
@@ -120,7 +122,7 @@
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
-        if self.lingers.get() {
+        if self.lingers.load(Ordering::Relaxed) {
             ready!(self.poll_linger(cx));
         }
         Poll::Ready(Ok(()))
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,7 +1,10 @@
 //! HTTP client, server and body types shared by several modules, on top of `hyper`.
 
 mod body;
+mod caller;
+mod caller_stream;
 mod client;
+mod collect_body;
 mod connections;
 mod framing;
 mod line_reader;
@@ -10,9 +13,13 @@
 mod server;
 
 pub use body::{
-    Body, BodyError, empty, full, json, json_line, read_body, read_body_until, streamed,
+    Body, BodyError, OWN_PROCESSES, empty, full, json, json_line, read_body, read_body_until,
+    streamed,
 };
+pub use caller::{CallerContext, Eviction, ServedConnection, ServerMemory};
+pub use caller_stream::CallerStream;
 pub use client::{CallError, Client};
+pub use collect_body::{BodyLimits, collect_body};
 pub use connections::{ConnectError, Connection, ConnectionPool, set_socket_options};
 pub use framing::is_body_decoded;
 pub use line_reader::LineReader;
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -2,10 +2,14 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll};
 use std::time::Duration;
 
-use hyper::body::Incoming;
+use bytes::Bytes;
+use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -15,7 +19,11 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout, timeout_at};
 
-use super::Body;
+use super::{Body, CallerContext, CallerStream, Eviction, ServerMemory};
+use crate::time::Clock;
+
+/// How long a connection that is closed for another one may take to send a refusal.
+const EVICTED_TIMEOUT: Duration = Duration::from_millis(200);
 
 const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -68,6 +76,7 @@
 pub async fn serve<H, F>(
     address: SocketAddr,
     limits: ServerLimits,
+    memory: &ServerMemory,
     handler: H,
 ) -> std::io::Result<RunningServer>
 where
@@ -77,13 +86,14 @@
     let listener = TcpListener::bind(address).await?;
     let address = listener.local_addr()?;
     let (stop, stopped) = watch::channel(None);
-    let task = tokio::spawn(accept_connections(listener, limits, handler, stopped));
+    let task = tokio::spawn(accept_connections(listener, limits, memory.clone(), handler, stopped));
     Ok(RunningServer { address, stop, task })
 }
 
 async fn accept_connections<H, F>(
     listener: TcpListener,
     limits: ServerLimits,
+    memory: ServerMemory,
     handler: H,
     mut stopped: watch::Receiver<Option<Instant>>,
 ) where
@@ -92,6 +102,7 @@
 {
     let slots = Arc::new(Semaphore::new(limits.connections as usize));
     let graceful = GracefulShutdown::new();
+    let clock = Clock::start();
     let close = loop {
         let slot = tokio::select! {
             biased;
@@ -111,16 +122,27 @@
                 Err(_) => continue,
             }
         };
+        let eviction = Eviction::default();
+        // A connection for which there is no room closes before a request was read from it.
+        let Ok(connection) = memory.open_connection(clock.now(), eviction.clone()) else {
+            continue;
+        };
         let _ = stream.set_nodelay(true);
         let handler = handler.clone();
         let kept = Arc::new(Mutex::new(None));
-        let service = service_fn(move |request| {
+        let (connection, lingers) = (Arc::new(connection), Arc::<AtomicBool>::default());
+        let stream = CallerStream::new(stream, connection.clone(), clock, lingers.clone());
+        let evicted = eviction.clone();
+        let service = service_fn(move |mut request| {
             keep(&kept, None);
-            let (response, kept) = (handler(request), kept.clone());
+            let caller = CallerContext::open(&connection, &eviction, clock);
+            request.extensions_mut().insert(caller.clone());
+            let (response, kept, lingers) = (handler(request), kept.clone(), lingers.clone());
             async move {
                 let mut response = response.await;
                 keep(&kept, response.extensions_mut().remove());
-                Ok::<_, Infallible>(response)
+                lingers.store(caller.is_body_unread(), Ordering::Relaxed);
+                Ok::<_, Infallible>(response.map(|body| CallerBody { body, _caller: caller }))
             }
         });
         let connection = hyper::server::conn::http1::Builder::new()
@@ -130,7 +152,14 @@
             .serve_connection(TokioIo::new(stream), service);
         let watched = graceful.watch(connection);
         tokio::spawn(async move {
-            let _ = watched.await;
+            let mut watched = std::pin::pin!(watched);
+            tokio::select! {
+                _ = watched.as_mut() => {}
+                () = evicted.requested() => {
+                    // A request that has arrived is refused first.
+                    drop(timeout(EVICTED_TIMEOUT, watched).await);
+                }
+            }
             drop(slot);
         });
     };
@@ -140,6 +169,32 @@
     graceful.shutdown().await;
 }
 
+/// The body of a response, with what its request holds until it was sent.
+struct CallerBody {
+    body: Body,
+    _caller: Arc<CallerContext>,
+}
+
+impl HttpBody for CallerBody {
+    type Data = Bytes;
+    type Error = std::io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, std::io::Error>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 fn keep(kept: &Mutex<Option<KeptUntilSent>>, value: Option<KeptUntilSent>) {
     *kept.lock().expect("no holder panics") = value;
 }
--- a/src/http/tests.rs
+++ b/src/http/tests.rs
@@ -10,7 +10,8 @@
 use tokio::task::LocalSet;
 use tokio::time::{Instant, timeout};
 
-use super::{Client, ConnectionPool, PendingCall, ServerLimits, empty, serve};
+use super::{Client, ConnectionPool, PendingCall, ServerLimits, ServerMemory, empty, serve};
+use crate::load::CallerLimits;
 use crate::prelude::*;
 
 const TEST_TIMEOUT: Duration = Duration::from_secs(10);
@@ -56,8 +57,9 @@
         ..ServerLimits::default()
     };
     let listen = SocketAddr::from(([127, 0, 0, 1], 0));
-    let server =
-        serve(listen, limits, |_| async { Response::new(empty()) }).await.expect("a port is free");
+    let memory = ServerMemory::open(CallerLimits::of_process(1 << 30, 8_192));
+    let server = serve(listen, limits, &memory, |_| async { Response::new(empty()) }).await;
+    let server = server.expect("a port is free");
     let mut connection = TcpStream::connect(server.address).await.expect("the server listens");
     connection.write_all(b"GET / HTTP/1.1\r\n\r\n").await.expect("the server reads");
     connection.read_u8().await.expect("the server answers");
--- a/src/settings/process.rs
+++ b/src/settings/process.rs
@@ -1,8 +1,11 @@
 use std::net::SocketAddr;
 
 use super::{Reader, Setting};
+use crate::load::CallerLimits;
 use crate::prelude::*;
 
+const BYTES_PER_MB: u64 = 1_000_000;
+
 /// Settings shared by all roles.
 #[value]
 pub struct ProcessSettings {
@@ -20,6 +23,8 @@
     pub heartbeat_ms: u64,
     /// How long a graceful shutdown waits for calls in flight.
     pub drain_timeout_ms: u64,
+    /// Limits on what is held for callers.
+    pub caller_limits: CallerLimits,
     /// The least severe level that is logged.
     pub log_level: &'static str,
 }
@@ -39,6 +44,8 @@
             setting("vm-list", "IP:PORT", "address of the platform's list of VMs", None),
             setting("heartbeat-ms", "MS", "interval between two heartbeats, in ms", Some("250")),
             setting("drain-timeout-ms", "MS", "how long a graceful shutdown waits for calls in flight, in ms", Some("60000")),
+            setting("memory-mb", "MB", "memory that the process may use; what is held for callers is limited by it", Some("1024")),
+            setting("max-descriptors", "COUNT", "file descriptors that the process may use", Some("8192")),
             setting("log-level", "LEVEL", "least severe level to log: error, warn, info, debug or trace", Some("info")),
             $($setting),*
         ]
@@ -65,6 +72,8 @@
         let vm_list = reader.address("vm-list");
         let heartbeat_ms = reader.number("heartbeat-ms", 10, 10_000);
         let drain_timeout_ms = reader.number("drain-timeout-ms", 0, 3_600_000);
+        let memory_bytes = reader.number("memory-mb", 16, 1 << 20) * BYTES_PER_MB;
+        let max_descriptors = reader.number("max-descriptors", 256, 1 << 20);
         let log_level = reader.one_of("log-level", LOG_LEVELS);
         Some(ProcessSettings {
             vm: vm?,
@@ -74,6 +83,7 @@
             vm_list,
             heartbeat_ms,
             drain_timeout_ms,
+            caller_limits: CallerLimits::of_process(memory_bytes, max_descriptors),
             log_level,
         })
     }
--- a/src/gateway/caller_pressure.rs
+++ b/src/telemetry/caller_pressure.rs
@@ -2,20 +2,18 @@
 
 use metrics::{counter, gauge};
 
-use super::state::Gateway;
 use crate::load::CallerUsage;
 
 /// Logs what was refused or closed for want of room: at most one line per check, however many callers
 /// there are.
 #[derive(Debug, Default)]
-pub(super) struct PressureLog {
+pub struct PressureLog {
     logged: CallerUsage,
 }
 
 impl PressureLog {
     /// Logs what has happened since the last check, if anything.
-    pub(super) fn check(&mut self, gateway: &Gateway) {
-        let usage = gateway.caller_memory.usage();
+    pub fn check(&mut self, usage: CallerUsage) {
         let closed = usage.evicted - self.logged.evicted;
         let refused = usage.refused - self.logged.refused;
         if closed + refused > 0 {
@@ -29,7 +27,7 @@
 }
 
 /// Sets the metrics of what is held for callers.
-pub(super) fn set_caller_metrics(usage: &CallerUsage) {
+pub fn set_caller_metrics(usage: &CallerUsage) {
     gauge!("trefoil_caller_connections").set(usage.connections as f64);
     gauge!("trefoil_requests_in_service").set(usage.in_service as f64);
     gauge!("trefoil_request_bytes").set(usage.request_bytes as f64);
