Accounts of programs are bounded with the histories

What callers saw, read and not shown at a process: small turns of programs with new IDs each add an account, which the owner keeps for as long as a history, and which nothing bounded but the rates. Change: an account counts with the histories of its workspace; a turn that would add one for which there is no room is refused with 503. A turn of which nothing more is kept is served also when the room is used up. Evidence: accounts_count_until_they_expire; the tests of histories at real processes pass as before.

--- a/src/gateway/owned_shard.rs
+++ b/src/gateway/owned_shard.rs
@@ -11,6 +11,9 @@
 /// What a turn takes besides its bytes.
 pub(super) const TURN_OVERHEAD_BYTES: usize = 400;
 
+/// What a program's account takes.
+pub(super) const ACCOUNT_BYTES: usize = 400;
+
 /// The stages of owning a shard, from taking it over to losing it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Stage {
@@ -32,6 +35,8 @@
     ledger: RefCell<Ledger>,
     /// The counts of the turns in the ledger.
     histories: RefCell<HashMap<TurnKey, History>>,
+    /// The counts of the accounts in the ledger that were opened here.
+    accounts: RefCell<HashMap<ProgramKey, History>>,
     pub(super) writer: Writer,
     stage: Cell<Stage>,
     turns_in_flight: Cell<u32>,
@@ -44,6 +49,7 @@
             epoch,
             ledger: RefCell::default(),
             histories: RefCell::default(),
+            accounts: RefCell::default(),
             writer: Writer::default(),
             stage: Cell::new(Stage::Loading),
             turns_in_flight: Cell::new(0),
@@ -83,11 +89,23 @@
         self.histories.borrow_mut().entry(turn).or_insert_with(count);
     }
 
+    /// Counts the account of a program, until it is removed.
+    pub(super) fn count_account(
+        &self,
+        memory: &ServerMemory,
+        workspace: &Arc<str>,
+        program: ProgramKey,
+    ) {
+        let count = || memory.hold_kept_history(workspace, ACCOUNT_BYTES);
+        self.accounts.borrow_mut().entry(program).or_insert_with(count);
+    }
+
     /// Removes expired turns and accounts from the ledger, and queues the records that delete them.
     pub(super) fn remove_expired(&self, now: UnixMs) {
         drop(self.change(|ledger, records| records.extend(ledger.expire(now))));
         let ledger = self.ledger.borrow();
         self.histories.borrow_mut().retain(|turn, _| ledger.turn(*turn).is_some());
+        self.accounts.borrow_mut().retain(|program, _| ledger.has_account(*program));
     }
 
     /// Notes that a record of a program's account is durable.
--- a/src/gateway/tests/caller_limits.rs
+++ b/src/gateway/tests/caller_limits.rs
@@ -7,13 +7,13 @@
 
 use super::fakes;
 use crate::gateway::Refusal;
-use crate::gateway::owned_shard::{OwnedShard, TURN_OVERHEAD_BYTES};
+use crate::gateway::owned_shard::{ACCOUNT_BYTES, OwnedShard, TURN_OVERHEAD_BYTES};
 use crate::gateway::read_body::read_body;
 use crate::gateway::state::Gateway;
 use crate::http::{BodyLimits, CallerContext, Eviction, ServedConnection, ServerMemory};
 use crate::load::CallerLimits;
 use crate::prelude::*;
-use crate::turns::{Turn, TurnKey};
+use crate::turns::{ProgramKey, Turn, TurnKey};
 
 const LIMITS: BodyLimits = BodyLimits { max_bytes: 4 << 20, time_ms: 20_000, silence_ms: 5_000 };
 
@@ -172,3 +172,21 @@
     drop(shard);
     assert_eq!(gateway.caller_memory.usage().history_bytes, 0);
 }
+
+// Programs with new IDs, each with a small turn, added accounts that were counted nowhere.
+#[tokio::test]
+async fn accounts_count_until_they_expire() {
+    let gateway = small_gateway();
+    let shard = OwnedShard::open(0, 1);
+    for number in 0..10 {
+        let program = ProgramKey::of("w", &format!("p{number}"));
+        let (reserved, _) = shard.change(|ledger, _| ledger.reserve(program, 100, 10, UnixMs(0)));
+        assert!(reserved.is_ok());
+        shard.count_account(&gateway.caller_memory, &"w".into(), program);
+        shard.count_account(&gateway.caller_memory, &"w".into(), program);
+        drop(shard.change(|ledger, _| ledger.settle(program, 10, 1)));
+    }
+    assert_eq!(gateway.caller_memory.usage().history_bytes, 10 * ACCOUNT_BYTES as u64);
+    shard.remove_expired(UnixMs(1_000_000));
+    assert_eq!(gateway.caller_memory.usage().history_bytes, 0);
+}
--- a/src/gateway/turn.rs
+++ b/src/gateway/turn.rs
@@ -14,7 +14,7 @@
 use super::handoff::{TurnHandoff, hand_off};
 use super::held_for_callers::History;
 use super::in_flight::Wait;
-use super::owned_shard::{OwnedShard, TURN_OVERHEAD_BYTES};
+use super::owned_shard::{ACCOUNT_BYTES, OwnedShard, TURN_OVERHEAD_BYTES};
 use super::read_body::hold_prompt;
 use super::reader_limits::{Counted, ReaderGone};
 use super::reservation::{Charge, Reservation};
@@ -232,19 +232,22 @@
         Ok(())
     }
 
-    /// Counts what will be kept of the turn, if anything is. Once it has run, it has to be kept.
-    fn hold_history(&self) -> Result<Option<History>, Refusal> {
-        let TurnRequest { endpoint_request, input, max_output_tokens, .. } = &self.turn_request;
-        if !endpoint_request.routing.keeps_history {
-            return Ok(None);
+    /// Counts what will be kept of the turn. Once it has run, it has to be kept.
+    fn hold_history(&self) -> Result<History, Refusal> {
+        let TurnRequest { endpoint_request, input, max_output_tokens, program, .. } =
+            &self.turn_request;
+        let mut bytes = 0;
+        if !self.shard.ledger().has_account(*program) {
+            bytes += ACCOUNT_BYTES;
+        }
+        if endpoint_request.routing.keeps_history {
+            let max_output_bytes = usize::try_from(*max_output_tokens)
+                .map_or(MAX_RESPONSE_BYTES, |tokens| tokens.saturating_mul(BYTES_PER_TOKEN));
+            bytes += input.len() + max_output_bytes.min(MAX_RESPONSE_BYTES) + TURN_OVERHEAD_BYTES;
         }
-        let max_output_bytes = usize::try_from(*max_output_tokens)
-            .map_or(MAX_RESPONSE_BYTES, |tokens| tokens.saturating_mul(BYTES_PER_TOKEN))
-            .min(MAX_RESPONSE_BYTES);
-        let bytes = input.len() + max_output_bytes + TURN_OVERHEAD_BYTES;
         let workspace = &endpoint_request.routing.workspace;
         let held = self.gateway.caller_memory.hold_history(workspace, bytes);
-        held.map(Some).map_err(|NoRoom| Refusal::NoRoom { retry_after_ms: HISTORY_RETRY_MS })
+        held.map_err(|NoRoom| Refusal::NoRoom { retry_after_ms: HISTORY_RETRY_MS })
     }
 
     /// Prepends the history to the request, and reserves the turn's tokens from its program's
@@ -267,6 +270,8 @@
         let kept_until = self.kept_until();
         let tokens = (turn_request.budget, turn_request.max_output_tokens);
         let charge = Reservation::open(shard, turn_request.program, tokens, kept_until, chain)?;
+        let workspace = &turn_request.endpoint_request.routing.workspace;
+        shard.count_account(&gateway.caller_memory, workspace, turn_request.program);
         let needs_store =
             turn_request.endpoint_request.routing.keeps_history || charge.is_recorded_first();
         let left_ms = turn_request.endpoint_request.deadline.since(gateway.now());
--- a/src/load/shared_limit.rs
+++ b/src/load/shared_limit.rs
@@ -26,7 +26,7 @@
     pub(super) fn has_room(&self, workspace: &str, amount: u64) -> bool {
         let own = self.used_by(workspace).saturating_add(amount);
         let total = self.total.saturating_add(amount);
-        own <= self.limit.saturating_sub(total)
+        amount == 0 || own <= self.limit.saturating_sub(total)
     }
 
     /// Counts an amount, also one beyond the limit.
--- a/src/load/tests/caller_memory.rs
+++ b/src/load/tests/caller_memory.rs
@@ -311,6 +311,10 @@
     assert!(other.is_ok());
     let loaded = memory.hold_kept_history(&"".into(), 100_000);
     assert!(memory.hold_history(&"third".into(), 1).is_err());
+    assert!(
+        memory.hold_history(&crowd, 0).is_ok(),
+        "a turn of which nothing more is kept is served"
+    );
     drop((loaded, other, kept));
     assert_eq!(memory.usage().history_bytes, 0);
     assert!(memory.hold_history(&crowd, 1_000).is_ok());
