Bytes behind a request in service are counted, and limited in the system's buffers

Read and not shown: while a request is in service, up to 64 KB that arrive behind it are read into the connection's buffer and counted nowhere, and the system's receive buffer, once a fast upload has let it grow, holds megabytes more for each connection. Both take memory of the VM. Change: what is read behind a request in service counts for its workspace; the receive buffer of a gateway's callers is set to 64 KB, which no longer grows.

--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -31,7 +31,8 @@
 use super::state::Gateway;
 use super::{GatewayError, GatewayStatus, ResponseBody, STATUS_PATH};
 use crate::http::{
-    BodyLimits, CallerContext, CallerStream, Eviction, ServedConnection, set_socket_options,
+    BodyLimits, CallerContext, CallerStream, Eviction, ServedConnection, limit_receive_buffer,
+    set_socket_options,
 };
 use crate::load::NoRoom;
 use crate::prelude::*;
@@ -100,6 +101,9 @@
             return;
         };
         set_socket_options(&stream);
+        if let ListenerKind::Callers = listener_kind {
+            limit_receive_buffer(&stream);
+        }
         let served = ConnectionServer {
             gateway: gateway.clone(),
             connection: Arc::new(connection),
--- a/src/http/caller_stream.rs
+++ b/src/http/caller_stream.rs
@@ -86,7 +86,7 @@
         let before = buffer.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
         let bytes = buffer.filled().len() - before;
-        let counted = self.connection.receive_head(self.clock.now(), bytes);
+        let counted = self.connection.receive_outside_body(self.clock.now(), bytes);
         Poll::Ready(counted.map_err(|_| io::Error::other("no room for the head of a request")))
     }
 }
--- a/src/http/connections.rs
+++ b/src/http/connections.rs
@@ -146,6 +146,18 @@
     }
 }
 
+/// Receive buffer of a caller's connection. Without it, the system lets the buffer grow to megabytes, and
+/// what waits there unread takes the memory of the VM.
+const CALLER_RECEIVE_BUFFER_BYTES: usize = 64 * 1024;
+
+/// Limits what the system buffers of a caller's connection.
+pub fn limit_receive_buffer(stream: &TcpStream) {
+    let socket = socket2::SockRef::from(stream);
+    if let Err(fault) = socket.set_recv_buffer_size(CALLER_RECEIVE_BUFFER_BYTES) {
+        log::debug!(fault:display; "cannot set SO_RCVBUF; continuing");
+    }
+}
+
 /// Disables Nagle's algorithm, and closes the connection when its peer stops acknowledging data.
 pub fn set_socket_options(stream: &TcpStream) {
     let socket = socket2::SockRef::from(stream);
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -20,7 +20,9 @@
 pub use caller_stream::CallerStream;
 pub use client::{CallError, Client};
 pub use collect_body::{BodyLimits, collect_body};
-pub use connections::{ConnectError, Connection, ConnectionPool, set_socket_options};
+pub use connections::{
+    ConnectError, Connection, ConnectionPool, limit_receive_buffer, set_socket_options,
+};
 pub use framing::is_body_decoded;
 pub use line_reader::LineReader;
 pub use pending_call::PendingCall;
--- a/src/load/caller_memory/guards.rs
+++ b/src/load/caller_memory/guards.rs
@@ -85,12 +85,12 @@
 }
 
 impl<H: Evict> CallerConnection<H> {
-    /// Counts bytes that were read from the connection, if they belong to a head.
+    /// Counts bytes that were read from the connection, unless they belong to a body.
     ///
     /// # Errors
     /// If there is no room for them.
-    pub fn receive_head(&self, now: TimeMs, bytes: usize) -> Result<(), NoRoom> {
-        lock(&self.state).receive_head(now, self.key, bytes as u64)
+    pub fn receive_outside_body(&self, now: TimeMs, bytes: usize) -> Result<(), NoRoom> {
+        lock(&self.state).receive_outside_body(now, self.key, bytes as u64)
     }
 
     /// The head of a request has arrived. The request ends when the returned value is dropped.
--- a/src/load/caller_memory/state.rs
+++ b/src/load/caller_memory/state.rs
@@ -132,9 +132,9 @@
         self.connections.iter().filter(move |(_, connection)| connection.is_evictable(now))
     }
 
-    /// Counts bytes of a head that have arrived. What arrives while a request is served stays in the
-    /// connection's buffer, and does not count here.
-    pub(super) fn receive_head(
+    /// Counts bytes that have arrived, unless they belong to a body. Those behind a request in service are
+    /// in the connection's buffer, which has a limit of its own: the request is not given up for them.
+    pub(super) fn receive_outside_body(
         &mut self,
         now: TimeMs,
         key: ConnectionKey,
@@ -142,6 +142,14 @@
     ) -> Result<(), NoRoom> {
         match self.connections.get(key) {
             Some(connection) if !connection.in_request => self.receive(now, key, bytes),
+            Some(connection) if connection.service.is_some() => {
+                let workspace = connection.workspace.clone();
+                self.requests.add(&workspace, bytes);
+                if let Some(connection) = self.connections.get_mut(key) {
+                    connection.bytes += bytes;
+                }
+                Ok(())
+            }
             // A connection that was evicted is closed by its owner, which may answer a request first.
             Some(_) | None => Ok(()),
         }
--- a/src/load/tests/caller_memory.rs
+++ b/src/load/tests/caller_memory.rs
@@ -54,7 +54,7 @@
 impl Caller {
     /// Sends a whole request of a workspace, and has it served.
     fn send(&mut self, now: TimeMs, workspace: &str, bytes: usize) -> Result<(), NoRoom> {
-        self.connection.receive_head(now, bytes)?;
+        self.connection.receive_outside_body(now, bytes)?;
         let request = self.connection.begin_request();
         request.set_workspace(now, &workspace.into())?;
         request.receive_body(now, bytes)?;
@@ -112,7 +112,7 @@
         return;
     };
     let done = match (step, &open.request) {
-        (Step::Head(bytes), None) => open.connection.receive_head(now, *bytes),
+        (Step::Head(bytes), None) => open.connection.receive_outside_body(now, *bytes),
         (Step::Begin, None) => {
             open.request = Some(open.connection.begin_request());
             Ok(())
@@ -327,7 +327,7 @@
         let memory: CallerMemory<Handle> =
             CallerMemory::open(CallerLimits::of_process(memory_bytes, 3_000));
         let mut caller = connect(&memory, TimeMs(0)).expect("there is room");
-        caller.connection.receive_head(TimeMs(0), 16_384).expect("there is room");
+        caller.connection.receive_outside_body(TimeMs(0), 16_384).expect("there is room");
         let request = caller.connection.begin_request();
         request.set_workspace(TimeMs(0), &"w".into()).expect("there is room");
         for _ in 0..64 {
