A body announced as too large is refused as such whatever room there is

What callers saw: in a crowd of 128 on 100 places, some requests with a body announced far over the limit got 503, which has them come back, instead of 413: their connection was closed for another one before their head was read. Cause: room was asked for before the announced length was checked. Change: the length is checked first, in one place for gateways and the daemon's processes.

--- a/src/gateway/read_body.rs
+++ b/src/gateway/read_body.rs
@@ -20,7 +20,6 @@
 /// # Errors
 /// If the body is too large, ends early or takes too long, or if there is no room for it.
 pub(super) async fn read_body<B>(
-    gateway: &Gateway,
     caller: &CallerContext,
     workspace: &Arc<str>,
     body: B,
@@ -29,8 +28,7 @@
 where
     B: Body<Data = Bytes> + Unpin,
 {
-    caller.request.set_workspace(gateway.now(), workspace)?;
-    let bytes = collect_body(caller, body, limits).await?;
+    let bytes = collect_body(caller, workspace, body, limits).await?;
     let hold = caller.request.end_body()?;
     Ok(Bytes::from_owner(Counted { bytes, _hold: hold }))
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -89,7 +89,7 @@
     let workspace =
         catalog.map_or_else(|| NO_WORKSPACE.into(), |catalog| workspace_of(&catalog, request_head));
     let limits = forwarded_limits(request_head.wait_ms.unwrap_or(DEFAULT_TIMEOUT_MS));
-    let body = read_body(gateway, caller, &workspace, body, limits).await?;
+    let body = read_body(caller, &workspace, body, limits).await?;
     caller.request.begin_service(gateway.now(), &workspace)?;
     let forwarded = forwarded_request(request_head, head, body, progress);
     try_targets(gateway, relay_targets, forwarded).await
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -161,7 +161,7 @@
         time_ms: request_head.wait_ms.unwrap_or(DEFAULT_TIMEOUT_MS),
         silence_ms: limits.idle_timeout_ms.max(MIN_SILENCE_MS),
     };
-    let body = read_body(gateway, caller, &workspace, body, body_limits).await?;
+    let body = read_body(caller, &workspace, body, body_limits).await?;
     caller.request.begin_service(gateway.now(), &workspace)?;
     // Reading the body may have taken long: decide by the configuration in force now.
     let catalog = gateway.active_config.catalog().unwrap_or(catalog);
--- a/src/gateway/serve_forwarded.rs
+++ b/src/gateway/serve_forwarded.rs
@@ -58,7 +58,7 @@
     admit_program(gateway, &shard, program, request_head, &routing).await?;
     progress.set_wait(Wait::Body);
     let limits = forwarded_limits(routing.left_ms);
-    let body = read_body(gateway, caller, &routing.workspace, body, limits).await?;
+    let body = read_body(caller, &routing.workspace, body, limits).await?;
     caller.request.begin_service(gateway.now(), &routing.workspace)?;
     let deadline = progress.arrived().plus(routing.left_ms);
     let progress = progress.clone();
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -312,7 +312,7 @@
     max_bytes: usize,
 ) -> Result<T, Response<ResponseBody>> {
     let limits = BodyLimits { max_bytes, time_ms: MAX_MESSAGE_MS, silence_ms: MAX_MESSAGE_MS };
-    let body = read_body(gateway, caller, &NO_WORKSPACE.into(), request.into_body(), limits).await;
+    let body = read_body(caller, &NO_WORKSPACE.into(), request.into_body(), limits).await;
     let body = body.map_err(|refusal| refusal_response(gateway, None, refusal))?;
     postcard::from_bytes(&body).map_err(|_| status_response(StatusCode::BAD_REQUEST))
 }
--- a/src/gateway/tests/caller_limits.rs
+++ b/src/gateway/tests/caller_limits.rs
@@ -31,11 +31,10 @@
 }
 
 async fn read(
-    gateway: &Gateway,
     caller: &CallerContext,
     body: impl Body<Data = Bytes> + Unpin,
 ) -> Result<Bytes, Refusal> {
-    read_body(gateway, caller, &"w".into(), body, LIMITS).await
+    read_body(caller, &"w".into(), body, LIMITS).await
 }
 
 fn frames(
@@ -60,11 +59,11 @@
 async fn no_body_is_read_beyond_its_room() {
     let gateway = small_gateway();
     let (first, _) = connect(&gateway);
-    let held = read(&gateway, &open(&gateway, &first), Full::from(vec![0; 4 << 20])).await;
+    let held = read(&open(&gateway, &first), Full::from(vec![0; 4 << 20])).await;
     assert_eq!(held.as_ref().map(Bytes::len), Ok(4 << 20));
     let (second, _) = connect(&gateway);
     let caller = open(&gateway, &second);
-    let refused = read(&gateway, &caller, StreamBody::new(frames(100, 40_000))).await;
+    let refused = read(&caller, StreamBody::new(frames(100, 40_000))).await;
     assert_eq!(refused, Err(REFUSED));
     assert!(caller.is_body_unread(), "the caller is still sending");
     drop(caller);
@@ -72,7 +71,7 @@
     drop(held);
     assert_eq!(gateway.caller_memory.usage().request_bytes, 0);
     let caller = open(&gateway, &second);
-    let read = read(&gateway, &caller, StreamBody::new(frames(100, 40_000))).await;
+    let read = read(&caller, StreamBody::new(frames(100, 40_000))).await;
     assert_eq!(read.map(|body| body.len()), Ok(4_000_000));
 }
 
@@ -82,7 +81,7 @@
     let gateway = small_gateway();
     let (connection, _) = connect(&gateway);
     let caller = open(&gateway, &connection);
-    let body = read(&gateway, &caller, StreamBody::new(frames(100_000, 1))).await;
+    let body = read(&caller, StreamBody::new(frames(100_000, 1))).await;
     let counted = gateway.caller_memory.usage().request_bytes;
     assert!((100_000..=125_000).contains(&counted), "{counted}");
     assert_eq!(body.map(|body| body.len()), Ok(100_000));
@@ -95,9 +94,9 @@
     let (connection, _) = connect(&gateway);
     let caller = open(&gateway, &connection);
     let body = Full::from(vec![0; (4 << 20) + 1]);
-    assert_eq!(read(&gateway, &caller, body).now_or_never(), Some(Err(Refusal::TooLarge)));
+    assert_eq!(read(&caller, body).now_or_never(), Some(Err(Refusal::TooLarge)));
     let sent = StreamBody::new(frames(200, 40_000));
-    assert_eq!(read(&gateway, &caller, sent).await, Err(Refusal::TooLarge));
+    assert_eq!(read(&caller, sent).await, Err(Refusal::TooLarge));
     drop(caller);
     assert_eq!(gateway.caller_memory.usage().request_bytes, 0);
 }
@@ -110,7 +109,7 @@
     let silent = frames(1, 100).chain(stream::pending());
     let caller = open(&gateway, &connection);
     let started = tokio::time::Instant::now();
-    assert_eq!(read(&gateway, &caller, StreamBody::new(silent)).await, Err(Refusal::BodyTimedOut));
+    assert_eq!(read(&caller, StreamBody::new(silent)).await, Err(Refusal::BodyTimedOut));
     assert_eq!(started.elapsed(), Duration::from_millis(LIMITS.silence_ms));
     let dripping = stream::unfold((), |()| async {
         tokio::time::sleep(Duration::from_secs(1)).await;
@@ -118,7 +117,7 @@
     });
     let started = tokio::time::Instant::now();
     let dripping = StreamBody::new(Box::pin(dripping));
-    assert_eq!(read(&gateway, &caller, dripping).await, Err(Refusal::BodyTimedOut));
+    assert_eq!(read(&caller, dripping).await, Err(Refusal::BodyTimedOut));
     assert_eq!(started.elapsed(), Duration::from_millis(LIMITS.time_ms));
     assert!(Refusal::BodyTimedOut.guarantees_not_run());
     drop(caller);
@@ -132,11 +131,11 @@
     let (stalled, eviction) = connect(&gateway);
     let caller = open(&gateway, &stalled);
     let body = StreamBody::new(frames(100, 40_000).chain(stream::pending()));
-    let mut stalled_read = Box::pin(read(&gateway, &caller, body));
+    let mut stalled_read = Box::pin(read(&caller, body));
     assert!(stalled_read.as_mut().now_or_never().is_none());
     let (other, _) = connect(&gateway);
     let whole = Full::from(vec![0; 2 << 20]);
-    let read = read(&gateway, &open(&gateway, &other), whole.boxed()).await;
+    let read = read(&open(&gateway, &other), whole.boxed()).await;
     assert!(read.is_ok());
     assert!(eviction.requested().now_or_never().is_some());
     let usage = gateway.caller_memory.usage();
--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -88,11 +88,10 @@
     let time_ms = timeout.as_millis() as u64;
     let limits = BodyLimits { max_bytes, time_ms, silence_ms: time_ms };
     let workspace = workspace.into();
-    caller.request.set_workspace(caller.now(), &workspace)?;
     let body = tokio::select! {
         biased;
         () = caller.evicted() => return Err(BodyError::NoRoom),
-        body = collect_body(&caller, request.into_body(), limits) => body?,
+        body = collect_body(&caller, &workspace, request.into_body(), limits) => body?,
     };
     caller.request.receive_body(caller.now(), DECODED_COPIES * body.len())?;
     caller.request.begin_service(caller.now(), &workspace)?;
--- a/src/http/collect_body.rs
+++ b/src/http/collect_body.rs
@@ -5,7 +5,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::{BodyError, CallerContext};
-use crate::load::NoRoom;
+use crate::prelude::*;
 
 /// By what part a buffer grows at least. Its unused part counts like the rest.
 const GROWTH_FRACTION: usize = 4;
@@ -21,13 +21,14 @@
     pub silence_ms: u64,
 }
 
-/// Reads the body of a request, and joins its frames as they arrive: kept one by one, small ones would
+/// Reads the body of a workspace's request, and joins its frames as they arrive: kept one by one, small ones would
 /// take many times their size. Room for them is counted before it is used.
 ///
 /// # Errors
 /// If the body is too large, ends early or takes too long, or if there is no room for it.
 pub async fn collect_body<B>(
     caller: &CallerContext,
+    workspace: &Arc<str>,
     mut body: B,
     limits: BodyLimits,
 ) -> Result<Vec<u8>, BodyError>
@@ -38,6 +39,7 @@
     if body.size_hint().lower() > limits.max_bytes as u64 {
         return Err(BodyError::TooLarge);
     }
+    caller.request.set_workspace(caller.now(), workspace)?;
     let whole_by = Instant::now().checked_add(Duration::from_millis(limits.time_ms));
     let silence = Duration::from_millis(limits.silence_ms);
     let mut bytes = Vec::new();
@@ -58,8 +60,7 @@
         }
         if needed > bytes.capacity() {
             let grown = needed.max(bytes.capacity() + bytes.capacity() / GROWTH_FRACTION);
-            let counted = caller.request.receive_body(caller.now(), grown - bytes.capacity());
-            counted.map_err(|NoRoom| BodyError::NoRoom)?;
+            caller.request.receive_body(caller.now(), grown - bytes.capacity())?;
             bytes.reserve_exact(grown - bytes.len());
         }
         bytes.extend_from_slice(&data);
