A body may arrive for a minute, however little its caller waits

What callers saw: with the first limits on bodies, a call whose body was arriving at a shutdown was answered 408 once its caller's stated time was over, instead of 503 with a time to return when the process has to exit. Cause: the time limit of a body was its caller's, which says how long an answer is worth waiting for, not how long a body may take.

--- a/src/gateway/read_body.rs
+++ b/src/gateway/read_body.rs
@@ -1,9 +1,9 @@
 use hyper::body::{Body, Bytes};
 
-use super::Refusal;
 use super::held_for_callers::RequestBytes;
 use super::reader_limits::Counted;
 use super::state::Gateway;
+use super::{Refusal, RequestHead};
 use crate::http::{BodyError, BodyLimits, CallerContext, collect_body};
 use crate::load::NoRoom;
 use crate::prelude::*;
@@ -14,6 +14,14 @@
 /// The shortest time that a body may be silent, however soon idle connections are closed.
 pub(super) const MIN_SILENCE_MS: u64 = 5_000;
 
+/// The least time that a body has to arrive, however little its caller waits.
+const MIN_BODY_TIME_MS: u64 = 60_000;
+
+/// The time that the body of a request has to arrive.
+pub(super) fn body_time_ms(request_head: &RequestHead) -> u64 {
+    request_head.wait_ms.map_or(MIN_BODY_TIME_MS, |wait_ms| wait_ms.max(MIN_BODY_TIME_MS))
+}
+
 /// Reads the body of a workspace's request. Its bytes are counted until the last clone of the body is
 /// dropped.
 ///
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -15,7 +15,7 @@
 use super::forward::{ForwardTarget, ForwardedRequest, SendOutcome, forwarded_limits, send};
 use super::in_flight::{Progress, Wait};
 use super::observe::RequestSummary;
-use super::read_body::{NO_WORKSPACE, read_body};
+use super::read_body::{NO_WORKSPACE, body_time_ms, read_body};
 use super::serve::{check_held_bytes, refusal_response, refuse_and_record, workspace_of};
 use super::shutdown::until_answers_are_due;
 use super::state::Gateway;
@@ -31,7 +31,7 @@
 const NOT_RELAYED_RETRY_MS: u64 = 400;
 
 /// Time limit for a request whose caller states none.
-pub(super) const DEFAULT_TIMEOUT_MS: u64 = 60_000;
+const DEFAULT_TIMEOUT_MS: u64 = 60_000;
 
 /// Entries to which requests are relayed; none while this entry decides itself, or while no other
 /// entry can.
@@ -88,7 +88,7 @@
     let catalog = gateway.active_config.catalog();
     let workspace =
         catalog.map_or_else(|| NO_WORKSPACE.into(), |catalog| workspace_of(&catalog, request_head));
-    let limits = forwarded_limits(request_head.wait_ms.unwrap_or(DEFAULT_TIMEOUT_MS));
+    let limits = forwarded_limits(body_time_ms(request_head));
     let body = read_body(caller, &workspace, body, limits).await?;
     caller.request.begin_service(gateway.now(), &workspace)?;
     let forwarded = forwarded_request(request_head, head, body, progress);
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -15,8 +15,8 @@
 use super::load_admission::admit_program;
 use super::observe::{self, RequestSummary};
 use super::owned_shard::OwnedShard;
-use super::read_body::{MIN_SILENCE_MS, NO_WORKSPACE, read_body};
-use super::relay::{DEFAULT_TIMEOUT_MS, relay, relay_targets};
+use super::read_body::{MIN_SILENCE_MS, NO_WORKSPACE, body_time_ms, read_body};
+use super::relay::{relay, relay_targets};
 use super::shutdown::until_answers_are_due;
 use super::state::Gateway;
 use super::suspects::CrashKey;
@@ -158,7 +158,7 @@
     progress.set_wait(Wait::Body);
     let body_limits = BodyLimits {
         max_bytes: limits.max_body_bytes,
-        time_ms: request_head.wait_ms.unwrap_or(DEFAULT_TIMEOUT_MS),
+        time_ms: body_time_ms(request_head),
         silence_ms: limits.idle_timeout_ms.max(MIN_SILENCE_MS),
     };
     let body = read_body(caller, &workspace, body, body_limits).await?;
