--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -188,9 +188,10 @@
         request: Request<Incoming>,
     ) -> Response<ResponseBody> {
         let gateway = &self.gateway;
+        let response = handle_request(gateway, self.listener_kind, &self.metrics, caller, request);
         tokio::select! {
             biased;
-            response = handle_request(gateway, self.listener_kind, &self.metrics, caller, request) => response,
+            response = response => response,
             () = caller.evicted() => refusal_response(gateway, None, NoRoom.into()),
         }
     }
--- a/src/load/tests/caller_memory.rs
+++ b/src/load/tests/caller_memory.rs
@@ -100,7 +100,7 @@
     ["a", "b", ""][number].into()
 }
 
-/// Does a step of a caller. Returns whether it was refused.
+/// Does a step of a caller. One whose request is refused loses its connection.
 fn act(memory: &CallerMemory<Handle>, now: TimeMs, caller: &mut Option<Caller>, step: &Step) {
     if let Step::Connect = step {
         if caller.is_none() {
